Read the configuration again on SIGHUP and move the watch to its discovery

No handler for SIGHUP stood in cmd/fieldrelay/main.go, so the system's own ended the process. Checked: nodelist knew one address for life and asked it for what came after the generation of the last list; another discovery may count differently. Now config.Reload lets the file win over LB_DISCOVERY, main reloads until SIGTERM, and a file that cannot be used leaves one line in the log. Keys that hold from a start only are named.

--- a/cmd/fieldrelay/main.go
+++ b/cmd/fieldrelay/main.go
@@ -36,8 +36,16 @@
 	}
 }
 
-// run serves until SIGTERM and then until all that was taken is answered. It logs to out.
+// run serves until SIGTERM and then until all that was taken is answered. On SIGHUP it reads its configuration
+// again. It logs to out.
 func run(out io.Writer) error {
+	// From the first moment on: left to the system, a SIGHUP would end the process.
+	hangup, terminate := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(hangup)
+	defer signal.Stop(terminate)
+
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -46,9 +54,6 @@
 	debug.SetMemoryLimit(cfg.MemoryBytes)
 	log := zerolog.New(out).Level(zerolog.InfoLevel).With().Timestamp().Str("sidecar", cfg.Name).Logger()
 
-	terminate := make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
-
 	fleet := executenode.NewFleet(executenode.Options{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle,
 		DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound}, log)
 	core, err := relay.New(cfg.Logic, cfg.Seed, fleet, log)
@@ -70,10 +75,15 @@
 	log.Info().Stringer("listen", ln.Addr()).Int("procs", cfg.Procs).Int("inbound", cfg.Inbound).
 		Int("outbound", cfg.Outbound).Msg("serving")
 
-	select {
-	case err := <-served:
-		return fmt.Errorf("listen: %w", err)
-	case <-terminate:
+	for serving := true; serving; {
+		select {
+		case err := <-served:
+			return fmt.Errorf("listen: %w", err)
+		case <-hangup:
+			reload(cfg, list, log)
+		case <-terminate:
+			serving = false
+		}
 	}
 	log.Info().Msg("terminating")
 	front.Stopping()
@@ -82,3 +92,15 @@
 	defer cancel()
 	return front.Shutdown(ctx)
 }
+
+// reload takes over from the configuration file what can change while the sidecar serves, which is where discovery
+// is. Of a file that cannot be used nothing is taken.
+func reload(running *config.Config, list *nodelist.Actor, log zerolog.Logger) {
+	cfg, err := config.Reload(os.Getenv)
+	if err != nil {
+		log.Error().Err(err).Msg("configuration not reloaded")
+		return
+	}
+	list.Move(cfg.Discovery)
+	log.Info().Str("discovery", cfg.Discovery).Strs("at next start", running.Changed(cfg)).Msg("configuration reloaded")
+}
--- a/cmd/fieldrelay/main_test.go
+++ b/cmd/fieldrelay/main_test.go
@@ -16,19 +16,26 @@
 const settings = `{"tick_ms":5,"discovery":"subscribe","classes":[{"name":"look","effect":"free","aim_ms":400,"deadline_ms":5000}],
 	"contract":{"ask_every_ms":10000},"limits":{"send_cap":2,"may_cancel":true}}`
 
-// The whole program: a job finds its way through the parts to a node, and what is taken before SIGTERM is answered
-// before the program leaves with success.
-func TestServeAndTerminate(t *testing.T) {
-	node, discovery := scenario.Listen(t), scenario.Listen(t)
+// The whole program: a job finds its way through the parts to a node, a bad new file changes nothing, a good one
+// moves the list though the environment names the old place, and what is taken before SIGTERM is answered before
+// the program leaves with success.
+func TestServeReloadAndTerminate(t *testing.T) {
+	node, discovery, moved := scenario.Listen(t), scenario.Listen(t), scenario.Listen(t)
 	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"1","known":{"generation":1,"instances":[
+	config := func(discovery net.Listener) string {
+		return fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"1","known":{"generation":1,"instances":[
 		{"instanceId":"n","hostPort":%q,"lifecycle":"Ready"}]},"settings":%s}`, discovery.Addr(), node.Addr(), settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
 	}
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(config(discovery))
 	t.Setenv("LB_CONFIG", path)
+	t.Setenv("LB_DISCOVERY", discovery.Addr().String())
 
-	log := make(listenLine, 1)
+	log := logLines{make(chan string, 1), make(chan struct{}, 1)}
 	var front string
 	stage := scenario.NewStage(nil)
 	stage.Open = func(peer string) (net.Conn, error) {
@@ -37,12 +44,22 @@
 			return node.Accept()
 		case "discovery":
 			return discovery.Accept()
+		case "moved":
+			return moved.Accept()
 		}
 		return net.Dial("tcp", front)
 	}
 	stage.Calls["program"] = func(string) {
 		go func() { stage.Event(fmt.Sprint("ended ", run(log))) }()
-		front = <-log
+		front = <-log.listen
+	}
+	stage.Calls["replace"] = func(text string) {
+		if text == "moved" {
+			text = config(moved)
+		}
+		write(text)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		<-log.reloads
 	}
 	stage.Calls["terminate"] = func(string) { syscall.Kill(os.Getpid(), syscall.SIGTERM) }
 	const ask = `send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c1\r\nX-Budget: 5\r\n\r\n`
@@ -56,6 +73,10 @@
 		node1 expect X-Call-Id: c1
 		b ASK
 		node2 expect X-Call-Id: c1
+		replace send {
+		replace send moved
+		discovery wait
+		moved expect GET /v1/endpoints?watch=1 HTTP/1.1
 		terminate send now
 		node1 REPLYhi
 		a expect \r\n\r\nhi
@@ -66,16 +87,22 @@
 		wait ended <nil>`))
 }
 
-// listenLine is a log that passes on the address at which the program serves.
-type listenLine chan string
+// logLines is a log that passes on the address at which the program serves, and that it has tried to reload.
+type logLines struct {
+	listen  chan string
+	reloads chan struct{}
+}
 
-func (l listenLine) Write(line []byte) (int, error) {
-	var entry struct{ Listen string }
+func (l logLines) Write(line []byte) (int, error) {
+	var entry struct{ Listen, Message string }
 	if err := json.Unmarshal(line, &entry); err != nil {
 		return 0, err
 	}
 	if entry.Listen != "" {
-		l <- entry.Listen
+		l.listen <- entry.Listen
+	}
+	if strings.HasPrefix(entry.Message, "configuration ") {
+		l.reloads <- struct{}{}
 	}
 	return len(line), nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -71,6 +72,16 @@
 
 // Load reads the configuration that the environment names.
 func Load(getenv func(string) string) (*Config, error) {
+	return read(getenv, func(env, file string) string { return cmp.Or(env, file) })
+}
+
+// Reload reads it again. The file has been replaced since the environment was set, so its word on discovery is
+// the newer one.
+func Reload(getenv func(string) string) (*Config, error) {
+	return read(getenv, func(env, file string) string { return cmp.Or(file, env) })
+}
+
+func read(getenv func(string) string, discovery func(env, file string) string) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG: not set; it names the configuration file")
@@ -79,14 +90,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", err)
 	}
-	cfg, err := parse(text, getenv)
+	cfg, err := parse(text, getenv, discovery)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return cfg, nil
 }
 
-func parse(text []byte, getenv func(string) string) (*Config, error) {
+func parse(text []byte, getenv func(string) string, discovery func(env, file string) string) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err // names the key of a value that has the wrong type
@@ -94,7 +105,7 @@
 	cfg := &Config{
 		Name:      cmp.Or(getenv("LB_NAME"), f.Name, "fieldrelay"),
 		Listen:    cmp.Or(getenv("LB_LISTEN"), f.Listen),
-		Discovery: cmp.Or(getenv("LB_DISCOVERY"), f.Discovery),
+		Discovery: discovery(getenv("LB_DISCOVERY"), f.Discovery),
 	}
 	for key, addr := range map[string]string{"listen": cfg.Listen, "discovery": cfg.Discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
@@ -168,6 +179,27 @@
 	return nil
 }
 
+// Changed names the keys of next that differ and that hold from a start only.
+func (c *Config) Changed(next *Config) []string {
+	var keys []string
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"limits", c.Procs == next.Procs && c.MemoryBytes == next.MemoryBytes && c.Inbound == next.Inbound &&
+			c.Outbound == next.Outbound},
+		{"settings", c.DialTimeout == next.DialTimeout && c.ConnIdle == next.ConnIdle && c.DrainGrace == next.DrainGrace &&
+			reflect.DeepEqual(c.Logic, next.Logic)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // LongestDeadline is the longest that a submitter waits for a job of any class.
 func (c *Config) LongestDeadline() time.Duration {
 	var longest time.Duration
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,13 +16,13 @@
  "settings":{"tick_ms":5,"contract":{"drain_grace_ms":400},"limits":{"dial_timeout_ms":120},
   "classes":[{"name":"c","effect":"free","aim_ms":100,"deadline_ms":5000}]}}`
 
-func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+func load(t *testing.T, read func(func(string) string) (*Config, error), text string, env map[string]string) (*Config, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return Load(func(key string) string {
+	return read(func(key string) string {
 		if key == "LB_CONFIG" {
 			return path
 		}
@@ -31,7 +31,7 @@
 }
 
 func TestLoad(t *testing.T) {
-	cfg, err := load(t, good, map[string]string{"LB_NAME": "n4", "LB_LISTEN": "127.0.0.2:80"})
+	cfg, err := load(t, Load, good, map[string]string{"LB_NAME": "n4", "LB_LISTEN": "127.0.0.2:80"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,6 +44,41 @@
 	}
 }
 
+// A file that was replaced since the start is newer than the environment; one that names no discovery leaves it.
+func TestReloadTakesDiscoveryFromTheFile(t *testing.T) {
+	env := map[string]string{"LB_DISCOVERY": "127.0.0.1:86"}
+	var got []string
+	for _, read := range []func(func(string) string) (*Config, error){Load, Reload} {
+		for _, text := range []string{good, strings.Replace(good, "127.0.0.1:85", "", 1)} {
+			cfg, err := load(t, read, text, env)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, cfg.Discovery)
+		}
+	}
+	if diff := cmp.Diff([]string{"127.0.0.1:86", "127.0.0.1:86", "127.0.0.1:85", "127.0.0.1:86"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Whoever changes what a reload does not take over is told so.
+func TestChangedNamesTheKeys(t *testing.T) {
+	was, err := load(t, Load, good, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(`:80"`, `:81"`, `:85"`, `:86"`, "1024", "512", `"tick_ms":5`, `"tick_ms":6`).Replace(good)
+	now, err := load(t, Reload, text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := [][]string{was.Changed(was), was.Changed(now)}
+	if diff := cmp.Diff([][]string{nil, {"listen", "limits", "settings"}}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Whoever starts a sidecar with a faulty file is told which key to mend.
 func TestErrorsNameTheKey(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
@@ -65,7 +100,7 @@
 		{`"free"`, `"odd"`, "classes[0].effect: "},
 		{`5000`, `1e13`, "classes[0].deadline_ms: "},
 	} {
-		if _, err := load(t, strings.Replace(good, c.old, c.new, 1), nil); err == nil || !strings.Contains(err.Error(), c.want) {
+		if _, err := load(t, Load, strings.Replace(good, c.old, c.new, 1), nil); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s for %s: error %v, want %q", c.new, c.old, err, c.want)
 		}
 	}
--- a/internal/nodelist/nodelist.go
+++ b/internal/nodelist/nodelist.go
@@ -32,12 +32,12 @@
 // Actor is the actor of the list.
 type Actor struct {
 	log  zerolog.Logger
-	addr string
 	sink Sink
 	box  *mailbox.Mailbox
 
 	// What follows belongs to the actor.
-	generation uint64
+	addr       string
+	generation uint64            // 0: nothing is known of what discovery counts
 	ids        map[string]uint64 // of every instance ever named
 	taken      map[uint64]bool
 	watch      *stream // the present one, or nil
@@ -56,14 +56,26 @@
 }
 
 // Watch opens a watch, in place of the one that is open.
-func (a *Actor) Watch() {
+func (a *Actor) Watch() { a.box.Put(a.open) }
+
+func (a *Actor) open() {
+	if a.watch != nil {
+		a.watch.close()
+	}
+	s := newStream(a.addr, a.generation)
+	a.watch = s
+	go a.follow(s)
+}
+
+// Move turns to discovery at another address, at once: the old one may tell nothing more. The new one may count
+// its generations in its own way, so that the changes since an old one would leave out what it never saw: the
+// whole list is asked for.
+func (a *Actor) Move(addr string) {
 	a.box.Put(func() {
-		if a.watch != nil {
-			a.watch.close()
+		if addr != a.addr {
+			a.addr, a.generation = addr, 0
+			a.open()
 		}
-		s := newStream(a.addr, a.generation)
-		a.watch = s
-		go a.follow(s)
 	})
 }
 
--- a/internal/nodelist/nodelist_test.go
+++ b/internal/nodelist/nodelist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 
@@ -56,11 +57,28 @@
 			watch send again
 			d wait
 			e expect after=4 HTTP`,
+		// The generations of another discovery are its own: asked for what came after the old one, it would leave out
+		// what it never saw. The old watch ends unheard, and later ones go to the new address.
+		"discovery moves": begin + head + `
+			move send away
+			d wait
+			moved expect GET /v1/endpoints?watch=1 HTTP/1.1\r\n
+			moved ` + strings.TrimPrefix(head, "d ") + chunk(strings.Replace(change, "false", "true", 1)) + `
+			wait complete=true stored=false h:1/1/7ms
+			move send to the same address
+			watch send now
+			moved wait
+			moved2 expect after=5 HTTP`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ln := scenario.Listen(t)
-			stage := scenario.NewStage(scenario.Accepter(ln))
+			ln, next := scenario.Listen(t), scenario.Listen(t)
+			stage := scenario.NewStage(func(peer string) (net.Conn, error) {
+				if strings.HasPrefix(peer, "moved") {
+					return next.Accept()
+				}
+				return ln.Accept()
+			})
 			a := New(ln.Addr().String(), told{stage}, zerolog.Nop())
 			known, err := endpoints.Parse([]byte(`{"generation":4,"instances":[{"instanceId":"x","hostPort":"h:9","lifecycle":"Ready"}]}`))
 			if err != nil {
@@ -69,6 +87,7 @@
 			a.Start(known)
 			t.Cleanup(a.Close)
 			stage.Calls["watch"] = func(string) { a.Watch() }
+			stage.Calls["move"] = func(string) { a.Move(next.Addr().String()) }
 			stage.Play(t, stored+steps)
 		})
 	}
--- a/internal/nodelist/stream.go
+++ b/internal/nodelist/stream.go
@@ -14,7 +14,7 @@
 	"fieldrelay/internal/endpoints"
 )
 
-// stream is one watch on discovery. close may be called from another goroutine than run.
+// stream is one watch on discovery, for what came after a generation or, from 0, for the whole list. close may be called from another goroutine than run.
 type stream struct {
 	addr   string
 	after  uint64
@@ -42,7 +42,11 @@
 	defer context.AfterFunc(s.ctx, func() { conn.Close() })()
 
 	conn.SetDeadline(time.Now().Add(silence))
-	if _, err := fmt.Fprintf(conn, "GET /v1/endpoints?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", s.after, s.addr); err != nil {
+	target := "/v1/endpoints?watch=1"
+	if s.after > 0 {
+		target += fmt.Sprintf("&after=%d", s.after)
+	}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, s.addr); err != nil {
 		return err
 	}
 	resp := fasthttp.AcquireResponse()
