Close connections without a request when room runs short, and bound a request's time

Cause: listener.Accept waited for a slot (0.6 of the descriptors) that an idle connection gave back after ten minutes only (idleTimeout); a half request held one for a minute. Ruled out: memory (8 of 48 MB), outbound sockets (42 at once), the module (it got no requests). Now the connection idle for longest, and for at least 2 s, is told to end while slots run short, after one more look for a request that crosses; a request has 2.5 s to come, the first one from when its connection was made, the system's queue included. fasthttp's ReduceMemoryUsage frees the buffers of idle connections and never keeps an answer back for a request that was sent behind it. The time unread moves to internal/socket with its test.

--- /dev/null
+++ b/internal/socket/socket_other.go
@@ -0,0 +1,16 @@
+//go:build !linux
+
+// Package socket asks the system what the standard library does not tell of a
+// TCP connection. What it asks is known on Linux only.
+package socket
+
+import (
+	"net"
+	"time"
+)
+
+// Quiet is known on Linux only.
+func Quiet(net.Conn) time.Duration { return 0 }
+
+// Unread is known on Linux only.
+func Unread(net.Conn) bool { return false }
--- /dev/null
+++ b/internal/socket/socket_test.go
@@ -0,0 +1,65 @@
+package socket
+
+import (
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fieldrelay/internal/scenario"
+)
+
+func pair(t *testing.T) (near, far net.Conn) {
+	ln := scenario.Listen(t)
+	far, err := scenario.Dialer(ln.Addr().String())("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	if near, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close() })
+	return near, far
+}
+
+// What waits unread is seen without being taken: a byte, and the end of a connection.
+func TestUnread(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("known on Linux only")
+	}
+	near, far := pair(t)
+	got := []bool{Unread(near)}
+	far.Write([]byte("x"))
+	for !Unread(near) {
+		runtime.Gosched()
+	}
+	near.Read(make([]byte, 1))
+	got = append(got, Unread(near))
+	far.Close()
+	for !Unread(near) {
+		runtime.Gosched()
+	}
+	if diff := cmp.Diff([]bool{false, false}, got); diff != "" {
+		t.Errorf("unread before a byte and after it was read (-want +got):\n%s", diff)
+	}
+}
+
+func TestQuietCountsFromTheLastByte(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("known on Linux only")
+	}
+	near, far := pair(t)
+	const quiet = 100 * time.Millisecond
+	time.Sleep(quiet) // the time itself is what is measured
+	if got := Quiet(near); got < quiet/2 {
+		t.Errorf("%v after %v without a byte", got, quiet)
+	}
+	far.Write([]byte("x"))
+	near.Read(make([]byte, 1))
+	if got := Quiet(near); got > quiet/2 {
+		t.Errorf("%v after a byte", got)
+	}
+}
--- a/internal/submit/conn.go
+++ b/internal/submit/conn.go
@@ -1,53 +1,120 @@
 package submit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"os"
 	"sync"
 	"time"
+
+	"fieldrelay/internal/socket"
 )
 
-// lastLook is how long an idle connection is read once more before it is closed at a shutdown.
+// lastLook is how long an idle connection is read once more before it is closed to make room or at a shutdown.
 const lastLook = time.Millisecond
 
-// listener keeps hold of its connections, so that they can be watched during a job and let go at a shutdown.
+// leastIdle is how long a submitter may count on a connection that carries no request.
+const leastIdle = 2 * time.Second
+
+// spareSlots is the part of the slots that is kept free while connections idle: one in so many.
+const spareSlots = 8
+
+// listener keeps hold of its connections, so that they can be watched during a job, let go at a shutdown, and
+// closed to make room: submitters that say nothing would else keep all others out.
 type listener struct {
 	net.Listener
-	slots    chan struct{} // one for each connection that may be open
+	most     int           // connections that may be open
+	freed    chan struct{} // a connection has ended, or one that was to end goes on
 	closed   chan struct{} // no connection is taken any more
 	mu       sync.Mutex
 	conns    map[*watchedConn]bool
+	leaving  int // of them have been told to end
 	draining bool
 	empty    chan struct{} // closed when it drains and no connection is left
 	once     sync.Once
 }
 
-func newListener(ln net.Listener, conns int) *listener {
-	return &listener{Listener: ln, slots: make(chan struct{}, conns), closed: make(chan struct{}),
+func newListener(ln net.Listener, most int) *listener {
+	return &listener{Listener: ln, most: most, freed: make(chan struct{}, 1), closed: make(chan struct{}),
 		conns: map[*watchedConn]bool{}, empty: make(chan struct{})}
 }
 
-// Accept leaves a connection beyond the limit in the system's queue: taken and closed, its request would be lost.
+// Accept leaves a connection beyond the limit in the system's queue, since its request would be lost if it were
+// taken and closed, and makes room for it.
 func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+	if err := l.room(); err != nil {
+		return nil, err
 	}
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		<-l.slots
 		return nil, err
 	}
-	c := &watchedConn{Conn: nc, listener: l}
+	// It may have stood in the queue for a while.
+	quiet := socket.Quiet(nc)
+	c := &watchedConn{Conn: nc, listener: l, idleSince: time.Now().Add(-quiet),
+		first: time.Now().Add(max(readTimeout-quiet, queuedTimeout))}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
 	return c, nil
 }
 
+// room waits for a free slot.
+func (l *listener) room() error {
+	for {
+		wait, full := l.evict()
+		if !full {
+			return nil
+		}
+		var aged <-chan time.Time
+		if wait > 0 {
+			aged = time.After(wait)
+		}
+		select {
+		case <-l.freed:
+		case <-aged:
+		case <-l.closed:
+			return net.ErrClosed
+		}
+	}
+}
+
+// evict tells the connection that has carried no request for the longest time to end when slots run short. It
+// reports whether there is none left, and if one frees itself by age only, when.
+func (l *listener) evict() (wait time.Duration, full bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	full = len(l.conns) >= l.most
+	if len(l.conns)-l.leaving < l.most-l.most/spareSlots {
+		return 0, full
+	}
+	var oldest *watchedConn
+	for c := range l.conns {
+		if !c.busy && !c.leaving && (oldest == nil || c.idleSince.Before(oldest.idleSince)) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return 0, full
+	}
+	if wait = time.Until(oldest.idleSince.Add(leastIdle)); wait > 0 {
+		return wait, full
+	}
+	oldest.leaving = true
+	l.leaving++
+	oldest.Conn.SetReadDeadline(time.Unix(1, 0))
+	return 0, full
+}
+
+func (l *listener) free() {
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
+
 // drain closes the listener and wakes the idle connections, and waits until every connection has ended.
 func (l *listener) drain(ctx context.Context) error {
 	l.Listener.Close()
@@ -80,11 +147,26 @@
 type watchedConn struct {
 	net.Conn
 	listener *listener
-	busy     bool   // a request has begun to come and is not answered; under the listener's lock
-	early    []byte // read during a job; used by one goroutine at a time
+	first    time.Time // when its first request must be there
+	early    []byte    // read during a job; used by one goroutine at a time
+	answered bool      // its first request is; the server's goroutine's
+
+	// Under the listener's lock.
+	busy      bool      // a request has begun to come and is not answered
+	idleSince time.Time // when it was last not
+	leaving   bool      // it is to end: there is no room for it
+}
+
+// SetReadDeadline keeps the first request to the time from when its connection was made: however slowly one comes,
+// and however long its connection stood in the queue, it does not hold a slot for longer.
+func (c *watchedConn) SetReadDeadline(t time.Time) error {
+	if !c.answered && t.After(c.first) {
+		t = c.first
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
-// Read reads for the server. At a shutdown an idle connection is looked at once more: a request that has come
+// Read reads for the server. At a shutdown, or when it is to end, an idle connection is looked at once more: a request that has come
 // in but was not yet read counts as taken, and fasthttp's own closing of idle connections would lose it.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	if len(c.early) > 0 {
@@ -104,12 +186,12 @@
 	return n, err
 }
 
-// look bounds the next read if the connection idles at a shutdown, and lifts what a shutdown that came a
-// moment ago has set if a request has begun.
+// look bounds the next read if the connection idles and is to end, and lifts what a shutdown that came a moment
+// ago has set if a request has begun.
 func (c *watchedConn) look() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if !c.listener.draining {
+	if !c.listener.draining && !c.leaving {
 		return false
 	}
 	wait := lastLook
@@ -120,26 +202,47 @@
 	return true
 }
 
+// Write writes for the server. An interim answer ends no request.
 func (c *watchedConn) Write(p []byte) (int, error) {
-	c.setBusy(false)
+	if !bytes.HasPrefix(p, interim) {
+		c.answered = true
+		c.setBusy(false)
+	}
 	return c.Conn.Write(p)
 }
 
+var interim = []byte("HTTP/1.1 100 ")
+
 func (c *watchedConn) setBusy(busy bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.busy = busy
+	if c.busy = busy; !busy {
+		c.idleSince = time.Now()
+	} else if c.leaving { // a request came in the last moment
+		c.stay()
+		c.SetReadDeadline(time.Now().Add(readTimeout))
+	}
+}
+
+// stay takes back that the connection is to end.
+func (c *watchedConn) stay() {
+	if c.leaving {
+		c.leaving = false
+		c.listener.leaving--
+	}
+	c.listener.free()
 }
 
 func (c *watchedConn) Close() error {
+	err := c.Conn.Close() // before its slot is free: the next one needs the descriptor
 	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	if c.listener.conns[c] {
 		delete(c.listener.conns, c)
-		<-c.listener.slots
+		c.stay()
 		c.listener.checkEmpty()
 	}
-	c.listener.mu.Unlock()
-	return c.Conn.Close()
+	return err
 }
 
 // watch is a read that goes on during a job.
@@ -155,7 +258,7 @@
 		close(w.done)
 		return w
 	}
-	c.SetReadDeadline(time.Time{})
+	c.Conn.SetReadDeadline(time.Time{})
 	go w.run()
 	return w
 }
@@ -172,7 +275,7 @@
 
 // stop ends the read. Nothing of it touches the connection afterwards.
 func (w *watch) stop() {
-	w.conn.SetReadDeadline(time.Unix(1, 0))
+	w.conn.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-w.done
-	w.conn.SetReadDeadline(time.Time{})
+	w.conn.Conn.SetReadDeadline(time.Time{})
 }
--- a/internal/submit/submit.go
+++ b/internal/submit/submit.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fieldrelay/internal/relay"
+	"fieldrelay/internal/socket"
 	"fieldrelay/logic"
 )
 
@@ -28,11 +29,14 @@
 }
 
 const (
-	readTimeout  = time.Minute // for a whole request, from its first byte
-	idleTimeout  = 10 * time.Minute
-	writeTimeout = 10 * time.Second
-	mostToken    = 256
-	mostBudget   = time.Hour // what no submitter waits for
+	// For a whole request, from its first byte; for the first one on a connection, from when that was made. Whoever
+	// sends nothing that can be served learns so within 3 s.
+	readTimeout   = 2500 * time.Millisecond
+	queuedTimeout = 250 * time.Millisecond // at the least: a connection that stood in the queue is read too
+	idleTimeout   = 10 * time.Second       // some submitters ask once and keep their connection for good
+	writeTimeout  = 10 * time.Second
+	mostToken     = 256
+	mostBudget    = time.Hour // what no submitter waits for
 )
 
 // Front serves submitters.
@@ -59,7 +63,9 @@
 		Name: "fieldrelay", Handler: f.guard, ErrorHandler: badRequest,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 		MaxRequestBodySize: relay.MostBody, DisablePreParseMultipartForm: true,
-		Logger: printer{log},
+		// Idle connections hold no buffers, and an answer never waits for the next request to come.
+		ReduceMemoryUsage: true,
+		Logger:            printer{log},
 	}
 	return f
 }
@@ -208,9 +214,23 @@
 		ctx.Error("body over 64 KiB", fasthttp.StatusRequestEntityTooLarge)
 		return
 	}
+	if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+		ctx.Error("request not whole in time", fasthttp.StatusRequestTimeout)
+		return
+	}
 	ctx.Error("malformed request", fasthttp.StatusBadRequest)
 }
 
+// lag tells how long the last byte of a request has lain in the system before now. A sidecar that had no core for
+// a while would otherwise give a submitter more time than it has, and answer after it has left.
+func lag(nc net.Conn) time.Duration {
+	unread := socket.Quiet(nc)
+	if unread > readTimeout { // no request lies for so long: the system does not know
+		return 0
+	}
+	return unread
+}
+
 // printer hands fasthttp's lines to the log.
 type printer struct{ log zerolog.Logger }
 
--- a/internal/submit/submit_test.go
+++ b/internal/submit/submit_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -125,32 +124,6 @@
 	}
 }
 
-// A request that lay unread while the sidecar had no core has less time left than its budget says.
-func TestLagCountsTheTimeUnread(t *testing.T) {
-	ln := scenario.Listen(t)
-	out, err := scenario.Dialer(ln.Addr().String())("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer out.Close()
-	in, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer in.Close()
-	if _, err := out.Write([]byte("x")); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := in.Read(make([]byte, 1)); err != nil {
-		t.Fatal(err)
-	}
-	const unread = 100 * time.Millisecond
-	time.Sleep(unread) // the time itself is what is measured
-	if got := lag(in); runtime.GOOS == "linux" && got < unread/2 {
-		t.Errorf("lag %v after %v", got, unread)
-	}
-}
-
 // One connection over the limit waits for its turn instead of being turned away.
 func TestConnectionsBeyondTheLimitWait(t *testing.T) {
 	ln := scenario.Listen(t)
@@ -160,3 +133,31 @@
 	const ask = ` send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n` + "\n"
 	stage.Play(t, "a"+ask+"a expect 200\n b"+ask+"a close\n b expect 200")
 }
+
+// Submitters that say nothing, stay for good or never finish keep no other out, and learn so in time.
+func TestSlotsAreFreed(t *testing.T) {
+	const ask = ` send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n` + "\n"
+	const busy = "\n b" + ask + "b expect 200" // there is one slot
+	for name, steps := range map[string]string{
+		"asked once and stayed":   "a" + ask + "a expect \\r\\n\\r\\n" + busy + "\n a wait nothing",
+		"silent from the start":   "a send " + busy + "\n a wait nothing",
+		"silent with room enough": "a wait nothing",
+		"half a head":             "a send GET /rea" + busy + "\n a expect 408",
+		"half a body": `a send POST /pay` + head + `Idempotency-Key: k\r\nContent-Length: 9\r\n\r\nhi
+			a expect 408
+			a wait`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln := scenario.Listen(t)
+			stage := scenario.NewStage(scenario.Dialer(ln.Addr().String()))
+			f := New(&script{stage, nil}, []logic.Class{{Name: "pay", Effect: logic.Keyed}}, zerolog.Nop())
+			go f.Serve(ln, 1)
+			start := time.Now()
+			stage.Play(t, steps)
+			if took := time.Since(start); took > 3*time.Second {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
