Use a node's connection again only with nothing unread, and end spoilt answers at once

An answer without a length was read until the connection's end, one cut short until the claim's deadline. Ruled out: the load report (the front never parses it; a broken one is passed over) and 1xx answers (read past, now at most 16). Now the reader marks a connection on which bytes stand behind an answer or come unasked, take() asks the system for unread bytes just before a claim is written, and a connection rests 2 ms while another can serve, since what follows an answer can come a moment later. An answer needs a length and has 0.4 s from its first byte.

--- a/internal/executenode/executenode.go
+++ b/internal/executenode/executenode.go
@@ -33,6 +33,9 @@
 	drainMargin = 0.2 // of DrainGrace
 )
 
+// settle is how long a connection rests before it is used again, if there is another.
+const settle = 2 * time.Millisecond
+
 // Fleet opens execute nodes and counts their connections.
 type Fleet struct {
 	opts  Options
@@ -65,7 +68,7 @@
 	barred time.Time // when the list said that nothing more may be sent; zero: it may
 	claims map[relay.ClaimID]*claim
 	conns  map[*conn]bool
-	idle   []*conn // the last one used is at the end
+	idle   []*conn // in the order of their last use
 	dials  int     // under way
 	closed bool
 }
@@ -130,20 +133,29 @@
 		n.box.Put(func() { n.giveUp(c.ID, logic.TimedOut) })
 	})
 	for len(n.idle) > 0 {
-		last := len(n.idle) - 1
-		conn := n.idle[last]
-		n.idle = n.idle[:last]
-		conn.wake()
+		conn := n.rouse()
 		// Its end may be on its way in the mailbox: a request written now would be lost for nothing.
-		if conn.broken.Load() {
-			continue
+		if conn.take() {
+			n.write(c, conn)
+			return
 		}
-		n.write(c, conn)
-		return
+		n.drop(conn)
 	}
 	n.dial(c)
 }
 
+// rouse takes an idle connection: of those that have rested for a moment the one used last, so that the others
+// are retired. What a node sends behind an answer can still be on its way when the answer is there.
+func (n *node) rouse() *conn {
+	i := len(n.idle) - 1
+	for now := time.Now(); i > 0 && now.Sub(n.idle[i].rested) < settle; i-- {
+	}
+	conn := n.idle[i]
+	n.idle = slices.Delete(n.idle, i, i+1)
+	conn.wake()
+	return conn
+}
+
 func (n *node) dial(c *claim) {
 	if n.fleet.conns.Add(1) > int64(n.fleet.opts.MaxConns) {
 		n.fleet.conns.Add(-1)
@@ -178,10 +190,14 @@
 	conn := newConn(n, nc, addr)
 	n.conns[conn] = true
 	go conn.read()
-	if waiting {
-		n.write(c, conn)
-	} else {
+	switch {
+	case !waiting:
 		n.rest(conn)
+	case conn.take():
+		n.write(c, conn)
+	default: // a node that speaks before it is asked
+		n.drop(conn)
+		n.end(c, logic.Refused, relay.Result{})
 	}
 }
 
@@ -192,6 +208,7 @@
 	// be sent when nobody waits for it.
 	late := !n.barred.IsZero() && now.Sub(n.barred) > time.Duration((1-drainMargin)*float64(n.fleet.opts.DrainGrace))
 	if late || !now.Before(c.Deadline) {
+		conn.asked.Store(false)
 		n.rest(conn)
 		n.end(c, logic.Skipped, relay.Result{})
 		return
@@ -302,6 +319,7 @@
 		return
 	}
 	n.idle = append(n.idle, conn)
+	conn.rested = time.Now()
 	idle := time.Duration((1 - idleMargin) * float64(n.fleet.opts.ConnIdle))
 	var timer *time.Timer
 	timer = time.AfterFunc(idle, func() {
--- a/internal/executenode/executenode_test.go
+++ b/internal/executenode/executenode_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,11 @@
 	ok    = `HTTP/1.1 ` + reply
 )
 
+// spoilt is a claim whose node sends something that is not an answer and keeps the connection open.
+func spoilt(text string) string {
+	return "claim send 1\n a expect body\n a send " + text + "\n wait 1 reset\n a wait"
+}
+
 func TestClaims(t *testing.T) {
 	for name, steps := range map[string]string{
 		"served, and the connection is used again": `
@@ -62,6 +68,45 @@
 			a send HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi
 			a close
 			wait 1 reset`,
+		"1xx answers may stand in front": `
+			claim send 1
+			a expect body
+			a send HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n` + ok + `
+			wait 1 done hi`,
+		"a load report is no part of the answer": `
+			claim send 1
+			a expect body
+			a send HTTP/1.1 200 OK\r\nX-Load-Report: {"queue":\r\nContent-Length: 2\r\n\r\nhi
+			wait 1 done hi`,
+		// What stands behind an answer would be taken for the answer to the next claim.
+		"a connection that brings more than an answer is left": `
+			claim send 1
+			a expect body
+			a send ` + ok + `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong
+			wait 1 done hi
+			a wait
+			claim send 2
+			b expect body
+			b send ` + ok + `
+			wait 2 done hi`,
+		"what comes while nothing is asked ends the connection": `
+			claim send 1
+			a expect body
+			a send ` + ok + `
+			wait 1 done hi
+			a send HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong
+			a wait`,
+		// An answer whose end nothing tells may be a part; an endless or unfinished one costs no more than a moment.
+		"no length":    spoilt(`HTTP/1.1 200 OK\r\n\r\nhi`),
+		"two lengths":  spoilt(`HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi`),
+		"odd length":   spoilt(`HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi`),
+		"3 GB":         spoilt(`HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhi`),
+		"3 GB chunk":   spoilt(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb2d05e00\r\nhi`),
+		"noise":        spoilt(`\x00\x17 noise 200 noise\r\n\r\n`),
+		"endless head": spoilt(`HTTP/1.1 200 OK\r\n` + strings.Repeat(`X-More: of the same\r\n`, 400)),
+		"endless 1xx":  spoilt(strings.Repeat(`HTTP/1.1 100 Continue\r\n\r\n`, mostInterim+1)),
+		"half a head":  spoilt(`HTTP/1.1 200 OK\r\nConte`),
+		"half a body":  spoilt(`HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi`),
 		// A second copy counts as out while the first connection is open.
 		"a claim is given up by closing its connection": `
 			claim send 1
@@ -182,6 +227,29 @@
 	}
 }
 
+// What a node sends behind an answer may still be on its way: a connection that has just answered rests if another
+// can serve, and of those that have rested the one used last serves, so that the others are retired.
+func TestConnectionsRestBetweenClaims(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		rested []time.Duration // ago, in the order of use
+		want   int
+	}{
+		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2},
+		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1},
+		"none has":         {[]time.Duration{0, 0, 0}, 0},
+	} {
+		n := &node{}
+		for _, ago := range c.rested {
+			n.idle = append(n.idle, &conn{rested: now.Add(time.Second / 2).Add(-ago), retire: time.NewTimer(time.Minute)})
+		}
+		idle := slices.Clone(n.idle)
+		if got := slices.Index(idle, n.rouse()); got != c.want || len(n.idle) != 2 {
+			t.Errorf("%s: connection %d, want %d", name, got, c.want)
+		}
+	}
+}
+
 func open(stage *scenario.Stage, addr net.Addr) relay.Node {
 	return openMember(stage, relay.Member{Addr: addr.String()})
 }
