Refuse first what is worth least in a jam, and send elsewhere what one node turned away

Cause: Balancer.again ended what was turned away wherever blame lay with anything but the server, so a class turned away by some passed for a jam; request() let in the same part of every class.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -28,6 +28,7 @@
 	Discovery string  `json:"discovery"`
 	Locality  string  `json:"locality"`
 	Tick      Millis  `json:"tick_ms"`
+	WorthBy   string  `json:"worth_by"`
 	Classes   []Class `json:"classes"`
 	Specifics struct {
 		WarmKeys bool `json:"warm_keys"`
@@ -67,6 +68,7 @@
 	AimStretch float64 `json:"aim_stretch"`
 	Deadline   Millis  `json:"deadline_ms"`
 	LateWorth  float64 `json:"late_worth"`
+	Worth      float64 `json:"worth"`
 	Stream     bool    `json:"stream"`
 }
 
@@ -89,7 +91,7 @@
 func (s *Settings) Logic() (logic.Config, error) {
 	cfg := logic.Config{
 		Zone: s.Locality, Balancers: s.Balancers, Subscribe: s.Discovery == "subscribe",
-		WarmKeys: s.Specifics.WarmKeys, Tick: s.Tick.Duration(),
+		WorthByWork: s.WorthBy == "work", WarmKeys: s.Specifics.WarmKeys, Tick: s.Tick.Duration(),
 		Prices: logic.Prices(s.Prices),
 		Contract: logic.Contract{
 			AnswerGrace: s.Contract.AnswerGrace.Duration(),
@@ -130,7 +132,7 @@
 		cfg.Classes = append(cfg.Classes, logic.Class{
 			Name: c.Name, Effect: effect, Group: group, Window: c.Window.Duration(),
 			Aim: c.Aim.Duration(), AimStretch: c.AimStretch, Deadline: c.Deadline.Duration(),
-			LateWorth: c.LateWorth, Stream: c.Stream,
+			LateWorth: c.LateWorth, Worth: c.Worth, Stream: c.Stream,
 		})
 	}
 	return cfg, nil
--- a/logic/api.go
+++ b/logic/api.go
@@ -40,6 +40,7 @@
 	AimStretch float64       // the aim grows by this multiple of the request's own work
 	Deadline   time.Duration
 	LateWorth  float64
+	Worth      float64 // of a request or of a unit of its work, as Config.WorthByWork says; 0: not told
 	Stream     bool
 }
 
@@ -77,11 +78,13 @@
 	Balancers int
 	Subscribe bool // the server list must be asked for
 	Classes   []Class
-	WarmKeys  bool // a server that met a key lately serves it with less work
-	Tick      time.Duration
-	Prices    Prices
-	Contract  Contract
-	Limits    Limits
+	// WorthByWork: a class's worth is that of a unit of work, so that heavy requests are worth more.
+	WorthByWork bool
+	WarmKeys    bool // a server that met a key lately serves it with less work
+	Tick        time.Duration
+	Prices      Prices
+	Contract    Contract
+	Limits      Limits
 }
 
 // State is what the list says of a server.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -134,6 +134,9 @@
 	Class
 	mean, dev float64 // aged answer time of successes, in seconds
 	quick     float64 // what an answer takes where nothing waits, about the lowest tenth
+	asked     float64 // aged requests a second,
+	work      float64 // and the work of them,
+	askedAt   time.Duration
 	suspect
 	tried time.Duration // when one was last let in although the class drags
 	owed  time.Duration // the latest aim of a request that ended unserved
@@ -143,6 +146,7 @@
 type Balancer struct {
 	cfg       Config
 	classes   map[string]*class
+	kinds     []*class // the same, in the settings' order
 	rng       *rand.Rand
 	seed      uint64
 	servers   []*server // in this sidecar's own order
@@ -191,7 +195,8 @@
 		if c.Aim < 0 || c.Deadline < 0 || c.Window < 0 {
 			return nil, fmt.Errorf("logic: class %q has a negative time", c.Name)
 		}
-		b.classes[c.Name] = &class{Class: c}
+		b.kinds = append(b.kinds, &class{Class: c})
+		b.classes[c.Name] = b.kinds[len(b.kinds)-1]
 	}
 	return b, nil
 }
@@ -631,13 +636,52 @@
 	b.at(r.expires-b.cfg.Tick, TimerExpire, r.id)
 	// Servers that answer late to all spend their whole capacity on it, a jam that holds itself up. Letting
 	// in less than is answered in time drains it.
-	if in := calm * b.slack; b.impatient(r) || b.drags(c) || b.rng.Float64() > max(in*in, trickle) {
+	c.demand(b.now, r.cost)
+	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c) {
 		b.settle(r)
 	} else if c.tried = b.now; !b.send(r) {
 		b.hold(r)
 	}
 }
 
+// demand takes in that a request of c asks for work, or with none that time has passed.
+func (c *class) demand(now time.Duration, work float64) {
+	keep := 1 - aged(now-c.askedAt)
+	c.asked, c.work, c.askedAt = c.asked*keep, c.work*keep, now
+	if work > 0 {
+		c.asked += 1 / ageing.Seconds()
+		c.work += work / ageing.Seconds()
+	}
+}
+
+// admits is the part of c's requests that is let in. The slack says how much work the servers can do in time; what
+// is worth least gives way first, since shed alike, a jam would cost the dear requests as much as the cheap ones.
+func (b *Balancer) admits(c *class) float64 {
+	in := calm * b.slack
+	if in >= 1 {
+		return 1
+	}
+	dearer, same, all := 0.0, 0.0, 0.0
+	for _, o := range b.kinds {
+		o.demand(b.now, 0)
+		switch all += o.work; {
+		case b.worth(o) > b.worth(c):
+			dearer += o.work
+		case b.worth(o) == b.worth(c):
+			same += o.work
+		}
+	}
+	return min(max((in*in*all-dearer)/same, trickle), 1)
+}
+
+// worth is what a unit of c's work is worth.
+func (b *Balancer) worth(c *class) float64 {
+	if b.cfg.WorthByWork || c.work == 0 {
+		return c.Worth
+	}
+	return c.Worth * c.asked / c.work
+}
+
 // drags tells whether c waits past its aim wherever it goes, and not because all do: sent, its requests would
 // hold places for nothing. One an ageing time shows when that ends.
 func (b *Balancer) drags(c *class) bool {
@@ -733,7 +777,11 @@
 	r.held = true
 	b.held = append(b.held, r)
 	need := r.class.mean + heldSpread*r.class.dev // sent any later, most answers would be late
-	b.at(r.useful()-seconds(need), TimerHeld, r.id)
+	end := r.useful() - seconds(need)
+	if !r.mayHaveRun() { // told in the first half of its time, its client loses less
+		end = min(end, r.arrived+(r.expires-r.arrived)/2-2*b.cfg.Tick)
+	}
+	b.at(end, TimerHeld, r.id)
 }
 
 // release sends what is held, newest first: it has the most time left. What cannot make it is settled by its
@@ -897,8 +945,9 @@
 	}
 	// What may have run is sent once more at most: it may double the work.
 	ends := a.mayRun && (r.class.Effect == Unsafe || len(r.attempts) > 1 || r.ofKind())
-	// Turned away as full where that is not this server's alone: another send would only feed the jam.
-	ends = ends || (r.busy && r.fault != byServer)
+	// Turned away as full wherever it could go: another send would only feed the jam. Where a kind of request alone
+	// is turned away, others still take it, and nothing has run.
+	ends = ends || (r.busy && r.fault == byAll)
 	if ends || len(r.attempts) >= b.cfg.Limits.Attempts || b.hopeless(r) {
 		b.settle(r)
 		return
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -821,3 +822,73 @@
 		}
 	}
 }
+
+// In a jam the work that is worth least gives way first: shed alike, the dear classes lost as much as the cheap one,
+// although the servers could have done all of theirs.
+func TestCheapWorkGivesWayFirst(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.WorthByWork = true
+	cfg.Classes = []Class{{Name: "cheap", Worth: 1}, {Name: "dear", Worth: 10}, {Name: "dear too", Worth: 10}}
+	r := newRig(t, cfg, fleet(3)...)
+	for _, c := range r.b.kinds {
+		c.demand(r.now, 1)
+	}
+	var got [][2]float64
+	for _, slack := range []float64{1 / calm, 0.9 / calm, 0.5 / calm, 0} {
+		r.b.slack = slack
+		got = append(got, [2]float64{r.b.admits(r.b.kinds[0]), r.b.admits(r.b.kinds[1])})
+	}
+	// In all, the square of calm times the slack is let in; dear work is two thirds of it all.
+	want := [][2]float64{{1, 1}, {3*0.81 - 2, 1}, {trickle, 3 * 0.25 / 2}, {trickle, trickle}}
+	for i := range want {
+		for j := range want[i] {
+			if math.Abs(got[i][j]-want[i][j]) > 1e-9 {
+				t.Fatalf("let in %v, want %v", got, want)
+			}
+		}
+	}
+}
+
+// What no server has been sent is refused while half of its time is left: later, it costs its client more.
+func TestHeldRequestIsRefusedInTheFirstHalf(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].LateWorth = 0.5
+	r := newRig(t, cfg, fleet(1)...)
+	r.b.servers[0].limit = 0
+	for _, a := range r.request(1) {
+		if a.Kind == ActWake && a.Timer.Kind == TimerHeld {
+			if wait := a.At - r.now; wait >= 400*ms || wait < 380*ms {
+				t.Errorf("held for %v of 800ms", wait)
+			}
+			return
+		}
+	}
+	t.Errorf("the request was not held: %+v", r.acts)
+}
+
+// Some servers turned a kind of request away while they took all others. Given up as in a jam, one in six of that
+// kind was refused to a fleet with room.
+func TestKindThatIsTurnedAwayIsSentElsewhere(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes = append(cfg.Classes, Class{Name: "odd", Aim: 400 * ms, Deadline: 1000 * ms})
+	r := newRig(t, cfg, fleet(6)...)
+	for id := range uint64(300) {
+		r.serve(id, func(uint64) time.Duration { return 20 * ms })
+		if id%10 != 0 {
+			continue
+		}
+		odd := 1000 + id
+		r.step(Event{Kind: EvRequest, Request: odd, Class: "odd", Expires: r.now + 800*ms})
+		for attempt := range 2 {
+			if _, sent := r.find(ActSend); !sent {
+				t.Fatalf("request %d, attempt %d: not sent: %+v", odd, attempt, r.acts)
+			}
+			o := Busy
+			if attempt > 0 {
+				o = Done
+			}
+			r.now += ms
+			r.outcome(odd, attempt, ms, o)
+		}
+	}
+}
