--- a/cmd/fieldrelay/main_test.go
+++ b/cmd/fieldrelay/main_test.go
@@ -41,11 +41,11 @@
 	stage.Open = func(peer string) (net.Conn, error) {
 		switch peer {
 		case "node1", "node2":
-			return node.Accept()
+			return scenario.Accepter(node)(peer)
 		case "discovery":
-			return discovery.Accept()
+			return scenario.Accepter(discovery)(peer)
 		case "moved":
-			return moved.Accept()
+			return scenario.Accepter(moved)(peer)
 		}
 		return net.Dial("tcp", front)
 	}
@@ -62,17 +62,17 @@
 		<-log.reloads
 	}
 	stage.Calls["terminate"] = func(string) { syscall.Kill(os.Getpid(), syscall.SIGTERM) }
-	const ask = `send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c1\r\nX-Budget: 5\r\n\r\n`
+	const ask = `send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: ID\r\nX-Budget: 5\r\n\r\n`
 	const reply = `send HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n`
-	stage.Play(t, strings.NewReplacer("ASK", ask, "REPLY", reply).Replace(`
+	stage.Play(t, strings.NewReplacer("REPLY", reply).Replace(`
 		program send start
 		discovery expect GET /v1/endpoints?watch=1&after=1 HTTP/1.1
 		a send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n
 		a expect 200 OK
-		a ASK
+		a `+strings.Replace(ask, "ID", "c1", 1)+`
 		node1 expect X-Call-Id: c1
-		b ASK
-		node2 expect X-Call-Id: c1
+		b `+strings.Replace(ask, "ID", "c2", 1)+`
+		node2 expect X-Call-Id: c2
 		replace send {
 		replace send moved
 		discovery wait
--- a/internal/nodelist/nodelist_test.go
+++ b/internal/nodelist/nodelist_test.go
@@ -75,9 +75,9 @@
 			ln, next := scenario.Listen(t), scenario.Listen(t)
 			stage := scenario.NewStage(func(peer string) (net.Conn, error) {
 				if strings.HasPrefix(peer, "moved") {
-					return next.Accept()
+					return scenario.Accepter(next)(peer)
 				}
-				return ln.Accept()
+				return scenario.Accepter(ln)(peer)
 			})
 			a := New(ln.Addr().String(), told{stage}, zerolog.Nop())
 			known, err := endpoints.Parse([]byte(`{"generation":4,"instances":[{"instanceId":"x","hostPort":"h:9","lifecycle":"Ready"}]}`))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -59,9 +59,14 @@
 	return func(string) (net.Conn, error) { return net.DialTimeout("tcp", addr, patience) }
 }
 
-// Accepter takes connections from ln, for peers that are its servers.
+// Accepter takes connections from ln, for peers that are its servers. One that does not come is an error.
 func Accepter(ln net.Listener) func(string) (net.Conn, error) {
-	return func(string) (net.Conn, error) { return ln.Accept() }
+	return func(string) (net.Conn, error) {
+		if tcp, ok := ln.(*net.TCPListener); ok {
+			tcp.SetDeadline(time.Now().Add(patience))
+		}
+		return ln.Accept()
+	}
 }
 
 type peer struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -656,8 +656,8 @@
 	}
 }
 
-// admits is the part of c's requests that is let in. The slack says how much work the servers can do in time; what
-// is worth least gives way first, since shed alike, a jam would cost the dear requests as much as the cheap ones.
+// admits is the part of c's requests that is let in. The slack says how much work can be done in time; what
+// is worth least gives way first: shed alike, the dear requests would lose as much as the cheap ones.
 func (b *Balancer) admits(c *class) float64 {
 	in := calm * b.slack
 	if in >= 1 {
@@ -947,8 +947,8 @@
 	}
 	// What may have run is sent once more at most: it may double the work.
 	ends := a.mayRun && (r.class.Effect == Unsafe || len(r.attempts) > 1 || r.ofKind())
-	// Turned away as full wherever it could go: another send would only feed the jam. Where a kind of request alone
-	// is turned away, others still take it, and nothing has run.
+	// Turned away as full wherever it could go: another send would only feed the jam. Where one kind of
+	// request alone is turned away, other servers take it, and nothing has run.
 	ends = ends || (r.busy && r.fault == byAll)
 	if ends || len(r.attempts) >= b.cfg.Limits.Attempts || b.hopeless(r) {
 		b.settle(r)
@@ -1080,9 +1080,9 @@
 	}
 }
 
-// run is how many failures in a row tell that a server is at fault. Where attempts fail now and then at all servers,
-// as when connections break on the way, a busy sidecar soon sees a few in a row anywhere, and the servers that it
-// did not eject for that were overrun.
+// run is how many failures in a row tell that a server is at fault. Where attempts fail now and then at all,
+// as when connections break on the way, a busy sidecar soon sees a few in a row anywhere: four of six servers
+// were ejected for that, and the others overrun.
 func (b *Balancer) run() int {
 	shares := []float64{0} // the list may have gone meanwhile
 	for _, s := range b.servers {
