--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	lateRoom     = 0.7   // of the time left: a server expected to take longer is left
 	lateRow      = 2     // and one that was too late so many times in a row
 	lateAgain    = 0.05  // share of the own requests that tries such servers again
-	coldShare    = 0.7   // of a cold server's stated part of the fair share: room for chance
+	coldShare    = 0.65  // of a cold server's stated part of the fair share: room for chance
 	coldBurst    = 1.5   // most sends a cold server can have saved up
 	firstLimit   = 2.0   // attempts that may be out at an unknown server
 	growBelow    = 0.1   // part of the way from a quick answer to the aim: quicker ones let a limit grow
@@ -61,6 +61,8 @@
 	easy         = 0.5  // part of the aim within which an answer counts for the slack: jams show early
 	calm         = 1.5  // times the slack, squared: the part of the requests that is let in
 	trickle      = 0.05 // part let in however bad it looks, so that a recovery is seen
+	levelSteps   = 20   // halvings that find how much of each class gives way
+	leastWorth   = 1e-3 // of a class whose worth is not told
 	goneKept     = 20.0 // ageing times without an answer after which one called gone is forgotten
 	listWrong    = 0.5  // part of all servers: when more are called gone, it is the list that is wrong
 	askShare     = 0.25 // of the contract's interval: longest wait before the list is asked for again
@@ -656,32 +658,40 @@
 	}
 }
 
-// admits is the part of c's requests that is let in. The slack says how much work can be done in time; what
-// is worth least gives way first: shed alike, the dear requests would lose as much as the cheap ones.
+// admits is the part of c's requests that is let in. The slack says how much work can be done in time; classes
+// give way in inverse proportion to their worth: shed alike, the dear would lose as much as the cheap, and with
+// the cheap shed alone, nothing of those would be served in a long jam.
 func (b *Balancer) admits(c *class) float64 {
 	in := calm * b.slack
 	if in >= 1 {
 		return 1
 	}
-	dearer, same, all := 0.0, 0.0, 0.0
+	all, high := 0.0, 0.0 // the level over a class's worth is its part that gives way
 	for _, o := range b.kinds {
 		o.demand(b.now, 0)
-		switch all += o.work; {
-		case b.worth(o) > b.worth(c):
-			dearer += o.work
-		case b.worth(o) == b.worth(c):
-			same += o.work
+		all, high = all+o.work, max(high, b.worth(o))
+	}
+	for low, step := 0.0, 0; step < levelSteps; step++ {
+		level, shed := (low+high)/2, 0.0
+		for _, o := range b.kinds {
+			shed += o.work * min(1, level/b.worth(o))
+		}
+		if shed < (1-in*in)*all {
+			low = level
+		} else {
+			high = level
 		}
 	}
-	return min(max((in*in*all-dearer)/same, trickle), 1)
+	return max(1-high/b.worth(c), trickle)
 }
 
 // worth is what a unit of c's work is worth.
 func (b *Balancer) worth(c *class) float64 {
+	worth := max(c.Worth, leastWorth)
 	if b.cfg.WorthByWork || c.work == 0 {
-		return c.Worth
+		return worth
 	}
-	return c.Worth * c.asked / c.work
+	return worth * c.asked / c.work
 }
 
 // drags tells whether c waits past its aim wherever it goes, and not because all do: sent, its requests would
@@ -779,11 +789,7 @@
 	r.held = true
 	b.held = append(b.held, r)
 	need := r.class.mean + heldSpread*r.class.dev // sent any later, most answers would be late
-	end := r.useful() - seconds(need)
-	if !r.mayHaveRun() { // told in the first half of its time, its client loses less
-		end = min(end, r.arrived+(r.expires-r.arrived)/2-2*b.cfg.Tick)
-	}
-	b.at(end, TimerHeld, r.id)
+	b.at(r.useful()-seconds(need), TimerHeld, r.id)
 }
 
 // release sends what is held, newest first: it has the most time left. What cannot make it is settled by its
