--- a/logic/logic.go
+++ b/logic/logic.go
@@ -658,9 +658,9 @@
 	}
 }
 
-// admits is the part of c's requests that is let in. The slack says how much work can be done in time; classes
-// give way in inverse proportion to their worth: shed alike, the dear would lose as much as the cheap, and with
-// the cheap shed alone, nothing of those would be served in a long jam.
+// admits is the part of c's requests that is let in. The slack says how much work can be done in time.
+// Classes give way in inverse proportion to their worth: shed alike, the dear would lose as much as the
+// cheap; with the cheap shed alone, nothing of those would be served in a long jam.
 func (b *Balancer) admits(c *class) float64 {
 	in := calm * b.slack
 	if in >= 1 {
