Rest a gone and silent node at once again, and keep no ended job for its id's sake

Balancer.failed set the row of a server called gone to ejectFails, which stopped ejecting it once run() could ask for more: the row asked for is now used in both places, and TestGoneAndSilentRestsAtOnceWhereOthersFailToo fails without it. The timer that forgets a call id held the whole job with its body for 2 s; it now holds the id.

--- a/internal/executenode/executenode_test.go
+++ b/internal/executenode/executenode_test.go
@@ -23,6 +23,9 @@
 	ok    = `HTTP/1.1 ` + reply
 )
 
+// onAnother is a claim that is served on a second connection.
+const onAnother = "\n claim send 2\n b expect body\n b send " + ok + "\n wait 2 done hi"
+
 // spoilt is a claim whose node sends something that is not an answer and keeps the connection open.
 func spoilt(text string) string {
 	return "claim send 1\n a expect body\n a send " + text + "\n wait 1 reset\n a wait"
@@ -84,11 +87,7 @@
 			a expect body
 			a send ` + ok + `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong
 			wait 1 done hi
-			a wait
-			claim send 2
-			b expect body
-			b send ` + ok + `
-			wait 2 done hi`,
+			a wait` + onAnother,
 		"what comes while nothing is asked ends the connection": `
 			claim send 1
 			a expect body
@@ -125,11 +124,7 @@
 			a expect body
 			a send HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi
 			wait 1 done hi
-			a wait
-			claim send 2
-			b expect body
-			b send ` + ok + `
-			wait 2 done hi`,
+			a wait` + onAnother,
 		"idle connections are given back": `
 			claim send 1
 			a expect body
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -336,8 +336,9 @@
 func (r *Relay) forget(id uint64) {
 	if j := r.jobs[id]; j != nil && j.ended && len(j.out) == 0 {
 		delete(r.jobs, id)
+		call := j.Request.CallID // the timer keeps no more of the job than this
 		time.AfterFunc(callKept, func() {
-			r.box.Put(func() { delete(r.calls, j.Request.CallID) })
+			r.box.Put(func() { delete(r.calls, call) })
 		})
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -638,9 +638,9 @@
 		b.slackAt = b.now
 	}
 	b.at(r.expires-b.cfg.Tick, TimerExpire, r.id)
+	c.demand(b.now, r.cost)
 	// Servers that answer late to all spend their whole capacity on it, a jam that holds itself up. Letting
 	// in less than is answered in time drains it.
-	c.demand(b.now, r.cost)
 	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c) {
 		b.settle(r)
 	} else if c.tried = b.now; !b.send(r) {
@@ -1078,10 +1078,11 @@
 		s.lates++
 	}
 	// Called gone and silent: the list was right, so the longest rest follows at once.
+	row := b.run()
 	if s.State == Gone && o != Errored && o != Busy {
-		s.fails, s.backoff = ejectFails, ejectMost
+		s.fails, s.backoff = row, ejectMost
 	}
-	if s.fails >= b.run() || s.suspect[failed] > ejectShare {
+	if s.fails >= row || s.suspect[failed] > ejectShare {
 		b.eject(s)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -912,3 +912,20 @@
 		}
 	}
 }
+
+// Where attempts fail now and then at all servers a row must be longer, but what the list calls gone and is silent
+// rests at once.
+func TestGoneAndSilentRestsAtOnceWhereOthersFailToo(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Contract.GoneIsAdvice = true
+	r := newRig(t, cfg, fleet(3)...)
+	r.request(1)
+	s := r.b.byID[r.sent()]
+	for _, o := range r.b.servers {
+		o.failing = 0.1
+	}
+	s.State = Gone
+	if r.outcome(1, 0, ms, Reset); s.ejected == 0 {
+		t.Error("not ejected")
+	}
+}
