Spread calls for the list over the service's work, and let cold servers earn by requests

Ruled out by the time each call waited (now in the log, 'waited' and 'lasted'): a lost watch (none of those served was lost), and a service that was down (those asked before 1.9 s were all served). Lines at fault: the spread in members and the doubling from a sixteenth of the longest wait in listLost.

Then, with most nodes replaced, 76% of requests were refused while each was sent 0.28 times: a cold node earned its share by sends, so where all were cold each send allowed for 0.26 of one. Probe, outcomes by node: cold nodes answered in 80 ms and warm ones in 450. Line at fault: grant, called from send.

The first call and the ones after a failure are spread over a millisecond for each entry and sidecar where that is more than the service does in one wait; smaller fleets ask as before. Cold nodes earn by requests that come in, by their part of what the subset can do, of which half is taken to be there.

--- a/internal/source/platform/nodelist.go
+++ b/internal/source/platform/nodelist.go
@@ -114,7 +114,7 @@
 			c.Release()
 		}
 	}
-	entries := 0
+	entries, asked := 0, time.Now()
 	s.entry = func() {
 		if entries++; entries%batch == 1 {
 			read = append(read, a.gate.Must(budget.Lists, batch*readBytes))
@@ -125,6 +125,10 @@
 		read, entries = nil, 0
 		if !a.box.Put(func() {
 			if a.watch == s {
+				if !s.told {
+					s.told = true
+					a.log.Info().Dur("waited", time.Since(asked)).Msg("watch begun")
+				}
 				a.tell(l, false)
 			}
 			free(charges)
@@ -136,7 +140,7 @@
 	a.box.Put(func() {
 		if a.watch == s {
 			a.watch = nil
-			a.log.Warn().Err(err).Msg("watch lost")
+			a.log.Warn().Err(err).Dur("lasted", time.Since(asked)).Msg("watch lost")
 			a.sink.ListLost()
 		}
 	})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,16 +16,17 @@
 	"time"
 )
 
-// Tuning. Every value is dimensionless, but for ageing, which is the paper's.
+// Tuning. Every value is dimensionless, but for the first two; ageing is the paper's.
 const (
-	ageing     = 3 * time.Second // δ of the paper: its middle way between noise and delay
-	slackStart = 0.8             // the design's start
-	slackLow   = 0.3             // below: the sorted walk (paper, B_crit)
-	slackHigh  = 0.8             // above: the wide temperature (paper, B_high)
-	tauTarget  = 0.2             // paper, τ_target
-	tauFull    = 0.333           // paper, τ_full
-	maxAlpha   = 0.5             // one answer after a gap moves an estimate half way at most
-	slackAlpha = 0.5             // and one request the slack by so much: a quiet sidecar must shed in time
+	ageing     = 3 * time.Second  // δ of the paper: its middle way between noise and delay
+	listLine   = time.Millisecond // assumed work of the list's service for an entry
+	slackStart = 0.8              // the design's start
+	slackLow   = 0.3              // below: the sorted walk (paper, B_crit)
+	slackHigh  = 0.8              // above: the wide temperature (paper, B_high)
+	tauTarget  = 0.2              // paper, τ_target
+	tauFull    = 0.333            // paper, τ_full
+	maxAlpha   = 0.5              // one answer after a gap moves an estimate half way at most
+	slackAlpha = 0.5              // and one request the slack by so much: a quiet sidecar must shed in time
 
 	connsPriced  = 100.0 // the price of connections is for so many a server (the settings' unit)
 	freshen      = 4.0   // samples of a server within δ that its estimate needs
@@ -34,6 +35,7 @@
 	lateRow      = 2     // and one that was too late so many times in a row
 	lateAgain    = 0.05  // share of the own requests that tries such servers again
 	coldShare    = 0.65  // of a cold server's stated part of the fair share: room for chance
+	coldLeast    = 0.5   // part of its full work that a subset is taken to do at least
 	coldBurst    = 1.5   // most sends a cold server can have saved up
 	firstLimit   = 2.0   // attempts that may be out at an unknown server
 	growBelow    = 0.1   // part of the way from a quick answer to the aim: quicker ones let a limit grow
@@ -157,7 +159,7 @@
 	seed      uint64
 	servers   []*server // in this sidecar's own order
 	set       []*server // scratch of candidates: where a request may go,
-	cold      []*server // and the cold servers of the subset it was chosen from
+	cold      []*server // and the cold servers of the subset
 	weights   []float64 // scratch of softmax
 	rate      float64   // aged own requests a second
 	rateAt    time.Duration
@@ -268,10 +270,7 @@
 	if !ev.Stored {
 		b.askAt, b.askWait = 0, 0
 	} else if b.cfg.Subscribe {
-		// All sidecars may start at once and the list's service does not grow with them: one call a tick over
-		// all of them, within the longest wait.
-		spread := min(time.Duration(b.cfg.Balancers)*b.cfg.Tick, b.longestAsk())
-		b.askIn(time.Duration(b.rng.Float64() * float64(spread)))
+		b.askIn(time.Duration(b.rng.Float64() * float64(min(b.listWork(), b.longestAsk()))))
 	}
 	b.release()
 }
@@ -376,11 +375,22 @@
 	return max(time.Duration(askShare*float64(b.cfg.Contract.AskEvery)), time.Second)
 }
 
-// listLost asks again after a wait that doubles, so that a list service in trouble is not kept there; the old
-// list goes on being used.
+// listWork is how long the list's service may need for a call of each sidecar: it does not grow with them and
+// works on, call by call, also at those that were given up. What it does within one wait is not spread.
+func (b *Balancer) listWork() time.Duration {
+	n := time.Duration(b.cfg.Balancers)
+	if work := n * time.Duration(len(b.servers)) * listLine; work > b.longestAsk() {
+		return work
+	}
+	return n * b.cfg.Tick
+}
+
+// listLost asks again after a wait that doubles and lets the calls of all others pass, so that a service in
+// trouble is not kept there; the old list goes on being used.
 func (b *Balancer) listLost() {
 	if b.cfg.Subscribe {
-		b.askWait = min(max(2*b.askWait, b.longestAsk()/16), b.longestAsk())
+		work := min(b.listWork(), 2*b.longestAsk())
+		b.askWait = min(max(2*b.askWait, b.longestAsk()/16, work), max(b.longestAsk(), work))
 		b.askIn(time.Duration((0.5 + b.rng.Float64()/2) * float64(b.askWait)))
 	}
 }
@@ -433,45 +443,28 @@
 // width, that the rules allow and that are neither ejected nor tried (if none, one of those, so that the
 // others rest), below their limit.
 func (b *Balancer) candidates(r *request) {
-	b.set, b.cold = b.set[:0], b.cold[:0]
+	b.set = b.set[:0]
 	var last *server
+	var fit [2]int // of the near servers and of those across
 	width := b.width()
-	var met, fit [2]int // of the near servers and of those that cost a crossing
 	if b.cfg.Prices.CrossZone <= 0 {
 		fit[1] = width
 	}
 	for _, s := range b.servers {
-		zone := 0
-		if b.crosses(s) {
-			zone = 1
-		}
+		zone := b.across(s)
 		if fit[0] >= width && fit[1] >= width {
 			break
 		}
-		if fit[zone] >= width || b.barred(s) || !b.mayRepeat(r, s) {
-			continue
-		}
-		cold := b.coldFraction(s) < 1
-		if b.now < s.ejected || r.tried(s) {
-			if (!cold || s.credit >= 1) && (last == nil || s.ejected < last.ejected) {
-				last = s
-			}
+		spent := b.coldFraction(s) < 1 && s.credit < 1
+		if fit[zone] >= width || b.barred(s) || !b.mayRepeat(r, s) || spent {
 			continue
 		}
-		met[zone]++
-		if cold {
-			// Only the cold servers of the subset itself earn and get sends, or the shares of all sidecars
-			// would add up to more than is safe.
-			if met[zone] > width {
-				continue
-			}
-			b.cold = append(b.cold, s)
-			if s.credit < 1 {
-				continue
-			}
+		if b.now >= s.ejected && !r.tried(s) {
+			fit[zone]++
+			b.set = append(b.set, s)
+		} else if last == nil || s.ejected < last.ejected {
+			last = s
 		}
-		fit[zone]++
-		b.set = append(b.set, s)
 	}
 	if len(b.set) == 0 && last != nil {
 		b.set = append(b.set, last)
@@ -519,10 +512,13 @@
 	b.set = slices.DeleteFunc(b.set, tooLate)
 }
 
-// crosses tells whether a send to s is charged for leaving the zone. The subset has as many of these as near
-// ones; the weights keep off them until those are slow.
-func (b *Balancer) crosses(s *server) bool {
-	return b.cfg.Prices.CrossZone > 0 && s.Zone != b.cfg.Zone
+// across is 1 if a send to s is charged for leaving the zone, or else 0. The subset has as many of each; the
+// weights keep off those across until the near ones are slow.
+func (b *Balancer) across(s *server) int {
+	if b.cfg.Prices.CrossZone > 0 && s.Zone != b.cfg.Zone {
+		return 1
+	}
+	return 0
 }
 
 func (r *request) tried(s *server) bool {
@@ -588,12 +584,9 @@
 	if b.cfg.WarmKeys && r.hasKey {
 		warm = home(r, set)
 	}
-	far, total := math.Exp(-crossScale*b.cfg.Prices.CrossZone), 0.0
+	far, total := [2]float64{1, math.Exp(-crossScale * b.cfg.Prices.CrossZone)}, 0.0
 	for i := range speeds {
-		speeds[i] = math.Exp(speeds[i] / best / tau)
-		if b.crosses(set[i]) {
-			speeds[i] *= far
-		}
+		speeds[i] = math.Exp(speeds[i]/best/tau) * far[b.across(set[i])]
 		if set[i] == warm {
 			speeds[i] *= warmPull * float64(len(set))
 		}
@@ -656,6 +649,7 @@
 	}
 	b.at(r.expires-b.cfg.Tick, TimerExpire, r.id)
 	c.demand(b.now, r.cost)
+	b.earn()
 	// Servers that answer late to all spend their whole capacity on it, a jam that holds itself up. Letting
 	// in less than is answered in time drains it.
 	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c) {
@@ -782,7 +776,9 @@
 	a.crowded = float64(len(s.out)+1) >= crowded*s.limit
 	r.attempts = append(r.attempts, a)
 	s.out = append(s.out, a)
-	b.grant(s)
+	if b.coldFraction(s) < 1 {
+		s.credit--
+	}
 	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, After: r.expires - b.now})
 	if c := r.class; a.no == 0 && !c.Stream && c.LateWorth == 0 && r.aim < r.expires {
 		b.at(r.aim-b.cfg.Tick, TimerAim, r.id)
@@ -790,15 +786,28 @@
 	return true
 }
 
-// grant gives every cold server of the subset its share of this send and charges the one that got it, so that
-// the sum over all sidecars keeps the rule by itself: each server is in as many subsets as any other.
-func (b *Balancer) grant(to *server) {
-	share := coldShare / float64(min(b.width(), len(b.servers)))
-	for _, s := range b.cold {
-		s.credit = min(s.credit+share*b.coldFraction(s), coldBurst)
+// earn gives the cold servers of the subset, and no others, their parts of a request that came in. The sum
+// over all sidecars keeps the rule: each server is in as many subsets as any other. Sends would not do as a
+// measure: with most of a fleet cold, each would allow less than one.
+func (b *Balancer) earn() {
+	width := min(b.width(), len(b.servers))
+	var met [2]int
+	var able [2]float64 // what the subset can do, in servers
+	b.cold = b.cold[:0]
+	for _, s := range b.servers {
+		zone := b.across(s)
+		if met[zone] >= width || b.barred(s) || b.now < s.ejected {
+			continue
+		}
+		met[zone]++
+		able[zone] += b.coldFraction(s)
+		if b.coldFraction(s) < 1 {
+			b.cold = append(b.cold, s)
+		}
 	}
-	if b.coldFraction(to) < 1 {
-		to.credit--
+	for _, s := range b.cold {
+		part := b.coldFraction(s) / max(able[b.across(s)], coldLeast*float64(width))
+		s.credit = min(s.credit+coldShare*part, coldBurst)
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -225,6 +225,30 @@
 	}
 }
 
+// With the parts counted by sends, each send to a fleet that was all cold let less than one follow: in the end
+// three requests in four were refused while every server idled.
+func TestFleetThatIsAllColdServesWhatItCan(t *testing.T) {
+	list := fleet(10)
+	for i := range list {
+		list[i].Since = time.Minute
+	}
+	r := newRig(t, settings(Safe), list...)
+	r.b.cfg.Contract.ColdFrom = 0.5
+	sends := 0
+	for id := range uint64(400) {
+		// The clock stands: all stay as cold as they can be. An answer lets a held request go.
+		for todo := r.request(id); len(todo) > 0; todo = todo[1:] {
+			if a := todo[0]; a.Kind == ActSend {
+				sends++
+				todo = append(todo, r.outcome(a.Request, 0, ms, Done)...)
+			}
+		}
+	}
+	if least, most := 0.5*400, coldShare*400+10*coldBurst; float64(sends) < least || float64(sends) > most {
+		t.Errorf("%d of 400 requests were sent, want %v to %v", sends, least, most)
+	}
+}
+
 func TestSilentServerIsLeft(t *testing.T) {
 	r := newRig(t, settings(Unsafe), fleet(3)...)
 	answer := func(uint64) time.Duration { return 20 * ms }
@@ -267,6 +291,43 @@
 	}
 }
 
+// Eighty sidecars that start together asked within 0.4 s, and again as soon as they were turned away: the list's
+// service worked on calls that had been given up and served none for good. The service may need a millisecond for
+// an entry, so the calls of all must be spread over what it needs for them, and repeats must leave it idle time.
+func TestCallsForTheListLeaveItsServiceTime(t *testing.T) {
+	const sidecars, nodes = 80, 60
+	work := sidecars * nodes * ms
+	var first, again []time.Duration
+	for seed := range uint64(sidecars) {
+		cfg := settings(Safe)
+		cfg.Subscribe, cfg.Balancers = true, sidecars
+		b, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, b: b, now: time.Minute}
+		r.step(Event{Kind: EvMembers, Servers: fleet(nodes), Complete: true, Stored: true})
+		w, _ := r.find(ActWake)
+		first = append(first, w.At-r.now)
+		for range 3 {
+			r.step(Event{Kind: EvListLost})
+		}
+		w, _ = r.find(ActWake)
+		again = append(again, w.At-r.now)
+	}
+	slices.Sort(first)
+	slices.Sort(again)
+	if half := first[sidecars/2]; half < work/5 {
+		t.Errorf("half of the first calls come within %s, all need %s", half, work)
+	}
+	if least := again[0]; least < work/3 {
+		t.Errorf("a call turned away three times comes again after %s, all need %s", least, work)
+	}
+	if last := again[sidecars-1]; last > 5*time.Second {
+		t.Errorf("asked for again after %s, the contract asks for 10s with the call's own time", last)
+	}
+}
+
 func TestUnknownEventsAreIgnored(t *testing.T) {
 	r := newRig(t, settings(Safe), fleet(1)...)
 	r.serve(1, func(uint64) time.Duration { return ms })
