Give cold servers their whole present part, and let in less at an earlier sign of a jam

The warm ones got half of their usual load and stayed slow: crowded nodes slow down for as long as they are not left alone, and they were crowded while a third of the fleet was away. At fault: coldShare, 0.65 of a cold node's part, and easy, half of the aim, which told of the crowd too late.

A cold node gets 1.3 of its present part of what the subset can do, taken to be 0.65 of the whole at the least, so that no node gets more than twice the load that it would have warm: half of what makes it fall at four times. Answers count for the slack within 0.4 of the aim.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,8 +34,8 @@
 	lateRoom     = 0.7   // of the time left: a server expected to take longer is left
 	lateRow      = 2     // and one that was too late so many times in a row
 	lateAgain    = 0.05  // share of the own requests that tries such servers again
-	coldShare    = 0.65  // of a cold server's stated part of the fair share: room for chance
-	coldLeast    = 0.5   // part of its full work that a subset is taken to do at least
+	coldShare    = 1.3   // of a cold server's present part of what the subset can do; its queue takes chance
+	coldLeast    = 0.65  // part of its full work that a subset is taken to do: twice the present part at most
 	coldBurst    = 1.5   // most sends a cold server can have saved up
 	firstLimit   = 2.0   // attempts that may be out at an unknown server
 	growBelow    = 0.1   // part of the way from a quick answer to the aim: quicker ones let a limit grow
@@ -62,7 +62,7 @@
 	windowSafety = 0.95 // of a repeat window: its end is not ours to gamble with
 	warmPull     = 2.0  // weight of a key's home server, in fair shares of the rest
 	crossScale   = 40.0 // how strongly the price of crossing zones scales a weight down
-	easy         = 0.5  // part of the aim within which an answer counts for the slack: jams show early
+	easy         = 0.4  // part of the aim within which an answer counts for the slack: jams show early
 	calm         = 1.5  // times the slack, squared: the part of the requests that is let in
 	trickle      = 0.05 // part let in however bad it looks, so that a recovery is seen
 	levelSteps   = 20   // halvings that find how much of each class gives way
