Bound what a sidecar has out by the work asked for, so that no fleet of them crowds the servers

Outcomes by node (probe over 80 sidecars): most nodes did a third of their usual work at four to eight times the hinted time. Crowded nodes slow down until left alone, and limits did not keep them from it: at least one attempt a node and sidecar, so with 17 sidecars to a node 17 and more.

A first attempt now waits in the sidecar while 1 + 1.8 w + 2.5 sqrt(w) are out, w the aged work asked for a second by hints, that is the attempts out where nothing waits; the root is the margin of square-root staffing. w is taken for the time since the first request, or a start refused 5% for three seconds. Without hints the bound says nothing and limits hold.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,8 @@
 
 	connsPriced  = 100.0 // the price of connections is for so many a server (the settings' unit)
 	freshen      = 4.0   // samples of a server within δ that its estimate needs
+	outTimes     = 1.8   // times the work asked for may be out: a standard core is faster than most
+	outRoots     = 2.5   // and so many roots of it: chance brings as much beside the mean
 	subsetLeast  = 2     // servers in use however little comes: one may fail and one be tried again
 	lateRoom     = 0.7   // of the time left: a server expected to take longer is left
 	lateRow      = 2     // and one that was too late so many times in a row
@@ -164,6 +166,7 @@
 	rate      float64   // aged own requests a second
 	rateAt    time.Duration
 	byID      map[uint64]*server
+	out       int // attempts out
 	requests  map[uint64]*request
 	held      []*request
 	self      suspect
@@ -172,8 +175,9 @@
 	tenants   map[string]*suspect
 	slack     float64
 	slackAt   time.Duration
-	shedding  bool // as last logged
-	listWrong bool // it calls most servers gone: no proof
+	began     time.Duration // the first request
+	shedding  bool          // as last logged
+	listWrong bool          // it calls most servers gone: no proof
 	walk      []*server
 	walkPos   int
 	askAt     time.Duration // when to ask for the list (again); 0: no need
@@ -233,8 +237,7 @@
 	case EvWake:
 		b.wake(ev.Timer)
 	}
-	acts, b.acts = b.acts, nil
-	return acts
+	return b.acts
 }
 
 func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
@@ -469,10 +472,7 @@
 	if len(b.set) == 0 && last != nil {
 		b.set = append(b.set, last)
 	}
-	kept := 0.0
-	if b.heavy(r) {
-		kept = 1
-	}
+	kept := map[bool]float64{true: 1}[b.heavy(r)]
 	b.set = slices.DeleteFunc(b.set, func(s *server) bool {
 		return float64(len(s.out)) >= max(s.limit-kept, 1)
 	})
@@ -542,10 +542,8 @@
 
 // pick chooses among the candidates: seeding first, then by the paper's rule.
 func (b *Balancer) pick(r *request, set []*server) *server {
-	for _, s := range set {
-		if !s.seeded && len(s.out) == 0 {
-			return s
-		}
+	if i := slices.IndexFunc(set, func(s *server) bool { return !s.seeded && len(s.out) == 0 }); i >= 0 {
+		return set[i]
 	}
 	if b.slack < slackLow {
 		return b.walkPick(set)
@@ -556,14 +554,9 @@
 // home gives the server of set that ranks first for the key of r: all sidecars rank alike, and a server that
 // comes or goes moves its own keys only.
 func home(r *request, set []*server) *server {
-	var top *server
-	high := uint64(0)
-	for _, s := range set {
-		if h := hash(r.key, s.ID); top == nil || h > high {
-			top, high = s, h
-		}
-	}
-	return top
+	return slices.MaxFunc(set, func(x, y *server) int {
+		return cmp.Compare(hash(r.key, x.ID), hash(r.key, y.ID))
+	})
 }
 
 func (b *Balancer) softmax(r *request, set []*server) *server {
@@ -645,7 +638,7 @@
 	b.requests[r.id] = r
 	b.rate += 1/ageing.Seconds() - aged(b.now-b.rateAt)*b.rate
 	if b.rateAt = b.now; b.slackAt == 0 {
-		b.slackAt = b.now
+		b.slackAt, b.began = b.now, b.now
 	}
 	b.at(r.expires-b.cfg.Tick, TimerExpire, r.id)
 	c.demand(b.now, r.cost)
@@ -669,6 +662,23 @@
 	}
 }
 
+// load is the aged work asked for a second, in servers' standard cores.
+func (b *Balancer) load() (all float64) {
+	for _, c := range b.kinds {
+		c.demand(b.now, 0)
+		all += c.work
+	}
+	return all
+}
+
+// most is how many attempts may be out: a multiple of what the work asked for keeps busy where nothing waits,
+// and a margin for chance, as in square-root staffing (Halfin and Whitt). What waits, waits here: with a
+// limit of one a server each, eighty sidecars crowded all servers, which slowed down and stayed so.
+func (b *Balancer) most() float64 {
+	w := b.load() / aged(b.now-b.began) // what has come since the start is told of in part
+	return 1 + outTimes*w + outRoots*math.Sqrt(w)
+}
+
 // admits is the part of c's requests that is let in. The slack says how much work can be done in time.
 // Classes give way in inverse proportion to their worth: shed alike, the dear would lose as much as the
 // cheap; with the cheap shed alone, nothing of those would be served in a long jam.
@@ -677,10 +687,9 @@
 	if in >= 1 {
 		return 1
 	}
-	all, high := 0.0, 0.0 // the level over a class's worth is its part that gives way
+	all, high := b.load(), 0.0 // the level over a class's worth is its part that gives way
 	for _, o := range b.kinds {
-		o.demand(b.now, 0)
-		all, high = all+o.work, max(high, b.worth(o))
+		high = max(high, b.worth(o))
 	}
 	for low, step := 0.0, 0; step < levelSteps; step++ {
 		level, shed := (low+high)/2, 0.0
@@ -742,8 +751,8 @@
 // ofKind tells whether it is the kind of r that goes wrong, wherever it is sent.
 func (r *request) ofKind() bool { return r.fault == byClass || r.fault == byTenant }
 
-// impatient tells whether r is worth nothing by the time that a quick answer could come, since its client
-// leaves before, or has come again after the aim of its first try.
+// impatient tells whether r is worth nothing when a quick answer could come: its client leaves before, or has
+// come again after the aim of its first try.
 func (b *Balancer) impatient(r *request) bool {
 	end := r.useful()
 	return end < r.full && b.now+seconds(r.class.quick) >= end
@@ -764,11 +773,10 @@
 
 // send starts an attempt of r, if a server can take it.
 func (b *Balancer) send(r *request) bool {
-	if len(r.attempts) >= b.cfg.Limits.Attempts {
+	if n := len(r.attempts); n >= b.cfg.Limits.Attempts || (n == 0 && float64(b.out) >= b.most()) {
 		return false
 	}
-	b.candidates(r)
-	if len(b.set) == 0 {
+	if b.candidates(r); len(b.set) == 0 {
 		return false
 	}
 	s := b.pick(r, b.set)
@@ -776,6 +784,7 @@
 	a.crowded = float64(len(s.out)+1) >= crowded*s.limit
 	r.attempts = append(r.attempts, a)
 	s.out = append(s.out, a)
+	b.out++
 	if b.coldFraction(s) < 1 {
 		s.credit--
 	}
@@ -821,13 +830,8 @@
 // release sends what is held, newest first: it has the most time left. What cannot make it is settled by its
 // timer.
 func (b *Balancer) release() {
-	for len(b.held) > 0 {
-		i := len(b.held) - 1
-		r := b.held[i]
-		if !b.send(r) {
-			return
-		}
-		r.held = false
+	for i := len(b.held) - 1; i >= 0 && b.send(b.held[i]); i-- {
+		b.held[i].held = false
 		b.held = b.held[:i]
 	}
 }
@@ -914,10 +918,9 @@
 		return
 	}
 	alpha := min(aged(b.now-b.slackAt), slackAlpha)
-	if b.slack -= alpha * b.slack; done && early {
+	if b.slack, b.slackAt = (1-alpha)*b.slack, b.now; done && early {
 		b.slack += alpha
 	}
-	b.slackAt = b.now
 	if (b.shedding && b.slack > slackHigh) || (!b.shedding && calm*b.slack < 1) {
 		b.shedding = !b.shedding
 		b.logf("shedding %t: slack %.2f", b.shedding, b.slack)
@@ -926,11 +929,10 @@
 
 // attempt gives the attempt that ev speaks of, or nil if there is none.
 func (b *Balancer) attempt(ev *Event) *attempt {
-	r := b.requests[ev.Request]
-	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) {
-		return nil
+	if r := b.requests[ev.Request]; r != nil && ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
+		return r.attempts[ev.Attempt]
 	}
-	return r.attempts[ev.Attempt]
+	return nil
 }
 
 func (b *Balancer) outcome(ev *Event) {
@@ -940,6 +942,7 @@
 	}
 	r := a.req
 	a.out, r.busy = false, ev.Outcome == Busy
+	b.out--
 	a.srv.out = slices.DeleteFunc(a.srv.out, func(o *attempt) bool { return o == a })
 	b.idle(a.srv)
 	a.mayRun = ev.Outcome != Refused && ev.Outcome != Skipped &&
@@ -967,8 +970,7 @@
 		return
 	}
 	all := max(b.rate*float64(max(b.cfg.Balancers, 1)), 1e-3)
-	keep := seconds(min(p.Handshake/p.Connection*connsPriced*float64(len(b.servers))/all, 1e6))
-	s.releaseAt = b.now + keep
+	s.releaseAt = b.now + seconds(min(p.Handshake/p.Connection*connsPriced*float64(len(b.servers))/all, 1e6))
 	b.at(s.releaseAt, TimerIdle, s.ID)
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1070,3 +1070,47 @@
 		}
 	}
 }
+
+// Eighty sidecars with a limit of one attempt or more at each of a dozen servers crowded all of them. What is out
+// follows the work that is asked for; without hints nothing is known of that, and limits alone hold.
+func TestWhatIsOutIsBoundedByTheWorkAskedFor(t *testing.T) {
+	for _, hint := range []time.Duration{100 * ms, 0} {
+		r := newRig(t, settings(Safe), fleet(20)...)
+		out := 0
+		for id := range uint64(300) { // 20 a second; from the 200th on no answer comes
+			r.now += 50 * ms
+			r.step(Event{Kind: EvRequest, Request: id, Class: "c", Hint: hint, Expires: r.now + 800*ms})
+			if _, sent := r.find(ActSend); !sent {
+				continue
+			}
+			if out++; id < 200 {
+				r.outcome(id, 0, 40*ms, Done)
+				out--
+			}
+		}
+		work := 20 * 0.1
+		if most := 2 + outTimes*work + outRoots*math.Sqrt(work); hint > 0 && float64(out) > most {
+			t.Errorf("%d attempts are out at 20 servers for %v of work a second, %.1f at most", out, work, most)
+		}
+		if hint == 0 && out < 20 {
+			t.Errorf("without hints %d attempts are out at 20 servers", out)
+		}
+	}
+}
+
+// At its start a sidecar knows little of what comes: an estimate that begins with nothing refused one request in
+// twenty for three seconds.
+func TestStartDoesNotBoundWhatItDoesNotKnow(t *testing.T) {
+	r := newRig(t, settings(Safe), fleet(20)...)
+	sent := 0
+	for id := range uint64(8) {
+		r.now += 50 * ms
+		r.step(Event{Kind: EvRequest, Request: id, Class: "c", Hint: 100 * ms, Expires: r.now + 800*ms})
+		if _, ok := r.find(ActSend); ok {
+			sent++
+		}
+	}
+	if sent < 7 {
+		t.Errorf("%d of the first 8 requests were sent", sent)
+	}
+}
