Bound what is out by the work asked for with sixteen sidecars and more only

So few sidecars do not crowd nodes with the least limit, one attempt each, so limits alone hold them again.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 
 	connsPriced  = 100.0 // the price of connections is for so many a server (the settings' unit)
 	freshen      = 4.0   // samples of a server within δ that its estimate needs
+	limitsHold   = 16    // sidecars; so few do not crowd servers with the least limits, one attempt each
 	outTimes     = 1.8   // times the work asked for may be out: a standard core is faster than most
 	outRoots     = 2.5   // and so many roots of it: chance brings as much beside the mean
 	subsetLeast  = 2     // servers in use however little comes: one may fail and one be tried again
@@ -662,7 +663,6 @@
 	}
 }
 
-// load is the aged work asked for a second, in servers' standard cores.
 func (b *Balancer) load() (all float64) {
 	for _, c := range b.kinds {
 		c.demand(b.now, 0)
@@ -751,8 +751,7 @@
 // ofKind tells whether it is the kind of r that goes wrong, wherever it is sent.
 func (r *request) ofKind() bool { return r.fault == byClass || r.fault == byTenant }
 
-// impatient tells whether r is worth nothing when a quick answer could come: its client leaves before, or has
-// come again after the aim of its first try.
+// impatient tells whether r is worth nothing when a quick answer could come: its client leaves or came again.
 func (b *Balancer) impatient(r *request) bool {
 	end := r.useful()
 	return end < r.full && b.now+seconds(r.class.quick) >= end
@@ -773,7 +772,8 @@
 
 // send starts an attempt of r, if a server can take it.
 func (b *Balancer) send(r *request) bool {
-	if n := len(r.attempts); n >= b.cfg.Limits.Attempts || (n == 0 && float64(b.out) >= b.most()) {
+	full := b.cfg.Balancers >= limitsHold && float64(b.out) >= b.most()
+	if n := len(r.attempts); n >= b.cfg.Limits.Attempts || (n == 0 && full) {
 		return false
 	}
 	if b.candidates(r); len(b.set) == 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1076,6 +1076,7 @@
 func TestWhatIsOutIsBoundedByTheWorkAskedFor(t *testing.T) {
 	for _, hint := range []time.Duration{100 * ms, 0} {
 		r := newRig(t, settings(Safe), fleet(20)...)
+		r.b.cfg.Balancers = 80
 		out := 0
 		for id := range uint64(300) { // 20 a second; from the 200th on no answer comes
 			r.now += 50 * ms
@@ -1102,6 +1103,7 @@
 // twenty for three seconds.
 func TestStartDoesNotBoundWhatItDoesNotKnow(t *testing.T) {
 	r := newRig(t, settings(Safe), fleet(20)...)
+	r.b.cfg.Balancers = 80
 	sent := 0
 	for id := range uint64(8) {
 		r.now += 50 * ms
@@ -1114,3 +1116,22 @@
 		t.Errorf("%d of the first 8 requests were sent", sent)
 	}
 }
+
+// Silent servers keep what was sent to them until its time is over. On a fleet of six sidecars, which limits keep
+// from crowding, that took all that the bound allowed, and most requests were refused.
+func TestFewSidecarsAreNotBoundByWork(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Balancers = 6
+	r := newRig(t, cfg, fleet(20)...)
+	sent := 0
+	for id := range uint64(30) {
+		r.now += 50 * ms
+		r.step(Event{Kind: EvRequest, Request: id, Class: "c", Hint: 10 * ms, Expires: r.now + 800*ms})
+		if _, ok := r.find(ActSend); ok {
+			sent++
+		}
+	}
+	if sent < 20 {
+		t.Errorf("%d of 30 requests were sent to 20 servers", sent)
+	}
+}
