Add the management address, StatsD figures, suspend and pause, and take fd 5

Design: internal/manage reads one line a connection (STATUS, METRICS, SUSPEND, RESTORE, PAUSE, RESUME) on its own listener with a bound of 64 callers and a 2 s read deadline, so silent callers hold one place and not the address. It decides nothing; cmd/fieldrelay carries the commands out. Suspension is kept by the relay (the owner of the list's view): a suspended node is shown to the module as draining, whatever discovery says, and comes back cold; the names are written to TMPDIR for the process that replaces this one. internal/metrics keeps counters as atomics, read when METRICS is asked. Not taken: asking the relay's mailbox for every figure, since a busy relay would answer METRICS late, and keeping the suspension in the transport, which would leave the module to choose a node that then refuses every claim.

--- /dev/null
+++ b/cmd/fieldrelay/manage.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/front"
+	"fieldrelay/internal/metrics"
+	"fieldrelay/internal/relay"
+)
+
+// What the management address waits for the relay, at most: a caller waits a second, however busy the sidecar is.
+const manageWait = 600 * time.Millisecond
+
+// listFirst is how long STATUS waits for the first list before it says yes all the same.
+const listFirst = 2 * time.Second
+
+// operations carries out the commands of the management address. Its methods come back within manageWait.
+type operations struct {
+	core    *relay.Relay
+	fronts  *front.Set
+	figures *metrics.Registry
+	kept    string // the file of the suspensions, for the process after this one
+	log     zerolog.Logger
+
+	serving  atomic.Int64 // Unix nanoseconds since fronts take clients; 0: not yet
+	stopping atomic.Bool
+	paused   atomic.Bool
+	mu       sync.Mutex // one suspension at a time, so that the file is written in order
+}
+
+func (o *operations) Ready() bool {
+	since := o.serving.Load()
+	if since == 0 || o.stopping.Load() || o.paused.Load() {
+		return false
+	}
+	return o.core.Ready() || time.Since(time.Unix(0, since)) > listFirst
+}
+
+func (o *operations) Figures() []string { return o.figures.Lines() }
+
+func (o *operations) Suspend(id string) error {
+	return o.change(func(done func([]string, error)) { o.core.Suspend(id, true, done) })
+}
+
+func (o *operations) Restore(id string) error {
+	return o.change(func(done func([]string, error)) { o.core.Restore(id, done) })
+}
+
+// change asks the relay and keeps what it then suspends. A relay too busy to answer in time has the change in its
+// mailbox all the same: it takes effect, and the caller hears yes.
+func (o *operations) change(ask func(done func([]string, error))) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	type result struct {
+		names []string
+		err   error
+	}
+	told := make(chan result, 1)
+	ask(func(names []string, err error) { told <- result{names, err} })
+	select {
+	case r := <-told:
+		if r.err != nil {
+			return r.err
+		}
+		o.keep(r.names)
+	case <-time.After(manageWait):
+		o.log.Warn().Msg("relay slow to take a suspension: answered before it was done")
+	}
+	return nil
+}
+
+// keep writes the names suspended now where the process after this one finds them.
+func (o *operations) keep(names []string) {
+	if o.kept == "" {
+		return
+	}
+	text, _ := json.Marshal(names)
+	making := o.kept + ".new"
+	err := os.WriteFile(making, text, 0o600)
+	if err == nil {
+		err = os.Rename(making, o.kept)
+	}
+	if err != nil {
+		o.log.Error().Err(err).Msg("suspensions not kept for the next process")
+	}
+}
+
+// suspensions reads what the process before this one kept. None kept is none.
+func suspensions(path string) ([]string, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	if err := json.Unmarshal(text, &names); err != nil || len(names) > relay.MostSuspended {
+		return nil, errors.Join(errors.New(path+": not a list of suspended execute nodes"), err)
+	}
+	return names, nil
+}
+
+// keptPath is the file of the suspensions of a sidecar: in $TMPDIR, which a process that replaces this one shares.
+func keptPath(name string) string {
+	return filepath.Join(os.TempDir(), "fieldrelay-"+filepath.Base(name)+".suspended.json")
+}
+
+func (o *operations) Pause() {
+	o.paused.Store(true)
+	for _, f := range o.fronts.Fronts() {
+		f.Pause()
+	}
+}
+
+func (o *operations) Resume() {
+	o.paused.Store(false)
+	for _, f := range o.fronts.Fronts() {
+		f.Resume()
+	}
+}
+
+// platformSocket takes the listening socket that the platform holds for all processes of a sidecar.
+func platformSocket(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "LB_SOCKET_FD")
+	if f == nil {
+		return nil, errors.New("LB_SOCKET_FD: no such descriptor")
+	}
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, errors.New("LB_SOCKET_FD: " + err.Error())
+	}
+	return ln, nil
+}
--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -20,6 +21,8 @@
 	fronthttp "fieldrelay/internal/front/http"
 	"fieldrelay/internal/handover"
 	"fieldrelay/internal/logging"
+	"fieldrelay/internal/manage"
+	"fieldrelay/internal/metrics"
 	"fieldrelay/internal/reconfig"
 	"fieldrelay/internal/relay"
 	"fieldrelay/internal/resident"
@@ -27,6 +30,9 @@
 	nodehttp "fieldrelay/internal/transport/http"
 )
 
+// figuresPrefix begins every StatsD line.
+const figuresPrefix = "lb"
+
 const (
 	linger   = 500 * time.Millisecond // after SIGTERM, new connections go on coming for so long
 	patience = 10 * time.Second       // over the longest deadline, for the last answers
@@ -66,13 +72,34 @@
 	}
 	plan := resident.NewPlan(cfg.MemoryBytes, sizes)
 	gate := budget.NewGate(plan.Budget(), cfg.Inbound)
+	figures := metrics.New(figuresPrefix)
+	for _, c := range cfg.Logic.Classes {
+		figures.Count(c.Name, metrics.Outcome(255)) // listed with nothing counted
+	}
 
 	fleet := nodehttp.NewFleet(nodehttp.Options{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle,
-		DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound, Gate: gate}, hub.Part("node"))
+		DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound, Gate: gate,
+		Figures: figures}, hub.Part("node"))
 	core, err := relay.New(cfg.Logic, cfg.Seed, fleet, hub.Part("relay"))
 	if err != nil {
 		return err
 	}
+	figures.Hosts(core.Hosts)
+	kept := keptPath(cfg.Name)
+	names, err := suspensions(kept)
+	if err != nil {
+		log.Warn().Err(err).Msg("suspensions of the process before not taken")
+	}
+	for _, name := range names {
+		core.Suspend(name, false, func([]string, error) {})
+	}
+	if cfg.SocketFD >= 0 && inherited.Listeners[cfg.Listen] == nil {
+		ln, err := platformSocket(cfg.SocketFD)
+		if err != nil {
+			return err
+		}
+		inherited.Listeners[cfg.Listen] = ln
+	}
 	list := platform.New(cfg.Discovery, core, gate, hub.Part("list"))
 	core.Start(list)
 	list.Start(cfg.Known)
@@ -80,8 +107,17 @@
 
 	patience := cfg.LongestDeadline() + patience
 	fronts := front.NewSet(func(front.Listen) front.Front {
-		return fronthttp.New(core, fronthttp.Options{Classes: cfg.Logic.Classes, Limits: cfg.Logic.Limits, Gate: gate}, hub.Part("front"))
+		return fronthttp.New(core, fronthttp.Options{Classes: cfg.Logic.Classes, Limits: cfg.Logic.Limits, Gate: gate,
+			Figures: figures}, hub.Part("front"))
 	}, inherited.Listeners, patience, hub.Part("front"))
+	ops := &operations{core: core, fronts: fronts, figures: figures, kept: kept, log: hub.Part("manage")}
+	if cfg.Mgmt != "" {
+		m, err := manage.Listen(cfg.Mgmt, ops, hub.Part("manage"))
+		if err != nil {
+			return fmt.Errorf("mgmt %s: %w", cfg.Mgmt, err)
+		}
+		defer m.Close()
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go resident.Watch(plan, gate, func(d budget.Degree) {
@@ -101,11 +137,12 @@
 	}
 	opened.Commit()
 	fronts.Settle()
+	ops.serving.Store(time.Now().UnixNano())
 	log.Info().Stringer("listen", fronts.Listeners()[cfg.Listen].Addr()).Int("procs", cfg.Procs).Int("inbound", cfg.Inbound).
 		Int("outbound", cfg.Outbound).Int64("floor", plan.Floor).Int64("budget", plan.Budget()).
 		Int("pid", os.Getpid()).Bool("replaces", inherited.Replaces()).Msg("serving")
 
-	d := &daemon{getenv: getenv, running: cfg, generation: 1, log: log, replaced: make(chan replacement, 1), parts: []reconfig.Part[*config.Config]{
+	d := &daemon{figures: figures, getenv: getenv, running: cfg, generation: 1, log: log, replaced: make(chan replacement, 1), parts: []reconfig.Part[*config.Config]{
 		{Name: "front", Prepare: func(next *config.Config) (reconfig.Change, error) {
 			next.Listen = cfg.Listen // the platform's own does not move
 			change, err := fronts.Prepare(next.Fronts())
@@ -135,6 +172,7 @@
 			serving = !handedOver
 		case <-terminate:
 			serving = false
+			ops.stopping.Store(true)
 		}
 	}
 	if d.replacing { // it may still take over; if not, it ends
@@ -176,6 +214,7 @@
 
 // daemon is what changes while it runs. It belongs to the goroutine of run.
 type daemon struct {
+	figures    *metrics.Registry
 	getenv     func(string) string
 	running    *config.Config // as it was started
 	generation int            // of the settings in force
@@ -206,9 +245,11 @@
 	}
 	if err != nil {
 		d.log.Error().Err(err).Int("generation", d.generation).Msg("configuration not reloaded")
+		d.figures.Reconfigured(false)
 		return
 	}
 	d.generation++
+	d.figures.Reconfigured(true)
 	d.log.Info().Int("generation", d.generation).Str("discovery", next.Discovery).Strs("at next start", d.running.Changed(next)).
 		Msg("configuration reloaded")
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -52,6 +52,8 @@
 // Config is a checked configuration.
 type Config struct {
 	Name, Listen, Discovery string
+	Mgmt                    string // host:port of the management address; empty: none
+	SocketFD                int    // the platform's listening socket, inherited as this descriptor; -1: none
 	Seed                    uint64
 	Known                   endpoints.List // the stored list; it may be old
 	Logic                   logic.Config
@@ -70,6 +72,7 @@
 type file struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
+	Mgmt      string          `json:"mgmt"`
 	Discovery string          `json:"discovery"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
@@ -177,6 +180,8 @@
 	cfg := &Config{
 		Name:      cmp.Or(getenv("LB_NAME"), f.Name, "fieldrelay"),
 		Listen:    cmp.Or(getenv("LB_LISTEN"), f.Listen),
+		Mgmt:      cmp.Or(getenv("LB_MGMT"), f.Mgmt),
+		SocketFD:  -1,
 		Discovery: discovery(getenv("LB_DISCOVERY"), f.Discovery),
 	}
 	for _, a := range []struct{ key, addr string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}} {
@@ -184,6 +189,16 @@
 			src.fault(a.key, a.addr, "host:port")
 		}
 	}
+	if _, _, err := net.SplitHostPort(cfg.Mgmt); cfg.Mgmt != "" && err != nil {
+		src.fault("mgmt", cfg.Mgmt, "host:port, or nothing")
+	}
+	if fd := getenv("LB_SOCKET_FD"); fd != "" {
+		if n, err := strconv.Atoi(fd); err != nil || n < 3 || n > 1<<20 {
+			src.faults = append(src.faults, Fault{File: "LB_SOCKET_FD", Read: fd, Allowed: "a descriptor number of 3 or more"})
+		} else {
+			cfg.SocketFD = n
+		}
+	}
 	if f.Seed == "" {
 		cfg.Seed = rand.Uint64()
 	} else if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,9 @@
 	Limit(conns int)
 	// Trim closes connections that have carried no request for a while: their bytes are needed.
 	Trim()
+	// Pause makes readiness say no and ends connections once idle, until Resume.
+	Pause()
+	Resume()
 	// Stopping makes readiness say no; all else goes on.
 	Stopping()
 	// Shutdown closes the listener, ends idle connections and waits until all that was taken is answered.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -47,6 +47,8 @@
 }
 func (g *greeter) Limit(n int) { g.limit = n }
 func (g *greeter) Trim()       {}
+func (g *greeter) Pause()      {}
+func (g *greeter) Resume()     {}
 func (g *greeter) Stopping()   {}
 func (g *greeter) Shutdown(context.Context) error {
 	scenarioWait(func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.ln != nil })
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -182,6 +182,17 @@
 	}
 }
 
+// endIdle ends the connections that have carried no request for least.
+func (l *listener) endIdle(least time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if !c.busy && !c.leaving && time.Since(c.idleSince) >= least {
+			l.end(c)
+		}
+	}
+}
+
 // limit sets how many connections may be open.
 func (l *listener) limit(most int) {
 	l.mu.Lock()
--- a/internal/front/http/submit.go
+++ b/internal/front/http/submit.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fieldrelay/internal/budget"
+	"fieldrelay/internal/metrics"
 	"fieldrelay/internal/relay"
 	"fieldrelay/internal/socket"
 	"fieldrelay/logic"
@@ -63,7 +64,8 @@
 type Options struct {
 	Classes []logic.Class
 	Limits  logic.Limits
-	Gate    *budget.Gate // nil: nothing is counted
+	Gate    *budget.Gate      // nil: nothing is counted
+	Figures *metrics.Registry // nil: no figures are kept
 }
 
 // Front serves submitters.
@@ -74,9 +76,10 @@
 	classes  map[string]*class
 	server   *fasthttp.Server
 	listener atomic.Pointer[listener]
-	conns    atomic.Int64 // most that may be open
-	stopping atomic.Bool  // /ready says no
-	closing  atomic.Bool  // connections end with their next answer
+	conns    atomic.Int64                  // most that may be open
+	stopping atomic.Bool                   // /ready says no
+	closing  atomic.Bool                   // connections end with their next answer
+	paused   atomic.Pointer[chan struct{}] // while set, /ready says no and connections end; closed on resume
 }
 
 // class is what the front knows of a class.
@@ -131,6 +134,42 @@
 // Stopping makes /ready say so; all else goes on.
 func (f *Front) Stopping() { f.stopping.Store(true) }
 
+// Pausing: how long a connection may idle before it is ended, and how often that is looked at.
+const (
+	pauseIdle = 300 * time.Millisecond
+	pausePace = 100 * time.Millisecond
+)
+
+// Pause makes /ready say no and ends every connection once it carries no request, until Resume. What is taken is
+// answered; nothing else changes.
+func (f *Front) Pause() {
+	done := make(chan struct{})
+	if !f.paused.CompareAndSwap(nil, &done) {
+		return
+	}
+	go func() {
+		tick := time.NewTicker(pausePace)
+		defer tick.Stop()
+		for {
+			if l := f.listener.Load(); l != nil {
+				l.endIdle(pauseIdle)
+			}
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+		}
+	}()
+}
+
+// Resume undoes Pause.
+func (f *Front) Resume() {
+	if done := f.paused.Swap(nil); done != nil {
+		close(*done)
+	}
+}
+
 // Trim closes the connections that have carried no request for a while: their bytes are needed.
 func (f *Front) Trim() {
 	if l := f.listener.Load(); l != nil {
@@ -161,7 +200,10 @@
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/ready" {
-		if f.stopping.Load() || !f.relay.Ready() {
+		if f.paused.Load() != nil {
+			ctx.SetConnectionClose()
+		}
+		if f.stopping.Load() || f.paused.Load() != nil || !f.relay.Ready() {
 			ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
 		}
 		return
@@ -174,9 +216,16 @@
 		code, err = f.body(ctx, conn, &job)
 	}
 	if err != nil {
+		if job.Class != "" && code == fasthttp.StatusServiceUnavailable {
+			f.opts.Figures.Count(job.Class, metrics.Busy)
+		}
 		f.reject(ctx, conn, code, err)
 		return
 	}
+	if fig := f.opts.Figures; fig != nil {
+		fig.Inflight.Add(1)
+		defer fig.Inflight.Add(-1)
+	}
 	conn.expires = job.Expires
 	waiting := &reply{answers: make(chan relay.Answer, 1)}
 	job.Answer = waiting.answer
@@ -187,7 +236,8 @@
 		watch.stop()
 		conn.held = a.Held
 		write(ctx, a)
-		if f.closing.Load() {
+		f.opts.Figures.Count(job.Class, outcome(a.Verdict))
+		if f.closing.Load() || f.paused.Load() != nil {
 			ctx.SetConnectionClose()
 		}
 	case <-watch.gone:
@@ -447,6 +497,19 @@
 	}
 }
 
+// outcome is how the figures count a verdict.
+func outcome(v relay.Verdict) metrics.Outcome {
+	switch v {
+	case relay.Served:
+		return metrics.Success
+	case relay.Requeue:
+		return metrics.Busy
+	case relay.Failed:
+		return metrics.Failure
+	}
+	return metrics.Outcome(255) // not counted: no node saw it
+}
+
 var errTooLarge = errors.New("body over 64 KiB")
 
 // badRequest answers what cannot be read as a request.
--- /dev/null
+++ b/internal/manage/command.go
@@ -0,0 +1,74 @@
+// Package manage is the management address: one command a connection, one
+// line in, an answer that begins with ok or fail out. It decides nothing; what
+// a command does is the Handler's.
+package manage
+
+import (
+	"errors"
+	"strings"
+)
+
+// Verb is a command's name.
+type Verb string
+
+// The commands.
+const (
+	Status  Verb = "STATUS"  // ok while the process takes clients
+	Metrics Verb = "METRICS" // the figures, then a line eof
+	Suspend Verb = "SUSPEND" // nothing new to execute node ID
+	Restore Verb = "RESTORE" // execute node ID back
+	Pause   Verb = "PAUSE"   // send clients away: /ready says no, kept connections end
+	Resume  Verb = "RESUME"  // take clients again
+)
+
+// MostLine bounds a command line, in bytes with its end.
+const MostLine = 512
+
+// mostID bounds an execute node's id, in bytes.
+const mostID = 256
+
+// Command is one line read.
+type Command struct {
+	Verb Verb
+	ID   string // of SUSPEND and RESTORE
+}
+
+var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false}
+
+// Parse reads a line without its end. Verbs are taken in any case; an id is taken as it is written.
+func Parse(line string) (Command, error) {
+	fields := strings.Fields(line)
+	if len(fields) == 0 {
+		return Command{}, errors.New("empty line")
+	}
+	verb := Verb(strings.ToUpper(fields[0]))
+	withID, known := takesID[verb]
+	switch {
+	case !known:
+		return Command{}, errors.New("unknown command " + quote(fields[0]))
+	case withID && len(fields) != 2:
+		return Command{}, errors.New(string(verb) + " takes one id")
+	case !withID && len(fields) != 1:
+		return Command{}, errors.New(string(verb) + " takes nothing more")
+	case withID && len(fields[1]) > mostID:
+		return Command{}, errors.New("id longer than 256 bytes")
+	}
+	c := Command{Verb: verb}
+	if withID {
+		c.ID = fields[1]
+	}
+	return c, nil
+}
+
+// quote shows what was read without letting it break the answer's line.
+func quote(s string) string {
+	if len(s) > 32 {
+		s = s[:32]
+	}
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, s)
+}
--- /dev/null
+++ b/internal/manage/server.go
@@ -0,0 +1,143 @@
+package manage
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Handler carries out commands. Each method must come back at once: it may not wait for the data path.
+type Handler interface {
+	Ready() bool             // STATUS: whether the process takes clients
+	Figures() []string       // METRICS: StatsD lines without their ends
+	Suspend(id string) error // an unknown id is an error
+	Restore(id string) error // likewise
+	Pause()                  // send clients away
+	Resume()                 // take clients again
+}
+
+const (
+	// A caller has this long to send its line: one that sends nothing holds one place, not the address.
+	readTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	// MostCallers bounds the connections served at once. One over it is closed unread.
+	MostCallers = 64
+)
+
+// Server answers commands on one listener.
+type Server struct {
+	handler Handler
+	log     zerolog.Logger
+	places  chan struct{}
+	ln      net.Listener
+	wg      sync.WaitGroup
+}
+
+// Listen binds address (host:port) and serves it until Close.
+func Listen(address string, h Handler, log zerolog.Logger) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{handler: h, log: log, places: make(chan struct{}, MostCallers), ln: ln}
+	s.wg.Add(1)
+	go s.serve()
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+
+// Close stops taking callers and waits for those being answered.
+func (s *Server) Close() error {
+	err := s.ln.Close()
+	s.wg.Wait()
+	return err
+}
+
+func (s *Server) serve() {
+	defer s.wg.Done()
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				s.log.Error().Err(err).Msg("management address fails")
+			}
+			return
+		}
+		select {
+		case s.places <- struct{}{}:
+		default:
+			nc.Close()
+			continue
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			defer func() { <-s.places }()
+			s.answer(nc)
+		}()
+	}
+}
+
+// answer reads one line and writes its answer.
+func (s *Server) answer(nc net.Conn) {
+	defer nc.Close()
+	nc.SetReadDeadline(time.Now().Add(readTimeout))
+	line, err := bufio.NewReaderSize(nc, MostLine).ReadSlice('\n')
+	if err != nil && !(errors.Is(err, io.EOF) && len(line) > 0) {
+		if len(line) >= MostLine {
+			s.write(nc, []string{"fail line longer than 512 bytes"})
+		}
+		return
+	}
+	nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.write(nc, Do(s.handler, strings.TrimRight(string(line), "\r\n")))
+}
+
+func (s *Server) write(nc net.Conn, lines []string) {
+	var b strings.Builder
+	for _, l := range lines {
+		b.WriteString(l)
+		b.WriteByte('\n')
+	}
+	nc.Write([]byte(b.String()))
+}
+
+// Do carries out one line and gives the lines of its answer.
+func Do(h Handler, line string) []string {
+	c, err := Parse(line)
+	if err != nil {
+		return []string{"fail " + err.Error()}
+	}
+	switch c.Verb {
+	case Status:
+		if h.Ready() {
+			return []string{"ok ready"}
+		}
+		return []string{"fail not ready"}
+	case Metrics:
+		return append(append([]string{"ok"}, h.Figures()...), "eof")
+	case Suspend, Restore:
+		do := h.Suspend
+		if c.Verb == Restore {
+			do = h.Restore
+		}
+		if err := do(c.ID); err != nil {
+			return []string{"fail " + err.Error()}
+		}
+		return []string{"ok " + strings.ToLower(string(c.Verb)) + " " + c.ID}
+	case Pause:
+		h.Pause()
+		return []string{"ok paused"}
+	default:
+		h.Resume()
+		return []string{"ok resumed"}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,6 +109,7 @@
 // Member is one entry of the list.
 type Member struct {
 	logic.Server
+	Name string // as the list writes it: what an operator calls it
 	Addr string
 	Told time.Time // when the list said so
 }
@@ -141,6 +142,9 @@
 	jobs       map[uint64]*job
 	calls      map[string]bool // the ids of the jobs, for a while longer than those
 	open       map[uint64]*node
+	suspended  map[string]bool // names of execute nodes that get nothing new, whatever the list says
+
+	listed, down atomic.Int64 // execute nodes listed, and those of them suspended
 }
 
 // callKept is how long the id of a job that has ended is known. Whoever copies the id of an open job may come just
@@ -176,7 +180,7 @@
 	return &Relay{
 		log: log, cfg: cfg, seed: seed, nodes: nodes, box: mailbox.New(),
 		epoch: now, unix: time.Duration(now.UnixNano()), balancer: b,
-		jobs: map[uint64]*job{}, calls: map[string]bool{}, open: map[uint64]*node{},
+		jobs: map[uint64]*job{}, calls: map[string]bool{}, open: map[uint64]*node{}, suspended: map[string]bool{},
 	}, nil
 }
 
@@ -365,7 +369,7 @@
 	for _, m := range l.Members {
 		named[m.ID] = true
 		r.member(m)
-		ev.Servers = append(ev.Servers, m.Server)
+		ev.Servers = append(ev.Servers, r.seen(m).Server)
 	}
 	if l.Complete {
 		for id, n := range r.open {
@@ -379,12 +383,13 @@
 	r.step(&ev)
 	usable := 0
 	for id, n := range r.open {
-		if n.member.State == logic.Ready {
+		if n.member.State == logic.Ready && !r.suspended[n.member.Name] {
 			usable++
 		}
 		r.retire(id, n)
 	}
 	r.ready.Store(usable > 0)
+	r.count()
 	r.log.Info().Int("changed", len(l.Members)).Bool("complete", l.Complete).Bool("stored", l.Stored).
 		Int("usable", usable).Msg("list")
 }
--- /dev/null
+++ b/internal/relay/suspend_test.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/budget"
+	"fieldrelay/logic"
+)
+
+// A suspended node gets no claim, whatever the list says, until it is restored; an unknown name is refused.
+func TestSuspend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{claims: map[uint64]Claim{}, gate: budget.NewGate(1<<20, 1)}
+		cfg := logic.Config{Tick: 5 * time.Millisecond, Classes: []logic.Class{{Name: "safe", Deadline: time.Second}},
+			Limits: logic.Limits{Attempts: 3}}
+		var err error
+		if b.Relay, err = New(cfg, 1, b, zerolog.Nop()); err != nil {
+			t.Fatal(err)
+		}
+		b.Start(b)
+		defer b.box.Close()
+		a := member(8, logic.Ready)
+		a.Name = "a"
+		b.list(true, a)
+		ask := func(do func(func([]string, error))) (names []string, err error) {
+			do(func(n []string, e error) { names, err = n, e })
+			synctest.Wait()
+			return
+		}
+		if _, err := ask(func(d func([]string, error)) { b.Suspend("zz", true, d) }); !errors.Is(err, ErrUnknown) {
+			t.Errorf("unknown name: %v", err)
+		}
+		for range 2 {
+			if names, err := ask(func(d func([]string, error)) { b.Suspend("a", true, d) }); err != nil || len(names) != 1 {
+				t.Errorf("suspend: %v %v", names, err)
+			}
+		}
+		b.list(true, a) // discovery says nothing of it
+		if listed, down := b.Hosts(); listed != 1 || down != 1 || b.Ready() {
+			t.Errorf("listed %d down %d ready %v", listed, down, b.Ready())
+		}
+		b.lines = nil
+		b.submit("safe")
+		for _, l := range b.lines {
+			if len(l) > 5 && l[:5] == "claim" {
+				t.Errorf("a suspended node is claimed: %s", l)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if names, err := ask(func(d func([]string, error)) { b.Restore("a", d) }); err != nil || len(names) != 0 {
+			t.Errorf("restore: %v %v", names, err)
+		}
+		if _, down := b.Hosts(); down != 0 || !b.Ready() {
+			t.Errorf("down %d after restore", down)
+		}
+	})
+}
--- a/internal/source/platform/nodelist.go
+++ b/internal/source/platform/nodelist.go
@@ -161,7 +161,7 @@
 		}
 	}
 	for _, e := range l.Instances {
-		entry := relay.Member{Addr: e.Addr, Told: now}
+		entry := relay.Member{Name: e.ID, Addr: e.Addr, Told: now}
 		entry.ID, entry.Zone, entry.Cell = a.id(e.ID), e.Zone, e.Cell
 		entry.State, entry.Since = e.State, e.Started
 		m.Members = append(m.Members, entry)
--- a/internal/transport/http/executenode.go
+++ b/internal/transport/http/executenode.go
@@ -15,6 +15,7 @@
 
 	"fieldrelay/internal/budget"
 	"fieldrelay/internal/mailbox"
+	"fieldrelay/internal/metrics"
 	"fieldrelay/internal/relay"
 	"fieldrelay/logic"
 )
@@ -22,11 +23,12 @@
 // Options are what all execute nodes share.
 type Options struct {
 	DialTimeout time.Duration
-	ConnIdle    time.Duration // the node's machine closes a connection idle for this long
-	DrainGrace  time.Duration // sends to a node told to drain or gone must have stopped after this
-	GoneAdvice  bool          // one called gone may still be sent to
-	MaxConns    int           // to all nodes together
-	Gate        *budget.Gate  // nil: nothing is counted
+	ConnIdle    time.Duration     // the node's machine closes a connection idle for this long
+	DrainGrace  time.Duration     // sends to a node told to drain or gone must have stopped after this
+	GoneAdvice  bool              // one called gone may still be sent to
+	MaxConns    int               // to all nodes together
+	Gate        *budget.Gate      // nil: nothing is counted
+	Figures     *metrics.Registry // nil: no figures are kept; else BackendCalls counts claims written whole
 }
 
 // Before the limits of the rules, time for what lies between the last check and the wire.
@@ -237,6 +239,9 @@
 		conn.nc.SetWriteDeadline(c.Deadline)
 		_, err := parts.WriteTo(conn.nc)
 		held.Release()
+		if fig := n.fleet.opts.Figures; err == nil && fig != nil {
+			fig.BackendCalls.Add(1)
+		}
 		n.box.Put(func() { n.written(conn, err) })
 	}()
 }
