Turn down a file at SIGHUP whose send_cap or class deadline is not positive

Change: settings.limits.send_cap must be there and over 0, each class needs a name and a deadline over 0; at start the same faults end the process with one line each. Tests: three new cases in TestLoad.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -276,6 +276,18 @@
 	if c.Logic.Tick <= 0 {
 		src.fault("settings.tick_ms", float64(s.Tick), "over 0")
 	}
+	if s.Limits.Attempts <= 0 {
+		src.fault("settings.limits.send_cap", s.Limits.Attempts, "a whole number over 0")
+	}
+	for i, cl := range s.Classes {
+		key := fmt.Sprintf("settings.classes[%d].", i)
+		if cl.Name == "" {
+			src.missing(key+"name", "the class's name")
+		}
+		if cl.Deadline <= 0 {
+			src.fault(key+"deadline_ms", float64(cl.Deadline), "over 0")
+		}
+	}
 	for _, t := range []struct {
 		key      string
 		told     *Millis
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,7 +13,7 @@
 const good = `{"name":"n3","listen":"127.0.0.1:80","discovery":"127.0.0.1:85","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.5,"memory_mb":192,"sockets":1024},
  "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s","hostPort":"h:1","lifecycle":"Ready"}]},
- "settings":{"tick_ms":5,"contract":{"drain_grace_ms":400},"limits":{"dial_timeout_ms":120},
+ "settings":{"tick_ms":5,"contract":{"drain_grace_ms":400},"limits":{"dial_timeout_ms":120,"send_cap":3},
   "classes":[{"name":"c","effect":"free","aim_ms":100,"deadline_ms":5000}]}}`
 
 func load(t *testing.T, read func(func(string) string, string) (*Config, error), text string, env map[string]string) (*Config, error) {
@@ -99,6 +99,9 @@
 		{`400`, `1e13`, "contract.drain_grace_ms: "},
 		{`"free"`, `"odd"`, "classes[0].effect: "},
 		{`5000`, `1e13`, "classes[0].deadline_ms: "},
+		{`5000`, `0`, "classes[0].deadline_ms: 0; allowed: over 0"},
+		{`"send_cap":3`, `"send_cap":0`, "limits.send_cap: 0"},
+		{`,"send_cap":3`, ``, "limits.send_cap: 0"},
 	} {
 		if _, err := load(t, Load, strings.Replace(good, c.old, c.new, 1), nil); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s for %s: error %v, want %q", c.new, c.old, err, c.want)
