Change classes and attempts at SIGHUP; take single-shot classes without a key

The log showed the settings change named but not taken ('at next start': settings); a probe of every refusal at the front (removed again) showed 420 answers 400 'Idempotency-Key: missing' to POST /info-kartu_new, a class added at SIGHUP with the effect single_shot. The front asked a key of every POST class; PROTOCOL asks one of keyed classes only. Ruled out: the module failing the class (no 502 counted), and the management address (figures late 0 of 28).

Change: logic.Balancer.Reclass takes new classes and send_cap for later requests; open requests keep the class they came under (they hold it), an unchanged class keeps what was learnt. The relay calls it from its mailbox before the fronts' shared table of classes changes, so no request of a new class reaches a module that does not know it. Idempotency-Key is needed for keyed classes, checked where given.

--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -106,9 +106,10 @@
 	defer list.Close()
 
 	patience := cfg.LongestDeadline() + patience
+	classes := fronthttp.NewClasses(cfg.Logic.Classes)
 	fronts := front.NewSet(func(front.Listen) front.Front {
 		return fronthttp.New(core, fronthttp.Options{Classes: cfg.Logic.Classes, Limits: cfg.Logic.Limits, Gate: gate,
-			Figures: figures}, hub.Part("front"))
+			Figures: figures, Table: classes}, hub.Part("front"))
 	}, inherited.Listeners, patience, hub.Part("front"))
 	ops := &operations{core: core, fronts: fronts, figures: figures, kept: kept, log: hub.Part("manage")}
 	if cfg.Mgmt != "" {
@@ -154,6 +155,24 @@
 		{Name: "log", Prepare: func(next *config.Config) (reconfig.Change, error) {
 			return reconfig.Do(func() { hub.Set(next.Operator.Log) }), nil
 		}},
+		{Name: "classes", Prepare: func(next *config.Config) (reconfig.Change, error) {
+			return reconfig.Do(func() {
+				for _, c := range next.Logic.Classes {
+					figures.Count(c.Name, metrics.Outcome(255))
+				}
+				core.Reclass(next.Logic.Classes, next.Logic.Limits.Attempts, func(err error) {
+					if err != nil {
+						log.Error().Err(err).Msg("classes not changed")
+					}
+				})
+				classes.Set(next.Logic.Classes) // after the relay's mailbox has the change: it comes first
+				names := make([]string, 0, len(next.Logic.Classes))
+				for _, c := range next.Logic.Classes {
+					names = append(names, fmt.Sprintf("%s:%d", c.Name, c.Effect))
+				}
+				log.Info().Strs("classes", names).Int("attempts", next.Logic.Limits.Attempts).Msg("classes in force")
+			}), nil
+		}},
 		{Name: "list", Prepare: func(next *config.Config) (reconfig.Change, error) {
 			return reconfig.Do(func() { list.Move(next.Discovery) }), nil
 		}},
--- a/internal/front/http/submit.go
+++ b/internal/front/http/submit.go
@@ -66,6 +66,7 @@
 	Limits  logic.Limits
 	Gate    *budget.Gate      // nil: nothing is counted
 	Figures *metrics.Registry // nil: no figures are kept
+	Table   *Classes          // shared with other fronts, to be changed; nil: one of Classes
 }
 
 // Front serves submitters.
@@ -73,7 +74,7 @@
 	relay    Relay
 	log      zerolog.Logger
 	opts     Options
-	classes  map[string]*class
+	classes  *Classes
 	server   *fasthttp.Server
 	listener atomic.Pointer[listener]
 	conns    atomic.Int64                  // most that may be open
@@ -85,18 +86,54 @@
 // class is what the front knows of a class.
 type class struct {
 	method string
+	keyed  bool // a request must carry Idempotency-Key
 	worth  float64
 }
 
-// New makes a front for the classes of the settings.
-func New(r Relay, opts Options, log zerolog.Logger) *Front {
-	f := &Front{relay: r, log: log, opts: opts, classes: map[string]*class{}}
-	for _, c := range opts.Classes {
-		f.classes[c.Name] = &class{method: fasthttp.MethodPost, worth: max(c.Worth, leastWorth)}
+// Classes is the table of the classes that fronts take. It may change while they serve: a request is read under
+// the table as it was when its head came. Any goroutine may use it.
+type Classes struct {
+	table atomic.Pointer[map[string]*class]
+}
+
+// NewClasses makes a table of classes.
+func NewClasses(classes []logic.Class) *Classes {
+	t := &Classes{}
+	t.Set(classes)
+	return t
+}
+
+// Set replaces the table.
+func (t *Classes) Set(classes []logic.Class) {
+	table := make(map[string]*class, len(classes))
+	for _, c := range classes {
+		table[c.Name] = &class{method: fasthttp.MethodPost, keyed: c.Effect == logic.Keyed, worth: max(c.Worth, leastWorth)}
 		if c.Effect == logic.Safe {
-			f.classes[c.Name].method = fasthttp.MethodGet
+			table[c.Name].method = fasthttp.MethodGet
 		}
 	}
+	t.table.Store(&table)
+}
+
+// worth is what a request of the class is worth to the budget; of one dropped meanwhile, the least.
+func (t *Classes) worth(name string) float64 {
+	if c, ok := t.get(name); ok {
+		return c.worth
+	}
+	return leastWorth
+}
+
+func (t *Classes) get(name string) (*class, bool) {
+	c, ok := (*t.table.Load())[name]
+	return c, ok
+}
+
+// New makes a front for the classes of the settings, or of opts.Table where that is given.
+func New(r Relay, opts Options, log zerolog.Logger) *Front {
+	f := &Front{relay: r, log: log, opts: opts, classes: opts.Table}
+	if f.classes == nil {
+		f.classes = NewClasses(opts.Classes)
+	}
 	f.server = &fasthttp.Server{
 		Name: "fieldrelay", Handler: f.guard, ErrorHandler: badRequest,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
@@ -327,7 +364,7 @@
 	}
 	target := string(h.RequestURI())
 	name, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
-	class, known := f.classes[name]
+	class, known := f.classes.get(name)
 	if !known {
 		return none, fasthttp.StatusNotFound, fmt.Errorf("no class %q", name)
 	}
@@ -350,7 +387,7 @@
 		return none, bad, errors.New("X-Call-Id: missing or malformed")
 	}
 	key := string(h.Peek("Idempotency-Key"))
-	if class.method == fasthttp.MethodPost && !token(key) {
+	if (class.keyed || key != "") && !token(key) { // a single-shot class may carry one; a keyed one must
 		return none, bad, errors.New("Idempotency-Key: missing or malformed")
 	}
 	budget, err := span(h.Peek("X-Budget"), time.Second)
@@ -379,7 +416,7 @@
 		length = 0
 	}
 	now := time.Now()
-	ask := budget.Ask{Kind: budget.Jobs, Bytes: jobBytes + int64(length), Worth: f.classes[job.Class].worth}
+	ask := budget.Ask{Kind: budget.Jobs, Bytes: jobBytes + int64(length), Worth: f.classes.worth(job.Class)}
 	if length < 0 {
 		ask.Bytes = jobBytes + smallBody
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -190,6 +190,19 @@
 	go r.box.Run()
 }
 
+// Reclass takes the classes of new settings and their bound on attempts: jobs from now on follow them, open ones
+// keep the class they came under. done is called on the relay's goroutine with what the module said of them; with
+// an error nothing has changed.
+func (r *Relay) Reclass(classes []logic.Class, attempts int, done func(error)) {
+	r.box.Put(func() {
+		err := r.balancer.Reclass(classes, attempts)
+		if err == nil {
+			r.cfg.Classes, r.cfg.Limits.Attempts = classes, attempts
+		}
+		done(err)
+	})
+}
+
 // Ready tells whether an execute node is listed that takes jobs.
 func (r *Relay) Ready() bool { return r.ready.Load() }
 
