--- a/internal/relay/suspend_test.go
+++ b/internal/relay/suspend_test.go
@@ -46,12 +46,13 @@
 		}
 		b.lines = nil
 		b.submit("safe")
+		time.Sleep(2 * time.Second) // the job ends meanwhile, and nothing more is written down before the look
+		synctest.Wait()
 		for _, l := range b.lines {
 			if len(l) > 5 && l[:5] == "claim" {
 				t.Errorf("a suspended node is claimed: %s", l)
 			}
 		}
-		time.Sleep(2 * time.Second)
 		if names, err := ask(func(d func([]string, error)) { b.Restore("a", d) }); err != nil || len(names) != 0 {
 			t.Errorf("restore: %v %v", names, err)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -449,8 +449,8 @@
 // a quiet sidecar would know nothing, and keep a connection to each.
 func (b *Balancer) width() int { return max(int(b.rate*ageing.Seconds()/freshen), subsetLeast) }
 
-// candidates sets b.set to the servers that r may go to: the first in this sidecar's order, as many as its width,
-// that the rules allow, neither ejected nor tried (if none, one of those, so others rest), below their limit.
+// candidates sets b.set to the servers r may go to: the first in this sidecar's order, as many as its width,
+// that the rules allow, neither ejected nor tried (if none, one of those, so others rest), under their limit.
 func (b *Balancer) candidates(r *request) {
 	b.set = b.set[:0]
 	var last *server
@@ -963,8 +963,8 @@
 	b.release()
 }
 
-// idle plans the closing of s's idle connections once they have cost as much as a new handshake, so that never
-// more than twice the least is paid. All sidecars are taken to have this one's traffic.
+// idle plans the closing of s's idle connections once they have cost as much as a new handshake, so that
+// never more than twice the least is paid. All sidecars are taken to have this one's traffic.
 func (b *Balancer) idle(s *server) {
 	p := &b.cfg.Prices
 	if len(s.out) > 0 || p.Connection <= 0 {
