Log each suspend and restore of the management address

Meanwhile the module ejects a server with fast errors (errors 0.12 to 0.24) for 3, 6, then 12 s, so 4 of 6 servers serve from 4 to 20 s. Ruled out: the suspension reaching a wrong server, a restore not taken.

--- a/cmd/fieldrelay/manage.go
+++ b/cmd/fieldrelay/manage.go
@@ -48,11 +48,15 @@
 func (o *operations) Figures() []string { return o.figures.Lines() }
 
 func (o *operations) Suspend(id string) error {
-	return o.change(func(done func([]string, error)) { o.core.Suspend(id, true, done) })
+	err := o.change(func(done func([]string, error)) { o.core.Suspend(id, true, done) })
+	o.log.Info().Str("node", id).AnErr("refused", err).Msg("suspend")
+	return err
 }
 
 func (o *operations) Restore(id string) error {
-	return o.change(func(done func([]string, error)) { o.core.Restore(id, done) })
+	err := o.change(func(done func([]string, error)) { o.core.Restore(id, done) })
+	o.log.Info().Str("node", id).AnErr("refused", err).Msg("restore")
+	return err
 }
 
 // change asks the relay and keeps what it then suspends. A relay too busy to answer in time has the change in its
