Test pause and resume at the front, the platform's socket and kept suspensions

The new front case pauses with an idle connection and a request in work: the idle one ends, the answer carries Connection: close, /ready says 503, and after Resume 200. With Pause made a no-op the case fails (the idle connection stays open).

--- /dev/null
+++ b/cmd/fieldrelay/manage_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+)
+
+// The clients' socket that the platform holds is served as it is: a connection made to it is accepted through
+// the descriptor, and nothing else is bound.
+func TestPlatformSocket(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	f, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd, err := syscall.Dup(int(f.Fd()))
+	f.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := platformSocket(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if ln.Addr().String() != held.Addr().String() {
+		t.Fatalf("serves %s, the platform holds %s", ln.Addr(), held.Addr())
+	}
+	nc, err := net.Dial("tcp", held.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.Close()
+	if _, err := platformSocket(1 << 19); err == nil {
+		t.Error("a descriptor that is not open is taken")
+	}
+}
+
+// What one process suspends, the next one reads; a file that is not a list is an error, none is none.
+func TestSuspensionsKept(t *testing.T) {
+	dir := t.TempDir()
+	o := &operations{kept: filepath.Join(dir, "s.json")}
+	if names, err := suspensions(o.kept); err != nil || names != nil {
+		t.Fatalf("no file: %v %v", names, err)
+	}
+	o.keep([]string{"a", "b"})
+	if names, err := suspensions(o.kept); err != nil || !slices.Equal(names, []string{"a", "b"}) {
+		t.Fatalf("kept: %v %v", names, err)
+	}
+	os.WriteFile(o.kept, []byte("{"), 0o600)
+	if _, err := suspensions(o.kept); err == nil {
+		t.Error("a broken file is taken")
+	}
+}
--- a/internal/front/http/submit_test.go
+++ b/internal/front/http/submit_test.go
@@ -151,6 +151,27 @@
 			relay send again
 			a expect 409`,
 		"ready": `a send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n` + "\n a expect 200",
+		// Paused, /ready says no and ends its connection; an idle connection ends, a taken request is answered
+		// with Connection: close; resumed, /ready says yes again.
+		"pause and resume": `
+			idle send GET /look` + head + `\r\n
+			wait job look GET /look hint=0s
+			relay send served first
+			idle expect first
+			a send GET /look` + head + `\r\n
+			wait job look GET /look hint=0s
+			pause send now
+			idle wait
+			relay send served last
+			a expect Connection: close
+			a expect last
+			a wait
+			b send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n
+			b expect 503
+			b wait
+			resume send now
+			c send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n
+			c expect 200`,
 		// At a shutdown, what is taken is answered on a connection that then ends, and idle ones end at once.
 		"shutdown": `
 			idle send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n
@@ -175,6 +196,8 @@
 			f.Limit(10)
 			go f.Serve(ln)
 			stage.Calls["relay"] = r.answer
+			stage.Calls["pause"] = func(string) { f.Pause() }
+			stage.Calls["resume"] = func(string) { f.Resume() }
 			stage.Calls["shutdown"] = func(string) {
 				go func() { stage.Event(fmt.Sprint("shut down ", f.Shutdown(context.Background()))) }()
 			}
