--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -28,6 +28,7 @@
 	"fieldrelay/internal/resident"
 	"fieldrelay/internal/source/platform"
 	nodehttp "fieldrelay/internal/transport/http"
+	"fieldrelay/logic"
 )
 
 // figuresPrefix begins every StatsD line.
@@ -73,9 +74,7 @@
 	plan := resident.NewPlan(cfg.MemoryBytes, sizes)
 	gate := budget.NewGate(plan.Budget(), cfg.Inbound)
 	figures := metrics.New(figuresPrefix)
-	for _, c := range cfg.Logic.Classes {
-		figures.Count(c.Name, metrics.Outcome(255)) // listed with nothing counted
-	}
+	figures.List(classNames(cfg.Logic.Classes)...)
 
 	fleet := nodehttp.NewFleet(nodehttp.Options{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle,
 		DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound, Gate: gate,
@@ -157,19 +156,14 @@
 		}},
 		{Name: "classes", Prepare: func(next *config.Config) (reconfig.Change, error) {
 			return reconfig.Do(func() {
-				for _, c := range next.Logic.Classes {
-					figures.Count(c.Name, metrics.Outcome(255))
-				}
+				names := classNames(next.Logic.Classes)
+				figures.List(names...)
 				core.Reclass(next.Logic.Classes, next.Logic.Limits.Attempts, func(err error) {
 					if err != nil {
 						log.Error().Err(err).Msg("classes not changed")
 					}
 				})
 				classes.Set(next.Logic.Classes) // after the relay's mailbox has the change: it comes first
-				names := make([]string, 0, len(next.Logic.Classes))
-				for _, c := range next.Logic.Classes {
-					names = append(names, fmt.Sprintf("%s:%d", c.Name, c.Effect))
-				}
 				log.Info().Strs("classes", names).Int("attempts", next.Logic.Limits.Attempts).Msg("classes in force")
 			}), nil
 		}},
@@ -212,6 +206,15 @@
 	return err
 }
 
+// classNames are the names of classes, in their order.
+func classNames(classes []logic.Class) []string {
+	names := make([]string, len(classes))
+	for i, c := range classes {
+		names[i] = c.Name
+	}
+	return names
+}
+
 // leftOver tells what is held once all is answered. The last claims may still have to be reported.
 func leftOver(gate *budget.Gate) budget.State {
 	s := gate.State()
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -172,15 +172,7 @@
 }
 
 // Trim ends the connections that submitters can no longer count on.
-func (l *listener) Trim() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		if !c.busy && !c.leaving && time.Since(c.idleSince) >= leastIdle {
-			l.end(c)
-		}
-	}
-}
+func (l *listener) Trim() { l.endIdle(leastIdle) }
 
 // endIdle ends the connections that have carried no request for least.
 func (l *listener) endIdle(least time.Duration) {
--- a/internal/front/http/submit.go
+++ b/internal/front/http/submit.go
@@ -187,7 +187,7 @@
 	go func() {
 		tick := time.NewTicker(pausePace)
 		defer tick.Stop()
-		for {
+		for !f.closing.Load() { // a front that shuts down ends its connections itself
 			if l := f.listener.Load(); l != nil {
 				l.endIdle(pauseIdle)
 			}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -77,6 +77,13 @@
 	return c
 }
 
+// List makes classes show in the figures with nothing counted yet.
+func (r *Registry) List(classes ...string) {
+	for _, name := range classes {
+		r.class(name)
+	}
+}
+
 // Hosts tells the registry how to learn, when the figures are asked for, how many execute nodes are listed and how
 // many of those are avoided now. It must not block.
 func (r *Registry) Hosts(ask func() (listed, down int)) { r.hosts.Store(&ask) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -394,15 +394,10 @@
 		}
 	}
 	r.step(&ev)
-	usable := 0
 	for id, n := range r.open {
-		if n.member.State == logic.Ready && !r.suspended[n.member.Name] {
-			usable++
-		}
 		r.retire(id, n)
 	}
-	r.ready.Store(usable > 0)
-	r.count()
+	usable := r.count()
 	r.log.Info().Int("changed", len(l.Members)).Bool("complete", l.Complete).Bool("stored", l.Stored).
 		Int("usable", usable).Msg("list")
 }
@@ -424,7 +419,7 @@
 	case n != nil:
 		n.member = m
 		if n.Node != nil {
-			n.Update(m)
+			n.Update(r.seen(m))
 		}
 	case m.State != logic.Gone:
 		r.open[m.ID] = &node{member: m}
--- a/internal/relay/suspend.go
+++ b/internal/relay/suspend.go
@@ -81,13 +81,6 @@
 		n.Update(seen)
 	}
 	r.step(&logic.Event{Kind: logic.EvMembers, Servers: []logic.Server{seen.Server}})
-	usable := 0
-	for _, n := range r.open {
-		if n.member.State == logic.Ready && !r.suspended[n.member.Name] {
-			usable++
-		}
-	}
-	r.ready.Store(usable > 0)
 	r.count()
 }
 
@@ -109,17 +102,23 @@
 	return names
 }
 
-// count keeps the figures of the list up to date.
-func (r *Relay) count() {
+// count keeps readiness and the figures of the list up to date, and tells how many nodes take claims.
+func (r *Relay) count() (usable int) {
 	listed, down := 0, 0
 	for _, n := range r.open {
-		if n.member.State != logic.Gone {
+		switch {
+		case n.member.State == logic.Gone:
+		case r.suspended[n.member.Name]:
+			listed, down = listed+1, down+1
+		default:
 			listed++
-			if r.suspended[n.member.Name] {
-				down++
+			if n.member.State == logic.Ready {
+				usable++
 			}
 		}
 	}
 	r.listed.Store(int64(listed))
 	r.down.Store(int64(down))
+	r.ready.Store(usable > 0)
+	return usable
 }
