Check X-Caller against the settings' tenants and tell the module whose request it is

A caller of no tenant passed to a node. Ruled out: nothing else in the path named the caller (grep of cmd and internal).

Change: `projects` read and checked into logic.Config.Tenants (name, share, allowance); the front turns down a caller that is malformed, told twice or none of the tenants with 400 before any node (any caller of good form passes where the settings name none, an absent header passes); relay.Job carries the tenant into the module's event; tenants change at SIGHUP with the classes. Tests: the front's table (named, unknown, malformed, doubled caller; the two 400 cases fail without the check) and the settings' faults.

--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -105,7 +105,7 @@
 	defer list.Close()
 
 	patience := cfg.LongestDeadline() + patience
-	classes := fronthttp.NewClasses(cfg.Logic.Classes)
+	classes := fronthttp.NewClasses(cfg.Logic.Classes, cfg.Logic.Tenants)
 	fronts := front.NewSet(func(front.Listen) front.Front {
 		return fronthttp.New(core, fronthttp.Options{Classes: cfg.Logic.Classes, Limits: cfg.Logic.Limits, Gate: gate,
 			Figures: figures, Table: classes}, hub.Part("front"))
@@ -163,7 +163,7 @@
 						log.Error().Err(err).Msg("classes not changed")
 					}
 				})
-				classes.Set(next.Logic.Classes) // after the relay's mailbox has the change: it comes first
+				classes.Set(next.Logic.Classes, next.Logic.Tenants) // after the relay's mailbox has the change: it comes first
 				log.Info().Strs("classes", names).Int("attempts", next.Logic.Limits.Attempts).Msg("classes in force")
 			}), nil
 		}},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,13 +8,16 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"fieldrelay/logic"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:80","discovery":"127.0.0.1:85","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.5,"memory_mb":192,"sockets":1024},
  "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s","hostPort":"h:1","lifecycle":"Ready"}]},
  "settings":{"tick_ms":5,"contract":{"drain_grace_ms":400},"limits":{"dial_timeout_ms":120,"send_cap":3},
-  "classes":[{"name":"c","effect":"free","aim_ms":100,"deadline_ms":5000}]}}`
+  "classes":[{"name":"c","effect":"free","aim_ms":100,"deadline_ms":5000}],
+  "projects":[{"name":"novakovi","share":0.39,"allowance_per_s":70}]}}`
 
 func load(t *testing.T, read func(func(string) string, string) (*Config, error), text string, env map[string]string) (*Config, error) {
 	t.Helper()
@@ -36,9 +39,10 @@
 		t.Fatal(err)
 	}
 	got := []any{cfg.Name, cfg.Listen, cfg.Discovery, cfg.Seed, cfg.Known.Generation, cfg.Procs, cfg.MemoryBytes,
-		cfg.Inbound + cfg.Outbound, cfg.DialTimeout, cfg.ConnIdle, cfg.DrainGrace, cfg.LongestDeadline()}
+		cfg.Inbound + cfg.Outbound, cfg.DialTimeout, cfg.ConnIdle, cfg.DrainGrace, cfg.LongestDeadline(), cfg.Logic.Tenants}
 	want := []any{"n4", "127.0.0.2:80", "127.0.0.1:85", uint64(0x8c1f30d27a5be964), uint64(41), 2, int64(192 << 20),
-		960, 120 * time.Millisecond, defaultConnIdle, 400 * time.Millisecond, 5 * time.Second}
+		960, 120 * time.Millisecond, defaultConnIdle, 400 * time.Millisecond, 5 * time.Second,
+		[]logic.Tenant{{Name: "novakovi", Share: 0.39, Allowance: 70}}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -102,6 +106,8 @@
 		{`5000`, `0`, "classes[0].deadline_ms: 0; allowed: over 0"},
 		{`"send_cap":3`, `"send_cap":0`, "limits.send_cap: 0"},
 		{`,"send_cap":3`, ``, "limits.send_cap: 0"},
+		{`"share":0.39`, `"share":1.5`, "settings.projects[0]: tenant \"novakovi\" needs"},
+		{`"name":"novakovi"`, `"name":""`, "settings.projects[0]: "},
 	} {
 		if _, err := load(t, Load, strings.Replace(good, c.old, c.new, 1), nil); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s for %s: error %v, want %q", c.new, c.old, err, c.want)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -30,6 +30,11 @@
 	Tick      Millis  `json:"tick_ms"`
 	WorthBy   string  `json:"worth_by"`
 	Classes   []Class `json:"classes"`
+	Projects  []struct {
+		Name      string  `json:"name"`
+		Share     float64 `json:"share"`
+		Allowance float64 `json:"allowance_per_s"`
+	} `json:"projects"`
 	Specifics struct {
 		WarmKeys bool `json:"warm_keys"`
 	} `json:"specifics"`
@@ -115,6 +120,13 @@
 			return cfg, err
 		}
 	}
+	for i, p := range s.Projects {
+		if p.Name == "" || !(p.Share >= 0 && p.Share <= 1) || !(p.Allowance >= 0) {
+			return cfg, fmt.Errorf("settings: projects[%d]: tenant %q needs a name, a share of 0 to 1 and an allowance of 0 or more",
+				i, p.Name)
+		}
+		cfg.Tenants = append(cfg.Tenants, logic.Tenant{Name: p.Name, Share: p.Share, Allowance: p.Allowance})
+	}
 	for i, c := range s.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
--- a/internal/front/http/submit.go
+++ b/internal/front/http/submit.go
@@ -63,6 +63,7 @@
 // Options are what a front is told.
 type Options struct {
 	Classes []logic.Class
+	Tenants []logic.Tenant // the callers that X-Caller may name; none: any caller of good form
 	Limits  logic.Limits
 	Gate    *budget.Gate      // nil: nothing is counted
 	Figures *metrics.Registry // nil: no figures are kept
@@ -93,18 +94,24 @@
 // Classes is the table of the classes that fronts take. It may change while they serve: a request is read under
 // the table as it was when its head came. Any goroutine may use it.
 type Classes struct {
-	table atomic.Pointer[map[string]*class]
+	table   atomic.Pointer[map[string]*class]
+	callers atomic.Pointer[map[string]bool] // empty: the site names no tenants
 }
 
-// NewClasses makes a table of classes.
-func NewClasses(classes []logic.Class) *Classes {
+// NewClasses makes a table of classes and of the tenants that may call.
+func NewClasses(classes []logic.Class, tenants []logic.Tenant) *Classes {
 	t := &Classes{}
-	t.Set(classes)
+	t.Set(classes, tenants)
 	return t
 }
 
 // Set replaces the table.
-func (t *Classes) Set(classes []logic.Class) {
+func (t *Classes) Set(classes []logic.Class, tenants []logic.Tenant) {
+	callers := make(map[string]bool, len(tenants))
+	for _, tenant := range tenants {
+		callers[tenant.Name] = true
+	}
+	t.callers.Store(&callers)
 	table := make(map[string]*class, len(classes))
 	for _, c := range classes {
 		table[c.Name] = &class{method: fasthttp.MethodPost, keyed: c.Effect == logic.Keyed, worth: max(c.Worth, leastWorth)}
@@ -123,6 +130,16 @@
 	return leastWorth
 }
 
+// caller tells whether X-Caller may name this tenant: one of the settings, or any of good form where they name none.
+// An absent header names none and passes.
+func (t *Classes) caller(name string) bool {
+	if name == "" {
+		return true
+	}
+	callers := *t.callers.Load()
+	return token(name) && (len(callers) == 0 || callers[name])
+}
+
 func (t *Classes) get(name string) (*class, bool) {
 	c, ok := (*t.table.Load())[name]
 	return c, ok
@@ -132,7 +149,7 @@
 func New(r Relay, opts Options, log zerolog.Logger) *Front {
 	f := &Front{relay: r, log: log, opts: opts, classes: opts.Table}
 	if f.classes == nil {
-		f.classes = NewClasses(opts.Classes)
+		f.classes = NewClasses(opts.Classes, opts.Tenants)
 	}
 	f.server = &fasthttp.Server{
 		Name: "fieldrelay", Handler: f.guard, ErrorHandler: badRequest,
@@ -377,7 +394,7 @@
 		return none, fasthttp.StatusRequestEntityTooLarge, errTooLarge
 	}
 	bad := fasthttp.StatusBadRequest
-	for _, name := range []string{"X-Call-Id", "Idempotency-Key", "X-Budget"} {
+	for _, name := range []string{"X-Call-Id", "Idempotency-Key", "X-Budget", "X-Caller"} {
 		if len(h.PeekAll(name)) > 1 {
 			return none, bad, errors.New(name + ": told twice")
 		}
@@ -390,6 +407,10 @@
 	if (class.keyed || key != "") && !token(key) { // a single-shot class may carry one; a keyed one must
 		return none, bad, errors.New("Idempotency-Key: missing or malformed")
 	}
+	caller := string(h.Peek("X-Caller"))
+	if !f.classes.caller(caller) {
+		return none, bad, errors.New("X-Caller: malformed, or no tenant of the settings")
+	}
 	budget, err := span(h.Peek("X-Budget"), time.Second)
 	if err != nil || budget <= 0 {
 		return none, bad, errors.New("X-Budget: not a time in seconds")
@@ -401,7 +422,7 @@
 		}
 	}
 	return relay.Job{
-		Class: name, Repeat: string(h.Peek("X-Again")) == "1", Hint: hint, Expires: arrived.Add(budget),
+		Class: name, Tenant: caller, Repeat: string(h.Peek("X-Again")) == "1", Hint: hint, Expires: arrived.Add(budget),
 		Request: &relay.Request{Method: class.method, Target: target, ContentType: string(h.ContentType()),
 			CallID: callID, IdempotencyKey: key},
 	}, 0, nil
--- a/internal/front/http/submit_test.go
+++ b/internal/front/http/submit_test.go
@@ -23,8 +23,12 @@
 }
 
 func (s *script) Submit(j relay.Job) uint64 {
-	s.stage.Event(fmt.Sprintf("job %s %s %s%s%s hint=%v", j.Class, j.Request.Method, j.Request.Target, j.Request.IdempotencyKey,
-		j.Request.Body, j.Hint))
+	text := fmt.Sprintf("job %s %s %s%s%s hint=%v", j.Class, j.Request.Method, j.Request.Target, j.Request.IdempotencyKey,
+		j.Request.Body, j.Hint)
+	if j.Tenant != "" {
+		text += " caller=" + j.Tenant
+	}
+	s.stage.Event(text)
 	s.jobs <- j
 	return 7
 }
@@ -122,13 +126,22 @@
 			wait job once POST /oncehi hint=0s
 			relay send served done
 			a expect done`,
-		"no class":     `a send GET /none` + head + `\r\n` + "\n a expect 404",
-		"wrong method": `a send GET /pay` + head + `\r\n` + "\n a expect 405",
-		"large body":   `a send POST /pay` + head + `Idempotency-Key: k\r\nContent-Length: ` + big + `\r\n\r\n` + "\n a expect 413",
-		"long budget":  `a send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c\r\nX-Budget: 1e999\r\n\r\n` + "\n a expect 400",
-		"hex budget":   `a send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c\r\nX-Budget: 0x1\r\n\r\n` + "\n a expect 400",
-		"two ids":      `a send GET /look` + head + `X-Call-Id: c2\r\n\r\n` + "\n a expect 400",
-		"two budgets":  `a send GET /look` + head + `X-Budget: 2\r\n\r\n` + "\n a expect 400",
+		// The tenant is one of the settings; another, a malformed one, or two are turned down before any node.
+		"a tenant of the settings": `
+			a send GET /look` + head + `X-Caller: novakovi\r\n\r\n
+			wait job look GET /look hint=0s caller=novakovi
+			relay send served one
+			a expect one`,
+		"no tenant named": `a send GET /look` + head + `X-Caller: acme\r\n\r\n` + "\n a expect 400",
+		"odd tenant":      `a send GET /look` + head + `X-Caller: nova kovi\r\n\r\n` + "\n a expect 400",
+		"two tenants":     `a send GET /look` + head + `X-Caller: novakovi\r\nX-Caller: novakovi\r\n\r\n` + "\n a expect 400",
+		"no class":        `a send GET /none` + head + `\r\n` + "\n a expect 404",
+		"wrong method":    `a send GET /pay` + head + `\r\n` + "\n a expect 405",
+		"large body":      `a send POST /pay` + head + `Idempotency-Key: k\r\nContent-Length: ` + big + `\r\n\r\n` + "\n a expect 413",
+		"long budget":     `a send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c\r\nX-Budget: 1e999\r\n\r\n` + "\n a expect 400",
+		"hex budget":      `a send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c\r\nX-Budget: 0x1\r\n\r\n` + "\n a expect 400",
+		"two ids":         `a send GET /look` + head + `X-Call-Id: c2\r\n\r\n` + "\n a expect 400",
+		"two budgets":     `a send GET /look` + head + `X-Budget: 2\r\n\r\n` + "\n a expect 400",
 		// A body whose length is told in two ways, or in none that can be, may hide another request: nothing of it is
 		// read as one, here or at a node.
 		"both lengths":     unreadable(`Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`),
@@ -192,7 +205,7 @@
 			gate := budget.NewGate(8<<20, 9)
 			r := &script{stage, gate, make(chan relay.Job, 9)}
 			f := New(r, Options{Gate: gate, Classes: []logic.Class{{Name: "look"}, {Name: "pay", Effect: logic.Keyed},
-				{Name: "once", Effect: logic.Unsafe}}}, zerolog.Nop())
+				{Name: "once", Effect: logic.Unsafe}}, Tenants: []logic.Tenant{{Name: "novakovi", Share: 0.39}}}, zerolog.Nop())
 			f.Limit(10)
 			go f.Serve(ln)
 			stage.Calls["relay"] = r.answer
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,7 @@
 // Job is a request as a front took it from a submitter.
 type Job struct {
 	Class   string
+	Tenant  string        // the caller as X-Caller names it; "": none
 	Repeat  bool          // the submitter asks again
 	Hint    time.Duration // expected work; 0: not told
 	Expires time.Time     // when the submitter stops waiting
@@ -218,8 +219,8 @@
 		}
 		r.calls[j.Request.CallID] = true
 		r.jobs[id] = &job{Job: j, out: map[int]claim{}}
-		r.step(&logic.Event{Kind: logic.EvRequest, Request: id, Class: j.Class, Repeat: j.Repeat,
-			Hint: j.Hint, Expires: r.moment(j.Expires)})
+		r.step(&logic.Event{Kind: logic.EvRequest, Request: id, Class: j.Class, Tenant: j.Tenant,
+			Repeat: j.Repeat, Hint: j.Hint, Expires: r.moment(j.Expires)})
 	})
 	return id
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -85,6 +85,15 @@
 	Prices      Prices
 	Contract    Contract
 	Limits      Limits
+	// Tenants are the callers that the settings name; none: the site has no tenants.
+	Tenants []Tenant
+}
+
+// Tenant is a caller with a share of what the fleet can do; what it sends beyond that is worth little.
+type Tenant struct {
+	Name      string
+	Share     float64 // of the service, 0 to 1
+	Allowance float64 // requests a second over all sidecars within the share; 0: not told
 }
 
 // State is what the list says of a server.
