Shed requests beyond their tenant's allowance first, with a ledger of tenants in internal/door

The module's admits (logic.go) weighed classes only; tenants were a suspect for blame and nothing more.

Design: a sidecar cannot see what a tenant sends through the others. The door keeps an aged count per tenant of the settings (fixed memory: other names count as none) and takes this sidecar's part of an allowance as allowance_per_s over the sidecars, or the tenant's share of the own requests where none is told. The module's water-filling over classes runs over classes x tenants with those worths: the total shed is unchanged, only who gives way.

Tests: the door's figures, ageing and fixed memory; the module lets in 0.528 of a tenant twice over its allowance and 0.752 of one within (0.640 both without the door), 0.36 shed.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,7 @@
 const good = `{"name":"n3","listen":"127.0.0.1:80","discovery":"127.0.0.1:85","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.5,"memory_mb":192,"sockets":1024},
  "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s","hostPort":"h:1","lifecycle":"Ready"}]},
- "settings":{"tick_ms":5,"contract":{"drain_grace_ms":400},"limits":{"dial_timeout_ms":120,"send_cap":3},
+ "settings":{"tick_ms":5,"over_share_worth":0.05,"contract":{"drain_grace_ms":400},"limits":{"dial_timeout_ms":120,"send_cap":3},
   "classes":[{"name":"c","effect":"free","aim_ms":100,"deadline_ms":5000}],
   "projects":[{"name":"novakovi","share":0.39,"allowance_per_s":70}]}}`
 
@@ -39,10 +39,11 @@
 		t.Fatal(err)
 	}
 	got := []any{cfg.Name, cfg.Listen, cfg.Discovery, cfg.Seed, cfg.Known.Generation, cfg.Procs, cfg.MemoryBytes,
-		cfg.Inbound + cfg.Outbound, cfg.DialTimeout, cfg.ConnIdle, cfg.DrainGrace, cfg.LongestDeadline(), cfg.Logic.Tenants}
+		cfg.Inbound + cfg.Outbound, cfg.DialTimeout, cfg.ConnIdle, cfg.DrainGrace, cfg.LongestDeadline(), cfg.Logic.Tenants,
+		cfg.Logic.OverShareWorth}
 	want := []any{"n4", "127.0.0.2:80", "127.0.0.1:85", uint64(0x8c1f30d27a5be964), uint64(41), 2, int64(192 << 20),
 		960, 120 * time.Millisecond, defaultConnIdle, 400 * time.Millisecond, 5 * time.Second,
-		[]logic.Tenant{{Name: "novakovi", Share: 0.39, Allowance: 70}}}
+		[]logic.Tenant{{Name: "novakovi", Share: 0.39, Allowance: 70}}, 0.05}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -108,6 +109,7 @@
 		{`,"send_cap":3`, ``, "limits.send_cap: 0"},
 		{`"share":0.39`, `"share":1.5`, "settings.projects[0]: tenant \"novakovi\" needs"},
 		{`"name":"novakovi"`, `"name":""`, "settings.projects[0]: "},
+		{`"over_share_worth":0.05`, `"over_share_worth":-1`, "settings.over_share_worth: -1 is not within 0 to 1"},
 	} {
 		if _, err := load(t, Load, strings.Replace(good, c.old, c.new, 1), nil); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s for %s: error %v, want %q", c.new, c.old, err, c.want)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,6 +29,7 @@
 	Locality  string  `json:"locality"`
 	Tick      Millis  `json:"tick_ms"`
 	WorthBy   string  `json:"worth_by"`
+	OverShare float64 `json:"over_share_worth"`
 	Classes   []Class `json:"classes"`
 	Projects  []struct {
 		Name      string  `json:"name"`
@@ -97,7 +98,7 @@
 	cfg := logic.Config{
 		Zone: s.Locality, Balancers: s.Balancers, Subscribe: s.Discovery == "subscribe",
 		WorthByWork: s.WorthBy == "work", WarmKeys: s.Specifics.WarmKeys, Tick: s.Tick.Duration(),
-		Prices: logic.Prices(s.Prices),
+		Prices: logic.Prices(s.Prices), OverShareWorth: s.OverShare,
 		Contract: logic.Contract{
 			AnswerGrace: s.Contract.AnswerGrace.Duration(),
 			AskEvery:    s.Contract.AskEvery.Duration(), ColdFrom: s.Contract.ColdFrom,
@@ -120,6 +121,9 @@
 			return cfg, err
 		}
 	}
+	if !(s.OverShare >= 0 && s.OverShare <= 1) {
+		return cfg, fmt.Errorf("settings: over_share_worth: %v is not within 0 to 1", s.OverShare)
+	}
 	for i, p := range s.Projects {
 		if p.Name == "" || !(p.Share >= 0 && p.Share <= 1) || !(p.Allowance >= 0) {
 			return cfg, fmt.Errorf("settings: projects[%d]: tenant %q needs a name, a share of 0 to 1 and an allowance of 0 or more",
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,68 @@
+package door
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+const ageing = 3 * time.Second
+
+// fill makes the named tenants send at so many requests a second for a minute, the others in turn.
+func fill(d *Door, rates map[string]float64) (now time.Duration, own float64) {
+	for name, rate := range rates {
+		own += rate
+		step := time.Duration(float64(time.Second) / rate)
+		for at := time.Duration(0); at < time.Minute; at += step {
+			d.Arrive(at, name)
+		}
+	}
+	return time.Minute, own
+}
+
+func TestBeyondTheAllowanceIsWorthLittle(t *testing.T) {
+	d := New([]Tenant{{Name: "novakovi", Share: 0.4, Allowance: 80}, {Name: "kucerovi", Share: 0.2, Allowance: 40},
+		{Name: "horakovi", Share: 0.4}}, 4, 0.05, ageing)
+	// Of four sidecars each may take 20 of novakovi's a second and 10 of kucerovi's.
+	now, own := fill(d, map[string]float64{"novakovi": 40, "kucerovi": 10, "horakovi": 10, "": 10})
+	mix := d.Mix(now, own)
+	// horakovi, with no allowance told, sends less than its share of the own requests.
+	want := []Part{{40.0 / 70, 1 - 0.95*0.5}, {10.0 / 70, 1}, {10.0 / 70, 1}, {10.0 / 70, 1}}
+	if len(mix) != len(want) {
+		t.Fatalf("mix %v, want %v", mix, want)
+	}
+	for i := range want {
+		if math.Abs(mix[i].Part-want[i].Part) > 0.02 || math.Abs(mix[i].Worth-want[i].Worth) > 0.02 {
+			t.Fatalf("mix %v, want %v", mix, want)
+		}
+	}
+	for name, worth := range map[string]float64{"novakovi": want[0].Worth, "kucerovi": 1, "acme": 1, "": 1} {
+		if got := d.Worth(name); math.Abs(got-worth) > 0.02 {
+			t.Errorf("%q worth %v, want %v", name, got, worth)
+		}
+	}
+}
+
+// Without an allowance the share of the own requests is the measure; what is sent ages away.
+func TestShareOfTheOwnRequestsAndAgeing(t *testing.T) {
+	d := New([]Tenant{{Name: "a", Share: 0.25}, {Name: "b", Share: 0.75}}, 1, 0, ageing)
+	now, own := fill(d, map[string]float64{"a": 50, "b": 50})
+	if mix := d.Mix(now, own); math.Abs(mix[0].Worth-0.5) > 0.02 || mix[1].Worth != 1 || mix[2].Part > 0.02 {
+		t.Fatalf("mix %v: a sends twice its share, b less", mix)
+	}
+	// Quiet for a minute: what a sent has aged to nothing, and it is worth all again.
+	if mix := d.Mix(now+time.Minute, 1); mix[0].Part > 1e-6 || mix[0].Worth != 1 {
+		t.Fatalf("mix %v after a quiet minute", mix)
+	}
+}
+
+// However many names come, the door keeps the settings' tenants only.
+func TestNamesNotInTheSettingsTakeNoRoom(t *testing.T) {
+	d := New([]Tenant{{Name: "a", Share: 1}, {Name: "a", Share: 0.5}}, 1, 0.1, ageing)
+	for i := range 10000 {
+		d.Arrive(time.Duration(i)*time.Millisecond, string(rune('b'+i%1000)))
+	}
+	if len(d.byName) != 1 || len(d.Mix(10*time.Second, 100)) != 2 {
+		t.Fatalf("%d names kept, want 1", len(d.byName))
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -7,7 +7,11 @@
 // all in logic.go.
 package logic
 
-import "time"
+import (
+	"time"
+
+	"fieldrelay/internal/door"
+)
 
 // Effect says what a repeated attempt of a request may do.
 type Effect uint8
@@ -87,14 +91,12 @@
 	Limits      Limits
 	// Tenants are the callers that the settings name; none: the site has no tenants.
 	Tenants []Tenant
+	// OverShareWorth is what a request beyond its tenant's share is worth, as a part of its class's worth (0 to 1).
+	OverShareWorth float64
 }
 
 // Tenant is a caller with a share of what the fleet can do; what it sends beyond that is worth little.
-type Tenant struct {
-	Name      string
-	Share     float64 // of the service, 0 to 1
-	Allowance float64 // requests a second over all sidecars within the share; 0: not told
-}
+type Tenant = door.Tenant
 
 // State is what the list says of a server.
 type State uint8
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,6 +14,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"fieldrelay/internal/door"
 )
 
 // Tuning. Every value is dimensionless, but for the first two; ageing is the paper's.
@@ -173,6 +175,7 @@
 	ways      map[string]*suspect // by zone
 	cells     map[int]*suspect
 	tenants   map[string]*suspect
+	door      *door.Door // what tenants send against their shares
 	slack     float64
 	slackAt   time.Duration
 	began     time.Duration // the first request
@@ -199,6 +202,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		byID: map[uint64]*server{}, requests: map[uint64]*request{}, slack: slackStart, seed: seed,
 		ways: map[string]*suspect{}, cells: map[int]*suspect{}, tenants: map[string]*suspect{},
+		door: door.New(cfg.Tenants, cfg.Balancers, cfg.OverShareWorth, ageing),
 	}
 	return b, b.Reclass(cfg.Classes, cfg.Limits.Attempts)
 }
@@ -414,8 +418,7 @@
 
 // coldFraction is the share of its full capacity that s has at the least.
 func (b *Balancer) coldFraction(s *server) float64 {
-	c := &b.cfg.Contract
-	age := b.now - s.Since
+	c, age := &b.cfg.Contract, b.now-s.Since
 	if s.Since <= 0 || c.Cold <= 0 || age >= c.Cold {
 		return 1
 	}
@@ -431,11 +434,9 @@
 		if r.class.Effect == Unsafe || (a.out && !b.cfg.Limits.Parallel) {
 			return false
 		}
-		if r.class.Effect == Keyed {
-			window := time.Duration(windowSafety * float64(r.class.Window))
-			if b.now-a.sent >= window || !sameGroup(r.class.Group, a.srv, s) {
-				return false
-			}
+		window := time.Duration(windowSafety * float64(r.class.Window))
+		if r.class.Effect == Keyed && (b.now-a.sent >= window || !sameGroup(r.class.Group, a.srv, s)) {
+			return false
 		}
 	}
 	return true
@@ -649,10 +650,11 @@
 	}
 	b.at(r.expires-b.cfg.Tick, TimerExpire, r.id)
 	c.demand(b.now, r.cost)
+	b.door.Arrive(b.now, ev.Tenant)
 	b.earn()
 	// Servers that answer late to all spend their whole capacity on it, a jam that holds itself up. Letting
 	// in less than is answered in time drains it.
-	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c) {
+	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c, ev.Tenant) {
 		b.settle(r)
 	} else if c.tried = b.now; !b.send(r) {
 		b.hold(r)
@@ -685,22 +687,25 @@
 	return 1 + outTimes*w + outRoots*math.Sqrt(w)
 }
 
-// admits is the part of c's requests that is let in. The slack says how much work can be done in time.
-// Classes give way in inverse proportion to their worth: shed alike, the dear would lose as much as the
-// cheap; with the cheap shed alone, nothing of those would be served in a long jam.
-func (b *Balancer) admits(c *class) float64 {
+// admits is the part of c's requests from tenant that is let in; the slack says how much can be done in time.
+// Classes, and tenants beyond their share, give way in inverse proportion to their worth: shed alike, the
+// dear would lose as much as the cheap; with the cheap shed alone, nothing of those would be served in a jam.
+func (b *Balancer) admits(c *class, tenant string) float64 {
 	in := calm * b.slack
 	if in >= 1 {
 		return 1
 	}
-	all, high := b.load(), 0.0 // the level over a class's worth is its part that gives way
+	mix := b.door.Mix(b.now, b.rate*(1-aged(b.now-b.rateAt)))
+	all, high := b.load(), 0.0 // the level over a kind's worth is its part that gives way
 	for _, o := range b.kinds {
 		high = max(high, b.worth(o))
 	}
 	for low, step := 0.0, 0; step < levelSteps; step++ {
 		level, shed := (low+high)/2, 0.0
 		for _, o := range b.kinds {
-			shed += o.work * min(1, level/b.worth(o))
+			for _, t := range mix {
+				shed += o.work * t.Part * min(1, level/(b.worth(o)*t.Worth))
+			}
 		}
 		if shed < (1-in*in)*all {
 			low = level
@@ -708,7 +713,7 @@
 			high = level
 		}
 	}
-	return max(1-high/b.worth(c), trickle)
+	return max(1-high/(b.worth(c)*b.door.Worth(tenant)), trickle)
 }
 
 // worth is what a unit of c's work is worth.
@@ -841,10 +846,7 @@
 
 // mayRefuse tells whether a refusal is true: a retry can do no harm.
 func (r *request) mayRefuse() bool {
-	if r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Group == GroupAll) {
-		return true
-	}
-	return !r.mayHaveRun()
+	return r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Group == GroupAll) || !r.mayHaveRun()
 }
 
 // mayHaveRun tells whether any attempt is not proved never to have run.
@@ -1031,8 +1033,7 @@
 }
 
 func (b *Balancer) answered(a *attempt, latency time.Duration) {
-	s, r := a.srv, a.req
-	sec := max(latency.Seconds(), 1e-3)
+	s, r, sec := a.srv, a.req, max(latency.Seconds(), 1e-3)
 	b.blame(a, failed, false)
 	own := b.blame(a, late, b.now > r.full)
 	b.observe(s, r.cost/sec)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -889,7 +889,7 @@
 	var got [][2]float64
 	for _, slack := range []float64{1 / calm, 0.9 / calm, 0.5 / calm, 0} {
 		r.b.slack = slack
-		got = append(got, [2]float64{r.b.admits(r.b.kinds[0]), r.b.admits(r.b.kinds[1])})
+		got = append(got, [2]float64{r.b.admits(r.b.kinds[0], ""), r.b.admits(r.b.kinds[1], "")})
 	}
 	// In all, the square of calm times the slack is let in: of three equal parts 2.43, 0.75 and nothing.
 	want := [][2]float64{{1, 1}, {0.525, 0.9525}, {trickle, 0.375}, {trickle, trickle}}
@@ -902,6 +902,28 @@
 	}
 }
 
+// A tenant that sends twice its allowance gives way more than one within it; in all as much is shed as without
+// tenants. Before, both were let in alike (0.64), though what is beyond a share is worth a twentieth.
+func TestTenantsBeyondTheirShareGiveWayFirst(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Balancers, cfg.OverShareWorth = 1, 0.05
+	cfg.Tenants = []Tenant{{Name: "over", Share: 0.5, Allowance: 50}, {Name: "within", Share: 0.5, Allowance: 200}}
+	r := newRig(t, cfg, fleet(3)...)
+	r.b.rate, r.b.rateAt = 200, r.now
+	for at := r.now - 20*time.Second; at < r.now; at += 10 * ms { // a hundred a second of each
+		r.b.door.Arrive(at, "over")
+		r.b.door.Arrive(at, "within")
+	}
+	r.b.kinds[0].demand(r.now, 1)
+	r.b.slack = 0.8 / calm // 0.36 of the work is shed
+	over, within := r.b.admits(r.b.kinds[0], "over"), r.b.admits(r.b.kinds[0], "within")
+	// Half of what "over" sends is worth a twentieth: one of its requests is worth 0.525 of one of "within".
+	// Given way in inverse proportion to that, at a level of 0.248: 0.528 and 0.752 let in, 0.36 in all shed.
+	if math.Abs(over-0.528) > 0.01 || math.Abs(within-0.752) > 0.01 || math.Abs((2-over-within)/2-0.36) > 1e-3 {
+		t.Fatalf("let in %.3f of the tenant beyond its share and %.3f of the one within, want 0.528 and 0.752", over, within)
+	}
+}
+
 // Some servers turned a kind of request away while they took all others. Given up as in a jam, one in six of that
 // kind was refused to a fleet with room.
 func TestKindThatIsTurnedAwayIsSentElsewhere(t *testing.T) {
