--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -119,3 +119,16 @@
 		t.Errorf("no file: error %v", err)
 	}
 }
+
+// The examples are complete configurations that load as they are.
+func TestExamplesLoad(t *testing.T) {
+	paths, err := filepath.Glob("../../example/*.json")
+	if err != nil || len(paths) < 2 {
+		t.Fatalf("examples %v, %v", paths, err)
+	}
+	for _, path := range paths {
+		if _, err := Load(func(key string) string { return map[string]string{"LB_CONFIG": path}[key] }, ""); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
