Keep a server that fails under half its work in use while requests are shed

Ruled out: the restored server's cold start (the refusals end when the ejection ends, not at the restore), and the rows explained by chance (run() asked for 3, the least, since the other servers failed nothing). Lines at fault: failed() in logic.go ejects on a row or a share over 0.3 whatever the rest can do.

Change: while the module sheds (b.shedding), a failure that is an error (not lateness) does not eject a server whose aged share of errors laid to it is under keepShare (0.5): it serves three in four, which the rest could not take. Hung servers and those failing more are ejected as before.

Test: a server that fails 3 in 12, in rows of 3, is ejected with room to spare and kept while shedding (fails without the change).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,6 +63,7 @@
 	ejectShare   = 0.3   // aged share of errors that ejects
 	ejectFirst   = 1.0   // first ejection, in ageing times; doubles up to ejectMost
 	ejectMost    = 4.0
+	keepShare    = 0.5  // of errors, aged: a server under it serves the rest while requests are shed: kept
 	heldSpread   = 4.0  // a held request is given up this many deviations before the mean answer time
 	windowSafety = 0.95 // of a repeat window: its end is not ours to gamble with
 	warmPull     = 2.0  // weight of a key's home server, in fair shares of the rest
@@ -1028,8 +1029,7 @@
 	if !s.seeded {
 		s.seeded, alpha = true, 1
 	}
-	s.speed += alpha * (v - s.speed)
-	s.sampled = b.now
+	s.speed, s.sampled = s.speed+alpha*(v-s.speed), b.now
 }
 
 func (b *Balancer) answered(a *attempt, latency time.Duration) {
@@ -1112,7 +1112,8 @@
 	if s.State == Gone && o != Errored && o != Busy {
 		s.fails, s.backoff = row, ejectMost
 	}
-	if s.fails >= row || s.suspect[failed] > ejectShare {
+	kept := what == failed && b.shedding && s.suspect[failed] < keepShare
+	if !kept && (s.fails >= row || s.suspect[failed] > ejectShare) {
 		b.eject(s)
 	}
 }
@@ -1135,8 +1136,7 @@
 	if b.now < s.ejected {
 		return
 	}
-	s.ejected = b.now + time.Duration(s.backoff*float64(ageing))
-	s.limit = 1
+	s.ejected, s.limit = b.now+time.Duration(s.backoff*float64(ageing)), 1
 	b.logf("server %d ejected for %.1fs: %d failures, errors %.2f", s.ID,
 		(s.ejected - b.now).Seconds(), s.fails, s.suspect[failed])
 	s.backoff = min(2*s.backoff, ejectMost)
