--- a/logic/fault_test.go
+++ b/logic/fault_test.go
@@ -163,38 +163,6 @@
 	}
 }
 
-// While requests are shed, a server that fails a quarter of its work, three in a row at times, serves the rest:
-// ejected, the others would have to shed a quarter more. With room to spare it is ejected as before.
-func TestServerThatFailsAPartIsKeptWhileRequestsAreShed(t *testing.T) {
-	for _, c := range []struct {
-		slack   float64
-		ejected bool
-	}{{1, true}, {0.5, false}} {
-		r := newRig(t, settings(Safe), fleet(3)...)
-		r.tally(1, 60)
-		errs := 0
-		for id := uint64(100); id < 700; id++ {
-			r.b.slack = c.slack
-			r.request(id)
-			a, sent := r.find(ActSend)
-			if !sent {
-				continue
-			}
-			o := Done
-			if a.Server == 2 {
-				if errs++; errs%12 < 3 {
-					o = Errored
-				}
-			}
-			r.now += 10 * ms
-			r.outcome(id, 0, 10*ms, o)
-		}
-		if s := r.b.byID[2]; (s.backoff > ejectFirst) != c.ejected {
-			t.Errorf("slack %.1f: ejected %t, want %t", c.slack, s.backoff > ejectFirst, c.ejected)
-		}
-	}
-}
-
 func TestServerThatFailsForAllIsStillEjected(t *testing.T) {
 	r := newRig(t, settings(Unsafe), fleet(3)...)
 	r.tally(1, 60)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,7 +63,6 @@
 	ejectShare   = 0.3   // aged share of errors that ejects
 	ejectFirst   = 1.0   // first ejection, in ageing times; doubles up to ejectMost
 	ejectMost    = 4.0
-	keepShare    = 0.5  // of errors, aged: a server under it serves the rest while requests are shed: kept
 	heldSpread   = 4.0  // a held request is given up this many deviations before the mean answer time
 	windowSafety = 0.95 // of a repeat window: its end is not ours to gamble with
 	warmPull     = 2.0  // weight of a key's home server, in fair shares of the rest
@@ -1112,8 +1111,7 @@
 	if s.State == Gone && o != Errored && o != Busy {
 		s.fails, s.backoff = row, ejectMost
 	}
-	kept := what == failed && b.shedding && s.suspect[failed] < keepShare
-	if !kept && (s.fails >= row || s.suspect[failed] > ejectShare) {
+	if s.fails >= row || s.suspect[failed] > ejectShare {
 		b.eject(s)
 	}
 }
