Change tenants and their shares at SIGHUP in the module too, not only at the front

Seen on reading the change again: the classes step at SIGHUP gave the front the new tenants (Classes.Set), but relay.Reclass passed only classes and attempts to the module, whose door kept the tenants of the start.

Test: door.Set keeps a staying tenant's count, starts a new one at nothing, counts a dropped one as none.

--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -158,7 +158,7 @@
 			return reconfig.Do(func() {
 				names := classNames(next.Logic.Classes)
 				figures.List(names...)
-				core.Reclass(next.Logic.Classes, next.Logic.Limits.Attempts, func(err error) {
+				core.Reclass(next.Logic, func(err error) {
 					if err != nil {
 						log.Error().Err(err).Msg("classes not changed")
 					}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -53,6 +53,18 @@
 	return d
 }
 
+// Set takes new tenants and the worth beyond a share from now on; what was counted of a tenant that stays is
+// kept.
+func (d *Door) Set(tenants []Tenant, overShare float64) {
+	old := d.byName
+	*d = *New(tenants, int(d.sidecars), overShare, d.ageing)
+	for name, t := range d.byName {
+		if o := old[name]; o != nil {
+			t.asked, t.at = o.asked, o.at
+		}
+	}
+}
+
 // Arrive counts a request of the named tenant at now (the caller's clock, never going back).
 func (d *Door) Arrive(now time.Duration, name string) {
 	if t := d.byName[name]; t != nil {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -66,3 +66,15 @@
 		t.Fatalf("%d names kept, want 1", len(d.byName))
 	}
 }
+
+// New tenants at a reload: one that stays keeps what it sent, a new one starts at nothing, one dropped counts as none.
+func TestSetKeepsWhatStays(t *testing.T) {
+	d := New([]Tenant{{Name: "a", Share: 0.25}, {Name: "b", Share: 0.75}}, 1, 0, ageing)
+	now, own := fill(d, map[string]float64{"a": 50, "b": 50})
+	d.Set([]Tenant{{Name: "c", Share: 0.5}, {Name: "a", Share: 0.25}}, 0.5)
+	mix := d.Mix(now, own)
+	if len(mix) != 3 || mix[0].Part != 0 || math.Abs(mix[1].Part-0.5) > 0.02 || math.Abs(mix[1].Worth-0.75) > 0.02 ||
+		math.Abs(mix[2].Part-0.5) > 0.02 || d.Worth("b") != 1 {
+		t.Fatalf("mix %v after the reload, want c at nothing, a half of all worth 0.75, b among the rest", mix)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,14 +191,17 @@
 	go r.box.Run()
 }
 
-// Reclass takes the classes of new settings and their bound on attempts: jobs from now on follow them, open ones
-// keep the class they came under. done is called on the relay's goroutine with what the module said of them; with
+// Reclass takes the classes of new settings, their bound on attempts and the tenants with their shares: jobs from
+// now on follow them, open ones keep the class they came under. done is called on the relay's goroutine with what the module said of them; with
 // an error nothing has changed.
-func (r *Relay) Reclass(classes []logic.Class, attempts int, done func(error)) {
+func (r *Relay) Reclass(next logic.Config, done func(error)) {
+	classes, attempts := next.Classes, next.Limits.Attempts
 	r.box.Put(func() {
 		err := r.balancer.Reclass(classes, attempts)
 		if err == nil {
+			r.balancer.Retenant(next.Tenants, next.OverShareWorth)
 			r.cfg.Classes, r.cfg.Limits.Attempts = classes, attempts
+			r.cfg.Tenants, r.cfg.OverShareWorth = next.Tenants, next.OverShareWorth
 		}
 		done(err)
 	})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -225,6 +225,9 @@
 	return nil
 }
 
+// Retenant takes the tenants and the worth beyond a share from now on; what was counted of those kept stays.
+func (b *Balancer) Retenant(tenants []Tenant, overShare float64) { b.door.Set(tenants, overShare) }
+
 // Step takes one event and appends the actions that follow from it.
 func (b *Balancer) Step(now time.Duration, ev *Event, acts []Action) []Action {
 	b.now, b.acts = now, acts
