Call the set of execute nodes Nodes, so that fleet means sidecars everywhere

Need: the sidecars get to know each other next, and transport/http used the name Fleet for the execute nodes. Change: Fleet, NewFleet and the field fleet are Nodes, NewNodes and nodes; nothing else.

--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -76,10 +76,10 @@
 	figures := metrics.New(figuresPrefix)
 	figures.List(classNames(cfg.Logic.Classes)...)
 
-	fleet := nodehttp.NewFleet(nodehttp.Options{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle,
+	nodes := nodehttp.NewNodes(nodehttp.Options{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle,
 		DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound, Gate: gate,
 		Figures: figures}, hub.Part("node"))
-	core, err := relay.New(cfg.Logic, cfg.Seed, fleet, hub.Part("relay"))
+	core, err := relay.New(cfg.Logic, cfg.Seed, nodes, hub.Part("relay"))
 	if err != nil {
 		return err
 	}
--- a/internal/transport/http/conn.go
+++ b/internal/transport/http/conn.go
@@ -71,7 +71,7 @@
 
 func newConn(n *node, nc net.Conn, addr string) *conn {
 	return &conn{node: n, nc: nc, addr: addr, gone: make(chan struct{}),
-		cost: n.fleet.opts.Gate.Must(budget.Conns, connBytes)}
+		cost: n.nodes.opts.Gate.Must(budget.Conns, connBytes)}
 }
 
 // wake ends the idle time of a connection.
@@ -219,7 +219,7 @@
 // charge waits for the bytes of an answer, as long as its connection is there: at the claim's deadline the actor
 // closes it. The time that an answer may take counts anew from when it has them.
 func (c *conn) charge(bytes int64) (*budget.Charge, error) {
-	held, err := c.node.fleet.opts.Gate.Enter(budget.Ask{Kind: budget.Answers, Bytes: bytes}, time.Now().Add(mostWait), c.gone)
+	held, err := c.node.nodes.opts.Gate.Enter(budget.Ask{Kind: budget.Answers, Bytes: bytes}, time.Now().Add(mostWait), c.gone)
 	if now := time.Now(); err == nil && now.Sub(c.begun) > answerTime/4 {
 		c.begun, c.late = now, true
 		c.nc.SetReadDeadline(now.Add(answerTime))
@@ -260,4 +260,4 @@
 	return h.Header()
 }
 
-var _ relay.Nodes = (*Fleet)(nil)
+var _ relay.Nodes = (*Nodes)(nil)
--- a/internal/transport/http/executenode.go
+++ b/internal/transport/http/executenode.go
@@ -45,21 +45,21 @@
 // likely to need would only have to be opened again, at the node's cost.
 const trimmed = time.Second
 
-// Fleet opens execute nodes and counts their connections.
-type Fleet struct {
+// Nodes opens execute nodes and counts their connections.
+type Nodes struct {
 	opts  Options
 	log   zerolog.Logger
 	conns atomic.Int64
 }
 
-// NewFleet makes a fleet that has no node yet.
-func NewFleet(opts Options, log zerolog.Logger) *Fleet {
-	return &Fleet{opts: opts, log: log}
+// NewNodes makes a set that has no node yet.
+func NewNodes(opts Options, log zerolog.Logger) *Nodes {
+	return &Nodes{opts: opts, log: log}
 }
 
 // Open starts the actor of a node.
-func (f *Fleet) Open(m relay.Member, report func(relay.ClaimID, relay.Result)) relay.Node {
-	n := &node{fleet: f, log: f.log.With().Str("node", m.Addr).Logger(), report: report,
+func (s *Nodes) Open(m relay.Member, report func(relay.ClaimID, relay.Result)) relay.Node {
+	n := &node{nodes: s, log: s.log.With().Str("node", m.Addr).Logger(), report: report,
 		box: mailbox.New(), claims: map[relay.ClaimID]*claim{}, conns: map[*conn]bool{}}
 	n.Update(m) // as any later word of the list: it may be draining already
 	go n.box.Run()
@@ -68,7 +68,7 @@
 
 // node is the actor of one execute node. All but the first four fields belong to it.
 type node struct {
-	fleet  *Fleet
+	nodes  *Nodes
 	log    zerolog.Logger
 	report func(relay.ClaimID, relay.Result)
 	box    *mailbox.Mailbox
@@ -129,7 +129,7 @@
 	switch {
 	case m.State == logic.Ready:
 		n.barred = time.Time{}
-	case m.State == logic.Gone && n.fleet.opts.GoneAdvice: // the module decides
+	case m.State == logic.Gone && n.nodes.opts.GoneAdvice: // the module decides
 	case n.barred.IsZero():
 		n.barred = m.Told
 	}
@@ -174,14 +174,14 @@
 }
 
 func (n *node) dial(c *claim) {
-	if n.fleet.conns.Add(1) > int64(n.fleet.opts.MaxConns) {
-		n.fleet.conns.Add(-1)
-		n.log.Warn().Int("limit", n.fleet.opts.MaxConns).Msg("no socket left for a claim")
+	if n.nodes.conns.Add(1) > int64(n.nodes.opts.MaxConns) {
+		n.nodes.conns.Add(-1)
+		n.log.Warn().Int("limit", n.nodes.opts.MaxConns).Msg("no socket left for a claim")
 		n.end(c, logic.Skipped, relay.Result{})
 		return
 	}
 	n.dials++
-	ctx, abandon := context.WithTimeout(context.Background(), n.fleet.opts.DialTimeout)
+	ctx, abandon := context.WithTimeout(context.Background(), n.nodes.opts.DialTimeout)
 	c.abandon = abandon
 	addr := n.member.Addr
 	go func() {
@@ -196,7 +196,7 @@
 	waiting := n.claims[c.ID] == c
 	n.dials--
 	if err != nil {
-		n.fleet.conns.Add(-1)
+		n.nodes.conns.Add(-1)
 		defer n.finish()
 		if waiting {
 			n.log.Debug().Err(err).Msg("not connected")
@@ -223,7 +223,7 @@
 	now := time.Now()
 	// A claim that waited for its connection must not reach a node that has been told to drain meanwhile, nor
 	// be sent when nobody waits for it.
-	late := !n.barred.IsZero() && now.Sub(n.barred) > time.Duration((1-drainMargin)*float64(n.fleet.opts.DrainGrace))
+	late := !n.barred.IsZero() && now.Sub(n.barred) > time.Duration((1-drainMargin)*float64(n.nodes.opts.DrainGrace))
 	if late || !now.Before(c.Deadline) {
 		conn.asked.Store(false)
 		n.rest(conn)
@@ -239,7 +239,7 @@
 		conn.nc.SetWriteDeadline(c.Deadline)
 		_, err := parts.WriteTo(conn.nc)
 		held.Release()
-		if fig := n.fleet.opts.Figures; err == nil && fig != nil {
+		if fig := n.nodes.opts.Figures; err == nil && fig != nil {
 			fig.BackendCalls.Add(1)
 		}
 		n.box.Put(func() { n.written(conn, err) })
@@ -349,7 +349,7 @@
 	}
 	n.idle = append(n.idle, conn)
 	conn.rested = time.Now()
-	idle := time.Duration((1 - idleMargin) * float64(n.fleet.opts.ConnIdle))
+	idle := time.Duration((1 - idleMargin) * float64(n.nodes.opts.ConnIdle))
 	var timer *time.Timer
 	timer = time.AfterFunc(idle, func() {
 		n.box.Put(func() {
@@ -373,7 +373,7 @@
 		return
 	}
 	delete(n.conns, conn)
-	n.fleet.conns.Add(-1)
+	n.nodes.conns.Add(-1)
 	conn.nc.Close()
 	close(conn.gone)
 	for i, o := range n.idle {
--- a/internal/transport/http/executenode_test.go
+++ b/internal/transport/http/executenode_test.go
@@ -172,7 +172,7 @@
 			stage := scenario.NewStage(scenario.Accepter(ln))
 			gate := budget.NewGate(8<<20, 9)
 			var jobs sync.Map // what each holds until its claim is reported
-			f := fleet(gate)
+			f := openNodes(gate)
 			n := f.Open(relay.Member{Addr: ln.Addr().String()}, func(id relay.ClaimID, r relay.Result) {
 				tell(stage)(id, r)
 				held, _ := jobs.Load(id.Job)
@@ -283,7 +283,7 @@
 func TestAnswerOvertakesTheWrite(t *testing.T) {
 	near, _ := net.Pipe()
 	reports := 0
-	n := &node{fleet: NewFleet(Options{ConnIdle: time.Minute}, zerolog.Nop()), claims: map[relay.ClaimID]*claim{},
+	n := &node{nodes: NewNodes(Options{ConnIdle: time.Minute}, zerolog.Nop()), claims: map[relay.ClaimID]*claim{},
 		report: func(relay.ClaimID, relay.Result) { reports++ }}
 	c := &conn{node: n, nc: near, writing: true, claim: &claim{timer: time.NewTimer(time.Minute)}}
 	n.conns = map[*conn]bool{c: true}
@@ -324,11 +324,11 @@
 }
 
 func openMember(stage *scenario.Stage, m relay.Member, gate *budget.Gate) relay.Node {
-	return fleet(gate).Open(m, tell(stage))
+	return openNodes(gate).Open(m, tell(stage))
 }
 
-func fleet(gate *budget.Gate) *Fleet {
-	return NewFleet(Options{DialTimeout: 5 * time.Second, ConnIdle: time.Minute,
+func openNodes(gate *budget.Gate) *Nodes {
+	return NewNodes(Options{DialTimeout: 5 * time.Second, ConnIdle: time.Minute,
 		DrainGrace: 500 * time.Millisecond, MaxConns: 2, Gate: gate}, zerolog.Nop())
 }
 
@@ -350,7 +350,7 @@
 // Where bytes are short, a connection that has been idle for long goes, and one that the next claim may need stays.
 func TestTrimLeavesWhatIsInUse(t *testing.T) {
 	near, _ := net.Pipe()
-	n := &node{fleet: NewFleet(Options{}, zerolog.Nop()), box: mailbox.New(), conns: map[*conn]bool{}}
+	n := &node{nodes: NewNodes(Options{}, zerolog.Nop()), box: mailbox.New(), conns: map[*conn]bool{}}
 	for _, rested := range []time.Duration{time.Minute, 0} {
 		c := &conn{node: n, nc: near, gone: make(chan struct{}), rested: time.Now().Add(-rested), retire: time.NewTimer(time.Minute)}
 		n.idle, n.conns[c] = append(n.idle, c), true
