--- a/cmd/fieldrelay/manage.go
+++ b/cmd/fieldrelay/manage.go
@@ -28,6 +28,7 @@
 	core    *relay.Relay
 	fronts  *front.Set
 	figures *metrics.Registry
+	peers   *peers
 	kept    string // the file of the suspensions, for the process after this one
 	log     zerolog.Logger
 
@@ -45,8 +46,6 @@
 	return o.core.Ready() || time.Since(time.Unix(0, since)) > listFirst
 }
 
-func (o *operations) Figures() []string { return o.figures.Lines() }
-
 func (o *operations) Suspend(id string) error {
 	err := o.change(func(done func([]string, error)) { o.core.Suspend(id, true, done) })
 	o.log.Info().Str("node", id).AnErr("refused", err).Msg("suspend")
--- /dev/null
+++ b/cmd/fieldrelay/peers.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/config"
+	"fieldrelay/internal/fleet"
+	"fieldrelay/internal/peer"
+	"fieldrelay/internal/reconfig"
+)
+
+// How long a process that replaces another tries to get the fleet's address, which the other one still has.
+const (
+	fleetPatience = 5 * time.Second
+	fleetPace     = 50 * time.Millisecond
+)
+
+// peers is this process's part in the fleet of sidecars, if the operator's file names one. Without one it is empty.
+type peers struct {
+	name string
+	log  zerolog.Logger
+
+	mu  sync.Mutex
+	is  fleet.Settings // in force
+	now *fleet.Fleet   // nil: off
+}
+
+// start joins. A process that replaces another waits until that one has left the address, and serves alone if it does
+// not.
+func (p *peers) start(s fleet.Settings, replaces bool) error {
+	p.mu.Lock()
+	p.is = s
+	p.mu.Unlock()
+	if !s.Enabled() {
+		return nil
+	}
+	for end := time.Now().Add(fleetPatience); ; <-time.After(fleetPace) {
+		f, err := fleet.Start(s, p.name, p.log)
+		if err == nil {
+			p.mu.Lock()
+			p.now = f
+			p.mu.Unlock()
+			return nil
+		}
+		if !replaces {
+			return err
+		}
+		if time.Now().After(end) {
+			p.log.Error().Err(err).Msg("fleet not joined, serving alone")
+			return nil
+		}
+	}
+}
+
+func (p *peers) running() *fleet.Fleet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now
+}
+
+// stop leaves the fleet; handedOver: without a word, since the new process goes on under the name.
+func (p *peers) stop(handedOver bool) {
+	f := p.running()
+	switch {
+	case f == nil:
+	case handedOver:
+		f.Abandon()
+	default:
+		f.Close()
+	}
+}
+
+// prepare is the section's part of a reload. What can fail, a new address, is tried before anything changes.
+func (p *peers) prepare(next *config.Config) (reconfig.Change, error) {
+	s := next.Operator.Fleet
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch was := p.is; {
+	case was.Equal(s):
+		return nil, nil
+	case p.now != nil && was.Live(s):
+		return reconfig.Do(func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.is = s
+			p.now.Set(s)
+		}), nil
+	case s.Enabled() && (p.now == nil || was.Listen != s.Listen):
+		probe, err := peer.Listen(s.Listen, func([]byte) {})
+		if err != nil {
+			return nil, err
+		}
+		probe.Close()
+	}
+	return reconfig.Do(func() {
+		p.stop(false)
+		p.mu.Lock()
+		p.now = nil
+		p.mu.Unlock()
+		if err := p.start(s, false); err != nil {
+			p.log.Error().Err(err).Msg("fleet not joined, serving alone")
+		}
+	}), nil
+}
+
+func (o *operations) Recover() error {
+	f := o.peers.running()
+	if f == nil {
+		return errors.New("fleet off")
+	}
+	err := f.Recover()
+	o.log.Warn().AnErr("refused", err).Msg("recover")
+	return err
+}
+
+func (o *operations) Peers() ([]string, error) {
+	f := o.peers.running()
+	if f == nil {
+		return nil, errors.New("fleet off")
+	}
+	return f.Peers()
+}
+
+func (o *operations) Figures() []string {
+	lines := o.figures.Lines()
+	if f := o.peers.running(); f != nil {
+		lines = append(lines, f.Figures(figuresPrefix)...)
+	}
+	return lines
+}
--- a/cmd/fieldrelay/run.go
+++ b/cmd/fieldrelay/run.go
@@ -110,13 +110,19 @@
 		return fronthttp.New(core, fronthttp.Options{Classes: cfg.Logic.Classes, Limits: cfg.Logic.Limits, Gate: gate,
 			Figures: figures, Table: classes}, hub.Part("front"))
 	}, inherited.Listeners, patience, hub.Part("front"))
-	ops := &operations{core: core, fronts: fronts, figures: figures, kept: kept, log: hub.Part("manage")}
-	if cfg.Mgmt != "" {
-		m, err := manage.Listen(cfg.Mgmt, ops, hub.Part("manage"))
-		if err != nil {
+	members := &peers{name: cfg.Name, log: hub.Part("fleet")}
+	ops := &operations{core: core, fronts: fronts, figures: figures, peers: members, kept: kept, log: hub.Part("manage")}
+	var managed *manage.Server
+	if ln := inherited.Listeners[cfg.Mgmt]; cfg.Mgmt != "" && ln != nil {
+		managed = manage.Serve(ln, ops, hub.Part("manage"))
+		delete(inherited.Listeners, cfg.Mgmt) // it is no front's
+	} else if cfg.Mgmt != "" {
+		if managed, err = manage.Listen(cfg.Mgmt, ops, hub.Part("manage")); err != nil {
 			return fmt.Errorf("mgmt %s: %w", cfg.Mgmt, err)
 		}
-		defer m.Close()
+	}
+	if managed != nil {
+		defer managed.Close()
 	}
 	stop := make(chan struct{})
 	defer close(stop)
@@ -135,8 +141,16 @@
 	if err := takeOver(inherited, core, cfg.Operator.Replace.Wait()); err != nil {
 		return err
 	}
+	if !inherited.Replaces() {
+		if err := members.start(cfg.Operator.Fleet, false); err != nil {
+			return err
+		}
+	}
 	opened.Commit()
 	fronts.Settle()
+	if inherited.Replaces() { // only now has the process before this one cause to leave the fleet's address
+		members.start(cfg.Operator.Fleet, true)
+	}
 	ops.serving.Store(time.Now().UnixNano())
 	log.Info().Stringer("listen", fronts.Listeners()[cfg.Listen].Addr()).Int("procs", cfg.Procs).Int("inbound", cfg.Inbound).
 		Int("outbound", cfg.Outbound).Int64("floor", plan.Floor).Int64("budget", plan.Budget()).
@@ -167,6 +181,7 @@
 				log.Info().Strs("classes", names).Int("attempts", next.Logic.Limits.Attempts).Msg("classes in force")
 			}), nil
 		}},
+		{Name: "fleet", Prepare: members.prepare},
 		{Name: "list", Prepare: func(next *config.Config) (reconfig.Change, error) {
 			return reconfig.Do(func() { list.Move(next.Discovery) }), nil
 		}},
@@ -179,7 +194,11 @@
 		case <-hangup:
 			d.reload()
 		case <-replace:
-			d.replace(fronts.Listeners())
+			listeners := fronts.Listeners()
+			if managed != nil { // bound twice, the new process could not start
+				listeners[cfg.Mgmt] = managed.Listener()
+			}
+			d.replace(listeners)
 		case r := <-d.replaced:
 			handedOver = d.replacedBy(r)
 			serving = !handedOver
@@ -192,6 +211,10 @@
 		handedOver = d.replacedBy(<-d.replaced)
 	}
 	log.Info().Bool("handed over", handedOver).Msg("terminating")
+	if handedOver && managed != nil {
+		managed.Close() // the new process answers there now
+	}
+	members.stop(handedOver)
 	if !handedOver {
 		for _, f := range fronts.Fronts() {
 			f.Stopping()
--- a/cmd/fieldrelayctl/main.go
+++ b/cmd/fieldrelayctl/main.go
@@ -35,6 +35,7 @@
 	Run      runCmd     `cmd:"" default:"1" help:"Serve, in the foreground. The command where none is named."`
 	Check    checkCmd   `cmd:"" help:"Read config.json and the operator's file, and name every fault with its place."`
 	Config   configCmd  `cmd:"" help:"Print the settings that would be in force, and where each comes from."`
+	Fleet    fleetCmd   `cmd:"" help:"Ask the running sidecar for the members of its fleet, as a table."`
 	Version  versionCmd `cmd:"" help:"Print the program's version."`
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -12,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"fieldrelay/internal/fleet"
 	"fieldrelay/internal/front"
 	"fieldrelay/internal/handover"
 	"fieldrelay/internal/logging"
@@ -33,11 +34,12 @@
 	Log     logging.Settings  `toml:"log"`
 	Front   front.Settings    `toml:"front"`
 	Replace handover.Settings `toml:"replace"`
+	Fleet   fleet.Settings    `toml:"fleet"`
 }
 
 // OperatorDefaults are the settings where there is no operator's file.
 func OperatorDefaults() Operator {
-	return Operator{Version: OperatorVersion, Log: logging.Defaults(), Replace: handover.Defaults()}
+	return Operator{Version: OperatorVersion, Log: logging.Defaults(), Replace: handover.Defaults(), Fleet: fleet.Defaults()}
 }
 
 var operatorSchema = sync.OnceValue(func() schema { return schemaOf(reflect.TypeFor[Operator](), "toml") })
@@ -107,5 +109,6 @@
 	}
 	o.Log.Check(src.under("log"))
 	o.Replace.Check(src.under("replace"))
+	o.Fleet.Check(src.under("fleet"))
 	return o, src
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -27,10 +27,10 @@
 			`f:3:1: the file may not be whole; its last line must be "# end"`}},
 		"cut within a word": {"version = 1\n[log]\nlevel = 'deb", []string{"f:3:12: not TOML; "}},
 		"a key twice":       {"version = 1\nversion = 1" + end, []string{"f:2:1: not TOML; "}},
-		"unknown keys": {"version = 1\nlag.level = 'info'\n[log]\nlevle = 'info'\n[fleet]\nx = {y = [1]}" + end, []string{
+		"unknown keys": {"version = 1\nlag.level = 'info'\n[log]\nlevle = 'info'\n[swarm]\nx = {y = [1]}" + end, []string{
 			"f:2:1: lag: unknown key; allowed: a known key, such as log",
 			"f:4:1: log.levle: unknown key; allowed: a known key, such as log.level",
-			"f:5:2: fleet: unknown key; allowed: a known key",
+			"f:5:2: swarm: unknown key; allowed: a known key",
 		}},
 		"an unknown key and a value out of range": {"version = 1\n[log]\nform = 'xml'\nfrom = 1" + end, []string{
 			"f:4:1: log.from: unknown key", `f:3:1: log.form: "xml"; allowed: json or console`}},
@@ -71,7 +71,7 @@
 		t.Fatal(err)
 	}
 	for key, k := range operatorSchema() {
-		if name := key[strings.LastIndexByte(key, '.')+1:]; k != table && name != "*" && !strings.Contains(string(text), name+" = ") {
+		if name := strings.TrimSuffix(key[strings.LastIndexByte(key, '.')+1:], "[]"); k != table && name != "*" && !strings.Contains(string(text), name+" = ") {
 			t.Errorf("%s is not in it", key)
 		}
 	}
--- /dev/null
+++ b/internal/explore/explore.go
@@ -0,0 +1,65 @@
+// Package explore goes through every order of events of a small system, up to
+// a depth. States that were met with as many events left are not gone through
+// again. Systems need not be copied: each path is played from the start.
+package explore
+
+import "fmt"
+
+// System is what is explored. The same events from the start lead to the same state.
+type System interface {
+	Events() []string // that can happen now, named, in the same order for the same state
+	Do(event int)     // lets one of them happen
+	Hash() uint64     // equal for states from which the same can follow
+	Check() error     // what is broken now; nil: nothing
+}
+
+// Result is how far an exploration came.
+type Result struct {
+	States int // different ones
+	Paths  int // played
+	Full   bool
+}
+
+// All plays every order of up to depth events, and at most so many paths. Its error names the events that led to what is
+// broken.
+func All(begin func() System, depth, mostPaths int) (Result, error) {
+	e := &explorer{begin: begin, seen: map[uint64]int{}, left: mostPaths}
+	err := e.from(nil, depth)
+	return Result{States: len(e.seen), Paths: mostPaths - e.left, Full: e.left > 0}, err
+}
+
+type explorer struct {
+	begin func() System
+	seen  map[uint64]int // state to the events that were left there, the most
+	left  int
+}
+
+func (e *explorer) from(path []int, depth int) error {
+	if e.left == 0 {
+		return nil
+	}
+	e.left--
+	s := e.begin()
+	var names []string
+	for _, i := range path {
+		names = append(names, s.Events()[i])
+		s.Do(i)
+	}
+	if err := s.Check(); err != nil {
+		return fmt.Errorf("after %q: %w", names, err)
+	}
+	h := s.Hash()
+	if left, ok := e.seen[h]; ok && left >= depth {
+		return nil
+	}
+	e.seen[h] = depth
+	if depth == 0 {
+		return nil
+	}
+	for i := range s.Events() {
+		if err := e.from(append(path[:len(path):len(path)], i), depth-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/core.go
@@ -0,0 +1,275 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"fieldrelay/internal/member"
+	"fieldrelay/internal/peer"
+	"fieldrelay/internal/view"
+)
+
+// Mode is how much of the fleet a sidecar has. Placement goes on in each of them.
+type Mode uint8
+
+// The modes.
+const (
+	Alone    Mode = iota // never in an agreed view
+	Together             // a view is held
+	CutOff               // a view was held, and is no longer
+	Yielded              // another living process has this one's name
+)
+
+func (m Mode) String() string { return [...]string{"alone", "together", "cut off", "yielded"}[m] }
+
+// Event is what happens to a Core.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Tick is that time has passed.
+	Tick struct{}
+	// Got is a frame of this fleet.
+	Got struct{ Frame peer.Frame }
+	// Leave is that the process is about to end.
+	Leave struct{}
+	// Change is new settings of the kind that may change while the fleet runs.
+	Change struct{ Join []string }
+	// Recover is the operator's word that the majority of the voters is lost for good.
+	Recover struct{}
+)
+
+func (Tick) event()    {}
+func (Got) event()     {}
+func (Leave) event()   {}
+func (Change) event()  {}
+func (Recover) event() {}
+
+// Action is what a Core wants done.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Transmit is a frame for a process. To.Name is empty for an address to join by.
+	Transmit struct {
+		To     member.Record
+		Frame  peer.Frame
+		Stream bool
+	}
+	// MemberChanged is a new belief about another process.
+	MemberChanged struct{ member.Changed }
+	// Save is state to be kept and synced before any action after it is done.
+	Save struct{ Change view.Change }
+	// Decided is a view that this voter learns of from the engine.
+	Decided struct{ View view.View }
+	// Adopted is that this member goes by a view from now on.
+	Adopted struct{ View view.View }
+	// Notice is a line for the operator.
+	Notice struct{ view.Notice }
+	// ModeChanged is a new mode.
+	ModeChanged struct {
+		Mode, Was Mode
+		Why       string
+	}
+)
+
+func (Transmit) action()      {}
+func (MemberChanged) action() {}
+func (ModeChanged) action()   {}
+func (Save) action()          {}
+func (Decided) action()       {}
+func (Adopted) action()       {}
+func (Notice) action()        {}
+
+// CoreConfig is what a Core is made with.
+type CoreConfig struct {
+	Fleet  string
+	Member member.Config
+	View   view.Config // Members and Member are filled in
+}
+
+// mostPings bounds the questions whose answers are waited for.
+const mostPings = 256
+
+// Core is the deciding part of a fleet's member. It is not safe for use by several goroutines.
+type Core struct {
+	cfg    CoreConfig
+	member *member.Machine
+	now    time.Duration
+	rng    *rand.Rand
+	views  *view.Machine
+	pings  map[uint64]time.Duration // when each was asked
+	mode   Mode
+	back   time.Duration // when the lease that is held again is shown; 0: none is waited for
+	out    []Action
+}
+
+// NewCore makes a Core. now is the present on the clock that Step is called with.
+func NewCore(cfg CoreConfig, now time.Duration) (*Core, error) {
+	c := &Core{cfg: cfg, member: member.New(cfg.Member, now), pings: map[uint64]time.Duration{},
+		rng: rand.New(rand.NewPCG(cfg.Member.Seed, cfg.Member.Boot+1))}
+	cfg.View.Members, cfg.View.Member = c.member.Those, c.member.Peer
+	views, err := view.New(cfg.View, now)
+	c.views = views
+	return c, err
+}
+
+// Next is when Step is to be called with Tick at the latest.
+func (c *Core) Next() time.Duration {
+	if c.mode == Yielded {
+		return math.MaxInt64
+	}
+	next := min(c.member.Next(), c.views.Next())
+	if c.back > 0 {
+		next = min(next, c.back)
+	}
+	if c.mode == Together {
+		next = min(next, c.views.Until())
+	}
+	return next
+}
+
+// Views is what is agreed.
+func (c *Core) Views() *view.Machine { return c.views }
+
+// Mode is the present mode.
+func (c *Core) Mode() Mode { return c.mode }
+
+// Members is what is believed.
+func (c *Core) Members() *member.Machine { return c.member }
+
+// Step takes an event at a time that is never before that of the last call.
+func (c *Core) Step(now time.Duration, e Event) []Action {
+	c.out, c.now = nil, max(now, c.now)
+	if c.mode == Yielded {
+		return nil
+	}
+	switch e := e.(type) {
+	case Tick:
+		c.take(c.member.Step(now, member.Tick{}))
+		c.agree(view.Tick{})
+	case Got:
+		c.got(e.Frame)
+	case Recover:
+		c.agree(view.Recover{})
+	case Leave:
+		c.take(c.member.Step(now, member.Leave{}))
+	case Change:
+		c.take(c.member.Step(now, member.Seeds{Join: e.Join}))
+	}
+	c.setMode()
+	return c.out
+}
+
+// got takes a frame in. The stamp of an answer counts from when its question was asked, whoever answered.
+func (c *Core) got(f peer.Frame) {
+	if msg := f.Member; msg != nil {
+		c.take(c.member.Step(c.now, member.Received{From: f.From, Message: *msg}))
+		if asked, ok := c.pings[msg.Seq]; ok && msg.Kind == member.Ack {
+			delete(c.pings, msg.Seq)
+			if f.Stamp != nil {
+				c.agree(view.Stamped{From: f.From, Stamp: *f.Stamp, Asked: asked})
+			}
+		}
+	}
+	if f.View != nil {
+		c.agree(view.Received{From: f.From, Message: *f.View})
+	}
+}
+
+// agree runs the agreement's machine.
+func (c *Core) agree(e view.Event) {
+	for _, a := range c.views.Step(c.now, e) {
+		switch a := a.(type) {
+		case view.Send:
+			if to, ok := c.member.Peer(a.To); ok && to.Addr != "" {
+				c.transmit(to, peer.Frame{View: &a.Message}, false)
+			}
+		case view.Save:
+			c.out = append(c.out, Save{a.Change})
+		case view.Decided:
+			c.out = append(c.out, Decided{a.View})
+		case view.Adopted:
+			c.out = append(c.out, Adopted{a.View})
+		case view.Notice:
+			c.out = append(c.out, Notice{a})
+		}
+	}
+}
+
+// asked remembers when a question left.
+func (c *Core) asked(seq uint64) {
+	if len(c.pings) >= mostPings {
+		for s, at := range c.pings {
+			if c.now-at > c.cfg.View.Lease {
+				delete(c.pings, s)
+			}
+		}
+	}
+	if len(c.pings) < mostPings {
+		c.pings[seq] = c.now
+	}
+}
+
+func (c *Core) take(actions []member.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case member.Send:
+			f := peer.Frame{Member: &a.Message}
+			switch a.Message.Kind {
+			case member.Ping:
+				c.asked(a.Message.Seq)
+			case member.Ack:
+				if s := c.views.Stamp(c.now); s.ID != (view.ID{}) {
+					f.Stamp = &s
+				}
+			}
+			c.transmit(a.To, f, a.Stream)
+		case member.Changed:
+			c.out = append(c.out, MemberChanged{a})
+		case member.Yield:
+			c.change(Yielded, "the name "+c.cfg.Member.Name+" is held by another living process at "+a.To.Addr)
+		}
+	}
+}
+
+func (c *Core) transmit(to member.Record, f peer.Frame, stream bool) {
+	f.Fleet, f.From = c.cfg.Fleet, c.member.Self()
+	c.out = append(c.out, Transmit{To: to, Frame: f, Stream: stream})
+}
+
+func (c *Core) setMode() {
+	if c.mode == Yielded {
+		return
+	}
+	switch held := c.views.Holds(c.now); {
+	case !held && c.mode == Together:
+		c.back = 0
+		c.change(CutOff, "the lease of view "+c.id()+" ran out")
+	case !held:
+		c.back = 0
+	case c.mode == CutOff && c.back == 0: // who come back do so one after another
+		c.back = c.now + c.jitter()
+	case c.mode == Alone || c.mode == CutOff && c.back <= c.now:
+		c.back = 0
+		c.change(Together, "view "+c.id()+" is held")
+	}
+}
+
+func (c *Core) id() string {
+	v, _ := c.views.View()
+	return v.ID.String()
+}
+
+// jitter is a part of a pace.
+func (c *Core) jitter() time.Duration {
+	return time.Duration(c.rng.Int64N(int64(c.cfg.Member.Pace))) + 1
+}
+
+func (c *Core) change(mode Mode, why string) {
+	if mode != c.mode {
+		c.out = append(c.out, ModeChanged{Mode: mode, Was: c.mode, Why: why})
+		c.mode = mode
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,292 @@
+package fleet
+
+import (
+	"cmp"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/mailbox"
+	"fieldrelay/internal/member"
+	"fieldrelay/internal/peer"
+	"fieldrelay/internal/view"
+)
+
+const (
+	mostQueued = 4096                   // frames that wait for the actor; one over it is dropped
+	farewell   = 100 * time.Millisecond // for the last datagrams and streams to leave
+	askWait    = 500 * time.Millisecond // a caller of the management address waits no longer
+)
+
+// Fleet is the actor: a Core with clock and sockets.
+type Fleet struct {
+	log      zerolog.Logger
+	channel  *peer.Channel
+	box      *mailbox.Mailbox
+	done     chan struct{}
+	closing  sync.Once
+	overflow atomic.Int64 // frames dropped since the mailbox was full
+	refused  atomic.Int64 // frames of another fleet or version, or that are none
+	mode     atomic.Int32
+	number   atomic.Int64 // of the view that this member goes by
+	members  atomic.Int64 // of that view
+
+	// The following belong to the actor.
+	settings Settings
+	core     *Core
+	keeper   *keeper
+	origin   time.Time
+	wake     *time.Timer
+	strange  map[string]bool // senders refused, which are told in one line each
+}
+
+// Start opens the sockets and joins. name is the sidecar's, for settings that give none.
+func Start(settings Settings, name string, log zerolog.Logger) (*Fleet, error) {
+	settings.Name = cmp.Or(settings.Name, name)
+	if err := (member.Record{Name: settings.Name}).Valid(); err != nil {
+		return nil, fmt.Errorf("fleet.name: %w", err)
+	}
+	f := &Fleet{log: log, box: mailbox.New(), done: make(chan struct{}), settings: settings, origin: time.Now(),
+		strange: map[string]bool{}}
+	channel, err := peer.Listen(settings.Listen, f.deliver)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	f.channel = channel
+	boot, seed := member.NewBoot(time.Now().UnixMilli(), random()), random()
+	var kept *view.Kept
+	if settings.State != "" {
+		if f.keeper, kept, err = openKeeper(settings.State, settings.Fleet, settings.Name); err != nil {
+			channel.Close()
+			return nil, fmt.Errorf("fleet.state: %w", err)
+		}
+	}
+	f.core, err = NewCore(CoreConfig{Fleet: settings.Fleet,
+		Member: member.Config{Name: settings.Name, Addr: cmp.Or(settings.Advertise, channel.Addr()), Boot: boot, Join: settings.Join,
+			Pace: settings.pace(), Seed: seed},
+		View: view.Config{Name: settings.Name, Boot: boot, Voters: settings.Voters, Pace: settings.pace(), Lease: settings.lease(),
+			Drift: settings.drift(), Seed: seed, Kept: kept}}, 0)
+	if err != nil {
+		channel.Close()
+		return nil, errors.Join(fmt.Errorf("fleet.state: %w", err), f.keeper.close())
+	}
+	f.wake = time.AfterFunc(time.Hour, func() { f.box.Put(func() { f.step(Tick{}) }) })
+	log.Info().Str("fleet", settings.Fleet).Str("name", settings.Name).Str("listen", channel.Addr()).Strs("join", settings.Join).
+		Dur("pace", settings.pace()).Msg("fleet on")
+	f.box.Put(func() { f.step(Tick{}) })
+	go func() {
+		defer close(f.done)
+		f.box.Run()
+	}()
+	return f, nil
+}
+
+func random() uint64 {
+	var b [8]byte
+	rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// Addr is where it listens.
+func (f *Fleet) Addr() string { return f.channel.Addr() }
+
+// Mode is the present mode. It may be asked from any goroutine.
+func (f *Fleet) Mode() Mode { return Mode(f.mode.Load()) }
+
+// deliver passes a frame to the actor. The mailbox has no bound of its own, so the bound is here.
+func (f *Fleet) deliver(b []byte) {
+	if f.box.Len() >= mostQueued {
+		f.overflow.Add(1)
+		return
+	}
+	f.box.Put(func() { f.got(b) })
+}
+
+func (f *Fleet) got(b []byte) {
+	frame, err := peer.Decode(b, f.settings.Fleet)
+	if err == nil {
+		f.step(Got{frame})
+		return
+	}
+	f.refused.Add(1)
+	// Each stranger is told once; there is room for a few of them.
+	who := frame.Fleet + "/" + frame.From.Name
+	if (errors.Is(err, peer.ErrFleet) || errors.Is(err, peer.ErrVersion)) && len(f.strange) < 64 && !f.strange[who] {
+		f.strange[who] = true
+		f.log.Warn().Err(err).Str("their fleet", frame.Fleet).Str("name", frame.From.Name).Str("addr", frame.From.Addr).Msg("peer refused")
+	}
+}
+
+// step runs the Core and does what it wants.
+func (f *Fleet) step(e Event) {
+	for _, a := range f.core.Step(time.Since(f.origin), e) {
+		switch a := a.(type) {
+		case Transmit:
+			f.transmit(a)
+		case MemberChanged:
+			f.log.Info().Str("member", a.Record.Name).Str("addr", a.Record.Addr).Stringer("state", a.Record.State).Stringer("was", a.Was).
+				Uint64("incarnation", a.Record.Inc).Bool("new", a.New).Str("by", a.Record.By).Msg("member changed")
+		case Save:
+			if err := f.keeper.save(a.Change); err != nil {
+				// What was not kept must not be answered for: without its state this process is no voter.
+				f.log.Error().Err(err).Msg("voter's state not kept: the fleet is left")
+				go f.Abandon()
+				return
+			}
+		case Adopted:
+			f.number.Store(int64(a.View.ID.Number))
+			f.members.Store(int64(len(a.View.Members)))
+			f.log.Info().Stringer("view", a.View.ID).Int("members", len(a.View.Members)).Str("sum", fmt.Sprintf("%x", a.View.Sum())).Msg("view adopted")
+		case Decided:
+			f.log.Info().Stringer("view", a.View.ID).Int("members", len(a.View.Members)).Str("sum", fmt.Sprintf("%x", a.View.Sum())).Msg("view decided")
+		case Notice:
+			level := zerolog.InfoLevel
+			if a.Loud {
+				level = zerolog.ErrorLevel
+			}
+			f.log.WithLevel(level).Msg(a.Text)
+		case ModeChanged:
+			f.mode.Store(int32(a.Mode))
+			level := zerolog.InfoLevel
+			if a.Mode == Yielded {
+				level = zerolog.ErrorLevel
+			}
+			f.log.WithLevel(level).Stringer("mode", a.Mode).Stringer("was", a.Was).Str("why", a.Why).Msg("fleet mode")
+		}
+	}
+	f.wake.Reset(max(0, f.core.Next()-time.Since(f.origin)))
+}
+
+func (f *Fleet) transmit(t Transmit) {
+	b, err := peer.Encode(t.Frame)
+	if err != nil {
+		f.log.Error().Err(err).Msg("frame not sent")
+		return
+	}
+	to := cmp.Or(f.settings.Dial[t.To.Name], t.To.Addr)
+	if t.Stream || len(b) > peer.MostDatagram {
+		f.channel.Stream(to, b)
+		return
+	}
+	if err := f.channel.Datagram(to, b); err != nil {
+		f.log.Debug().Err(err).Str("to", to).Msg("datagram not sent")
+	}
+}
+
+// ask runs a question on the actor and waits for its end, askWait at the most.
+func (f *Fleet) ask(do func()) bool {
+	answered := make(chan struct{})
+	if !f.box.Put(func() { do(); close(answered) }) {
+		return false
+	}
+	select {
+	case <-answered:
+		return true
+	case <-time.After(askWait):
+		return false
+	}
+}
+
+// Peers has a line for each member that is known, this one first: name, state, incarnation, last heard, address, the view
+// in which it belongs to those that this process goes by, boot, and whether it votes or leads.
+func (f *Fleet) Peers() ([]string, error) {
+	var lines []string
+	ok := f.ask(func() {
+		now, self := time.Since(f.origin), f.core.Members().Self()
+		v, has := f.core.Views().View()
+		in := func(name string, boot uint64) string {
+			if m, ok := v.Find(name); has && ok && m.Boot == boot {
+				return v.ID.String()
+			}
+			return "none"
+		}
+		group, leader := f.core.Views().Voting()
+		role := func(name string) string {
+			if name == self.Name && !f.core.Views().Votes() {
+				return "" // one of its name did, before it was started anew
+			}
+			for _, voter := range group.Voters {
+				if voter.Name == name && name == leader {
+					return " leads"
+				} else if voter.Name == name {
+					return " votes"
+				}
+			}
+			return ""
+		}
+		held := max(0, f.core.Views().Until()-now)
+		lines = append(lines, fmt.Sprintf("%s self inc=%d heard=0ms addr=%s view=%s mode=%s held=%dms boot=%x%s", self.Name, self.Inc, self.Addr,
+			in(self.Name, self.Boot), strings.ReplaceAll(f.core.Mode().String(), " ", "-"), held.Milliseconds(), self.Boot, role(self.Name)))
+		for _, k := range f.core.Members().Others() {
+			heard := "never"
+			if k.Heard >= 0 {
+				heard = fmt.Sprintf("%dms", (now - k.Heard).Milliseconds())
+			}
+			lines = append(lines, fmt.Sprintf("%s %s inc=%d heard=%s addr=%s view=%s boot=%x%s", k.Name, k.State, k.Inc, heard, k.Addr,
+				in(k.Name, k.Boot), k.Boot, role(k.Name)))
+		}
+	})
+	if !ok {
+		return nil, errors.New("fleet busy or closed")
+	}
+	return lines, nil
+}
+
+// Figures are the StatsD lines of the fleet, without line ends. Nothing is waited for: what the actor alone knows is as
+// old as its last step.
+func (f *Fleet) Figures(prefix string) []string {
+	c := f.channel.Counts()
+	figure := func(name, kind string, v int64) string {
+		return strings.Join([]string{prefix, ".fleet.", name, ":", fmt.Sprint(v), "|", kind}, "")
+	}
+	return []string{
+		figure("mode", "g", int64(f.Mode())), figure("view", "g", f.number.Load()), figure("members", "g", f.members.Load()),
+		figure("datagrams_sent", "c", c.SentDatagrams), figure("frames_streamed", "c", c.SentStreamed), figure("bytes_sent", "c", c.SentBytes),
+		figure("frames_got", "c", c.GotFrames), figure("bytes_got", "c", c.GotBytes),
+		figure("frames_dropped", "c", c.Dropped+f.overflow.Load()), figure("frames_refused", "c", f.refused.Load()+c.Refused),
+	}
+}
+
+// Recover founds a new group of voters with this process alone, by the operator's word.
+func (f *Fleet) Recover() error {
+	if !f.ask(func() { f.step(Recover{}) }) {
+		return errors.New("fleet busy or closed")
+	}
+	return nil
+}
+
+// Set takes over settings of which only join and dial differ.
+func (f *Fleet) Set(next Settings) {
+	f.box.Put(func() {
+		f.settings.Join, f.settings.Dial = next.Join, next.Dial
+		f.step(Change{Join: next.Join})
+	})
+}
+
+// Close leaves the fleet: the others are told, so that nobody has to detect anything.
+func (f *Fleet) Close() { f.close(true) }
+
+// Abandon ends without a word, for a process that goes on under this name.
+func (f *Fleet) Abandon() { f.close(false) }
+
+func (f *Fleet) close(tell bool) {
+	f.closing.Do(func() {
+		if tell {
+			f.ask(func() { f.step(Leave{}) })
+			<-time.After(farewell)
+		}
+		f.box.Put(func() { f.wake.Stop() })
+		f.channel.Close()
+		f.box.Close()
+		<-f.done
+		f.wake.Stop()
+		f.keeper.close()
+	})
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,110 @@
+// Package fleet wires what lets the sidecars know each other: the machines
+// that decide (member), the channel (peer) and the management address. Core is
+// the machines as one, without I/O or clock; Fleet is the actor with clock and
+// sockets round it.
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"fieldrelay/internal/member"
+	"fieldrelay/internal/peer"
+)
+
+// Settings are the section fleet of the operator's file. Off unless it names a fleet.
+type Settings struct {
+	Fleet     string            `toml:"fleet"`     // its name: members of another one are refused
+	Name      string            `toml:"name"`      // of this member; empty: the sidecar's
+	Listen    string            `toml:"listen"`    // host:port, of datagrams and of streams
+	Advertise string            `toml:"advertise"` // where the others reach it; empty: listen
+	Join      []string          `toml:"join"`      // addresses of any that may be there
+	Dial      map[string]string `toml:"dial"`      // a member's name to where it is reached from here, if not where it says
+	Voters    []string          `toml:"voters"`    // the names of those who agree on views: 1, 3 or 5
+	Pace      int               `toml:"pace_ms"`   // between two probes
+	Lease     int               `toml:"lease_ms"`  // for how long a view is held after it was surely the newest
+	Drift     int               `toml:"drift_ppm"` // millionths by which clocks may run faster or slower than one another
+	State     string            `toml:"state"`     // folder where a voter keeps its state; empty: it keeps none
+}
+
+// Defaults are the settings where the operator says nothing.
+func Defaults() Settings { return Settings{Pace: 250, Lease: 5000, Drift: 1000} }
+
+const (
+	leastPace, mostPace = 20, 10_000
+	mostJoin            = 64
+	leastLease          = 12 // paces: a view's age goes from member to member, a pace or two each time
+	mostLease           = 600_000
+	mostDrift           = 100_000
+)
+
+// Enabled tells whether the operator wants a fleet.
+func (s *Settings) Enabled() bool { return s.Fleet != "" || s.Listen != "" }
+
+// Check calls fault for each key whose value cannot be used.
+func (s *Settings) Check(fault func(key string, read any, allowed string)) {
+	if s.Pace < leastPace || s.Pace > mostPace {
+		fault("pace_ms", s.Pace, fmt.Sprintf("%d to %d", leastPace, mostPace))
+	}
+	if len(s.Name) > member.MostName {
+		fault("name", s.Name, fmt.Sprintf("up to %d bytes", member.MostName))
+	}
+	if len(s.Join) > mostJoin {
+		fault("join", len(s.Join), fmt.Sprintf("%d addresses at most", mostJoin))
+	}
+	for i, a := range s.Join {
+		checkAddress(fmt.Sprintf("join[%d]", i), a, fault)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Dial)) {
+		checkAddress("dial."+name, s.Dial[name], fault)
+	}
+	if s.Advertise != "" {
+		checkAddress("advertise", s.Advertise, fault)
+	}
+	if s.Lease <= 0 || s.Lease < leastLease*s.Pace || s.Lease > mostLease {
+		fault("lease_ms", s.Lease, fmt.Sprintf("%d paces (%d) to %d", leastLease, leastLease*s.Pace, mostLease))
+	}
+	if s.Drift < 0 || s.Drift > mostDrift {
+		fault("drift_ppm", s.Drift, fmt.Sprintf("0 to %d", mostDrift))
+	}
+	if !s.Enabled() {
+		return
+	}
+	voters := slices.Compact(slices.Sorted(slices.Values(s.Voters)))
+	if n := len(s.Voters); n != 1 && n != 3 && n != 5 || len(voters) != n {
+		fault("voters", strings.Join(s.Voters, " "), "1, 3 or 5 different names of members, the same for all")
+	}
+	if s.Fleet == "" || len(s.Fleet) > peer.MostFleet {
+		fault("fleet", s.Fleet, fmt.Sprintf("a name of 1 to %d bytes", peer.MostFleet))
+	}
+	checkAddress("listen", s.Listen, fault)
+}
+
+func checkAddress(key, address string, fault func(key string, read any, allowed string)) {
+	// No names: a look-up could keep the actor waiting.
+	if _, err := netip.ParseAddrPort(address); err != nil || len(address) > member.MostAddr {
+		fault(key, address, fmt.Sprintf("an IP address and port, up to %d bytes", member.MostAddr))
+	}
+}
+
+func (s *Settings) lease() time.Duration { return time.Duration(s.Lease) * time.Millisecond }
+
+func (s *Settings) drift() float64 { return float64(s.Drift) / 1e6 }
+
+func (s *Settings) pace() time.Duration { return time.Duration(s.Pace) * time.Millisecond }
+
+// Live tells whether only what can change while the fleet runs differs.
+func (s *Settings) Live(next Settings) bool {
+	next.Join, next.Dial = s.Join, s.Dial
+	return s.Equal(next)
+}
+
+// Equal tells whether nothing differs.
+func (s *Settings) Equal(next Settings) bool {
+	return s.Fleet == next.Fleet && s.Name == next.Name && s.Listen == next.Listen && s.Advertise == next.Advertise &&
+		s.Pace == next.Pace && s.Lease == next.Lease && s.Drift == next.Drift && s.State == next.State && slices.Equal(s.Voters, next.Voters) && slices.Equal(s.Join, next.Join) && maps.Equal(s.Dial, next.Dial)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -22,7 +22,7 @@
 )
 
 // Parts are the names by which a level can be set for a part alone.
-var Parts = []string{"daemon", "front", "relay", "node", "list", "memory"}
+var Parts = []string{"daemon", "front", "relay", "node", "list", "memory", "fleet"}
 
 // Settings are the section log of the operator's file.
 type Settings struct {
--- a/internal/manage/command.go
+++ b/internal/manage/command.go
@@ -19,6 +19,8 @@
 	Restore Verb = "RESTORE" // execute node ID back
 	Pause   Verb = "PAUSE"   // send clients away: /ready says no, kept connections end
 	Resume  Verb = "RESUME"  // take clients again
+	Peers   Verb = "PEERS"   // the members of the fleet, then a line eof
+	Recover Verb = "RECOVER" // the majority of the fleet's voters is lost for good: begin anew with this one
 )
 
 // MostLine bounds a command line, in bytes with its end.
@@ -33,7 +35,7 @@
 	ID   string // of SUSPEND and RESTORE
 }
 
-var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false}
+var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false, Peers: false, Recover: false}
 
 // Parse reads a line without its end. Verbs are taken in any case; an id is taken as it is written.
 func Parse(line string) (Command, error) {
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -33,8 +33,15 @@
 	delete(f.suspended, id)
 	return nil
 }
-func (f *fake) Pause()  { f.paused = true }
-func (f *fake) Resume() { f.paused = false }
+func (f *fake) Pause()         { f.paused = true }
+func (f *fake) Resume()        { f.paused = false }
+func (f *fake) Recover() error { return nil }
+func (f *fake) Peers() ([]string, error) {
+	if !f.ready {
+		return nil, errors.New("fleet off")
+	}
+	return []string{"a self inc=1"}, nil
+}
 
 func TestCommands(t *testing.T) {
 	f := &fake{ready: true, suspended: map[string]bool{}}
@@ -53,6 +60,9 @@
 		{"STATUS now", "fail"},
 		{"REBOOT", "fail"},
 		{"", "fail"},
+		{"PEERS", "ok"},
+		{"PEERS a", "fail"},
+		{"RECOVER", "ok"},
 	} {
 		got := Do(f, c.line)
 		if !strings.HasPrefix(got[0], c.first) {
--- a/internal/manage/server.go
+++ b/internal/manage/server.go
@@ -20,6 +20,10 @@
 	Restore(id string) error // likewise
 	Pause()                  // send clients away
 	Resume()                 // take clients again
+	// PEERS: a line a member of the fleet; an error where there is none.
+	Peers() ([]string, error)
+	// RECOVER: the fleet's voters begin anew with this process; an error where there is no fleet.
+	Recover() error
 }
 
 const (
@@ -45,12 +49,20 @@
 	if err != nil {
 		return nil, err
 	}
+	return Serve(ln, h, log), nil
+}
+
+// Serve serves a listener until Close. The process before this one may have had it.
+func Serve(ln net.Listener, h Handler, log zerolog.Logger) *Server {
 	s := &Server{handler: h, log: log, places: make(chan struct{}, MostCallers), ln: ln}
 	s.wg.Add(1)
 	go s.serve()
-	return s, nil
+	return s
 }
 
+// Listener is what it listens on, for a process that goes on with it.
+func (s *Server) Listener() net.Listener { return s.ln }
+
 // Addr is where it listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -133,6 +145,17 @@
 			return []string{"fail " + err.Error()}
 		}
 		return []string{"ok " + strings.ToLower(string(c.Verb)) + " " + c.ID}
+	case Peers:
+		lines, err := h.Peers()
+		if err != nil {
+			return []string{"fail " + err.Error()}
+		}
+		return append(append([]string{"ok"}, lines...), "eof")
+	case Recover:
+		if err := h.Recover(); err != nil {
+			return []string{"fail " + err.Error()}
+		}
+		return []string{"ok recovered"}
 	case Pause:
 		h.Pause()
 		return []string{"ok paused"}
--- /dev/null
+++ b/internal/member/check_test.go
@@ -0,0 +1,215 @@
+package member
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fieldrelay/internal/explore"
+)
+
+// three is a fleet of three machines, with every message held until it is delivered or dropped.
+type three struct {
+	machines [3]*Machine
+	now      time.Duration
+	links    map[[2]int][]Send // by sender and receiver
+	crashed  bool              // the third has been
+	highest  [3]map[string]Record
+	broken   error
+}
+
+var threeNames = [3]string{"a", "b", "c"}
+
+func newThree(mutate Mutation) *three {
+	w := &three{links: map[[2]int][]Send{}}
+	for i, name := range threeNames {
+		w.machines[i] = New(Config{Name: name, Addr: name, Boot: uint64(i + 1), Pace: time.Second, Seed: uint64(i), Mutate: mutate}, 0)
+		w.highest[i] = map[string]Record{}
+		for j, other := range threeNames {
+			if j != i {
+				w.step(i, Received{From: Record{Name: other, Addr: other, Boot: uint64(j + 1), Inc: 1}, Message: Message{Kind: News}})
+			}
+		}
+		w.machines[i].news = nil // all is told
+	}
+	clear(w.links)
+	return w
+}
+
+func (w *three) step(i int, e Event) {
+	m := w.machines[i]
+	for _, a := range m.Step(w.now, e) {
+		s, ok := a.(Send)
+		if !ok {
+			continue
+		}
+		for j, name := range threeNames {
+			if s.To.Name == name && len(w.links[[2]int{i, j}]) < 3 {
+				s.Message.News = append([]Record(nil), s.Message.News...)
+				w.links[[2]int{i, j}] = append(w.links[[2]int{i, j}], s)
+			}
+		}
+	}
+	// Per observer, what is believed of a process never goes back.
+	for name, p := range m.peers {
+		if was, ok := w.highest[i][name]; ok && was.newer(p.Record) {
+			w.broken = fmt.Errorf("%s believed %+v and now %+v", m.self.Name, was, p.Record)
+		}
+		w.highest[i][name] = p.Record
+	}
+}
+
+type choice struct {
+	name string
+	do   func()
+}
+
+func (w *three) choices() (all []choice) {
+	for i, m := range w.machines {
+		if i == 2 && w.crashed {
+			continue
+		}
+		all = append(all, choice{"tick " + m.self.Name, func() {
+			w.now = max(w.now, m.Next())
+			w.step(i, Tick{})
+		}})
+	}
+	for i := range 3 {
+		for j := range 3 {
+			id := [2]int{i, j}
+			if len(w.links[id]) == 0 {
+				continue
+			}
+			name := threeNames[i] + ">" + threeNames[j]
+			all = append(all, choice{"deliver " + name, func() { w.deliver(id) }}, choice{"drop " + name, func() { w.links[id] = w.links[id][1:] }})
+		}
+	}
+	if !w.crashed {
+		all = append(all, choice{"crash c", func() { w.crashed = true }})
+	}
+	return all
+}
+
+func (w *three) deliver(id [2]int) {
+	s := w.links[id][0]
+	w.links[id] = w.links[id][1:]
+	to := w.machines[id[1]]
+	if id[1] == 2 && w.crashed {
+		return
+	}
+	accused := uint64(0)
+	for _, r := range s.Message.News {
+		if r.Name == to.self.Name && r.Boot == to.self.Boot && r.State != Alive && r.Inc >= to.self.Inc {
+			accused = max(accused, r.Inc)
+		}
+	}
+	from := w.machines[id[0]].self // by its word now: an envelope is made when it is sent, and this only grows
+	w.step(id[1], Received{From: from, Message: s.Message})
+	if accused > 0 && to.self.Inc <= accused {
+		w.broken = fmt.Errorf("%s heard that it is suspect at %d and did not refute", to.self.Name, accused)
+	}
+}
+
+func (w *three) Events() (names []string) {
+	for _, c := range w.choices() {
+		names = append(names, c.name)
+	}
+	return names
+}
+
+func (w *three) Do(i int) { w.choices()[i].do() }
+
+func (w *three) Check() error {
+	if w.broken != nil {
+		return w.broken
+	}
+	for i, m := range w.machines {
+		for name, p := range m.peers {
+			of := w.machines[strings.Index("abc", name)]
+			if p.Boot == of.self.Boot && p.Inc > of.self.Inc {
+				return fmt.Errorf("%s believes that %s has come to %d; it is at %d", threeNames[i], name, p.Inc, of.self.Inc)
+			}
+			if p.State == Left {
+				return fmt.Errorf("%s believes that %s left", threeNames[i], name)
+			}
+		}
+	}
+	return nil
+}
+
+func (w *three) Hash() uint64 {
+	var b strings.Builder
+	for i, m := range w.machines {
+		fmt.Fprintln(&b, m.self, m.score, m.periodDue-w.now, m.gossipDue-w.now, m.news, m.order, m.helping)
+		if m.probe != nil {
+			fmt.Fprintln(&b, *m.probe)
+		}
+		for _, name := range m.names {
+			p := m.peers[name]
+			fmt.Fprintln(&b, p.Record, p.shown)
+			if p.suspicion != nil {
+				fmt.Fprintln(&b, p.suspicion.until-w.now, p.suspicion.by)
+			}
+		}
+		for j := range 3 {
+			fmt.Fprintln(&b, i, j, w.links[[2]int{i, j}])
+		}
+	}
+	fmt.Fprint(&b, w.crashed)
+	return xxhash.Sum64String(b.String())
+}
+
+// prepared is the fleet with one of it suspect by another, who has news of that: what can go wrong is near.
+func prepared(mutate Mutation) *three {
+	w := newThree(mutate)
+	a := w.machines[0]
+	r := a.peers["c"].Record
+	r.State, r.By = Suspect, "a"
+	a.learn(r)
+	a.out = nil
+	return w
+}
+
+// Every order of events, from rest and from a suspicion.
+func TestEveryOrder(t *testing.T) {
+	depth := 5
+	if n, err := strconv.Atoi(os.Getenv("EXPLORE_DEPTH")); err == nil {
+		depth = n
+	}
+	for name, begin := range map[string]func(Mutation) *three{"from rest": newThree, "from a suspicion": prepared} {
+		res, err := explore.All(func() explore.System { return begin(NoMutation) }, depth, 2_000_000)
+		if err != nil || !res.Full {
+			t.Errorf("%s: %+v %v", name, res, err)
+		}
+		t.Logf("%s, every order of up to %d events: %d states, %d paths", name, depth, res.States, res.Paths)
+	}
+}
+
+func TestEveryOrderNoticesMutations(t *testing.T) {
+	for _, mutate := range []Mutation{NoRefutation, Resurrection} {
+		found := error(nil)
+		for depth := 1; depth <= 6 && found == nil; depth++ {
+			_, found = explore.All(func() explore.System {
+				w := prepared(mutate)
+				if mutate == Resurrection { // c has failed by a's word, and b does not know
+					a := w.machines[0]
+					r := a.peers["c"].Record
+					r.State, r.By = Failed, ""
+					a.learn(r)
+					a.out = nil
+					w.highest[0]["c"] = r
+				}
+				return w
+			}, depth, 200_000)
+		}
+		if found == nil {
+			t.Errorf("mutation %d: nothing was broken", mutate)
+		}
+		t.Log(found)
+	}
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,215 @@
+// Package member holds what one sidecar believes of the others: who is there
+// and who has failed. It is a state machine: Step(now, event) -> actions,
+// without I/O, clock or goroutine, and the same seed and events give the same
+// actions. The method is SWIM (probe, indirect probe, suspicion, incarnations)
+// with the doubt of oneself of Lifeguard; docs/design-fleet.md says what was
+// changed and why.
+package member
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// State is what is believed of a process. At one incarnation the higher state counts.
+type State uint8
+
+// The states, in their order.
+const (
+	Alive   State = iota
+	Suspect       // did not answer somebody; it can refute that
+	Failed        // did not refute in time
+	Left          // said that it goes
+)
+
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+var stateNames = [...]string{"alive", "suspect", "failed", "left"}
+
+// Bounds of what is taken from others.
+const (
+	MostMembers = 2048 // processes known at once, with those that failed or left
+	MostName    = 40   // bytes of a name
+	MostAddr    = 64   // bytes of an address
+	mostNews    = 6    // records in a datagram, so that it stays within 1,400 bytes
+	mostQueued  = 4 * MostMembers
+)
+
+// Record is what is known of a process.
+type Record struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint,omitempty"` // host:port, of datagrams and of streams
+	Boot uint64 `cbor:"3,keyasint,omitempty"` // of this start: the later of two starts has the higher one
+	Inc  uint64 `cbor:"4,keyasint,omitempty"` // only the process itself raises it
+	// State is what is believed of it at that incarnation.
+	State State `cbor:"5,keyasint,omitempty"`
+	// By is who suspects it.
+	By string `cbor:"6,keyasint,omitempty"`
+	// Over is the boot of another process of this name above which this one went: only who has heard of that
+	// process can say so.
+	Over uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Present tells whether the process belongs to those that are there.
+func (r Record) Present() bool { return r.State <= Suspect }
+
+// newer tells whether r overrules q, which is of the same name.
+func (r Record) newer(q Record) bool {
+	switch {
+	case r.Inc != q.Inc:
+		return r.Inc > q.Inc
+	case r.Boot != q.Boot:
+		return r.Boot > q.Boot
+	}
+	return r.State > q.State
+}
+
+// Valid tells what keeps a record from being taken.
+func (r Record) Valid() error {
+	switch {
+	case r.Name == "" || len(r.Name) > MostName || len(r.By) > MostName:
+		return fmt.Errorf("member: a name of %d bytes, 1 to %d are taken", len(r.Name), MostName)
+	case len(r.Addr) > MostAddr:
+		return errors.New("member: address too long")
+	case r.State > Left:
+		return errors.New("member: unknown state")
+	}
+	return nil
+}
+
+// Kind is what a message asks or tells.
+type Kind uint8
+
+// The kinds.
+const (
+	Ping      Kind = iota + 1 // answer me
+	Ack                       // an answer to Ping, or passed on for a PingReq
+	PingReq                   // ask Target for me
+	Nack                      // I asked, it has not answered
+	News                      // nothing but records
+	Table                     // all that I know; tell me all that you know
+	TableTold                 // all that I know, as an answer
+)
+
+// Message passes between members. All kinds but Table and TableTold fit a datagram.
+type Message struct {
+	Kind   Kind     `cbor:"1,keyasint"`
+	Seq    uint64   `cbor:"2,keyasint,omitempty"` // of the asker
+	To     string   `cbor:"3,keyasint,omitempty"` // Ping: who is meant; another process does not answer
+	Target Record   `cbor:"4,keyasint,omitzero"`  // PingReq: whom to ask
+	Digest uint64   `cbor:"5,keyasint,omitempty"` // of the records of those present
+	News   []Record `cbor:"6,keyasint,omitempty"`
+}
+
+// Event is what happens to the machine.
+type Event interface{ event() }
+
+// The events. A machine that is told nothing still has to be called at Next.
+type (
+	// Tick is that time has passed.
+	Tick struct{}
+	// Received is a message, with the record that its sender gave of itself.
+	Received struct {
+		From    Record
+		Message Message
+	}
+	// Leave is that this process is about to end.
+	Leave struct{}
+	// Seeds replaces the addresses to join by.
+	Seeds struct{ Join []string }
+)
+
+func (Tick) event()     {}
+func (Received) event() {}
+func (Leave) event()    {}
+func (Seeds) event()    {}
+
+// Action is what the machine wants done.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Send is a message for a process. To.Name is empty for an address to join by. Stream says that it is too long
+	// for a datagram.
+	Send struct {
+		To      Record
+		Message Message
+		Stream  bool
+	}
+	// Changed is a new belief. Was is the last one; New is a process not known before, or started anew.
+	Changed struct {
+		Record Record
+		Was    State
+		New    bool
+	}
+	// Yield is that another living process holds this one's name: this machine has ended.
+	Yield struct{ To Record }
+)
+
+func (Send) action()    {}
+func (Changed) action() {}
+func (Yield) action()   {}
+
+// Config is what a machine is made with.
+type Config struct {
+	Name string
+	Addr string // where the others reach it
+	Boot uint64 // of this start, see NewBoot
+	Inc  uint64 // the first incarnation; 0 is 1
+	Join []string
+	Pace time.Duration // between two probes
+	Seed uint64
+	// Mutate makes the machine wrong on purpose, so that tests can show that they would notice. Nothing else sets it.
+	Mutate Mutation
+}
+
+// Mutation is a fault put in on purpose.
+type Mutation uint8
+
+// The mutations.
+const (
+	NoMutation   Mutation = iota
+	NoRefutation          // a suspect keeps silent
+	Resurrection          // an old incarnation brings back who failed
+)
+
+// The constants of the detector, in paces unless said otherwise.
+const (
+	directPart  = 0.4 // of a pace, for the answer to a probe
+	helpers     = 3   // who are asked to ask
+	leastFactor = 3   // least suspicion: this * max(1, log10 n)
+	mostFactor  = 4   // most suspicion: this * least
+	lookers     = 6   // who look for themselves when they hear of a suspicion
+	mostScore   = 8   // of the doubt of oneself
+	gossipPart  = 0.25
+	gossipWidth = 3  // whom news is sent to each quarter of a pace
+	spread      = 3  // each news is sent spread * ceil(log2(n+1)) times
+	askFailed   = 8  // between two calls to one of those that failed
+	askSeeds    = 64 // between two calls to an address of the file, while others are there
+	joinFirst   = 1  // between two calls while nobody is there: first,
+	joinMost    = 16 // and doubled up to this
+	differs     = 4  // for so long tables may differ before they are exchanged
+	forget      = 2400
+	lateness    = 0.5 // a call later than this: the process was held up
+	flapsFree   = 5   // returns in flapsIn that count at once
+	flapsIn     = time.Minute
+	holdFirst   = 2
+	holdMost    = 64
+)
+
+// NewBoot numbers a start: its time, then chance. The time only tells which of two living processes of one name was
+// there first; a clock that is set back makes the other one give way, nothing worse.
+func NewBoot(unixMilli int64, random uint64) uint64 { return uint64(unixMilli)<<20 | random&(1<<20-1) }
+
+// Detection is the longest time from a crash to the word "failed" at a member that gets no confirmation of its
+// suspicion, among n members and with a score of doubt of 0: a round of probes, a pace, the longest suspicion.
+func Detection(n int, pace time.Duration) time.Duration {
+	_, most := suspicionBounds(n, pace)
+	return time.Duration(n)*pace + pace + most
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,90 @@
+// Package peer is the channel between sidecars: frames in CBOR, datagrams for
+// what may be lost and streams for what is too long for one. It decides
+// nothing. It is an internal channel on a network that the operator trusts:
+// nothing in it is encrypted or signed.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fieldrelay/internal/member"
+	"fieldrelay/internal/view"
+)
+
+// The versions of the channel that this program speaks. Both sides speak the lower one of their highest.
+const (
+	Version      = 1
+	LeastVersion = 1
+)
+
+// Bounds, in bytes.
+const (
+	MostDatagram = 1400
+	MostFrame    = 256 << 10
+	MostFleet    = 64 // of a fleet's name
+)
+
+// Frame is what passes between two sidecars. Fields that a reader does not know are passed over.
+type Frame struct {
+	Version uint8           `cbor:"1,keyasint"`           // the highest that the sender speaks
+	Least   uint8           `cbor:"2,keyasint"`           // the lowest that it reads
+	Fleet   string          `cbor:"3,keyasint"`           // of another fleet nothing is taken
+	From    member.Record   `cbor:"4,keyasint"`           // the sender, by its own word
+	Member  *member.Message `cbor:"5,keyasint,omitempty"` // of the failure detector
+	View    *view.Message   `cbor:"6,keyasint,omitempty"` // of the agreement
+	Stamp   *view.Stamp     `cbor:"7,keyasint,omitempty"` // with an Ack: the sender's view
+}
+
+// What keeps a frame from being taken.
+var (
+	ErrFleet   = errors.New("peer: of another fleet")
+	ErrVersion = errors.New("peer: no version in common")
+	ErrLong    = errors.New("peer: frame too long")
+)
+
+var modes = sync.OnceValues(func() (cbor.EncMode, cbor.DecMode) {
+	enc, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	dec, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: 1 << 14, MaxMapPairs: 64,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+})
+
+// Encode is a frame's bytes, without a length. The version fields are filled in.
+func Encode(f Frame) ([]byte, error) {
+	f.Version, f.Least = Version, LeastVersion
+	enc, _ := modes()
+	b, err := enc.Marshal(f)
+	if err == nil && len(b) > MostFrame {
+		err = fmt.Errorf("%w: %d bytes", ErrLong, len(b))
+	}
+	return b, err
+}
+
+// Decode reads a frame for a member of fleet. A frame of another fleet or version gives its sender with the error.
+func Decode(b []byte, fleet string) (Frame, error) {
+	var f Frame
+	if len(b) > MostFrame {
+		return f, ErrLong
+	}
+	_, dec := modes()
+	if err := dec.Unmarshal(b, &f); err != nil {
+		return Frame{}, fmt.Errorf("peer: not a frame: %w", err)
+	}
+	switch {
+	case f.Version < LeastVersion || f.Least > Version:
+		return f, fmt.Errorf("%w: %d to %d, here %d to %d", ErrVersion, f.Least, f.Version, LeastVersion, Version)
+	case f.Fleet != fleet:
+		return f, ErrFleet
+	}
+	return f, f.From.Valid()
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fieldrelay/internal/member"
+)
+
+var sender = member.Record{Name: "a", Addr: "127.0.0.1:1", Boot: 7, Inc: 2}
+
+func TestFrames(t *testing.T) {
+	ping := &member.Message{Kind: member.Ping, Seq: 3, To: "b", News: []member.Record{sender}}
+	good, err := Encode(Frame{Fleet: "x", From: sender, Member: ping})
+	if err != nil {
+		t.Fatal(err)
+	}
+	later, _ := cbor.Marshal(map[int]any{1: 9, 2: 1, 3: "x", 4: sender, 5: ping, 99: "what a later version says"})
+	tooNew, _ := cbor.Marshal(map[int]any{1: 9, 2: 8, 3: "x", 4: sender})
+	nameless, _ := cbor.Marshal(map[int]any{1: 1, 2: 1, 3: "x"})
+	for name, c := range map[string]struct {
+		frame []byte
+		fleet string
+		want  error
+		taken bool
+	}{
+		"a frame":                       {good, "x", nil, true},
+		"of a later version":            {later, "x", nil, true},
+		"of another fleet":              {good, "y", ErrFleet, false},
+		"no version in common":          {tooNew, "x", ErrVersion, false},
+		"without a sender":              {nameless, "x", nil, false},
+		"cut short":                     {good[:len(good)-2], "x", nil, false},
+		"nothing":                       {nil, "x", nil, false},
+		"longer than what is ever read": {make([]byte, MostFrame+1), "x", ErrLong, false},
+	} {
+		f, err := Decode(c.frame, c.fleet)
+		if (err == nil) != c.taken || c.want != nil && !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		} else if c.taken && (f.Member == nil || f.Member.Seq != 3 || f.Member.News[0] != sender) {
+			t.Errorf("%s: read %+v", name, f)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	good, _ := Encode(Frame{Fleet: "x", From: sender, Member: &member.Message{Kind: member.Table, News: []member.Record{sender, sender}}})
+	f.Add(good)
+	f.Add(good[:9])
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := Decode(b, "x")
+		if err != nil {
+			return
+		}
+		m := member.New(member.Config{Name: "m", Boot: 1, Pace: time.Second, Seed: 1}, 0)
+		if frame.Member != nil { // what can be read must not upset the detector
+			m.Step(1, member.Received{From: frame.From, Message: *frame.Member})
+		}
+		if again, err := Encode(frame); err != nil || len(again) == 0 {
+			t.Errorf("read but not written: %v", err)
+		}
+	})
+}
+
+// open is a channel whose frames come on a Go channel.
+func open(t *testing.T) (*Channel, chan []byte) {
+	t.Helper()
+	got := make(chan []byte, 1024)
+	c, err := Listen("127.0.0.1:0", func(b []byte) { got <- b })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c, got
+}
+
+func wait(t *testing.T, got chan []byte) []byte {
+	t.Helper()
+	select {
+	case b := <-got:
+		return b
+	case <-time.After(10 * time.Second):
+		t.Fatal("no frame came")
+		return nil
+	}
+}
+
+// One peer that accepts and reads nothing fills its own queue; the others get what is sent meanwhile.
+func TestSlowPeerSuffersAlone(t *testing.T) {
+	deaf, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer deaf.Close()
+	a, _ := open(t)
+	b, got := open(t)
+	big := make([]byte, MostFrame)
+	for range 200 {
+		a.Stream(deaf.Addr().String(), big) // does not block
+	}
+	a.Stream(b.Addr(), []byte("soon"))
+	if string(wait(t, got)) != "soon" {
+		t.Error("another frame came")
+	}
+	if c := a.Counts(); c.Dropped < 200-mostWaiting-40 {
+		t.Errorf("%d dropped of 200", c.Dropped)
+	}
+	if err := a.Datagram(b.Addr(), make([]byte, MostDatagram+1)); !errors.Is(err, ErrLong) {
+		t.Errorf("a long datagram: %v", err)
+	}
+	if err := a.Datagram(b.Addr(), []byte("loose")); err != nil || string(wait(t, got)) != "loose" {
+		t.Errorf("a datagram: %v", err)
+	}
+}
+
+// What is no frame ends its own stream and nothing else.
+func TestBadStreams(t *testing.T) {
+	c, got := open(t)
+	for name, head := range map[string]uint32{"empty": 0, "oversized": MostFrame + 1} {
+		nc, err := net.Dial("tcp", c.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.Write(binary.BigEndian.AppendUint32(nil, head))
+		nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("%s: %v, not closed", name, err)
+		}
+	}
+	silent, err := net.Dial("tcp", c.Addr()) // announces much and sends nothing: it is closed in time
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	silent.Write(binary.BigEndian.AppendUint32(nil, MostFrame))
+	a, _ := open(t)
+	a.Stream(c.Addr(), []byte("whole"))
+	if !bytes.Equal(wait(t, got), []byte("whole")) {
+		t.Error("another frame came")
+	}
+	silent.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := silent.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("a silent stream: %v, not closed", err)
+	}
+}
+
+// A peer that restarts under its address is found again on the same link.
+func TestPeerComesBack(t *testing.T) {
+	a, _ := open(t)
+	b, got := open(t)
+	a.Stream(b.Addr(), []byte("1"))
+	wait(t, got)
+	b.Close()
+	again := make(chan []byte, 16)
+	c, err := Listen(b.Addr(), func(f []byte) { again <- f })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	a.Stream(c.Addr(), []byte("2"))
+	if string(wait(t, again)) != "2" {
+		t.Error("another frame came")
+	}
+}
--- /dev/null
+++ b/internal/view/check_test.go
@@ -0,0 +1,288 @@
+package view
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fieldrelay/internal/explore"
+	"fieldrelay/internal/member"
+)
+
+const pace = time.Second
+
+var names = [3]string{"a", "b", "c"}
+
+// three is a group of three voters, with every message held until it is delivered or dropped. Their opinion on who is
+// there is given: all, or all but the third.
+type three struct {
+	machines [3]*Machine
+	kept     [3]*Kept
+	boots    [3]uint64
+	loseLog  bool // a voter that is started anew keeps its identity and nothing else: a fault put in on purpose
+	mutate   Mutation
+	now      time.Duration
+	without  bool // the third is believed to have failed
+	links    map[[2]int][]Message
+	sums     map[ID]uint64
+	decided  map[ID]time.Duration
+	restarts int
+	broken   error
+}
+
+func (w *three) start(i int, kept *Kept) {
+	w.boots[i] += 10
+	here := func(name string) (member.Record, bool) {
+		at := strings.Index("abc", name)
+		return member.Record{Name: name, Addr: name, Boot: w.boots[at], Inc: 1}, !w.without || at < 2
+	}
+	m, err := New(Config{Name: names[i], Boot: w.boots[i], Voters: names[:], Pace: pace, Lease: 20 * pace, Drift: 0.01, Seed: uint64(i), Kept: kept.Clone(), Mutate: w.mutate,
+		Member: here, Members: func() (all []member.Record) {
+			for _, name := range names {
+				if r, ok := here(name); ok {
+					all = append(all, r)
+				}
+			}
+			return all
+		}}, w.now)
+	if err != nil {
+		w.broken = err
+		return
+	}
+	w.machines[i] = m
+}
+
+// newThree is a group that has founded itself and holds its first view.
+func newThree(mutate Mutation) *three {
+	w := &three{mutate: mutate, links: map[[2]int][]Message{}, sums: map[ID]uint64{}, decided: map[ID]time.Duration{}}
+	for i := range names {
+		w.boots[i] = uint64(i + 1)
+		w.kept[i] = &Kept{}
+		w.start(i, nil)
+	}
+	for range 2000 {
+		next := 0
+		for i, m := range w.machines {
+			if m.Next() < w.machines[next].Next() {
+				next = i
+			}
+		}
+		w.tick(next)
+		for again := true; again; {
+			again = false
+			for i := range names {
+				for j := range names {
+					if len(w.links[[2]int{i, j}]) > 0 {
+						w.deliver([2]int{i, j})
+						again = true
+					}
+				}
+			}
+		}
+		if w.all(func(m *Machine) bool { return m.Holds(w.now) && m.pending == nil }) {
+			return w
+		}
+	}
+	panic("no first view")
+}
+
+func (w *three) all(is func(*Machine) bool) bool {
+	for _, m := range w.machines {
+		if !is(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *three) tick(i int) {
+	w.now = max(w.now, w.machines[i].Next())
+	w.step(i, Tick{})
+}
+
+func (w *three) deliver(id [2]int) {
+	msg := w.links[id][0]
+	w.links[id] = w.links[id][1:]
+	w.step(id[1], Received{From: member.Record{Name: names[id[0]], Addr: names[id[0]], Boot: w.boots[id[0]], Inc: 1}, Message: msg})
+}
+
+func (w *three) step(i int, e Event) {
+	for _, a := range w.machines[i].Step(w.now, e) {
+		switch a := a.(type) {
+		case Send:
+			for j, name := range names {
+				if a.To == name && len(w.links[[2]int{i, j}]) < 8 {
+					w.links[[2]int{i, j}] = append(w.links[[2]int{i, j}], a.Message)
+				}
+			}
+		case Save:
+			if err := w.kept[i].Merge(a.Change); err != nil {
+				w.broken = err
+			}
+		case Decided:
+			if _, ok := w.decided[a.View.ID]; !ok {
+				w.decided[a.View.ID] = w.now
+			}
+			w.see(i, a.View)
+		case Adopted:
+			w.see(i, a.View)
+		case Notice:
+			if strings.Contains(a.Text, "contradicts") && !w.loseLog {
+				w.broken = fmt.Errorf("%s: %s", names[i], a.Text)
+			}
+		}
+	}
+}
+
+func (w *three) see(i int, v View) {
+	if v.ID.Number == 0 {
+		return
+	}
+	if was, ok := w.sums[v.ID]; ok && was != v.Sum() {
+		w.broken = fmt.Errorf("%s has another view under %v", names[i], v.ID)
+	}
+	w.sums[v.ID] = v.Sum()
+}
+
+type choice struct {
+	name string
+	do   func()
+}
+
+func (w *three) choices() (all []choice) {
+	for i := range names {
+		all = append(all, choice{"tick " + names[i], func() { w.tick(i) }})
+	}
+	for i := range names {
+		for j := range names {
+			id := [2]int{i, j}
+			if len(w.links[id]) > 0 {
+				name := names[i] + ">" + names[j]
+				all = append(all, choice{"deliver " + name, func() { w.deliver(id) }}, choice{"drop " + name, func() { w.links[id] = w.links[id][1:] }})
+			}
+		}
+	}
+	all = append(all, choice{"c is believed to have failed, or not", func() { w.without = !w.without }},
+		choice{"a long time passes", func() { w.now += 15 * pace }})
+	if w.restarts < 1 { // without state, one at a time
+		for i := range names {
+			all = append(all, choice{"restart " + names[i], func() { w.restart(i, true) }}, choice{"restart without state " + names[i], func() { w.restart(i, false) }})
+		}
+	}
+	return all
+}
+
+func (w *three) restart(i int, keep bool) {
+	w.restarts++
+	if keep && w.kept[i].Voter != 0 {
+		w.start(i, w.kept[i])
+		return
+	}
+	lost := &Kept{}
+	if w.loseLog {
+		lost = &Kept{Voter: w.kept[i].Voter, Era: w.kept[i].Era}
+	}
+	w.kept[i] = lost
+	w.start(i, lost)
+}
+
+func (w *three) Events() (all []string) {
+	for _, c := range w.choices() {
+		all = append(all, c.name)
+	}
+	return all
+}
+
+func (w *three) Do(i int) { w.choices()[i].do() }
+
+func (w *three) Check() error {
+	if w.broken != nil {
+		return w.broken
+	}
+	for i, m := range w.machines {
+		v, _ := m.View()
+		next, ok := w.decided[ID{v.ID.Era, v.ID.Number + 1}]
+		if m.Holds(w.now) && ok && w.now-next > Bound(20*pace, 0) {
+			return fmt.Errorf("%s holds %v, %v after the next one was decided", names[i], v.ID, w.now-next)
+		}
+	}
+	return nil
+}
+
+func (w *three) Hash() uint64 {
+	var b strings.Builder
+	for i, m := range w.machines {
+		fmt.Fprintln(&b, m.view.ID, m.view.Sum(), m.pending != nil, m.fresh, m.confirmed-w.now, m.leader, m.seq, len(m.asked), m.askDue-w.now, m.blank, m.founds.due-w.now)
+		if v := m.voter; v != nil {
+			s := v.node.BasicStatus()
+			last, _ := v.store.LastIndex()
+			fmt.Fprintln(&b, v.id, s.RaftState, s.Lead, s.GetTerm(), s.GetVote(), s.GetCommit(), last, v.applied, v.decided.View.ID, v.tickDue-w.now, v.standAt-w.now,
+				v.confirmDue-w.now, v.differs-w.now, v.proposed-w.now, len(v.reads), len(v.waiting), len(v.candidates))
+		}
+		for j := range names {
+			for _, msg := range w.links[[2]int{i, j}] {
+				msg.View = nil
+				fmt.Fprintln(&b, i, j, msg)
+			}
+		}
+	}
+	fmt.Fprintln(&b, w.without, w.restarts, w.boots)
+	return xxhash.Sum64String(b.String())
+}
+
+// Every order of events from a group that holds its first view.
+func TestEveryOrder(t *testing.T) {
+	depth := 3
+	if n, err := strconv.Atoi(os.Getenv("EXPLORE_DEPTH")); err == nil {
+		depth = n
+	}
+	res, err := explore.All(func() explore.System { return newThree(NoMutation) }, depth, 3_000_000)
+	if err != nil || !res.Full {
+		t.Errorf("%+v %v", res, err)
+	}
+	t.Logf("every order of up to %d events: %d states, %d paths", depth, res.States, res.Paths)
+}
+
+func TestEveryOrderNoticesAViewWithoutAMajority(t *testing.T) {
+	found := error(nil)
+	for depth := 1; depth <= 4 && found == nil; depth++ {
+		_, found = explore.All(func() explore.System {
+			w := newThree(NoMutation)
+			w.mutate = WithoutMajority
+			for i := range w.machines { // all were started anew, and none leads so far
+				w.start(i, w.kept[i])
+			}
+			w.without = true
+			clear(w.links)
+			return w
+		}, depth, 20_000)
+	}
+	if found == nil {
+		t.Error("nothing was broken")
+	}
+	t.Log(found)
+}
+
+// What was kept and is not whole is no state to vote with.
+func TestKeptStateThatIsNotWhole(t *testing.T) {
+	w := newThree(NoMutation)
+	for name, spoil := range map[string]func(k *Kept){
+		"entries that were decided are missing": func(k *Kept) { k.Entries, k.Snapshot = nil, nil },
+		"an entry out of its place":             func(k *Kept) { k.Entries = append(k.Entries, Entry{Index: 99, Data: k.Entries[0].Data}) },
+		"no snapshot to be read":                func(k *Kept) { k.Snapshot = []byte{1, 2, 3} },
+	} {
+		k := w.kept[0].Clone()
+		spoil(k)
+		if _, err := New(Config{Name: "a", Boot: 1, Voters: names[:], Pace: pace, Lease: 20 * pace, Kept: k}, 0); err == nil {
+			t.Error(name, ": taken")
+		}
+	}
+	if _, err := New(Config{Name: "a", Boot: 1, Voters: names[:], Pace: pace, Lease: 20 * pace, Kept: w.kept[0].Clone()}, 0); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/view/machine.go
@@ -0,0 +1,609 @@
+package view
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"fieldrelay/internal/member"
+)
+
+// Machine is the state of one member. It is not safe for use by several goroutines.
+type Machine struct {
+	cfg Config
+	rng *rand.Rand
+	now time.Duration
+	out []Action
+
+	// What this member goes by.
+	view      View
+	has       bool          // a view at all
+	pending   *View         // a newer one, not confirmed so far, while this one is still held
+	confirmed time.Duration // it was the newest at some moment from then on
+	fresh     bool          // confirmed holds
+	held      bool          // it has been held at some time
+	group     Group         // as far as is known
+	leader    string
+	seq       uint64
+	asked     map[uint64]time.Duration // questions out, by number
+	askDue    time.Duration
+	ledAt     time.Duration // a leader was known, or nothing was to be led
+	lost      bool          // that there is none has been told
+
+	voter  *voter // nil: this process does not vote
+	blank  uint64 // identity under which it would; 0: none drawn
+	begun  bool   // it has been in a group, or is called to one
+	founds founding
+}
+
+// founding is a try to found a group, by the first of the named voters.
+type founding struct {
+	era      uint64 // of the try; 0: none
+	tries    uint64
+	promises map[string]uint64
+	due      time.Duration
+	promised uint64 // era of the last try that this process has promised to join
+}
+
+// decided is what the voters have decided, as it stands in a snapshot.
+type decided struct {
+	Group Group `cbor:"1,keyasint"`
+	View  View  `cbor:"2,keyasint"`
+}
+
+// command is what is proposed.
+type command struct {
+	View *View `cbor:"1,keyasint,omitempty"`
+	// Nonce tells this proposal from one of the same view by another leader, which may be decided long since.
+	Nonce uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// New makes a machine. Faults of what was kept are the error.
+func New(cfg Config, now time.Duration) (*Machine, error) {
+	m := &Machine{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)), now: now, asked: map[uint64]time.Duration{}}
+	m.seq = uint64(m.rng.Uint32()) // an answer to an earlier process of this name must not pass for one to this one
+	m.askDue, m.ledAt = now+m.jitter(cfg.Pace), now
+	m.founds.due = now + m.jitter(cfg.Pace)
+	if cfg.Kept != nil && cfg.Kept.Voter != 0 {
+		store, d, err := cfg.Kept.storage()
+		if err != nil {
+			return nil, err
+		}
+		m.blank, m.begun = cfg.Kept.Voter, true
+		if err := m.engine(store, d, cfg.Kept.Era); err != nil {
+			return nil, err
+		}
+	} else if slices.Contains(cfg.Voters, cfg.Name) {
+		m.drawIdentity()
+	}
+	return m, nil
+}
+
+func (m *Machine) drawIdentity() {
+	for m.blank == 0 {
+		m.blank = m.rng.Uint64()
+	}
+}
+
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(d) + 1))
+}
+
+// View is the view that this member goes by, if it has one. It may be old: see Holds.
+func (m *Machine) View() (View, bool) { return m.view, m.has }
+
+// Until is the time to which this member holds its view: it belongs to it, and the view was the newest at some moment
+// within the lease before. A time that has passed: it does not hold it.
+func (m *Machine) Until() time.Duration {
+	if !m.fresh {
+		return math.MinInt64
+	}
+	if me, ok := m.view.Find(m.cfg.Name); !ok || me.Boot != m.cfg.Boot {
+		return math.MinInt64
+	}
+	return m.confirmed + m.cfg.Lease
+}
+
+// Holds tells whether this member holds its view at a time, which must be read after whatever is done by that word.
+func (m *Machine) Holds(now time.Duration) bool { return now < m.Until() }
+
+// Voting tells who votes as far as is known, and who leads.
+func (m *Machine) Voting() (Group, string) {
+	if m.voter != nil {
+		return m.voter.decided.Group, m.leaderName()
+	}
+	return m.group, m.leader
+}
+
+// Votes tells whether this process votes.
+func (m *Machine) Votes() bool { return m.voter != nil }
+
+// Stamp goes with an answer. m.now is when the question was taken in, or earlier: the age is none too small.
+func (m *Machine) Stamp(now time.Duration) Stamp {
+	if !m.has {
+		return Stamp{}
+	}
+	s := Stamp{ID: m.view.ID}
+	if m.fresh {
+		s.Age = uint64(max(0, now-m.confirmed)/time.Microsecond) + 2
+	}
+	return s
+}
+
+// Next is when Step is to be called with Tick at the latest.
+func (m *Machine) Next() time.Duration {
+	next := m.askDue
+	if m.voter != nil {
+		next = min(next, m.voter.tickDue)
+	}
+	if m.founder() {
+		next = min(next, m.founds.due)
+	}
+	return next
+}
+
+// Step takes an event at a time that is never before that of the last call.
+func (m *Machine) Step(now time.Duration, e Event) []Action {
+	m.out = nil
+	m.now = max(now, m.now)
+	if m.pending != nil && !m.Holds(m.now) {
+		m.turn(*m.pending)
+	}
+	switch e := e.(type) {
+	case Received:
+		m.received(e.From, e.Message)
+	case Stamped:
+		m.stamped(e.From.Name, e.Stamp, e.Asked, nil)
+	case Recover:
+		m.recover()
+	}
+	m.guard(m.timers)
+	return m.out
+}
+
+// guard runs what calls the engine, which panics where its state contradicts a message. A sidecar goes on without a
+// vote then; its identity is gone with the state.
+func (m *Machine) guard(do func()) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			m.notice(true, "the voter's state contradicts what the others say and is given up: %v", fault)
+			m.forget()
+		}
+	}()
+	do()
+}
+
+// forget gives the vote up, with the identity.
+func (m *Machine) forget() {
+	m.voter, m.blank, m.begun, m.cfg.Kept = nil, 0, false, nil
+	m.out = append(m.out, Save{Change{Forget: true}})
+	if slices.Contains(m.cfg.Voters, m.cfg.Name) {
+		m.drawIdentity()
+	}
+}
+
+// replaced is that another voter has this one's place.
+func (m *Machine) replaced() {
+	group := m.voter.decided.Group
+	m.notice(false, "another voter has taken this one's place")
+	m.forget()
+	m.group = group
+}
+
+func (m *Machine) notice(loud bool, format string, args ...any) {
+	m.out = append(m.out, Notice{Text: fmt.Sprintf(format, args...), Loud: loud})
+}
+
+func (m *Machine) send(to string, msg Message) {
+	if to != m.cfg.Name {
+		m.out = append(m.out, Send{To: to, Message: msg})
+	}
+}
+
+func (m *Machine) timers() {
+	if m.voter != nil {
+		m.voterTimers()
+	}
+	if m.founder() && m.founds.due <= m.now {
+		m.tryFounding()
+	}
+	if m.askDue <= m.now {
+		m.askDue = m.now + askEvery*m.cfg.Pace/2 + m.jitter(askEvery*m.cfg.Pace)
+		// With time left, what comes with the answers to probes is enough.
+		leaderless := m.voter != nil && m.leaderName() == "" // it may have been replaced and not know
+		if m.wantsGroup() || leaderless || m.pending != nil || !m.Holds(m.now+m.cfg.Lease/2) {
+			m.ask(m.someVoter())
+		}
+		for seq, at := range m.asked {
+			if m.now-at > m.cfg.Lease {
+				delete(m.asked, seq)
+			}
+		}
+		m.watchLeader()
+	}
+}
+
+// wantsGroup tells whether this process could vote and belongs to no group.
+func (m *Machine) wantsGroup() bool { return m.voter == nil && m.blank != 0 }
+
+// someVoter draws one to ask: of the group, as far as that is known, or of those the file names.
+func (m *Machine) someVoter() string {
+	if m.wantsGroup() && m.leader != "" && m.leader != m.cfg.Name && m.rng.IntN(2) == 0 {
+		return m.leader
+	}
+	var names []string
+	group, _ := m.Voting()
+	for _, v := range group.Voters {
+		names = append(names, v.Name)
+	}
+	if len(names) == 0 || m.rng.IntN(4) == 0 {
+		names = m.cfg.Voters
+	}
+	open := names[:0:0]
+	for _, n := range names {
+		if r, ok := m.cfg.Member(n); n != m.cfg.Name && ok && r.Present() {
+			open = append(open, n)
+		}
+	}
+	if len(open) == 0 {
+		return ""
+	}
+	return open[m.rng.IntN(len(open))]
+}
+
+func (m *Machine) ask(whom string) {
+	if whom == "" || whom == m.cfg.Name {
+		return
+	}
+	m.seq++
+	m.asked[m.seq] = m.now
+	msg := Message{Kind: Ask, Seq: m.seq}
+	if m.has {
+		msg.Have = m.latest()
+	}
+	if m.wantsGroup() {
+		msg.Voter = m.blank
+	}
+	m.send(whom, msg)
+}
+
+// tell answers a question.
+func (m *Machine) tell(to string, q Message) {
+	group, leader := m.Voting()
+	msg := Message{Kind: Told, Seq: q.Seq, Group: group, Leader: leader, Stamp: m.Stamp(m.now)}
+	if m.has && m.view.ID != q.Have {
+		msg.View = &m.view
+	}
+	if m.wantsGroup() {
+		msg.Voter = m.blank
+	}
+	m.send(to, msg)
+}
+
+func (m *Machine) received(from member.Record, msg Message) {
+	switch msg.Kind {
+	case Ask:
+		if msg.Voter != 0 && m.voter != nil {
+			m.voter.candidates[from.Name] = candidate{id: msg.Voter, at: m.now}
+		}
+		m.tell(from.Name, msg)
+	case Told:
+		asked, ours := m.asked[msg.Seq]
+		delete(m.asked, msg.Seq)
+		if !ours { // an answer to nothing says nothing about the time
+			return
+		}
+		m.learnGroup(from.Name, msg)
+		m.stamped(from.Name, msg.Stamp, asked, msg.View)
+	case Found:
+		m.promise(from.Name, msg)
+	case Promise:
+		m.promisedBy(from.Name, msg)
+	case Begin: // of an earlier try than the last one promised, it must not count: the later one may be founded
+		if msg.Group.Era == m.founds.promised {
+			m.begin(msg.Group)
+		}
+	case Invite:
+		if m.voter == nil && m.fromVoter(from.Name) {
+			m.drawIdentity()
+			m.ask(from.Name)
+		}
+	case Raft:
+		m.guard(func() { m.stepEngine(from.Name, msg) })
+	}
+}
+
+func (m *Machine) fromVoter(name string) bool {
+	_, ok := m.group.named(name)
+	return ok || slices.Contains(m.cfg.Voters, name)
+}
+
+// stamped takes in how fresh the view of another is, or was when it was asked for.
+func (m *Machine) stamped(from string, s Stamp, asked time.Duration, v *View) {
+	if s.ID == (ID{}) {
+		return
+	}
+	if m.cfg.Mutate == PushedAge {
+		asked = m.now
+	}
+	age := time.Duration(s.Age-1) * time.Microsecond
+	at := asked - time.Duration(float64(age)*(1+m.cfg.Drift))
+	known := s.Age > 0 && s.Age < uint64(math.MaxInt64/int64(time.Microsecond))/2
+	if m.has && s.ID == m.latest() {
+		if known {
+			m.vouched(at)
+		}
+		return
+	}
+	if m.has && s.ID == m.view.ID { // of the one before the latest
+		if known && at > m.confirmed {
+			m.confirmed = at
+		}
+		return
+	}
+	// Views of one era follow one another; another era is gone to if it is later, or if this one is surely over.
+	switch {
+	case !m.has || s.ID.Compare(m.latest()) > 0:
+	case s.ID.Era < m.view.ID.Era && known && !m.current():
+	default:
+		return
+	}
+	if v == nil || v.ID != s.ID {
+		if !known && m.has && s.ID.Era != m.view.ID.Era {
+			return
+		}
+		if len(m.asked) < 4 { // the view itself is too long for a stamp
+			m.ask(from)
+		}
+		return
+	}
+	if s.ID.Era != m.view.ID.Era && m.has && !known {
+		return // of another group, and nobody vouches for it
+	}
+	m.adopt(*v)
+	if known {
+		m.vouched(at)
+	}
+}
+
+// latest is the newest view that this member knows of.
+func (m *Machine) latest() ID {
+	if m.pending != nil {
+		return m.pending.ID
+	}
+	return m.view.ID
+}
+
+// vouched takes in that the latest view was the newest at some moment from a time on.
+func (m *Machine) vouched(at time.Duration) {
+	if m.pending != nil {
+		m.turn(*m.pending)
+	}
+	if !m.fresh || at > m.confirmed {
+		m.confirmed, m.fresh = at, true
+		m.held = m.held || m.Holds(m.now)
+	}
+}
+
+// current tells whether the view may still be the newest, as far as this member's lease goes.
+func (m *Machine) current() bool {
+	return m.fresh && m.now < m.confirmed+m.cfg.Lease+Bound(m.cfg.Lease, m.cfg.Drift)
+}
+
+// watchLeader tells loudly when the voters have had no leader for long: the majority may be lost for good.
+func (m *Machine) watchLeader() {
+	led := m.voter != nil && m.leaderName() != "" || m.voter == nil && (m.fresh && m.now < m.confirmed+m.cfg.Lease || !m.held && m.group.Era == 0)
+	switch {
+	case led:
+		m.ledAt = m.now
+		if m.lost {
+			m.lost = false
+			m.notice(false, "the voters have a majority again")
+		}
+	case !m.lost && m.now-m.ledAt > leaderless*m.cfg.Pace:
+		m.lost = true
+		m.notice(true, "no majority of the voters is heard: views stand still, placement goes on. If those voters are lost for good, "+
+			"say RECOVER at the management address of one that is left; docs/peers.md tells what that may cost")
+	}
+}
+
+// adopt takes over a view. While the one before is held and the new one is not vouched for, the one before goes on.
+func (m *Machine) adopt(v View) {
+	if m.has && m.Holds(m.now) && v.ID.Era == m.view.ID.Era {
+		m.pending = &v
+		m.askDue = min(m.askDue, m.now+m.jitter(askEvery*m.cfg.Pace))
+		return
+	}
+	m.turn(v)
+}
+
+func (m *Machine) turn(v View) {
+	m.view, m.has, m.fresh, m.pending = v, true, false, nil
+	m.out = append(m.out, Adopted{View: v})
+}
+
+// learnGroup takes in who votes.
+func (m *Machine) learnGroup(from string, msg Message) {
+	if msg.Group.Era == 0 {
+		if msg.Voter != 0 && m.founds.era != 0 { // another one without a group
+			m.founds.due = min(m.founds.due, m.now+m.cfg.Pace)
+		}
+		return
+	}
+	if m.voter != nil {
+		_, mine := msg.Group.voter(m.voter.id)
+		if msg.Group.Era == m.voter.decided.Group.Era && !mine && len(msg.Group.Voters) > 0 && m.leaderName() == "" &&
+			msg.Stamp.Age > 0 && msg.Stamp.ID.Number > m.voter.decided.View.ID.Number {
+			m.replaced()
+			return
+		}
+		// A group of a later era took over: the operator's word, or a founding after all others had lost their state.
+		if msg.Group.Era > m.voter.decided.Group.Era && msg.Stamp.Age > 0 {
+			m.notice(true, "another group of voters decides, of era %x: this one's vote is given up", msg.Group.Era)
+			m.forget()
+			m.group, m.leader = msg.Group, msg.Leader
+		}
+		return
+	}
+	if msg.Group.Era >= m.group.Era || !m.current() {
+		m.group, m.leader = msg.Group, msg.Leader
+	}
+	m.begin(msg.Group)
+}
+
+// begin joins a group to which this process belongs by its identity.
+func (m *Machine) begin(g Group) {
+	if _, ok := g.voter(m.blank); !ok || !m.wantsGroup() || g.Era == 0 {
+		return
+	}
+	m.begun = true
+	m.guard(func() {
+		if err := m.engine(raft.NewMemoryStorage(), decided{}, g.Era); err != nil {
+			panic(err)
+		}
+	})
+	if m.voter != nil {
+		m.out = append(m.out, Save{Change{Forget: true, Voter: m.blank, Era: g.Era}})
+	}
+}
+
+// founder tells whether it is this process's part to found a group: the first, by name, of those the file names.
+func (m *Machine) founder() bool {
+	return m.wantsGroup() && slices.Min(m.cfg.Voters) == m.cfg.Name && m.group.Era == 0
+}
+
+// tryFounding asks all named voters for their promise. All must be there and blank: one that is not belongs to a group,
+// and tells which.
+func (m *Machine) tryFounding() {
+	m.founds.due = m.now + foundAgain*m.cfg.Pace/2 + m.jitter(foundAgain*m.cfg.Pace)
+	for _, name := range m.cfg.Voters {
+		if r, ok := m.cfg.Member(name); name != m.cfg.Name && (!ok || !r.Present()) {
+			return
+		}
+	}
+	m.founds.tries++
+	m.founds.era = max(m.cfg.Boot+m.founds.tries, m.view.ID.Era+1)
+	m.founds.promised = m.founds.era
+	m.founds.promises = map[string]uint64{m.cfg.Name: m.blank}
+	for _, name := range m.cfg.Voters {
+		m.send(name, Message{Kind: Found, Seq: m.founds.era})
+	}
+	m.founded()
+}
+
+func (m *Machine) promise(to string, msg Message) {
+	if !m.wantsGroup() || m.group.Era != 0 || !slices.Contains(m.cfg.Voters, to) {
+		group, leader := m.Voting()
+		m.send(to, Message{Kind: Promise, Seq: msg.Seq, Group: group, Leader: leader}) // no
+		return
+	}
+	m.founds.promised = msg.Seq
+	m.send(to, Message{Kind: Promise, Seq: msg.Seq, Voter: m.blank, Have: m.view.ID})
+}
+
+func (m *Machine) promisedBy(from string, msg Message) {
+	if m.founds.era == 0 || msg.Seq != m.founds.era || !m.founder() || !slices.Contains(m.cfg.Voters, from) {
+		return
+	}
+	if msg.Voter == 0 { // it belongs to a group: this process has to join that one
+		m.founds.era = 0
+		if msg.Group.Era > 0 && m.group.Era == 0 {
+			m.group, m.leader = msg.Group, msg.Leader
+		}
+		return
+	}
+	if msg.Have.Era >= m.founds.era { // it knows a later view: the new era must be later still
+		m.founds.tries += msg.Have.Era - m.founds.era + 1
+		m.founds.era = 0
+		return
+	}
+	m.founds.promises[from] = msg.Voter
+	m.founded()
+}
+
+// founded begins the group once all have promised.
+func (m *Machine) founded() {
+	if len(m.founds.promises) < len(m.cfg.Voters) {
+		return
+	}
+	g := Group{Era: m.founds.era}
+	for _, name := range slices.Sorted(slices.Values(m.cfg.Voters)) {
+		g.Voters = append(g.Voters, Voter{name, m.founds.promises[name]})
+	}
+	m.found(g, View{ID: ID{Era: g.Era}})
+	for _, v := range g.Voters {
+		m.send(v.Name, Message{Kind: Begin, Group: g})
+	}
+	m.notice(false, "group of voters founded, era %x", g.Era)
+}
+
+// found begins a group with this process as its first. The others get the state from it, as any later voter does.
+func (m *Machine) found(g Group, v View) {
+	var ids []uint64
+	for _, voter := range g.Voters {
+		ids = append(ids, voter.ID)
+	}
+	d := decided{Group: g, View: v}
+	one := uint64(1)
+	snapshot := &raftpb.Snapshot{Data: encode(d), Metadata: &raftpb.SnapshotMetadata{Index: &one, Term: &one, ConfState: &raftpb.ConfState{Voters: ids}}}
+	hard := &raftpb.HardState{Term: &one, Commit: &one}
+	change := Change{Forget: true, Voter: m.blank, Era: g.Era, Hard: marshal(hard), Snapshot: marshal(snapshot)}
+	m.out = append(m.out, Save{change})
+	m.begun = true
+	m.guard(func() {
+		kept := &Kept{}
+		if err := kept.Merge(change); err != nil {
+			panic(err)
+		}
+		store, d, err := kept.storage()
+		if err == nil {
+			err = m.engine(store, d, g.Era)
+		}
+		if err != nil {
+			panic(err)
+		}
+		m.voter.node.Campaign()
+		m.work()
+	})
+}
+
+// recover founds a group of this process alone, with what it knows. Others join it as voters that are missing.
+func (m *Machine) recover() {
+	era := max(m.cfg.Boot+m.founds.tries+1, m.view.ID.Era+1, m.group.Era+1)
+	m.founds.tries++
+	v := m.view
+	if m.voter != nil {
+		era = max(era, m.voter.decided.Group.Era+1)
+		if m.voter.decided.View.ID.Compare(v.ID) > 0 {
+			v = m.voter.decided.View
+		}
+	}
+	v.ID = ID{Era: era}
+	m.voter, m.blank, m.cfg.Kept = nil, 0, nil
+	m.drawIdentity()
+	m.notice(true, "recovered by the operator's word: a new group of voters, era %x. Leases of the old one run out within %v", era,
+		Bound(m.cfg.Lease, m.cfg.Drift))
+	m.found(Group{Era: era, Voters: []Voter{{m.cfg.Name, m.blank}}}, v)
+}
+
+func encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // numbers, text and lists of them
+	}
+	return b
+}
+
+func number(b []byte) uint64 {
+	if len(b) != 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(b)
+}
