A rig of real sidecars with faults on every link, and storms in simulated time

Need: what several processes do together when some of them fail has to be seen, not argued.

Change: internal/faultline (injectors on loopback links), internal/rig (real processes, stand-ins, checked clients, plans drawn from a seed), internal/checker (judges a history, knows no code), fieldlab chaos, peers and storm; internal/fleetsim runs the members' own Core in simulated time. No process outlives its rig, also a rig that is killed (test).

--- /dev/null
+++ b/bench/cost/main.go
@@ -0,0 +1,66 @@
+// Command cost compares what a request costs two programs of the sidecar, in
+// turn in one run: CPU a request, resident memory and descriptors when idle.
+//
+//	go run ./bench/cost -a OLD/bin/fieldrelay -b bin/fieldrelay
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"fieldrelay/internal/checker"
+	"fieldrelay/internal/rig"
+)
+
+func main() {
+	a := flag.String("a", "", "the one program")
+	b := flag.String("b", "bin/fieldrelay", "the other program")
+	rounds := flag.Int("rounds", 3, "of both, in turn")
+	rate := flag.Float64("rate", 400, "requests a second")
+	length := flag.Duration("for", 10*time.Second, "each time")
+	fleet := flag.Bool("fleet", false, "both in a fleet of their own of one")
+	flag.Parse()
+	for range *rounds {
+		for _, binary := range []string{*a, *b} {
+			if err := once(binary, *rate, *length, *fleet); err != nil {
+				fmt.Fprintln(os.Stderr, "cost:", err)
+				os.Exit(1)
+			}
+		}
+	}
+}
+
+func once(binary string, rate float64, length time.Duration, fleet bool) (err error) {
+	dir, err := os.MkdirTemp("", "fieldrelay-cost-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r, err := rig.New(rig.Options{Binary: binary, Sidecars: 1, Nodes: 3, Work: 5 * time.Millisecond, Dir: dir, Seed: 1, NoFleet: !fleet, Direct: true})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	if err := r.Start(); err != nil {
+		return err
+	}
+	<-time.After(time.Second) // what a start costs is no part of it
+	idle, err := r.Sidecars[0].Resources()
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(context.Background(), length)
+	defer stop()
+	r.Load(ctx, rate)
+	after, err := r.Sidecars[0].Resources()
+	if err != nil {
+		return err
+	}
+	v := checker.Judge(r.History.Entries(), rig.Classes, 0)
+	fmt.Printf("%s: %d requests, %d served, CPU %.1f us a request; idle: %d kB resident, %d descriptors, %d threads\n", binary, v.Asked, v.Served,
+		float64((after.CPU-idle.CPU).Microseconds())/float64(v.Asked), idle.ResidentKB, idle.Descriptors, idle.Threads)
+	return nil
+}
--- a/cmd/fieldlab/main.go
+++ b/cmd/fieldlab/main.go
@@ -1,5 +1,5 @@
 // Command fieldlab is the lab of fieldrelay: it tries designs at sizes that
-// sockets don't reach. So far it emulates fleets.
+// sockets don't reach, and has real fleets suffer faults.
 package main
 
 import (
@@ -18,6 +18,9 @@
 
 type cli struct {
 	Emulate emulateCmd `cmd:"" help:"Run a scenario in simulated time, with the decision module or another policy."`
+	Chaos   chaosCmd   `cmd:"" help:"Run a fleet of real sidecars, inject faults between and into them, and judge the history."`
+	Peers   peersCmd   `cmd:"" help:"Measure how soon real sidecars know of a crash, and what knowing each other costs."`
+	Storm   stormCmd   `cmd:"" help:"Play drawn faults against the members' machines in simulated time, and judge their views."`
 }
 
 type emulateCmd struct {
@@ -31,7 +34,11 @@
 	var c cli
 	ctx := kong.Parse(&c, kong.Name("fieldlab"), kong.Vars{"policies": fmt.Sprint(emulate.Policies())},
 		kong.Description("The lab of fieldrelay.\n\nExample:\n  fieldlab emulate example/lab/rough.toml --policy all --seed 3"))
-	ctx.FatalIfErrorf(ctx.Run())
+	err := ctx.Run()
+	if errors.Is(err, errBroken) { // its last line has said so
+		os.Exit(1)
+	}
+	ctx.FatalIfErrorf(err)
 }
 
 // Run emulates and prints a table.
--- /dev/null
+++ b/internal/checker/checker.go
@@ -0,0 +1,230 @@
+// Package checker judges a run by its history alone: it knows nothing of the
+// code that made it. A history is a list of entries, one JSON line each.
+package checker
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind is what an entry tells.
+type Kind string
+
+// The kinds of entries.
+const (
+	Ask    Kind = "ask"    // a client sends a try of a request to a sidecar
+	Answer Kind = "answer" // what came of that try; Status 0: nothing came
+	Over   Kind = "over"   // the client gives the request up, or has its final answer; Status is that
+	Ran    Kind = "ran"    // an execute node began its work
+	Repeat Kind = "repeat" // an execute node knew the key and did no work
+	Strike Kind = "strike" // the injector begins or ends a fault
+	Member Kind = "member" // Sidecar believes State of Peer
+	Mode   Kind = "mode"   // Sidecar is in mode State
+	View   Kind = "view"   // Sidecar has decided, or adopted, by State, view ID with content Key
+	Ended  Kind = "ended"  // a process ended; Err is set if nobody asked for that
+	Settle Kind = "settle" // how long the fleet took to be one again; Err: it did not
+)
+
+// Entry is a line of a history.
+type Entry struct {
+	At      time.Duration `json:"at"` // nanoseconds since the start, by the recorder's clock
+	Kind    Kind          `json:"kind"`
+	ID      string        `json:"id,omitempty"`
+	Class   string        `json:"class,omitempty"`
+	Key     string        `json:"key,omitempty"`
+	Sidecar string        `json:"sidecar,omitempty"`
+	Node    string        `json:"node,omitempty"`
+	Peer    string        `json:"peer,omitempty"`
+	State   string        `json:"state,omitempty"`
+	Status  int           `json:"status,omitempty"`
+	Err     string        `json:"err,omitempty"`
+}
+
+// mostEntries bounds a history.
+const mostEntries = 4 << 20
+
+// History collects entries from any goroutine.
+type History struct {
+	from    time.Time
+	mu      sync.Mutex
+	entries []Entry
+	lost    int
+}
+
+// NewHistory begins a history now.
+func NewHistory() *History { return &History{from: time.Now()} }
+
+// Now is the history's time.
+func (h *History) Now() time.Duration { return time.Since(h.from) }
+
+// Add adds an entry; its time is filled in.
+func (h *History) Add(e Entry) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.At = time.Since(h.from)
+	if len(h.entries) >= mostEntries {
+		h.lost++
+		return e.At
+	}
+	h.entries = append(h.entries, e)
+	return e.At
+}
+
+// Entries are those so far.
+func (h *History) Entries() []Entry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.entries)
+}
+
+// Write writes JSON lines.
+func (h *History) Write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	for _, e := range h.Entries() {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Read reads JSON lines.
+func Read(r io.Reader) ([]Entry, error) {
+	var all []Entry
+	for dec := json.NewDecoder(r); ; {
+		var e Entry
+		if err := dec.Decode(&e); errors.Is(err, io.EOF) {
+			return all, nil
+		} else if err != nil {
+			return nil, err
+		}
+		all = append(all, e)
+	}
+}
+
+// Class is what a class promises.
+type Class struct {
+	Name   string
+	Single bool          // never run twice
+	Window time.Duration // of keyed classes: a repeat within it is no second run where nodes drop it. 0: not keyed
+}
+
+// Verdict is what a history comes to.
+type Verdict struct {
+	Rules                                      []string // broken ones, a line each
+	Asked, Served, Refused, Failed, Unanswered int
+	RanTwice, SingleTwice, KeyedTwice          int
+	Repeats                                    int // that nodes dropped by their key
+	Strikes                                    int
+	Hit                                        int // requests with a try out at a sidecar while that was struck
+}
+
+// String is the last line of a run.
+func (v Verdict) String() string {
+	return fmt.Sprintf("rules broken %d, unanswered %d, ran twice %d", len(v.Rules), v.Unanswered, v.RanTwice)
+}
+
+// Passed tells whether nothing was broken.
+func (v Verdict) Passed() bool { return len(v.Rules)+v.Unanswered+v.RanTwice == 0 }
+
+// slack is how much later than it happened a thing may stand in a history: processes share a busy machine.
+const slack = time.Second
+
+// Judge looks at a history. bound is how long a view may be held after the next one was decided; 0: that is not judged.
+func Judge(entries []Entry, classes []Class, bound time.Duration) Verdict {
+	var v Verdict
+	v.Rules = judgeViews(entries, bound)
+	byName := map[string]Class{}
+	for _, c := range classes {
+		byName[c.Name] = c
+	}
+	type request struct {
+		class    string
+		overs    int
+		runs     []time.Duration
+		from, to time.Duration
+	}
+	requests := map[string]*request{}
+	keys := map[string][]time.Duration{} // work begun under a key
+	of := func(e Entry) *request {
+		r := requests[e.ID]
+		if r == nil {
+			r = &request{class: e.Class, from: e.At}
+			requests[e.ID] = r
+		}
+		return r
+	}
+	var struck []time.Duration
+	for _, e := range entries {
+		switch e.Kind {
+		case Ask:
+			of(e)
+		case Over:
+			r := of(e)
+			r.overs++
+			r.to = e.At
+			switch {
+			case e.Status == 200:
+				v.Served++
+			case e.Status == 503:
+				v.Refused++
+			case e.Status != 0:
+				v.Failed++
+			}
+			if e.Status == 0 {
+				v.Unanswered++
+			}
+		case Ran:
+			of(e).runs = append(of(e).runs, e.At)
+			if e.Key != "" {
+				keys[e.Key] = append(keys[e.Key], e.At)
+			}
+		case Repeat:
+			v.Repeats++
+		case Strike:
+			v.Strikes++
+			struck = append(struck, e.At)
+		case Ended:
+			if e.Err != "" {
+				v.Rules = append(v.Rules, fmt.Sprintf("%v: process of %s ended by itself: %s", e.At, e.Sidecar, e.Err))
+			}
+		case Settle:
+			if e.Err != "" {
+				v.Rules = append(v.Rules, fmt.Sprintf("%v: not one fleet again: %s", e.At, e.Err))
+			}
+		}
+	}
+	ids := make([]string, 0, len(requests))
+	for id := range requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r := requests[id]
+		v.Asked++
+		if r.overs == 0 {
+			v.Unanswered++
+		} else if r.overs > 1 {
+			v.Rules = append(v.Rules, fmt.Sprintf("request %s has %d final answers", id, r.overs))
+		}
+		if slices.ContainsFunc(struck, func(at time.Duration) bool { return r.from <= at && at <= r.to }) {
+			v.Hit++
+		}
+		if byName[r.class].Single && len(r.runs) > 1 {
+			v.RanTwice++
+			v.SingleTwice++
+		}
+	}
+	for _, runs := range keys {
+		if len(runs) > 1 {
+			v.RanTwice++
+			v.KeyedTwice++
+		}
+	}
+	return v
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,10 @@
 	Slow  atomic.Int64 // nanoseconds
 	Size  atomic.Int64 // bytes of an answer
 	Jobs  atomic.Int64 // answered or about to be
-	ln    net.Listener
+	// Ran is told of each job before it is answered; drop means that the node knows the key and does no work. Set it
+	// before the first job comes; nil: none is told.
+	Ran func(id, key, class string) (drop bool)
+	ln  net.Listener
 }
 
 // NewNode starts an execute node.
@@ -61,6 +65,12 @@
 	if len(ctx.PostBody()) >= LargeBody {
 		delay = n.Slow.Load()
 	}
+	if n.Ran != nil {
+		class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
+		if n.Ran(string(ctx.Request.Header.Peek("X-Call-Id")), string(ctx.Request.Header.Peek("Idempotency-Key")), class) {
+			delay = 0
+		}
+	}
 	time.Sleep(time.Duration(delay))
 	ctx.Response.SetBodyRaw(make([]byte, n.Size.Load()))
 }
