Test that suspensions by hand are kept apart from the fleet's; mend the test before it

Change: the test has the part, and checks that a node that only the fleet has suspended is not kept as suspended by hand.

--- a/internal/daemon/manage_test.go
+++ b/internal/daemon/manage_test.go
@@ -52,7 +52,7 @@
 // What one process suspends, the next one reads; a file that is not a list is an error, none is none.
 func TestSuspensionsKept(t *testing.T) {
 	dir := t.TempDir()
-	o := &operations{kept: filepath.Join(dir, "s.json")}
+	o := &operations{told: &told{}, kept: filepath.Join(dir, "s.json")}
 	if names, err := suspensions(o.kept); err != nil || names != nil {
 		t.Fatalf("no file: %v %v", names, err)
 	}
@@ -60,6 +60,12 @@
 	if names, err := suspensions(o.kept); err != nil || !slices.Equal(names, []string{"a", "b"}) {
 		t.Fatalf("kept: %v %v", names, err)
 	}
+	// What only the fleet has suspended is the fleet's to restore: kept as by hand, it would stay so for good.
+	o.told.suspended, o.told.byHand = []string{"b", "c"}, map[string]bool{"c": true}
+	o.keep([]string{"a", "b", "c"})
+	if names, err := suspensions(o.kept); err != nil || !slices.Equal(names, []string{"a", "c"}) {
+		t.Fatalf("kept beside the fleet's: %v %v", names, err)
+	}
 	os.WriteFile(o.kept, []byte("{"), 0o600)
 	if _, err := suspensions(o.kept); err == nil {
 		t.Error("a broken file is taken")
