--- a/internal/faultline/faultline.go
+++ b/internal/faultline/faultline.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fieldrelay/internal/socket"
 )
 
 // Bounds of a link.
@@ -25,8 +27,7 @@
 	pieceBytes    = 16 << 10 // of a stream, passed on at a time
 	dialTimeout   = 2 * time.Second
 	lookAgain     = 5 * time.Millisecond // while a way is held
-	bindTries     = 20
-	reorderFactor = 3 // a datagram that is overtaken comes this many delays later, and at least reorderLeast
+	reorderFactor = 3                    // a datagram that is overtaken comes this many delays later, and at least reorderLeast
 	reorderLeast  = 10 * time.Millisecond
 )
 
@@ -101,25 +102,15 @@
 func NewLink(name, host, target string, seed uint64) (*Link, error) {
 	h := fnv.New64a()
 	io.WriteString(h, name)
-	var err error
-	for range bindTries {
-		var tcp net.Listener
-		if tcp, err = net.Listen("tcp", net.JoinHostPort(host, "0")); err != nil {
-			return nil, err
-		}
-		var udp net.PacketConn
-		if udp, err = net.ListenPacket("udp", tcp.Addr().String()); err != nil {
-			tcp.Close()
-			continue
-		}
-		l := &Link{Name: name, seed: seed ^ h.Sum64(), udp: udp.(*net.UDPConn), tcp: tcp, done: make(chan struct{}), target: target,
-			streams: map[*stream]bool{}}
-		l.wg.Add(2)
-		go l.passDatagrams()
-		go l.accept()
-		return l, nil
+	tcp, udp, err := socket.Pair(net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
+	l := &Link{Name: name, seed: seed ^ h.Sum64(), udp: udp, tcp: tcp, done: make(chan struct{}), target: target, streams: map[*stream]bool{}}
+	l.wg.Add(2)
+	go l.passDatagrams()
+	go l.accept()
+	return l, nil
 }
 
 // Addr is where the link stands.
--- a/internal/peer/channel.go
+++ b/internal/peer/channel.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fieldrelay/internal/socket"
 )
 
 // Bounds of the channel.
@@ -24,7 +26,6 @@
 	idleTimeout  = 20 * time.Second // a stream that carries nothing
 	leastRest    = 100 * time.Millisecond
 	mostRest     = 3 * time.Second // between two tries to reach a peer, doubled and jittered
-	bindTries    = 20              // for one free port on both protocols
 	lengthBytes  = 4
 )
 
@@ -60,26 +61,15 @@
 // Listen opens both sockets at address (host:port; port 0: one that is free for both). deliver is called from several
 // goroutines; the frame is its own.
 func Listen(address string, deliver func(frame []byte)) (*Channel, error) {
-	var err error
-	for range bindTries {
-		var tcp net.Listener
-		if tcp, err = net.Listen("tcp", address); err != nil {
-			return nil, err
-		}
-		var udp net.PacketConn
-		if udp, err = net.ListenPacket("udp", tcp.Addr().String()); err == nil {
-			c := &Channel{deliver: deliver, udp: udp.(*net.UDPConn), tcp: tcp, done: make(chan struct{}), links: map[string]*link{}, in: map[net.Conn]bool{}}
-			c.wg.Add(2)
-			go c.datagrams()
-			go c.accept()
-			return c, nil
-		}
-		tcp.Close()
-		if _, port, _ := net.SplitHostPort(address); port != "0" {
-			break
-		}
+	tcp, udp, err := socket.Pair(address)
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
+	c := &Channel{deliver: deliver, udp: udp, tcp: tcp, done: make(chan struct{}), links: map[string]*link{}, in: map[net.Conn]bool{}}
+	c.wg.Add(2)
+	go c.datagrams()
+	go c.accept()
+	return c, nil
 }
 
 // Addr is where it listens.
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"fieldrelay/internal/checker"
+	_ "fieldrelay/internal/daemon" // what the program that is built is made of: a change of it must run the tests again
 	"fieldrelay/internal/faultline"
+	_ "fieldrelay/internal/fleet"
 	"fieldrelay/internal/member"
 )
 
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -87,3 +87,23 @@
 		t.Errorf("%v after a byte", got)
 	}
 }
+
+// One address for both, and a port that another has is no port of ours.
+func TestPair(t *testing.T) {
+	tcp, udp, err := Pair("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	defer udp.Close()
+	if tcp.Addr().String() != udp.LocalAddr().String() {
+		t.Errorf("%v and %v", tcp.Addr(), udp.LocalAddr())
+	}
+	if _, _, err := Pair(tcp.Addr().String()); err == nil {
+		t.Error("bound twice")
+	}
+	tcp.Close() // its datagrams are still another's
+	if _, _, err := Pair(udp.LocalAddr().String()); err == nil {
+		t.Error("bound for streams alone")
+	}
+}
