Bound what made-up names can fill: voters' candidates and the ledger of limits

Seen on reading the change again: the voters' candidates were pruned by the leader alone, and the granter's ledger took an entry for each name and boot that reported, so one who reaches the channel could grow both. The field begun of view.Machine was set and never read: removed.

Measured: the tests of quota, view and fleet pass, among them a ledger that 50 names too many do not grow. bin/fieldrelay links view not at all and of quota only its settings' checks.

--- a/internal/quota/gate_test.go
+++ b/internal/quota/gate_test.go
@@ -117,3 +117,17 @@
 		t.Error(b)
 	}
 }
+
+// Whoever makes up names fills the ledger up to its bound, and no further.
+func TestLedgerIsBounded(t *testing.T) {
+	g := NewGranter(Times{Report: time.Second, Lease: 10 * time.Second, Act: 100 * time.Second}, NoMutation)
+	g.Set([]Limit{{Name: "x", Most: 1000, Members: 4}})
+	g.Lead(0, Term{Term: 1}, 0)
+	g.Lead(110*time.Second, Term{Term: 1}, 110*time.Second)
+	for i := range mostHolders + 50 {
+		g.Reported(120*time.Second, Who{Name: "n", Boot: uint64(i + 1)}, Report{Seq: 1, Claims: []Claim{{Limit: "x", Most: 1000}}})
+	}
+	if n := len(g.ledger["x"]); n != mostHolders {
+		t.Errorf("%d in the ledger, %d at the most", n, mostHolders)
+	}
+}
--- a/internal/quota/granter.go
+++ b/internal/quota/granter.go
@@ -26,6 +26,9 @@
 	Boot uint64
 }
 
+// mostHolders bounds the processes in the ledger of one limit: twice the members there can be, for those started anew.
+const mostHolders = 2 * mostMembers
+
 // entry is what may be used by one holder of one limit, at the most.
 type entry struct {
 	amount Unit
@@ -105,6 +108,9 @@
 		return 0, false
 	}
 	if e == nil {
+		if len(book) >= mostHolders { // more processes than there can be: who is not in the ledger gets nothing
+			return 0, false
+		}
 		e = &entry{}
 		if now < g.free { // made by a granter before this one, which gave it to no one else
 			e.amount = min(c.Have, max(0, g.pool(l, book)-sum(book)))
--- a/internal/view/machine.go
+++ b/internal/view/machine.go
@@ -39,7 +39,6 @@
 
 	voter  *voter // nil: this process does not vote
 	blank  uint64 // identity under which it would; 0: none drawn
-	begun  bool   // it has been in a group, or is called to one
 	founds founding
 }
 
@@ -76,7 +75,7 @@
 		if err != nil {
 			return nil, err
 		}
-		m.blank, m.begun = cfg.Kept.Voter, true
+		m.blank = cfg.Kept.Voter
 		if err := m.engine(store, d, cfg.Kept.Era); err != nil {
 			return nil, err
 		}
@@ -191,7 +190,7 @@
 
 // forget gives the vote up, with the identity.
 func (m *Machine) forget() {
-	m.voter, m.blank, m.begun, m.cfg.Kept = nil, 0, false, nil
+	m.voter, m.blank, m.cfg.Kept = nil, 0, nil
 	m.out = append(m.out, Save{Change{Forget: true}})
 	if slices.Contains(m.cfg.Voters, m.cfg.Name) {
 		m.drawIdentity()
@@ -300,7 +299,9 @@
 	switch msg.Kind {
 	case Ask:
 		if msg.Voter != 0 && m.voter != nil {
-			m.voter.candidates[from.Name] = candidate{id: msg.Voter, at: m.now}
+			if _, known := m.voter.candidates[from.Name]; known || len(m.voter.candidates) < mostCandidates {
+				m.voter.candidates[from.Name] = candidate{id: msg.Voter, at: m.now}
+			}
 		}
 		m.tell(from.Name, msg)
 	case Told:
@@ -472,7 +473,6 @@
 	if _, ok := g.voter(m.blank); !ok || !m.wantsGroup() || g.Era == 0 {
 		return
 	}
-	m.begun = true
 	m.guard(func() {
 		if err := m.engine(raft.NewMemoryStorage(), decided{}, g.Era); err != nil {
 			panic(err)
@@ -565,7 +565,6 @@
 	hard := &raftpb.HardState{Term: &one, Commit: &one}
 	change := Change{Forget: true, Voter: m.blank, Era: g.Era, Hard: marshal(hard), Snapshot: marshal(snapshot)}
 	m.out = append(m.out, Save{change})
-	m.begun = true
 	m.guard(func() {
 		kept := &Kept{}
 		if err := kept.Merge(change); err != nil {
