--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -36,6 +36,12 @@
 	Recover() error                 // the voters begin anew with this process
 	SetQuotas(all quota.All)        // the limits of the fleet
 	Quotas() []string               // a line a limit
+	// Verdicts has a line for each execute node that is spoken of.
+	Verdicts() ([]string, error)
+	Outcome(node string, failed bool, took time.Duration) // of a claim
+	Listed(nodes []verdict.Node)                          // those that take claims
+	// Drains tells that the list has an execute node, by its start, as draining or gone; or no longer so.
+	Drains(node string, since time.Duration, drains bool)
 	// Say tells the whole fleet that an execute node is suspended, or restored.
 	Say(node string, suspended bool) error
 	// Admit lets a request through the limits of the fleet, or tells after what time to come again. It does not wait.
@@ -56,6 +62,11 @@
 	Words    []verdict.Word // on execute nodes, kept from before
 	// Changed is told all words on execute nodes when they change. It must not block.
 	Changed func(all []verdict.Word)
+	Zone    string // where this sidecar stands
+	// Avoid is told the execute nodes that get nothing new from here by verdict of the fleet. It must not block.
+	Avoid func(nodes []string)
+	// Drains is told what is new of execute nodes that drain by the word of a member, likewise.
+	Drains func(news []verdict.Word)
 }
 
 // Main is the program. Without start it has no fleet in it, and becomes the program beside it that has where one is named.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -13,6 +13,9 @@
 	"fieldrelay/internal/fleet/settings"
 	"fieldrelay/internal/quota"
 	"fieldrelay/internal/reconfig"
+	"fieldrelay/internal/relay"
+	"fieldrelay/internal/verdict"
+	"fieldrelay/logic"
 )
 
 // How long a process that replaces another tries to get the fleet's address, which the other one still has.
@@ -25,6 +28,8 @@
 type peers struct {
 	name string
 	log  zerolog.Logger
+	zone string
+	core *relay.Relay
 	told *told      // what the fleet says of execute nodes
 	join StartFleet // nil: this program has no fleet in it
 
@@ -32,6 +37,8 @@
 	is  settings.Settings // in force
 	all quota.All         // likewise
 	now Fleet             // nil: off
+	// listed are the execute nodes that take claims.
+	listed []verdict.Node
 }
 
 // start joins. A process that replaces another waits until that one has left the address, and serves alone if it does
@@ -47,10 +54,12 @@
 		return errors.New("fleet: this program has none in it")
 	}
 	for end := time.Now().Add(fleetPatience); ; <-time.After(fleetPace) {
-		f, err := p.join(FleetOptions{Settings: s, Quotas: q, Name: p.name, Words: p.told.read(), Changed: p.told.changed}, p.log)
+		f, err := p.join(FleetOptions{Settings: s, Quotas: q, Name: p.name, Words: p.told.read(), Changed: p.told.changed,
+			Zone: p.zone, Avoid: p.core.Avoid, Drains: p.told.drains}, p.log)
 		if err == nil {
 			p.mu.Lock()
 			p.now = f
+			f.Listed(p.listed)
 			p.mu.Unlock()
 			return nil
 		}
@@ -79,9 +88,54 @@
 		f.Abandon()
 	default:
 		f.Close()
+		p.core.Avoid(nil)
 	}
 }
 
+// Outcome passes on what came of a claim; how busy a node is, or that a claim was given up, tells nothing of its health.
+func (p *peers) Outcome(node string, o logic.Outcome, took time.Duration) {
+	f := p.running()
+	if f == nil {
+		return
+	}
+	switch o {
+	case logic.Done:
+		f.Outcome(node, false, took)
+	case logic.Errored, logic.TimedOut, logic.Refused, logic.Reset:
+		f.Outcome(node, true, took)
+	}
+}
+
+// Drains passes on what the list says.
+func (p *peers) Drains(node string, since time.Duration, drains bool) {
+	if f := p.running(); f != nil {
+		f.Drains(node, since, drains)
+	}
+}
+
+// Listed keeps what is listed for a fleet that is joined later, and passes it on.
+func (p *peers) Listed(nodes []relay.Listed) {
+	all := make([]verdict.Node, len(nodes))
+	for i, n := range nodes {
+		all[i] = verdict.Node{Name: n.Name, Zone: n.Zone, Since: n.Since}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = all
+	if p.now != nil {
+		p.now.Listed(all)
+	}
+}
+
+// fleetLines asks the fleet for lines, if there is one.
+func (o *operations) fleetLines(ask func(Fleet) ([]string, error)) ([]string, error) {
+	f := o.peers.running()
+	if f == nil {
+		return nil, errors.New("fleet off")
+	}
+	return ask(f)
+}
+
 // prepare is the section's part of a reload. What can fail, a new address, is tried before anything changes.
 func (p *peers) prepare(next *config.Config) (reconfig.Change, error) {
 	s, q := next.Operator.Fleet, next.Operator.Quota
@@ -139,19 +193,13 @@
 }
 
 func (o *operations) Quotas() ([]string, error) {
-	f := o.peers.running()
-	if f == nil {
-		return nil, errors.New("fleet off")
-	}
-	return f.Quotas(), nil
+	return o.fleetLines(func(f Fleet) ([]string, error) { return f.Quotas(), nil })
 }
 
+func (o *operations) Verdicts() ([]string, error) { return o.fleetLines(Fleet.Verdicts) }
+
 func (o *operations) Peers() ([]string, error) {
-	f := o.peers.running()
-	if f == nil {
-		return nil, errors.New("fleet off")
-	}
-	return f.Peers()
+	return o.fleetLines(Fleet.Peers)
 }
 
 func (o *operations) Figures() []string {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -99,13 +99,16 @@
 		inherited.Listeners[cfg.Listen] = ln
 	}
 	list := platform.New(cfg.Discovery, core, gate, hub.Part("list"))
+	members := &peers{name: cfg.Name, log: hub.Part("fleet"), join: join, zone: cfg.Logic.Zone, core: core, told: newTold(core, cfg.Name, hub.Part("fleet"))}
+	if join != nil {
+		core.Observe(members)
+	}
 	core.Start(list)
 	list.Start(cfg.Known)
 	defer list.Close()
 
 	patience := cfg.LongestDeadline() + patience
 	classes := fronthttp.NewClasses(cfg.Logic.Classes, cfg.Logic.Tenants)
-	members := &peers{name: cfg.Name, log: hub.Part("fleet"), join: join, told: newTold(core, cfg.Name, hub.Part("fleet"))}
 	for _, name := range names {
 		members.told.hand(name, true)
 	}
--- a/internal/daemon/told.go
+++ b/internal/daemon/told.go
@@ -83,6 +83,13 @@
 	t.suspended = next
 }
 
+// drains passes on what is new of execute nodes that drain.
+func (t *told) drains(news []verdict.Word) {
+	for _, w := range news {
+		t.core.Drains(w.Node, w.Since, w.Suspended)
+	}
+}
+
 // hand takes in that a node was suspended here by hand, or that this ended. It tells whether the fleet has it suspended.
 func (t *told) hand(node string, suspended bool) (byFleet bool) {
 	t.mu.Lock()
--- a/internal/emulate/node.go
+++ b/internal/emulate/node.go
@@ -13,15 +13,16 @@
 // request gets (processor sharing in virtual time, Parekh and Gallager 1993, after Demers et al. 1989). With as many
 // slots as cores each has a core and the node is FIFO with c servers.
 type node struct {
-	w     *world
-	id    uint64
-	kind  *Nodes
-	rng   *rand.Rand
-	since time.Duration // of its start
-	state logic.State
-	up    bool
-	slow  float64 // times slower than it should be
-	fails float64 // part that fails
+	w       *world
+	id      uint64
+	kind    *Nodes
+	rng     *rand.Rand
+	since   time.Duration // of its start
+	state   logic.State
+	up      bool
+	slow    float64 // times slower than it should be
+	fails   float64 // part that fails
+	cutFrom []int   // sidecars to which it is silent
 
 	work    []*attempt // in work, a heap by the virtual time of their end
 	queue   []*attempt
--- a/internal/emulate/policy.go
+++ b/internal/emulate/policy.go
@@ -53,7 +53,7 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	return append([]string{Module}, names...)
+	return append([]string{Module, Verdicts}, names...)
 }
 
 func newPolicy(name string, cfg logic.Config, seed uint64, truth Oracle) (Policy, error) {
--- a/internal/emulate/run.go
+++ b/internal/emulate/run.go
@@ -90,6 +90,13 @@
 func Run(s *Scenario, policy string, seed uint64) (*Result, error) {
 	w, err := newWorld(s, seed, func(w *world, no int) (Policy, error) {
 		own := stream(seed, fmt.Sprintf("sidecar %d policy", no)).Uint64()
+		if policy == Verdicts {
+			if w.circle == nil {
+				w.circle = newCircle(w, seed)
+			}
+			p, err := newPolicy(Module, w.cfg, own, nil)
+			return &judged{p, w.circle, no}, err
+		}
 		return newPolicy(policy, w.cfg, own, func(id uint64) int {
 			if n := w.nodes[id]; n != nil && n.up {
 				return n.held()
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -26,6 +26,7 @@
 	Clients  Clients   `toml:"clients"`
 	Classes  []Class   `toml:"class"`
 	Nodes    []Nodes   `toml:"nodes"`
+	Fleet    Fleet     `toml:"fleet"`
 	Troubles []Trouble `toml:"trouble"`
 }
 
@@ -90,11 +91,11 @@
 
 // Trouble is something that goes wrong with some of the nodes.
 type Trouble struct {
-	Kind string  `toml:"kind"` // slow, fail, crash or drain
+	Kind string  `toml:"kind"` // slow, fail, crash, drain, or cut: silent to the sidecars of a zone
 	At   float64 `toml:"at_s"`
 	For  float64 `toml:"for_s"`
 	Part float64 `toml:"part"` // of the nodes
-	Size float64 `toml:"size"` // times slower, or the part that fails
+	Size float64 `toml:"size"` // times slower, or the part that fails, or of the sidecars that are cut off
 }
 
 var effects = map[string]logic.Effect{"free": logic.Safe, "guarded": logic.Keyed, "single_shot": logic.Unsafe}
@@ -244,6 +245,11 @@
 	within("clients.retries", float64(s.Clients.Retries), 0, 100)
 	within("clients.backoff_ms", s.Clients.Backoff, 0, mostMillis)
 	within("clients.honour", s.Clients.Honour, 0, 1)
+	within("fleet.zones", float64(s.Fleet.Zones), 0, 1000)
+	within("fleet.delay_ms", s.Fleet.Delay, 0, 1000)
+	within("fleet.loss", s.Fleet.Loss, 0, 0.9)
+	within("fleet.liars", s.Fleet.Liars, 0, 1)
+	within("fleet.verdict_pct", float64(s.Fleet.Pct), 0, 50)
 	if len(s.Classes) == 0 {
 		fault("class", "missing", "one class at the least")
 	}
@@ -295,11 +301,11 @@
 		switch t.Kind {
 		case "slow":
 			within(at+"size", t.Size, 1, 1e6)
-		case "fail":
+		case "fail", "cut":
 			within(at+"size", t.Size, 0, 1)
 		case "crash", "drain":
 		default:
-			fault(at+"kind", t.Kind, "slow, fail, crash or drain")
+			fault(at+"kind", t.Kind, "slow, fail, crash, drain or cut")
 		}
 	}
 }
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -36,6 +36,7 @@
 	spread   *rand.Rand // of the list
 	shares   []float64  // of the classes, cumulative
 	coming   int        // tries that are to come after a pause
+	circle   *circle    // nil: the sidecars are no fleet
 }
 
 // sidecar is a policy with its own list, connections and submitters.
@@ -312,6 +313,7 @@
 	w.at(w.now+way, task(func() {
 		switch {
 		case a.over: // given up on its way
+		case n != nil && n.unreachable(c.no): // nothing comes back
 		case n == nil:
 			w.answer(a, logic.Refused)
 		default:
@@ -363,6 +365,9 @@
 	if o == logic.Done && !j.ended {
 		c.end(j, served, 0)
 	}
+	if w.circle != nil && a.node != nil {
+		w.circle.outcome(c.no, a.node, o, w.now-a.sent)
+	}
 	c.step(&logic.Event{Kind: logic.EvOutcome, Request: j.id, Attempt: a.no, Latency: w.now - a.sent, Outcome: o, Final: j.ended})
 	c.forget(j)
 }
@@ -373,17 +378,17 @@
 	}
 }
 
-type verdict uint8
+type ending uint8
 
 const (
-	served verdict = iota
+	served ending = iota
 	refused
 	failed
 	unanswered
 )
 
 // end gives a job its final answer. What was not served may come again.
-func (c *sidecar) end(j *job, v verdict, after time.Duration) {
+func (c *sidecar) end(j *job, v ending, after time.Duration) {
 	w := c.w
 	j.ended = true
 	defer c.forget(j)
@@ -473,12 +478,19 @@
 	for _, i := range pick.Perm(len(w.order))[:count] {
 		hit = append(hit, w.order[i])
 	}
+	var cut []int
+	if t.Kind == "cut" {
+		cut = cutOff(w.s, t.Size, pick)
+	}
 	from, to := epoch+seconds(t.At), epoch+seconds(t.At+t.For)
 	for _, n := range hit {
 		switch t.Kind {
 		case "slow":
 			w.at(from, task(func() { n.change(func() { n.slow *= t.Size }) }), 0)
 			w.at(to, task(func() { n.change(func() { n.slow /= t.Size }) }), 0)
+		case "cut":
+			w.at(from, task(func() { n.cutFrom = cut }), 0)
+			w.at(to, task(func() { n.cutFrom = nil }), 0)
 		case "fail":
 			w.at(from, task(func() { n.fails = t.Size }), 0)
 			w.at(to, task(func() { n.fails = 0 }), 0)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -49,6 +50,12 @@
 		Node      string
 		Suspended bool
 	}
+	// Drains is that this member's list has an execute node, by its start, as draining or gone; or no longer so.
+	Drains struct {
+		Node   string
+		Since  time.Duration
+		Drains bool
+	}
 	// Recover is the operator's word that the majority of the voters is lost for good.
 	Recover struct{}
 )
@@ -60,6 +67,7 @@
 func (Recover) event() {}
 func (Limits) event()  {}
 func (Say) event()     {}
+func (Drains) event()  {}
 
 // Action is what a Core wants done.
 type Action interface{ action() }
@@ -84,6 +92,12 @@
 	Notice struct{ view.Notice }
 	// WordsChanged is all that is now known of execute nodes.
 	WordsChanged struct{ All []verdict.Word }
+	// Avoid is the execute nodes that this member sends nothing new to from now on, by the fleet's verdict.
+	Avoid struct{ verdict.Avoid }
+	// VerdictLine is a line on a verdict.
+	VerdictLine struct{ verdict.Line }
+	// DrainsChanged is what is new of execute nodes that drain.
+	DrainsChanged struct{ News []verdict.Word }
 	// PartsChanged is that this member's parts of the limits may have changed.
 	PartsChanged struct{}
 	// ModeChanged is a new mode.
@@ -102,6 +116,9 @@
 func (Notice) action()        {}
 func (PartsChanged) action()  {}
 func (WordsChanged) action()  {}
+func (Avoid) action()         {}
+func (VerdictLine) action()   {}
+func (DrainsChanged) action() {}
 
 // CoreConfig is what a Core is made with.
 type CoreConfig struct {
@@ -113,6 +130,17 @@
 	Demand func(limit string, now time.Duration) (demand, used quota.Unit)
 	Mutate quota.Mutation // of tests alone
 	Words  []verdict.Word // kept from before
+	// Seen is what this member knows of execute nodes; nil: no verdicts are made. Its methods are called in Step.
+	Seen          Seen
+	VerdictPct    int              // of the listed nodes, and of each zone's, that may be under verdict
+	MutateVerdict verdict.Mutation // of tests alone
+}
+
+// Seen is what a member knows of execute nodes by itself.
+type Seen interface {
+	Evidence(now time.Duration) []verdict.Evidence
+	Listed() []verdict.Node
+	Forget(node string)
 }
 
 // passOn is to how many others a new word goes at once.
@@ -141,9 +169,11 @@
 	views    *view.Machine
 	pings    map[uint64]time.Duration // when each was asked
 	words    verdict.Table
+	drains   verdict.Table
 	wordsDue time.Duration // of the next exchange of all words
 	holder   *quota.Holder
 	grants   *quota.Granter
+	judge    *verdict.Judge // nil: no verdicts are made
 	mode     Mode
 	back     time.Duration // when the lease that is held again is shown; 0: none is waited for
 	out      []Action
@@ -157,6 +187,11 @@
 	c.holder = quota.NewHolder(times, uint64(c.rng.Uint32()), now+c.jitter(), cfg.Mutate)
 	c.grants = quota.NewGranter(times, cfg.Mutate)
 	c.words.Merge(cfg.Words)
+	c.drains.Rolls = true
+	if cfg.Seen != nil {
+		c.judge = verdict.NewJudge(verdict.Config{Name: cfg.Member.Name, Zone: cfg.Member.Zone, Boot: cfg.Member.Boot, Pace: cfg.Member.Pace,
+			MostPct: cfg.VerdictPct, Mutate: cfg.MutateVerdict}, now+c.jitter())
+	}
 	c.holder.Set(cfg.Limits)
 	c.grants.Set(cfg.Limits)
 	cfg.View.Members, cfg.View.Member = c.member.Those, c.member.Peer
@@ -171,6 +206,9 @@
 		return math.MaxInt64
 	}
 	next := min(c.member.Next(), c.views.Next(), c.holder.Next())
+	if c.judge != nil {
+		next = min(next, c.judge.Next())
+	}
 	if c.back > 0 {
 		next = min(next, c.back)
 	}
@@ -207,6 +245,10 @@
 		if w, err := c.words.Say(e.Node, c.cfg.Member.Name, e.Suspended); err == nil {
 			c.pass([]verdict.Word{w})
 		}
+	case Drains:
+		if w, new := c.drains.SayDrains(e.Node, c.cfg.Member.Name, e.Since, e.Drains); new && c.judge != nil {
+			c.passDrains([]verdict.Word{w})
+		}
 	case Limits:
 		c.holder.Set(e.Limits)
 		c.grants.Set(e.Limits)
@@ -218,11 +260,46 @@
 	}
 	if c.mode != Yielded {
 		c.limit()
+		if c.judge != nil && c.judge.Next() <= c.now {
+			c.judged(verdict.Look{Evidence: c.cfg.Seen.Evidence(c.now), Peers: c.observers(), Nodes: c.cfg.Seen.Listed()})
+		}
 	}
 	c.setMode()
 	return c.out
 }
 
+// Judge knows the verdicts on execute nodes; nil: none are made.
+func (c *Core) Judge() *verdict.Judge { return c.judge }
+
+// observers are this member, those that are there, and those of the view that this member went by last: who is cut off with
+// few takes those for no majority.
+func (c *Core) observers() []verdict.Peer {
+	v, has := c.views.View()
+	all := []verdict.Peer{{Name: c.cfg.Member.Name, Zone: c.cfg.Member.Zone}}
+	for _, k := range c.member.Others() {
+		if _, in := v.Find(k.Name); k.Present() || has && in {
+			all = append(all, verdict.Peer{Name: k.Name, Zone: k.Zone})
+		}
+	}
+	return all
+}
+
+// judged runs the judge and does what it wants.
+func (c *Core) judged(e verdict.Event) {
+	for _, a := range c.judge.Step(c.now, e) {
+		switch a := a.(type) {
+		case verdict.Tell:
+			c.spread(peer.Frame{Opinions: a.Opinions})
+		case verdict.Avoid:
+			c.out = append(c.out, Avoid{a})
+		case verdict.Forget:
+			c.cfg.Seen.Forget(a.Node)
+		case verdict.Line:
+			c.out = append(c.out, VerdictLine{a})
+		}
+	}
+}
+
 // Holder knows this member's parts of the limits.
 func (c *Core) Holder() *quota.Holder { return c.holder }
 
@@ -268,6 +345,19 @@
 // pass tells what is new to some others at once; each passes it on once, so all know within a few steps.
 func (c *Core) pass(news []verdict.Word) {
 	c.out = append(c.out, WordsChanged{c.words.All()})
+	c.spread(peer.Frame{Words: news})
+}
+
+func (c *Core) passDrains(news []verdict.Word) {
+	c.out = append(c.out, DrainsChanged{news})
+	c.spread(peer.Frame{Drains: news})
+}
+
+// sum is the digest of all words.
+func (c *Core) sum() uint64 { return c.words.Digest() ^ bits.RotateLeft64(c.drains.Digest(), 1) }
+
+// spread sends a frame to some others, drawn anew each time.
+func (c *Core) spread(f peer.Frame) {
 	others := c.member.Those()
 	c.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	sent := 0
@@ -275,7 +365,7 @@
 		if r.Name == c.cfg.Member.Name {
 			continue
 		}
-		if c.transmit(r, peer.Frame{Words: news}, false); sent == passOn-1 {
+		if c.transmit(r, f, false); sent == passOn-1 {
 			return
 		}
 		sent++
@@ -299,10 +389,10 @@
 			}
 		}
 	}
-	if msg := f.Member; msg != nil && (msg.Kind == member.Ping || msg.Kind == member.Ack) && f.Sum != c.words.Digest() && c.wordsDue <= c.now {
-		if all := c.words.All(); len(all) > 0 {
+	if msg := f.Member; msg != nil && (msg.Kind == member.Ping || msg.Kind == member.Ack) && f.Sum != c.sum() && c.wordsDue <= c.now {
+		if all, drains := c.words.All(), c.drains.All(); len(all)+len(drains) > 0 {
 			c.wordsDue = c.now + c.cfg.Member.Pace
-			c.transmit(member.Record{Name: f.From.Name, Addr: f.From.Addr}, peer.Frame{Words: all}, false)
+			c.transmit(member.Record{Name: f.From.Name, Addr: f.From.Addr}, peer.Frame{Words: all, Drains: drains}, false)
 		}
 	}
 	if len(f.Words) > 0 {
@@ -310,6 +400,14 @@
 			c.pass(news)
 		}
 	}
+	if len(f.Drains) > 0 && c.judge != nil {
+		if news := c.drains.Merge(f.Drains); len(news) > 0 {
+			c.passDrains(news)
+		}
+	}
+	if len(f.Opinions) > 0 && c.judge != nil {
+		c.judged(verdict.Heard{Opinions: f.Opinions})
+	}
 	if f.Report != nil {
 		if g, ok := c.grants.Reported(c.now, quota.Who{Name: f.From.Name, Boot: f.From.Boot}, *f.Report); ok {
 			c.transmit(member.Record{Name: f.From.Name, Addr: f.From.Addr}, peer.Frame{Grant: &g}, false)
@@ -364,10 +462,10 @@
 			f := peer.Frame{Member: &a.Message}
 			switch a.Message.Kind {
 			case member.Ping:
-				f.Sum = c.words.Digest()
+				f.Sum = c.sum()
 				c.asked(a.Message.Seq)
 			case member.Ack:
-				f.Sum = c.words.Digest()
+				f.Sum = c.sum()
 				if s := c.views.Stamp(c.now); s.ID != (view.ID{}) {
 					f.Stamp = &s
 				}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,7 @@
 	closing  sync.Once
 	overflow atomic.Int64 // frames dropped since the mailbox was full
 	limits   limits
+	seen     seenHere
 	refused  atomic.Int64 // frames of another fleet or version, or that are none
 	mode     atomic.Int32
 	number   atomic.Int64 // of the view that this member goes by
@@ -49,6 +50,8 @@
 	origin   time.Time
 	wake     *time.Timer
 	changed  func(all []verdict.Word)
+	avoid    func(nodes []string)
+	drains   func(news []verdict.Word)
 	strange  map[string]bool // senders refused, which are told in one line each
 }
 
@@ -60,6 +63,11 @@
 	Words    []verdict.Word // on execute nodes, kept from before
 	// Changed is told all words on execute nodes when they change, on the actor's goroutine. It must not block.
 	Changed func(all []verdict.Word)
+	Zone    string // where this sidecar stands
+	// Avoid is told the execute nodes that get nothing new from here by verdict of the fleet, likewise.
+	Avoid func(nodes []string)
+	// Drains is told what is new of execute nodes that drain by the word of a member, likewise.
+	Drains func(news []verdict.Word)
 }
 
 // Start opens the sockets and joins.
@@ -70,7 +78,8 @@
 		return nil, fmt.Errorf("fleet.name: %w", err)
 	}
 	f := &Fleet{log: log, box: mailbox.New(), done: make(chan struct{}), settings: set, origin: time.Now(),
-		strange: map[string]bool{}, changed: opts.Changed}
+		strange: map[string]bool{}, changed: opts.Changed, avoid: opts.Avoid, drains: opts.Drains}
+	f.seen.origin = f.origin
 	f.limits.origin = f.origin
 	limits := f.limits.set(opts.Quotas)
 	channel, err := peer.Listen(set.Listen, f.deliver)
@@ -86,12 +95,17 @@
 			return nil, fmt.Errorf("fleet.state: %w", err)
 		}
 	}
-	f.core, err = NewCore(CoreConfig{Fleet: set.Fleet,
+	cfg := CoreConfig{Fleet: set.Fleet,
 		Member: member.Config{Name: set.Name, Addr: cmp.Or(set.Advertise, channel.Addr()), Boot: boot, Join: set.Join,
 			Pace: set.PaceTime(), Seed: seed},
 		View: view.Config{Name: set.Name, Boot: boot, Voters: set.Voters, Pace: set.PaceTime(), Lease: set.LeaseTime(),
 			Drift: set.DriftPart(), Seed: seed, Kept: kept},
-		Limits: limits, Demand: f.limits.demand, Words: opts.Words}, 0)
+		Limits: limits, Demand: f.limits.demand, Words: opts.Words}
+	if set.Verdicts && f.avoid != nil {
+		f.seen.on = true
+		cfg.Seen, cfg.VerdictPct, cfg.Member.Zone = &f.seen, set.VerdictPc, opts.Zone
+	}
+	f.core, err = NewCore(cfg, 0)
 	if err != nil {
 		channel.Close()
 		return nil, errors.Join(fmt.Errorf("fleet.state: %w", err), f.keeper.close())
@@ -170,6 +184,14 @@
 			if f.changed != nil {
 				f.changed(a.All)
 			}
+		case DrainsChanged:
+			if f.drains != nil {
+				f.drains(a.News)
+			}
+		case Avoid:
+			f.avoid(a.Nodes)
+		case VerdictLine:
+			f.log.Info().Str("node", a.Node).Str("verdict", a.What).Strs("observers", a.Observers).Dur("for", a.For).Msg("verdict")
 		case PartsChanged:
 			f.limits.tell(f.core.Holder())
 		case Notice:
@@ -183,6 +205,9 @@
 			level := zerolog.InfoLevel
 			if a.Mode == Yielded {
 				level = zerolog.ErrorLevel
+				if f.avoid != nil { // nothing more is decided here
+					f.avoid(nil)
+				}
 			}
 			f.log.WithLevel(level).Stringer("mode", a.Mode).Stringer("was", a.Was).Str("why", a.Why).Msg("fleet mode")
 		}
@@ -297,6 +322,32 @@
 // Quotas has a line for each limit of the fleet.
 func (f *Fleet) Quotas() []string { return f.limits.lines() }
 
+// Verdicts has a line for each execute node that is spoken of.
+func (f *Fleet) Verdicts() (lines []string, err error) {
+	if !f.seen.on {
+		return nil, errors.New("fleet.verdicts off")
+	}
+	if !f.ask(func() { lines = f.core.Judge().Lines(time.Since(f.origin)) }) {
+		return nil, errors.New("fleet busy or closed")
+	}
+	return lines, nil
+}
+
+// Outcome takes in what came of a claim at an execute node, from any goroutine.
+func (f *Fleet) Outcome(node string, failed bool, took time.Duration) {
+	f.seen.outcome(node, failed, took)
+}
+
+// Drains takes in that this sidecar's list has an execute node, by its start, as draining or gone; or no longer so.
+func (f *Fleet) Drains(node string, since time.Duration, drains bool) {
+	if f.seen.on {
+		f.box.Put(func() { f.step(Drains{Node: node, Since: since, Drains: drains}) })
+	}
+}
+
+// Listed takes in which execute nodes take claims, likewise.
+func (f *Fleet) Listed(nodes []verdict.Node) { f.seen.list(nodes) }
+
 // Say tells the whole fleet that an execute node is suspended, or restored.
 func (f *Fleet) Say(node string, suspended bool) error {
 	if !f.ask(func() { f.step(Say{Node: node, Suspended: suspended}) }) {
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -11,25 +11,28 @@
 	"time"
 
 	"fieldrelay/internal/member"
+	"fieldrelay/internal/verdict"
 )
 
 // Settings are the section fleet of the operator's file. Off unless it names a fleet.
 type Settings struct {
-	Fleet     string            `toml:"fleet"`     // its name: members of another one are refused
-	Name      string            `toml:"name"`      // of this member; empty: the sidecar's
-	Listen    string            `toml:"listen"`    // host:port, of datagrams and of streams
-	Advertise string            `toml:"advertise"` // where the others reach it; empty: listen
-	Join      []string          `toml:"join"`      // addresses of any that may be there
-	Dial      map[string]string `toml:"dial"`      // a member's name to where it is reached from here, if not where it says
-	Voters    []string          `toml:"voters"`    // the names of those who agree on views: 1, 3 or 5
-	Pace      int               `toml:"pace_ms"`   // between two probes
-	Lease     int               `toml:"lease_ms"`  // for how long a view is held after it was surely the newest
-	Drift     int               `toml:"drift_ppm"` // millionths by which clocks may run faster or slower than one another
-	State     string            `toml:"state"`     // folder where a voter keeps its state; empty: it keeps none
+	Fleet     string            `toml:"fleet"`       // its name: members of another one are refused
+	Name      string            `toml:"name"`        // of this member; empty: the sidecar's
+	Listen    string            `toml:"listen"`      // host:port, of datagrams and of streams
+	Advertise string            `toml:"advertise"`   // where the others reach it; empty: listen
+	Join      []string          `toml:"join"`        // addresses of any that may be there
+	Dial      map[string]string `toml:"dial"`        // a member's name to where it is reached from here, if not where it says
+	Voters    []string          `toml:"voters"`      // the names of those who agree on views: 1, 3 or 5
+	Pace      int               `toml:"pace_ms"`     // between two probes
+	Lease     int               `toml:"lease_ms"`    // for how long a view is held after it was surely the newest
+	Drift     int               `toml:"drift_ppm"`   // millionths by which clocks may run faster or slower than one another
+	Verdicts  bool              `toml:"verdicts"`    // whether execute nodes are avoided that most members see failing
+	VerdictPc int               `toml:"verdict_pct"` // percent of them, and of each zone's, that may be avoided so
+	State     string            `toml:"state"`       // folder where a voter keeps its state; empty: it keeps none
 }
 
 // Defaults are the settings where the operator says nothing.
-func Defaults() Settings { return Settings{Pace: 250, Lease: 5000, Drift: 1000} }
+func Defaults() Settings { return Settings{Pace: 250, Lease: 5000, Drift: 1000, VerdictPc: 25} }
 
 const (
 	leastPace, mostPace = 20, 10_000
@@ -38,6 +41,7 @@
 	leastLease          = 12 // paces: a view's age goes from member to member, a pace or two each time
 	mostLease           = 600_000
 	mostDrift           = 100_000
+	mostVerdictPc       = 50
 )
 
 // Enabled tells whether the operator wants a fleet.
@@ -69,6 +73,9 @@
 	if s.Drift < 0 || s.Drift > mostDrift {
 		fault("drift_ppm", s.Drift, fmt.Sprintf("0 to %d", mostDrift))
 	}
+	if s.VerdictPc < 1 || s.VerdictPc > mostVerdictPc {
+		fault("verdict_pct", s.VerdictPc, fmt.Sprintf("1 to %d", mostVerdictPc))
+	}
 	if !s.Enabled() {
 		return
 	}
@@ -107,7 +114,8 @@
 // Equal tells whether nothing differs.
 func (s *Settings) Equal(next Settings) bool {
 	return s.Fleet == next.Fleet && s.Name == next.Name && s.Listen == next.Listen && s.Advertise == next.Advertise &&
-		s.Pace == next.Pace && s.Lease == next.Lease && s.Drift == next.Drift && s.State == next.State && slices.Equal(s.Voters, next.Voters) && slices.Equal(s.Join, next.Join) && maps.Equal(s.Dial, next.Dial)
+		s.Pace == next.Pace && s.Lease == next.Lease && s.Drift == next.Drift &&
+		s.Verdicts == next.Verdicts && s.VerdictPc == next.VerdictPc && s.State == next.State && slices.Equal(s.Voters, next.Voters) && slices.Equal(s.Join, next.Join) && maps.Equal(s.Dial, next.Dial)
 }
 
 // Bounds are what the section promises, a line each, with the figures of this file.
@@ -118,5 +126,8 @@
 		lines = append(lines, fmt.Sprintf("fleet: among %d members a crash is known to all within n * pace + pace + 12 * max(1, log10 n) * pace = %v, as a rule in a fraction of that",
 			n, member.Detection(n, s.PaceTime()).Round(time.Millisecond)))
 	}
+	if s.Verdicts {
+		lines = append(lines, verdict.Bounds(s.PaceTime(), s.VerdictPc)...)
+	}
 	return lines
 }
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -35,6 +35,7 @@
 	Limits      []quota.Limit
 	Demand      func(member int, now time.Duration) quota.Unit // of each limit, by the world's time
 	MutateQuota quota.Mutation
+	Station     *Station // execute nodes that the members send to; nil: none, and no verdicts
 	// LoseLog has a voter come back under its identity without its state: a fault put in on purpose.
 	LoseLog bool
 }
@@ -71,6 +72,7 @@
 	stopped    bool
 	waiting    []fleet.Event // while stopped
 	wakeAt     time.Duration
+	seen       *seen
 }
 
 // Traffic is what one member sent or got. Bytes are those of frames.
@@ -220,12 +222,16 @@
 	if w.opts.Demand != nil {
 		demand = func(limit string, _ time.Duration) (quota.Unit, quota.Unit) { return w.opts.Demand(n.Index, w.now), 0 }
 	}
-	var err error
-	n.Core, err = fleet.NewCore(fleet.CoreConfig{Fleet: "sim",
+	cfg := fleet.CoreConfig{Fleet: "sim",
 		Limits: w.opts.Limits, Mutate: w.opts.MutateQuota, Demand: demand,
 		Member: member.Config{Name: n.Name, Addr: n.Addr, Boot: boot, Join: join, Pace: w.opts.Pace, Seed: seed, Mutate: w.opts.Mutate},
 		View: view.Config{Name: n.Name, Boot: boot, Voters: voters, Pace: w.opts.Pace, Lease: w.opts.Lease, Drift: 2.1 * w.opts.Drift, Seed: seed,
-			Kept: n.kept.Clone(), Mutate: w.opts.MutateView}}, 0)
+			Kept: n.kept.Clone(), Mutate: w.opts.MutateView}}
+	if w.opts.Station != nil {
+		w.opts.Station.join(n, &cfg)
+	}
+	var err error
+	n.Core, err = fleet.NewCore(cfg, 0)
 	if err != nil {
 		panic(err) // what the simulated disk kept is whole
 	}
@@ -283,6 +289,9 @@
 				}
 			}
 		default:
+			if a, ok := a.(fleet.Avoid); ok {
+				n.avoids(a.Nodes)
+			}
 			if w.Heard != nil {
 				w.Heard(n, w.now, a)
 			}
--- a/internal/manage/command.go
+++ b/internal/manage/command.go
@@ -13,15 +13,16 @@
 
 // The commands.
 const (
-	Status  Verb = "STATUS"  // ok while the process takes clients
-	Metrics Verb = "METRICS" // the figures, then a line eof
-	Suspend Verb = "SUSPEND" // nothing new to execute node ID
-	Restore Verb = "RESTORE" // execute node ID back
-	Pause   Verb = "PAUSE"   // send clients away: /ready says no, kept connections end
-	Resume  Verb = "RESUME"  // take clients again
-	Peers   Verb = "PEERS"   // the members of the fleet, then a line eof
-	Quotas  Verb = "QUOTAS"  // the limits of the fleet, then a line eof
-	Recover Verb = "RECOVER" // the majority of the fleet's voters is lost for good: begin anew with this one
+	Status   Verb = "STATUS"   // ok while the process takes clients
+	Metrics  Verb = "METRICS"  // the figures, then a line eof
+	Suspend  Verb = "SUSPEND"  // nothing new to execute node ID
+	Restore  Verb = "RESTORE"  // execute node ID back
+	Pause    Verb = "PAUSE"    // send clients away: /ready says no, kept connections end
+	Resume   Verb = "RESUME"   // take clients again
+	Peers    Verb = "PEERS"    // the members of the fleet, then a line eof
+	Quotas   Verb = "QUOTAS"   // the limits of the fleet, then a line eof
+	Verdicts Verb = "VERDICTS" // what the fleet says of execute nodes, then a line eof
+	Recover  Verb = "RECOVER"  // the majority of the fleet's voters is lost for good: begin anew with this one
 )
 
 // MostLine bounds a command line, in bytes with its end.
@@ -40,7 +41,7 @@
 	All  bool   // of those: for the whole fleet
 }
 
-var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false, Peers: false, Quotas: false, Recover: false}
+var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false, Peers: false, Quotas: false, Verdicts: false, Recover: false}
 
 // Parse reads a line without its end. Verbs are taken in any case; an id is taken as it is written.
 func Parse(line string) (Command, error) {
--- a/internal/manage/server.go
+++ b/internal/manage/server.go
@@ -24,6 +24,8 @@
 	Peers() ([]string, error)
 	// QUOTAS: a line a limit of the fleet; an error where there is none.
 	Quotas() ([]string, error)
+	// VERDICTS: a line for each execute node that is spoken of; an error where no verdicts are made.
+	Verdicts() ([]string, error)
 	// SUSPEND ID fleet and RESTORE ID fleet: for all members; an error where there is no fleet.
 	SuspendFleet(id string, suspended bool) error
 	// RECOVER: the fleet's voters begin anew with this process; an error where there is no fleet.
@@ -152,11 +154,8 @@
 			return []string{"fail " + err.Error()}
 		}
 		return []string{"ok " + strings.ToLower(string(c.Verb)) + " " + c.ID}
-	case Peers, Quotas:
-		ask := h.Peers
-		if c.Verb == Quotas {
-			ask = h.Quotas
-		}
+	case Peers, Quotas, Verdicts:
+		ask := map[Verb]func() ([]string, error){Peers: h.Peers, Quotas: h.Quotas, Verdicts: h.Verdicts}[c.Verb]
 		lines, err := ask()
 		if err != nil {
 			return []string{"fail " + err.Error()}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -37,6 +37,7 @@
 	MostMembers = 2048 // processes known at once, with those that failed or left
 	MostName    = 40   // bytes of a name
 	MostAddr    = 64   // bytes of an address
+	MostZone    = 40   // bytes of a zone's name
 	mostNews    = 6    // records in a datagram, so that it stays within 1,400 bytes
 	mostQueued  = 4 * MostMembers
 )
@@ -54,6 +55,7 @@
 	// Over is the boot of another process of this name above which this one went: only who has heard of that
 	// process can say so.
 	Over uint64 `cbor:"7,keyasint,omitempty"`
+	Zone string `cbor:"8,keyasint,omitempty"` // where it stands, by its own word
 }
 
 // Present tells whether the process belongs to those that are there.
@@ -75,8 +77,8 @@
 	switch {
 	case r.Name == "" || len(r.Name) > MostName || len(r.By) > MostName:
 		return fmt.Errorf("member: a name of %d bytes, 1 to %d are taken", len(r.Name), MostName)
-	case len(r.Addr) > MostAddr:
-		return errors.New("member: address too long")
+	case len(r.Addr) > MostAddr || len(r.Zone) > MostZone:
+		return errors.New("member: address or zone too long")
 	case r.State > Left:
 		return errors.New("member: unknown state")
 	}
@@ -162,6 +164,7 @@
 	Addr string // where the others reach it
 	Boot uint64 // of this start, see NewBoot
 	Inc  uint64 // the first incarnation; 0 is 1
+	Zone string // where it stands; empty: not told
 	Join []string
 	Pace time.Duration // between two probes
 	Seed uint64
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -42,6 +42,10 @@
 	Grant   *quota.Grant    `cbor:"9,keyasint,omitempty"`  // to it
 	Words   []verdict.Word  `cbor:"10,keyasint,omitempty"` // on execute nodes
 	Sum     uint64          `cbor:"11,keyasint,omitempty"` // with a Ping and an Ack: the digest of the sender's words
+	// Opinions are what members think of execute nodes.
+	Opinions []verdict.Opinion `cbor:"12,keyasint,omitempty"`
+	// Drains are words on execute nodes that drain.
+	Drains []verdict.Word `cbor:"13,keyasint,omitempty"`
 }
 
 // What keeps a frame from being taken.
--- /dev/null
+++ b/internal/relay/observe_test.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/budget"
+	"fieldrelay/logic"
+)
+
+// watcher writes down what an observer is told.
+type watcher struct {
+	outcomes map[string]int
+	listed   []string
+	drains   []string
+}
+
+func (w *watcher) Outcome(node string, o logic.Outcome, took time.Duration) {
+	if o == logic.Done && took >= 0 {
+		w.outcomes[node]++
+	}
+}
+
+func (w *watcher) Drains(node string, since time.Duration, drains bool) {
+	w.drains = append(w.drains, fmt.Sprint(node, since, drains))
+}
+
+func (w *watcher) Listed(nodes []Listed) {
+	w.listed = nil
+	for _, n := range nodes {
+		w.listed = append(w.listed, n.Name)
+	}
+	slices.Sort(w.listed)
+}
+
+// Nodes that are avoided get no claim, come back cold, and are used all the same where nothing else is ready.
+func TestAvoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{claims: map[uint64]Claim{}, gate: budget.NewGate(1<<20, 1)}
+		cfg := logic.Config{Tick: 5 * time.Millisecond, Classes: []logic.Class{{Name: "safe", Deadline: time.Second}},
+			Limits: logic.Limits{Attempts: 3}}
+		var err error
+		if b.Relay, err = New(cfg, 1, b, zerolog.Nop()); err != nil {
+			t.Fatal(err)
+		}
+		w := &watcher{outcomes: map[string]int{}}
+		b.Observe(w)
+		b.Start(b)
+		defer b.box.Close()
+		one, two := member(8, logic.Ready), member(9, logic.Ready)
+		one.Name, two.Name = "a", "b"
+		b.list(true, one, two)
+		avoid := func(names ...string) {
+			b.Avoid(names)
+			synctest.Wait()
+		}
+		claims := func(of int) int {
+			b.lines = nil
+			for range of {
+				b.submit("safe")
+				time.Sleep(10 * time.Millisecond)
+				synctest.Wait()
+			}
+			n := 0
+			for _, l := range b.lines {
+				if strings.HasPrefix(l, "claim") {
+					n++
+				}
+			}
+			return n
+		}
+		avoid("a")
+		if _, down := b.Hosts(); down != 1 || !b.Ready() {
+			t.Errorf("down %d, ready %v", down, b.Ready())
+		}
+		b.list(true, one, two) // discovery says nothing of it
+		if n := claims(20); n == 0 {
+			t.Error("no claims")
+		}
+		if n := b.open[8].out; n != 0 {
+			t.Errorf("%d claims at the node that is avoided", n)
+		}
+		if !slices.Equal(w.listed, []string{"a", "b"}) {
+			t.Errorf("%v listed: what is avoided counts as listed", w.listed)
+		}
+		before := time.Duration(0)
+		b.box.Put(func() { before = b.now() })
+		synctest.Wait()
+		avoid()
+		if since := b.open[8].member.Since; since < before || b.open[8].since != one.Since {
+			t.Errorf("back since %v, before %v", since, before)
+		}
+		avoid("a", "b")
+		if _, down := b.Hosts(); down != 0 || !b.Ready() {
+			t.Errorf("down %d, ready %v: nothing else is ready", down, b.Ready())
+		}
+		// Another sidecar has heard that it drains: it gets nothing new, whatever the list says, for a minute or until a later
+		// start of it is listed; of another start nothing is meant.
+		for _, since := range []time.Duration{5, one.Since} {
+			b.Drains("a", since, true)
+			synctest.Wait()
+			b.list(true, one, two)
+			if _, down := b.Hosts(); (down == 1) != (since == one.Since) {
+				t.Errorf("%d down with one draining since %v", down, since)
+			}
+		}
+		later := one
+		later.Since = b.now()
+		b.list(false, later)
+		if _, down := b.Hosts(); down != 0 {
+			t.Error("the one that started later drains")
+		}
+		b.list(false, one)
+		time.Sleep(drainHeld + time.Second)
+		synctest.Wait()
+		if _, down := b.Hosts(); down != 0 || len(b.draining) != 0 {
+			t.Errorf("%d down after a minute, %d kept", down, len(b.draining))
+		}
+		// What its own list says is passed on; a gap in it is not.
+		two.State = logic.Draining
+		b.list(false, two)
+		b.list(true, one)
+		two.State = logic.Ready
+		b.list(true, one, two)
+		two.State = logic.Draining
+		b.list(false, two)
+		two.State = logic.Ready
+		b.list(false, two)
+		if want := []string{"b0s true", "b0s false", "b0s true", "b0s false"}; !slices.Equal(w.drains, want) {
+			t.Errorf("%q told, not %q", w.drains, want)
+		}
+		avoid("a")
+		two.State = logic.Draining
+		b.list(true, one, two)
+		synctest.Wait()
+		if _, down := b.Hosts(); down != 0 || !b.Ready() {
+			t.Errorf("the other one drains: down %d, ready %v", down, b.Ready())
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,7 +143,10 @@
 	jobs       map[uint64]*job
 	calls      map[string]bool // the ids of the jobs, for a while longer than those
 	open       map[uint64]*node
-	suspended  map[string]bool // names of execute nodes that get nothing new, whatever the list says
+	suspended  map[string]bool  // names of execute nodes that get nothing new, whatever the list says
+	avoided    map[string]bool  // likewise, by verdict of the fleet
+	draining   map[string]drain // by the word of others
+	observer   Observer         // nil: none
 
 	listed, down atomic.Int64 // execute nodes listed, and those of them suspended
 }
@@ -168,7 +171,8 @@
 type node struct {
 	Node
 	member Member
-	out    int // claims not yet reported
+	out    int           // claims not yet reported
+	since  time.Duration // its start, by the list
 }
 
 // New makes a relay for the settings of the module.
@@ -348,6 +352,9 @@
 	delete(j.out, id.Attempt)
 	n := r.open[c.node]
 	n.out--
+	if r.observer != nil {
+		r.observer.Outcome(n.member.Name, res.Outcome, res.At.Sub(c.issued))
+	}
 	if res.Outcome == logic.Done {
 		r.answer(id.Job, Answer{Verdict: Served, Body: res.Body, ContentType: res.ContentType, Held: res.Held})
 	}
@@ -385,6 +392,9 @@
 	named := map[uint64]bool{}
 	for _, m := range l.Members {
 		named[m.ID] = true
+		if !l.Stored {
+			r.tellDrains(m)
+		}
 		r.member(m)
 		ev.Servers = append(ev.Servers, r.seen(m).Server)
 	}
@@ -402,6 +412,7 @@
 		r.retire(id, n)
 	}
 	usable := r.count()
+	r.leaveOne()
 	r.log.Info().Int("changed", len(l.Members)).Bool("complete", l.Complete).Bool("stored", l.Stored).
 		Int("usable", usable).Msg("list")
 }
@@ -421,12 +432,12 @@
 	n := r.open[m.ID]
 	switch {
 	case n != nil:
-		n.member = m
+		n.member, n.since = m, m.Since
 		if n.Node != nil {
 			n.Update(r.seen(m))
 		}
 	case m.State != logic.Gone:
-		r.open[m.ID] = &node{member: m}
+		r.open[m.ID] = &node{member: m, since: m.Since}
 	}
 }
 
--- a/internal/relay/suspend.go
+++ b/internal/relay/suspend.go
@@ -80,9 +80,9 @@
 // Hosts tells how many execute nodes are listed and how many of those are suspended. Any goroutine may ask.
 func (r *Relay) Hosts() (listed, down int) { return int(r.listed.Load()), int(r.down.Load()) }
 
-// seen is what the module is told of a member: a suspended one is draining.
+// seen is what the module is told of a member: a suspended one, or one that is avoided, is draining.
 func (r *Relay) seen(m Member) Member {
-	if r.suspended[m.Name] && m.State == logic.Ready {
+	if (r.suspended[m.Name] || r.avoided[m.Name] || r.drained(m)) && m.State == logic.Ready {
 		m.State = logic.Draining
 	}
 	return m
@@ -123,7 +123,7 @@
 	for _, n := range r.open {
 		switch {
 		case n.member.State == logic.Gone:
-		case r.suspended[n.member.Name]:
+		case r.suspended[n.member.Name] || (r.avoided[n.member.Name] || r.drained(n.member)) && n.member.State == logic.Ready:
 			listed, down = listed+1, down+1
 		default:
 			listed++
@@ -135,5 +135,6 @@
 	r.listed.Store(int64(listed))
 	r.down.Store(int64(down))
 	r.ready.Store(usable > 0)
+	r.tellListed()
 	return usable
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -100,7 +100,7 @@
 		if err != nil {
 			return nil, err
 		}
-		name := fmt.Sprintf("n%d", i+1)
+		name := nodeName(i)
 		n.Ran = func(id, key, class string) bool { return r.ran(name, id, key, class) }
 		r.nodes = append(r.nodes, n)
 	}
@@ -157,16 +157,12 @@
 		r.links[linkID{from, to}] = l
 		return l.Addr(), nil
 	}
-	var entries []standin.Entry
 	for i, n := range r.nodes {
-		name := fmt.Sprintf("n%d", i+1)
-		at, err := link(s.Name, name, n.Addr())
-		if err != nil {
+		if _, err := link(s.Name, nodeName(i), n.Addr()); err != nil {
 			return err
 		}
-		entries = append(entries, standin.Ready(name, at))
 	}
-	list, err := standin.NewDiscovery(entries...)
+	list, err := standin.NewDiscovery(r.entries(s)...)
 	if err != nil {
 		return err
 	}
@@ -190,6 +186,16 @@
 	return nil
 }
 
+func nodeName(i int) string { return fmt.Sprintf("n%d", i+1) }
+
+// entries are the execute nodes as a sidecar's list has them, all ready.
+func (r *Rig) entries(s *Sidecar) (all []standin.Entry) {
+	for i := range r.nodes {
+		all = append(all, standin.Ready(nodeName(i), r.links[linkID{s.Name, nodeName(i)}].Addr()))
+	}
+	return all
+}
+
 // write writes a sidecar's files.
 func (r *Rig) write(s *Sidecar) error {
 	known := fmt.Sprintf(`{"generation":0,"reset":true,"instances":[]}`)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -32,6 +32,7 @@
 	Slow  atomic.Int64 // nanoseconds
 	Size  atomic.Int64 // bytes of an answer
 	Jobs  atomic.Int64 // answered or about to be
+	Fails atomic.Bool  // every job is answered with an error
 	// Ran is told of each job before it is answered; drop means that the node knows the key and does no work. Set it
 	// before the first job comes; nil: none is told.
 	Ran func(id, key, class string) (drop bool)
@@ -72,6 +73,10 @@
 		}
 	}
 	time.Sleep(time.Duration(delay))
+	if n.Fails.Load() {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
 	ctx.Response.SetBodyRaw(make([]byte, n.Size.Load()))
 }
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -1,6 +1,7 @@
-// Package verdict holds what a fleet of sidecars says of execute nodes: so far
-// which ones are suspended by hand for all of them. It is plain data without
-// I/O or clock; words merge the same way in any order, twice or once.
+// Package verdict holds what a fleet of sidecars says of execute nodes: which
+// are suspended by hand for all of them, which one member's list has as
+// draining (Table: words that merge the same way in any order, twice or once),
+// and which most of them see failing (Judge). It has no I/O and no clock.
 package verdict
 
 import (
@@ -8,6 +9,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -24,12 +26,16 @@
 	Node      string `cbor:"1,keyasint" json:"node"`
 	Count     uint64 `cbor:"2,keyasint" json:"count"`
 	By        string `cbor:"3,keyasint" json:"by"`
-	Suspended bool   `cbor:"4,keyasint,omitempty" json:"suspended,omitempty"`
+	Suspended bool   `cbor:"4,keyasint,omitempty" json:"suspended,omitempty"` // or draining
+	// Since is the start of the node that a word on draining is of: one on a later start holds.
+	Since time.Duration `cbor:"5,keyasint,omitempty" json:"since,omitempty"`
 }
 
 // over tells whether a word holds against another one of the same node.
 func (w Word) over(v Word) bool {
 	switch {
+	case w.Since != v.Since:
+		return w.Since > v.Since
 	case w.Count != v.Count:
 		return w.Count > v.Count
 	case w.Suspended != v.Suspended: // said on two sides of a cut: the careful one holds
@@ -47,13 +53,29 @@
 
 // Table is what one member knows. The zero Table knows nothing.
 type Table struct {
+	// Rolls has the oldest word make room, whatever it says. Without it only a node that is not suspended does.
+	Rolls bool
 	words map[string]Word
 	high  uint64
 }
 
 // Say adds a word of this member's.
 func (t *Table) Say(node, by string, suspended bool) (Word, error) {
-	w := Word{Node: node, Count: t.high + 1, By: by, Suspended: suspended}
+	return t.say(Word{Node: node, By: by, Suspended: suspended})
+}
+
+// SayDrains adds a word of this member's on a node that started at a time, if it says something new.
+func (t *Table) SayDrains(node, by string, since time.Duration, drains bool) (Word, bool) {
+	was, known := t.words[node]
+	if known && (was.Since > since || was.Since == since && was.Suspended == drains) || !known && !drains {
+		return Word{}, false
+	}
+	w, err := t.say(Word{Node: node, By: by, Suspended: drains, Since: since})
+	return w, err == nil
+}
+
+func (t *Table) say(w Word) (Word, error) {
+	w.Count = t.high + 1
 	if !w.valid() {
 		return w, errors.New("verdict: no name of an execute node")
 	}
@@ -74,7 +96,7 @@
 		if !w.valid() || known && !w.over(was) {
 			continue
 		}
-		if !known && len(t.words) >= MostWords && !t.makeRoom() {
+		if !known && len(t.words) >= MostWords && !t.makeRoom(w) {
 			continue
 		}
 		t.words[w.Node] = w
@@ -84,17 +106,22 @@
 	return news
 }
 
-func (t *Table) makeRoom() bool {
+func (t *Table) makeRoom(next Word) bool {
 	oldest, found := Word{}, false
 	for _, w := range t.words {
-		if !w.Suspended && (!found || w.Count < oldest.Count || w.Count == oldest.Count && w.Node < oldest.Node) {
+		if (!w.Suspended || t.Rolls) && (!found || w.older(oldest)) {
 			oldest, found = w, true
 		}
 	}
+	if !found || t.Rolls && !oldest.older(next) { // all who roll keep the same ones
+		return false
+	}
 	delete(t.words, oldest.Node)
-	return found
+	return true
 }
 
+func (w Word) older(v Word) bool { return w.Count < v.Count || w.Count == v.Count && w.Node < v.Node }
+
 // All are the words, by node.
 func (t *Table) All() []Word {
 	return slices.SortedFunc(maps.Values(t.words), func(a, b Word) int { return cmp.Compare(a.Node, b.Node) })
@@ -113,7 +140,7 @@
 // Digest is the same where the words are; 0: there are none.
 func (t *Table) Digest() (sum uint64) {
 	for _, w := range t.words {
-		s := w.Count * 0x9e3779b97f4a7c15
+		s := (w.Count + uint64(w.Since)<<20) * 0x9e3779b97f4a7c15
 		if w.Suspended {
 			s++
 		}
