Condemn only nodes that nearly always fail, and let them back warm

In the emulator a sidecar's own list counts when a verdict ends, not the truth: it had sent to draining nodes.

--- a/internal/emulate/verdicts.go
+++ b/internal/emulate/verdicts.go
@@ -117,15 +117,16 @@
 	c.avoid[no] = next
 	ev := logic.Event{Kind: logic.EvMembers}
 	for _, n := range c.w.order {
-		if was[n.id] != next[n.id] && n.state == logic.Ready {
+		if len(c.w.sidecars) <= no {
+			break // before the run
+		}
+		_, unfit := c.w.sidecars[no].told[n.id] // by its own list
+		if was[n.id] != next[n.id] && n.state == logic.Ready && !unfit {
 			e := n.entry()
-			if !next[n.id] {
-				e.Since = c.w.now // it comes back cold
-			}
 			ev.Servers = append(ev.Servers, e)
 		}
 	}
-	if len(ev.Servers) > 0 && len(c.w.sidecars) > no {
+	if len(ev.Servers) > 0 {
 		c.w.sidecars[no].step(&ev)
 	}
 }
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -27,8 +27,8 @@
 func (r *Relay) Observe(o Observer) { r.observer = o }
 
 // Avoid makes the module see the execute nodes of these names as draining until the next call, whatever the list says
-// meanwhile; those of the last call that are not among them come back as if they had just started. It takes effect only
-// as long as another node is ready.
+// meanwhile; those of the last call that are not among them come back as they were. It takes effect only as long as
+// another node is ready.
 func (r *Relay) Avoid(names []string) {
 	r.box.Put(func() {
 		next := make(map[string]bool, len(names))
@@ -44,21 +44,13 @@
 		}
 		for name := range was {
 			if !next[name] {
-				r.comeBack(name)
+				r.tellNamed(name)
 			}
 		}
 		r.leaveOne()
 	})
 }
 
-// comeBack tells the module of a node that may be used again.
-func (r *Relay) comeBack(name string) {
-	if n := r.named(name); n != nil {
-		n.member.Since = max(n.member.Since, r.now())
-		r.tellOne(n.member)
-	}
-}
-
 // drainHeld is for how long a node is seen as draining on the word of others that the list does not bear out.
 const drainHeld = time.Minute
 
@@ -140,7 +132,7 @@
 	}
 	r.avoided, r.draining = nil, nil
 	for name := range was {
-		r.comeBack(name)
+		r.tellNamed(name)
 	}
 	r.log.Warn().Int("nodes", len(was)).Msg("nothing else is ready: the fleet's verdicts are not followed")
 }
--- a/internal/verdict/evidence.go
+++ b/internal/verdict/evidence.go
@@ -109,9 +109,9 @@
 	leastSamples   = 3    // of a node, to say anything of it
 	leastCompared  = 3    // nodes with as many samples
 	leastMeanwhile = 8    // outcomes of others since a node began to fail
-	badShare       = 0.5  // of failures, on top of the median node's, and
+	badShare       = 0.75 // of failures, on top of the median node's, and
 	goodShare      = 0.25 // what the median node, or one that was bad, must not pass
-	inARow         = 3    // failures, however many answers came before: the module soon stops to send there
+	inARow         = 4    // failures, however many answers came before: the module soon stops to send there
 	slowTimes      = 4    // the median node's time, and
 	quickTimes     = 2    // what one that was slow must not pass
 )
