Limit attempts at execute nodes, retries and allowances for the whole fleet

Limits of the fleet counted requests at the door alone. What reaches a node from all sidecars, the attempts after a request's first, and the parts of a tenant's allowance were each sidecar's own guess.

`node_in_flight` in `[[quota]]` is a limit for each listed node, by leased parts like the others; while a node is cold it is cut by the contract's figures, so that what all send it needs no guess of their number. `retry_pct` bounds attempts after the first. The relay asks before a claim is written; the module hears of one that is not let through as skipped. `allowances` gives each sidecar the part of a tenant's allowance that its demand calls for; nothing is turned back by it. 16,384 limits at the most, reports name those in use.

Seen on the way: 13 in work at a node under a limit of 12. Ruled out: the leases (floors and parts summed to 12 at each look). The cause was claims given up by the sidecar that the node still worked on: they count until the request's time is over now (relay.go, outcome), and the stand-in node ends its work with the time it is told. A skipped attempt counted as a first one, so that 10% of retries turned 2,642 away: only what was let through counts.

--- a/cmd/fieldlab/chaos.go
+++ b/cmd/fieldlab/chaos.go
@@ -26,6 +26,8 @@
 	Sidecars int           `help:"Of a drawn plan." default:"5"`
 	Nodes    int           `help:"Execute nodes of a drawn plan." default:"6"`
 	Rate     float64       `help:"Requests a second of a drawn plan, for the whole fleet." default:"40"`
+	Limit    float64       `help:"Of class order, requests a second of the whole fleet: the plan strikes only what is between sidecars, and the limit is judged." placeholder:"RATE"`
+	Policy   string        `help:"Of the limit." enum:"strict,available" default:"strict"`
 	Binary   string        `help:"The sidecar's program; as a rule the one beside this." placeholder:"FILE"`
 	Other    string        `help:"Another version of it, for the last sidecars." type:"existingfile" placeholder:"FILE"`
 	Others   int           `help:"How many have that other version." default:"1"`
@@ -38,6 +40,9 @@
 // Run plays a plan. Its last line is the verdict.
 func (c *chaosCmd) Run() (err error) {
 	plan := rig.Draw(c.Seed, c.Sidecars, c.Nodes, int(c.For.Milliseconds()), c.Rate)
+	if c.Limit > 0 {
+		plan = plan.Limited(c.Limit, c.Policy)
+	}
 	if c.Plan != "" {
 		if plan, err = rig.ReadPlan(c.Plan); err != nil {
 			return err
@@ -51,7 +56,8 @@
 		_, err = os.Stdout.Write(text)
 		return err
 	}
-	opts := rig.Options{Binary: c.Binary, Sidecars: plan.Sidecars, Nodes: plan.Nodes, Seed: plan.Seed, Work: 40 * time.Millisecond, Dir: c.Logs, Keep: plan.Keep}
+	opts := rig.Options{Binary: c.Binary, Sidecars: plan.Sidecars, Nodes: plan.Nodes, Seed: plan.Seed, Work: 40 * time.Millisecond, Dir: c.Logs, Keep: plan.Keep,
+		Tail: plan.Limits(), Pace: time.Duration(plan.Pace) * time.Millisecond}
 	if opts.Binary == "" {
 		self, err := os.Executable()
 		if err != nil {
@@ -105,8 +111,17 @@
 		v.Asked, v.Served, v.Refused, v.Failed, v.SingleTwice, v.KeyedTwice, v.Repeats)
 	fmt.Printf("faults %d, requests out meanwhile %d; on links: datagrams %d, lost %d, doubled %d, late %d; streams %d, cut %d, refused %d, hung %d\n",
 		v.Strikes, v.Hit, hits.Datagrams, hits.Lost, hits.Duplicated, hits.Delayed, hits.Streams, hits.Cut, hits.Refused, hits.Hung)
+	over := false
+	if plan.Limit > 0 {
+		windows, used := plan.Windows(r.History.Entries())
+		for _, w := range windows {
+			fmt.Printf("limit %s: most in %v %d of %.1f\n", plan.Policy, w.Length, w.Began, w.May)
+			over = over || float64(w.Began) > w.May
+		}
+		fmt.Printf("limit %s: %.3f of it used\n", plan.Policy, used)
+	}
 	fmt.Println(v)
-	if !v.Passed() {
+	if !v.Passed() || over {
 		return errBroken
 	}
 	return nil
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -18,6 +18,7 @@
 	"fieldrelay/internal/fleet/settings"
 	"fieldrelay/internal/quota"
 	"fieldrelay/internal/verdict"
+	"fieldrelay/logic"
 )
 
 // operatorEnv names the operator's file.
@@ -35,6 +36,7 @@
 	Figures(prefix string) []string // StatsD lines
 	Recover() error                 // the voters begin anew with this process
 	SetQuotas(all quota.All)        // the limits of the fleet
+	SetTenants(all []logic.Tenant)  // of the settings
 	Quotas() []string               // a line a limit
 	// Verdicts has a line for each execute node that is spoken of.
 	Verdicts() ([]string, error)
@@ -46,6 +48,8 @@
 	Say(node string, suspended bool) error
 	// Admit lets a request through the limits of the fleet, or tells after what time to come again. It does not wait.
 	Admit(class, tenant string, again bool, ends time.Time) (done func(), after time.Duration, ok bool)
+	// Claim lets an attempt at an execute node through, or not. done, if there is one, is called once it has ended.
+	Claim(node, class, tenant string, again bool, warm float64, ends time.Time) (done func(), ok bool)
 	Set(next settings.Settings) // of which only what is live differs
 	Close()                     // leaves: the others are told
 	Abandon()                   // ends without a word
@@ -64,7 +68,10 @@
 	Changed func(all []verdict.Word)
 	Zone    string // where this sidecar stands
 	// Avoid is told the execute nodes that get nothing new from here by verdict of the fleet. It must not block.
-	Avoid func(nodes []string)
+	Avoid   func(nodes []string)
+	Tenants []logic.Tenant // of the settings
+	// Allot is told what of a tenant's allowance is this member's, in requests a second, likewise.
+	Allot func(tenant string, rate float64)
 	// Drains is told what is new of execute nodes that drain by the word of a member, likewise.
 	Drains func(news []verdict.Word)
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -38,7 +38,8 @@
 	all quota.All         // likewise
 	now Fleet             // nil: off
 	// listed are the execute nodes that take claims.
-	listed []verdict.Node
+	listed  []verdict.Node
+	tenants []logic.Tenant
 }
 
 // start joins. A process that replaces another waits until that one has left the address, and serves alone if it does
@@ -55,7 +56,7 @@
 	}
 	for end := time.Now().Add(fleetPatience); ; <-time.After(fleetPace) {
 		f, err := p.join(FleetOptions{Settings: s, Quotas: q, Name: p.name, Words: p.told.read(), Changed: p.told.changed,
-			Zone: p.zone, Avoid: p.core.Avoid, Drains: p.told.drains}, p.log)
+			Zone: p.zone, Avoid: p.core.Avoid, Drains: p.told.drains, Tenants: p.tenants, Allot: p.core.Allot}, p.log)
 		if err == nil {
 			p.mu.Lock()
 			p.now = f
@@ -89,6 +90,21 @@
 	default:
 		f.Close()
 		p.core.Avoid(nil)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, t := range p.tenants { // equal parts again, as without a fleet
+			p.core.Allot(t.Name, -1)
+		}
+	}
+}
+
+// setTenants takes over the tenants of new settings.
+func (p *peers) setTenants(all []logic.Tenant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tenants = all
+	if p.now != nil {
+		p.now.SetTenants(all)
 	}
 }
 
@@ -106,6 +122,14 @@
 	}
 }
 
+// Claim asks the limits of the fleet for an attempt.
+func (p *peers) Claim(node, class, tenant string, again bool, warm float64, ends time.Time) (done func(), ok bool) {
+	if f := p.running(); f != nil {
+		return f.Claim(node, class, tenant, again, warm, ends)
+	}
+	return nil, true
+}
+
 // Drains passes on what the list says.
 func (p *peers) Drains(node string, since time.Duration, drains bool) {
 	if f := p.running(); f != nil {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -99,7 +99,7 @@
 		inherited.Listeners[cfg.Listen] = ln
 	}
 	list := platform.New(cfg.Discovery, core, gate, hub.Part("list"))
-	members := &peers{name: cfg.Name, log: hub.Part("fleet"), join: join, zone: cfg.Logic.Zone, core: core, told: newTold(core, cfg.Name, hub.Part("fleet"))}
+	members := &peers{name: cfg.Name, log: hub.Part("fleet"), join: join, zone: cfg.Logic.Zone, tenants: cfg.Logic.Tenants, core: core, told: newTold(core, cfg.Name, hub.Part("fleet"))}
 	if join != nil {
 		core.Observe(members)
 	}
@@ -186,6 +186,7 @@
 						log.Error().Err(err).Msg("classes not changed")
 					}
 				})
+				members.setTenants(next.Logic.Tenants)
 				classes.Set(next.Logic.Classes, next.Logic.Tenants) // after the relay's mailbox has the change: it comes first
 				log.Info().Strs("classes", names).Int("attempts", next.Logic.Limits.Attempts).Msg("classes in force")
 			}), nil
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -26,6 +26,7 @@
 	asked float64 // aged requests a second
 	at    time.Duration
 	worth float64 // as last weighed
+	part  float64 // of the allowance, requests a second; below 0: an equal part
 }
 
 // Door is the ledger of the tenants of one sidecar. Its memory is fixed by the settings: callers that they do
@@ -46,7 +47,7 @@
 		overShare: min(max(overShare, 0), 1), ageing: max(ageing, time.Millisecond)}
 	for _, t := range tenants {
 		if d.byName[t.Name] == nil {
-			d.named = append(d.named, &tenant{Tenant: t, worth: 1})
+			d.named = append(d.named, &tenant{Tenant: t, worth: 1, part: -1})
 			d.byName[t.Name] = d.named[len(d.named)-1]
 		}
 	}
@@ -60,11 +61,18 @@
 	*d = *New(tenants, int(d.sidecars), overShare, d.ageing)
 	for name, t := range d.byName {
 		if o := old[name]; o != nil {
-			t.asked, t.at = o.asked, o.at
+			t.asked, t.at, t.part = o.asked, o.at, o.part
 		}
 	}
 }
 
+// Allot tells what of a tenant's allowance is this sidecar's, in requests a second; below 0: an equal part.
+func (d *Door) Allot(name string, rate float64) {
+	if t := d.byName[name]; t != nil {
+		t.part = rate
+	}
+}
+
 // Arrive counts a request of the named tenant at now (the caller's clock, never going back).
 func (d *Door) Arrive(now time.Duration, name string) {
 	if t := d.byName[name]; t != nil {
@@ -79,7 +87,7 @@
 }
 
 // Mix weighs the named tenants at now, where the sidecar's own requests come at own a second (aged alike). A
-// tenant's own part of its allowance is taken as an equal part over the sidecars, or where the settings tell
+// tenant's own part of its allowance is what was allotted, or an equal part over the sidecars, or where the settings tell
 // none, its share of the own requests; what it sends beyond is worth overShare. The parts come in the
 // settings' order, and last those of no named tenant, of full worth. The slice is the door's until the next
 // call.
@@ -89,7 +97,10 @@
 	for _, t := range d.named {
 		d.age(t, now)
 		allowed := t.Share * own
-		if t.Allowance > 0 {
+		switch {
+		case t.Allowance > 0 && t.part >= 0:
+			allowed = t.part
+		case t.Allowance > 0:
 			allowed = t.Allowance / d.sidecars
 		}
 		t.worth = 1
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"fieldrelay/internal/quota"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/internal/view"
+	"fieldrelay/logic"
 )
 
 const (
@@ -52,6 +53,7 @@
 	changed  func(all []verdict.Word)
 	avoid    func(nodes []string)
 	drains   func(news []verdict.Word)
+	allot    func(tenant string, rate float64)
 	strange  map[string]bool // senders refused, which are told in one line each
 }
 
@@ -65,7 +67,10 @@
 	Changed func(all []verdict.Word)
 	Zone    string // where this sidecar stands
 	// Avoid is told the execute nodes that get nothing new from here by verdict of the fleet, likewise.
-	Avoid func(nodes []string)
+	Avoid   func(nodes []string)
+	Tenants []logic.Tenant // of the settings
+	// Allot is told what of a tenant's allowance is this member's, in requests a second, likewise.
+	Allot func(tenant string, rate float64)
 	// Drains is told what is new of execute nodes that drain by the word of a member, likewise.
 	Drains func(news []verdict.Word)
 }
@@ -78,9 +83,10 @@
 		return nil, fmt.Errorf("fleet.name: %w", err)
 	}
 	f := &Fleet{log: log, box: mailbox.New(), done: make(chan struct{}), settings: set, origin: time.Now(),
-		strange: map[string]bool{}, changed: opts.Changed, avoid: opts.Avoid, drains: opts.Drains}
+		strange: map[string]bool{}, changed: opts.Changed, avoid: opts.Avoid, drains: opts.Drains, allot: opts.Allot}
 	f.seen.origin = f.origin
 	f.limits.origin = f.origin
+	f.limits.allowed = opts.Tenants
 	limits := f.limits.set(opts.Quotas)
 	channel, err := peer.Listen(set.Listen, f.deliver)
 	if err != nil {
@@ -212,6 +218,9 @@
 			f.log.WithLevel(level).Stringer("mode", a.Mode).Stringer("was", a.Was).Str("why", a.Why).Msg("fleet mode")
 		}
 	}
+	if f.allot != nil {
+		f.limits.allotted(f.allot) // also once a lease has run out: nobody says so
+	}
 	f.wake.Reset(max(0, f.core.Next()-time.Since(f.origin)))
 }
 
@@ -346,7 +355,18 @@
 }
 
 // Listed takes in which execute nodes take claims, likewise.
-func (f *Fleet) Listed(nodes []verdict.Node) { f.seen.list(nodes) }
+func (f *Fleet) Listed(nodes []verdict.Node) {
+	f.seen.list(nodes)
+	if list, changed := f.limits.list(nodes); changed {
+		f.box.Put(func() { f.step(Limits{list}) })
+	}
+}
+
+// Claim lets an attempt at an execute node through the limits of the fleet, or not; done, if there is one, is called once
+// it has ended. Nothing is waited for.
+func (f *Fleet) Claim(node, class, tenant string, again bool, warm float64, ends time.Time) (done func(), ok bool) {
+	return f.limits.claim(node, class, tenant, again, warm, ends)
+}
 
 // Say tells the whole fleet that an execute node is suspended, or restored.
 func (f *Fleet) Say(node string, suspended bool) error {
@@ -361,6 +381,11 @@
 	f.box.Put(func() { f.step(Limits{f.limits.set(all)}) })
 }
 
+// SetTenants takes over the tenants of new settings.
+func (f *Fleet) SetTenants(tenants []logic.Tenant) {
+	f.box.Put(func() { f.step(Limits{f.limits.allow(tenants)}) })
+}
+
 // Set takes over settings of which only join and dial differ.
 func (f *Fleet) Set(next settings.Settings) {
 	f.box.Put(func() {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -2,18 +2,30 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"fieldrelay/internal/quota"
+	"fieldrelay/internal/verdict"
+	"fieldrelay/logic"
 )
 
 // limits are the gates of the fleet's limits. Fronts pass through them from any goroutine, and never wait for the actor.
 type limits struct {
 	origin time.Time
 
-	mu    sync.Mutex
-	gates []*limited
+	mu       sync.Mutex
+	gates    []*limited
+	byName   map[string]*limited
+	general  []*limited            // those of requests that are for all tenants,
+	tenants  map[string][]*limited // and for one
+	shares   []*limited            // of tenants' allowances
+	allowed  []logic.Tenant
+	claims   []*limited // those of attempts that are for all nodes,
+	atNode   map[string][]*limited
+	settings quota.All
+	nodes    []string
 }
 
 // limited is one limit. It belongs to who holds limits.mu.
@@ -21,6 +33,8 @@
 	quota.Settings
 	gate *quota.Gate
 	told part
+	// allotted is what was last told of a part of an allowance.
+	allotted quota.Unit
 }
 
 // part is what was last told of this member's part.
@@ -33,25 +47,99 @@
 func (l *limits) set(all quota.All) (list []quota.Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	was := map[string]*limited{}
-	for _, g := range l.gates {
-		was[g.Name] = g
+	l.settings = all
+	return l.make()
+}
+
+// list takes over which execute nodes there are. changed tells whether that changes the limits.
+func (l *limits) list(nodes []verdict.Node) (list []quota.Limit, changed bool) {
+	names := make([]string, len(nodes))
+	for i, n := range nodes {
+		names[i] = n.Name
+	}
+	slices.Sort(names)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.Equal(names, l.nodes) {
+		return nil, false
+	}
+	l.nodes = names
+	if !slices.ContainsFunc(l.settings, func(s quota.Settings) bool { return s.Node > 0 }) {
+		return nil, false
 	}
-	l.gates = nil
-	for _, s := range all {
+	return l.make(), true
+}
+
+// make makes the gates anew of the settings and the nodes.
+func (l *limits) make() (list []quota.Limit) {
+	was := l.byName
+	l.gates, l.claims, l.general, l.shares = nil, nil, nil, nil
+	l.byName, l.atNode, l.tenants = map[string]*limited{}, map[string][]*limited{}, map[string][]*limited{}
+	add := func(s quota.Settings) *limited {
 		g := was[s.Name]
 		if g == nil || g.Limit().Kind != s.Limit().Kind || g.Burst != s.Burst {
 			g = &limited{gate: quota.NewGate(s.Limit().Kind, s.BurstTime(), time.Since(l.origin))}
 		}
 		g.Settings = s
 		l.gates = append(l.gates, g)
+		l.byName[s.Name] = g
 		if s.Leased() {
 			list = append(list, s.Limit())
 		}
+		return g
+	}
+	for _, s := range l.settings {
+		switch {
+		case s.Node > 0:
+			for _, node := range l.nodes {
+				if len(list) < quota.MostLimits {
+					l.atNode[node] = append(l.atNode[node], add(s.At(node)))
+				}
+			}
+		case s.Retry > 0:
+			l.claims = append(l.claims, add(s))
+		case s.Shares:
+			for _, t := range l.allowed {
+				if t.Allowance > 0 && len(list) < quota.MostLimits {
+					g := add(s.Of(t.Name, t.Allowance))
+					l.shares = append(l.shares, g)
+					l.tenants[t.Name] = append(l.tenants[t.Name], g)
+				}
+			}
+		case s.Tenant != "":
+			l.tenants[s.Tenant] = append(l.tenants[s.Tenant], add(s))
+		default:
+			l.general = append(l.general, add(s))
+		}
 	}
 	return list
 }
 
+// allow takes over the tenants of the settings.
+func (l *limits) allow(tenants []logic.Tenant) (list []quota.Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allowed = tenants
+	return l.make()
+}
+
+// allotted calls tell for each tenant of whose allowance another part is this member's than at the last call.
+func (l *limits) allotted(tell func(tenant string, rate float64)) {
+	now := time.Since(l.origin)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, g := range l.shares {
+		part := g.told.past
+		if now < g.told.until {
+			part = g.told.now
+		}
+		if part != g.allotted {
+			g.allotted = part
+			tell(g.Tenant, float64(part)/float64(quota.PerSecond))
+		}
+	}
+}
+
 // tell tells the gates this member's parts.
 func (l *limits) tell(h *quota.Holder) {
 	now := time.Since(l.origin)
@@ -70,32 +158,57 @@
 func (l *limits) demand(limit string, now time.Duration) (demand, used quota.Unit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, g := range l.gates {
-		if g.Name == limit {
-			return g.gate.Demand(now), g.gate.InUse()
-		}
+	if g := l.byName[limit]; g != nil {
+		return g.gate.Demand(now), g.gate.InUse()
 	}
 	return 0, 0
 }
 
 // admit lets a request through all limits that it counts under, or none.
 func (l *limits) admit(class, tenant string, again bool, ends time.Time) (done func(), after time.Duration, ok bool) {
-	now := time.Since(l.origin)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	gates := l.general
+	if own := l.tenants[tenant]; len(own) > 0 {
+		gates = append(gates[:len(gates):len(gates)], own...)
+	}
+	return l.pass(gates, func(g *limited) bool { return g.Applies(class, tenant) }, again, 1, ends)
+}
+
+// claim lets an attempt at an execute node through all limits that it counts under, or none. warm is the part of its full
+// capacity that the node has now: so much of its limit may be used. Nodes that are not listed have
+// no limits.
+func (l *limits) claim(node, class, tenant string, again bool, warm float64, ends time.Time) (done func(), ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.claims)+len(l.atNode) == 0 {
+		return nil, true
+	}
+	applies := func(g *limited) bool { return g.Applies(class, tenant) }
+	done, _, ok = l.pass(append(l.claims[:len(l.claims):len(l.claims)], l.atNode[node]...), applies, again, warm, ends)
+	return done, ok
+}
+
+// pass passes through those of some gates that apply. l.mu is held.
+func (l *limits) pass(gates []*limited, applies func(*limited) bool, again bool, warm float64, ends time.Time) (done func(), after time.Duration, ok bool) {
+	now := time.Since(l.origin)
 	type taken struct {
 		g    *limited
 		slot quota.Slot
 	}
 	var all []taken
-	for _, g := range l.gates {
-		if !g.Applies(class, tenant) {
+	for _, g := range gates {
+		if !applies(g) {
 			continue
 		}
 		slot, after, ok := quota.NoSlot, time.Duration(0), false
-		if g.Leased() {
-			slot, after, ok = g.gate.Take(now, ends.Sub(l.origin))
-		} else {
+		switch {
+		case g.Shares: // what is beyond it is worth less, that is all
+			g.gate.Take(now, now)
+			continue
+		case g.Leased():
+			slot, after, ok = g.gate.TakeOf(now, ends.Sub(l.origin), g.Cold(warm))
+		default:
 			after, ok = g.gate.Count(again, g.Limit().Most)
 		}
 		if !ok {
@@ -126,7 +239,11 @@
 	for _, g := range l.gates {
 		limit := g.Limit()
 		if !g.Leased() {
-			all = append(all, fmt.Sprintf("%s again_pct limit=%g here=%g lease=none let=%d refused=%d", g.Name, g.Again, g.Again, g.gate.Let, g.gate.Refused))
+			kind := "again_pct"
+			if g.Retry > 0 {
+				kind = "retry_pct"
+			}
+			all = append(all, fmt.Sprintf("%s %s limit=%g here=%g lease=none let=%d refused=%d", g.Name, kind, g.Again+g.Retry, g.Again+g.Retry, g.gate.Let, g.gate.Refused))
 			continue
 		}
 		kind, show := "in_flight", func(u quota.Unit) string { return fmt.Sprint(u) }
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -1,10 +1,15 @@
 package fleet
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"fieldrelay/internal/peer"
 	"fieldrelay/internal/quota"
+	"fieldrelay/internal/verdict"
+	"fieldrelay/logic"
 )
 
 // holds gives a set of limits the whole of each, for an hour.
@@ -57,3 +62,92 @@
 		t.Error(lines)
 	}
 }
+
+// Ten thousand tenants take fixed memory, a request passes by its own tenant's gates alone, and a report names only those
+// that are in use.
+func TestTenThousandTenants(t *testing.T) {
+	var tenants []logic.Tenant
+	for i := range 10_000 {
+		tenants = append(tenants, logic.Tenant{Name: fmt.Sprint("tenant-", i), Allowance: 10})
+	}
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	l := &limits{origin: time.Now(), allowed: tenants}
+	list := l.set(quota.All{{Name: "shares", Shares: true, Members: 8}})
+	h := quota.NewHolder(quota.Times{Report: time.Second, Lease: time.Minute}, 1, 0, quota.NoMutation)
+	h.Set(list)
+	l.tell(h)
+	took := heap() - before
+	t.Logf("%d limits, %.1f MB, %d bytes each", len(list), float64(took)/1e6, int(took)/len(list))
+	if len(list) != 10_000 || took > 10<<20 {
+		t.Errorf("%d limits in %d bytes", len(list), took)
+	}
+	for i := range 3000 {
+		if _, _, ok := l.admit("look", tenants[i].Name, false, time.Now()); !ok {
+			t.Fatal("an allowance turns nothing back")
+		}
+	}
+	for _, name := range h.Names() {
+		demand, used := l.demand(name, time.Since(l.origin))
+		h.Demand(name, demand)
+		h.Used(name, used)
+	}
+	r := h.Report(time.Since(l.origin))
+	b, err := peer.Encode(peer.Frame{Report: &r})
+	if err != nil || len(r.Claims) == 0 || len(r.Claims) > 1024 {
+		t.Errorf("%d claims, %d bytes, %v", len(r.Claims), len(b), err)
+	}
+	t.Logf("a report of %d claims has %d bytes", len(r.Claims), len(b))
+	told := map[string]float64{}
+	tell := func(tenant string, rate float64) { told[tenant] = rate }
+	l.allotted(tell)
+	if len(told) != 10_000 || told["tenant-7"] != 1.25 { // no lease: an equal part
+		t.Errorf("%d told, tenant-7 %g", len(told), told["tenant-7"])
+	}
+	clear(told)
+	h.Granted(time.Since(l.origin), quota.Grant{Seq: r.Seq, Parts: []quota.Part{{Limit: "shares/tenant-7", Amount: 9 * quota.PerSecond}}})
+	l.tell(h)
+	if l.allotted(tell); len(told) != 1 || told["tenant-7"] != 9 {
+		t.Errorf("%v told by a grant", told)
+	}
+}
+
+// Limits of attempts: each node has its own, and what leaves the list leaves them.
+func TestClaimsAtNodes(t *testing.T) {
+	l := &limits{origin: time.Now()}
+	l.set(quota.All{{Name: "each", Node: 2, Members: 1}, {Name: "retries", Retry: 10}})
+	list, changed := l.list([]verdict.Node{{Name: "a"}, {Name: "b"}})
+	if !changed || len(list) != 2 || list[0].Name != "each/a" {
+		t.Fatalf("%v", list)
+	}
+	holds(l)
+	ends := time.Now().Add(time.Second)
+	claim := func(node string, again, want bool) func() {
+		t.Helper()
+		done, ok := l.claim(node, "order", "", again, 1, ends)
+		if ok != want {
+			t.Errorf("%s, again %v: %v", node, again, ok)
+		}
+		return done
+	}
+	first := claim("a", false, true)
+	claim("a", false, true)
+	claim("a", false, false)
+	claim("b", false, true)
+	claim("c", false, true) // not listed: no limit
+	first()
+	claim("a", false, true)
+	for range 10 { // saved up
+		claim("c", true, true)
+	}
+	claim("c", true, false)
+	if list, changed := l.list([]verdict.Node{{Name: "b"}}); !changed || len(list) != 1 {
+		t.Errorf("%v", list)
+	}
+	claim("a", false, true)
+}
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -121,6 +121,23 @@
 // Take lets one request through, or tells after what time another try is likely to be. ends is when the request is over
 // at the latest.
 func (g *Gate) Take(now, ends time.Duration) (slot Slot, after time.Duration, ok bool) {
+	return g.TakeOf(now, ends, Whole)
+}
+
+// Cut is what of a limit in flight may be used for the time being: a part, rounded down, and so many at the least, as far
+// as the member has them.
+type Cut struct {
+	Part  float64
+	Least Unit
+}
+
+// Whole cuts nothing.
+var Whole = Cut{Part: 1}
+
+func (c Cut) of(u Unit) Unit { return min(u, max(c.Least, Unit(c.Part*float64(u)))) }
+
+// TakeOf is Take of a part of what this member may use.
+func (g *Gate) TakeOf(now, ends time.Duration, cut Cut) (slot Slot, after time.Duration, ok bool) {
 	g.note(now)
 	if g.kind == Rate {
 		g.fill(now)
@@ -136,12 +153,12 @@
 		}
 		return NoSlot, after, false
 	}
-	room := g.InUse() < g.present(now)
+	room := g.InUse() < cut.of(g.present(now))
 	switch {
 	case room && ends <= g.until: // over before the lease is: it outlives no part
 		g.leased++
 		slot = Leased
-	case room && g.own < g.past:
+	case room && g.own < cut.of(g.past):
 		g.own++
 		slot = Own
 	default:
--- a/internal/quota/gate_test.go
+++ b/internal/quota/gate_test.go
@@ -131,3 +131,24 @@
 		t.Errorf("%d in the ledger, %d at the most", n, mostHolders)
 	}
 }
+
+// At a node that is cold so much less may be in flight at a time, but one each where that is within the limit.
+func TestCutOfAColdNode(t *testing.T) {
+	s := Settings{Name: "n", Node: 40, Members: 4}
+	for _, c := range []struct {
+		warm float64
+		want int
+	}{{1, 10}, {0.5, 5}, {0.31, 3}, {0.1, 1}, {0.05, 0}} {
+		g := NewGate(InFlight, 0, 0)
+		g.Part(0, 10, 0, time.Hour)
+		got := 0
+		for range 20 {
+			if _, _, ok := g.TakeOf(0, time.Second, s.Cold(c.warm)); ok {
+				got++
+			}
+		}
+		if got != c.want {
+			t.Errorf("%d of 10 at %g of the capacity, not %d", got, c.warm, c.want)
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,6 +5,7 @@
 package quota
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -92,7 +93,14 @@
 }
 
 // MostLimits bounds the limits of a fleet.
-const MostLimits = 1024
+const MostLimits = 16 << 10
+
+// Where there are more limits than fewLimits, only those that are in use are reported, and the mostReported most demanded of
+// them: of the others a member has its floor.
+const (
+	fewLimits    = 64
+	mostReported = 1024
+)
 
 // hysteresis is the percentage of an equal share by which a part has to differ from what it should be to be changed.
 const hysteresis = 10 // percent
@@ -203,12 +211,19 @@
 	r := Report{Seq: h.seq}
 	for _, name := range h.order {
 		k := h.limits[name]
+		if len(h.order) > fewLimits && k.demand == 0 && k.used == 0 {
+			continue
+		}
 		c := Claim{Limit: name, Demand: k.demand, Most: k.Most}
 		if now < k.until {
 			c.Have = max(k.amount, k.used-k.floor())
 		}
 		r.Claims = append(r.Claims, c)
 	}
+	if len(r.Claims) > mostReported {
+		slices.SortStableFunc(r.Claims, func(a, b Claim) int { return cmp.Compare(b.Demand, a.Demand) })
+		r.Claims = r.Claims[:mostReported]
+	}
 	return r
 }
 
--- a/internal/quota/settings.go
+++ b/internal/quota/settings.go
@@ -7,16 +7,19 @@
 
 // Settings are one table of the section quota of the operator's file: a limit for the whole fleet.
 type Settings struct {
-	Name      string  `toml:"name"`       // told apart by it; the same for all members
-	Class     string  `toml:"class"`      // which requests: of a class,
-	Tenant    string  `toml:"tenant"`     // of a tenant, or of both; neither: all
-	PerSecond float64 `toml:"per_second"` // a rate, or
-	InFlight  int     `toml:"in_flight"`  // requests at a time
-	Again     float64 `toml:"again_pct"`  // repeats by submitters, as a percentage of the other requests
-	Floor     int     `toml:"floor_pct"`  // percent that are reserved in equal parts for members names
-	Members   int     `toml:"members"`    // sidecars that there can be at the most
-	Policy    string  `toml:"policy"`     // strict or available
-	Burst     int     `toml:"burst_ms"`   // of a rate: how much of the past may be made up for
+	Name      string  `toml:"name"`           // told apart by it; the same for all members
+	Class     string  `toml:"class"`          // which requests: of a class,
+	Tenant    string  `toml:"tenant"`         // of a tenant, or of both; neither: all
+	PerSecond float64 `toml:"per_second"`     // a rate, or
+	InFlight  int     `toml:"in_flight"`      // requests at a time
+	Again     float64 `toml:"again_pct"`      // repeats by submitters, as a percentage of the other requests
+	Retry     float64 `toml:"retry_pct"`      // attempts after the first, as a percentage of those
+	Node      int     `toml:"node_in_flight"` // attempts at a time at each execute node
+	Shares    bool    `toml:"allowances"`     // what each tenant of the settings is allowed: what of it is whose; nothing is turned back
+	Floor     int     `toml:"floor_pct"`      // percent that are reserved in equal parts for members names
+	Members   int     `toml:"members"`        // sidecars that there can be at the most
+	Policy    string  `toml:"policy"`         // strict or available
+	Burst     int     `toml:"burst_ms"`       // of a rate: how much of the past may be made up for
 }
 
 const (
@@ -48,19 +51,20 @@
 		}
 		seen[s.Name] = true
 		named := 0
-		for _, is := range []bool{s.PerSecond != 0, s.InFlight != 0, s.Again != 0} {
+		for _, is := range []bool{s.PerSecond != 0, s.InFlight != 0, s.Again != 0, s.Retry != 0, s.Node != 0, s.Shares} {
 			if is {
 				named++
 			}
 		}
-		if named != 1 || s.PerSecond < 0 || s.PerSecond > mostRate || s.InFlight < 0 || s.InFlight > mostSlots || s.Again < 0 || s.Again > mostAgain {
-			fault(key("per_second"), s.PerSecond, fmt.Sprintf("one of per_second (over 0, up to %g), in_flight (1 to %d) and again_pct (over 0, up to %d)",
+		if named != 1 || s.PerSecond < 0 || s.PerSecond > mostRate || s.InFlight < 0 || s.InFlight > mostSlots || s.Again < 0 || s.Again > mostAgain ||
+			s.Retry < 0 || s.Retry > mostAgain || s.Node < 0 || s.Node > mostSlots {
+			fault(key("per_second"), s.PerSecond, fmt.Sprintf("one of per_second (over 0, up to %g), in_flight and node_in_flight (1 to %d), again_pct and retry_pct (over 0, up to %d), allowances = true",
 				mostRate, mostSlots, mostAgain))
 		}
 		if s.Floor < 0 || s.Floor > 100 {
 			fault(key("floor_pct"), s.Floor, "0 to 100")
 		}
-		if s.Again == 0 && s.Members < 1 || s.Members < 0 || s.Members > mostMembers {
+		if s.Leased() && s.Members < 1 || s.Members < 0 || s.Members > mostMembers {
 			fault(key("members"), s.Members, fmt.Sprintf("1 to %d", mostMembers))
 		}
 		if s.Policy != "" && s.Policy != strict && s.Policy != available {
@@ -83,6 +87,10 @@
 		l.Kind, l.Most = InFlight, Unit(s.InFlight)
 	case s.Again > 0:
 		l.Kind, l.Most = Again, Unit(s.Again*float64(PerSecond)/100)
+	case s.Retry > 0:
+		l.Kind, l.Most = Again, Unit(s.Retry*float64(PerSecond)/100)
+	case s.Node > 0:
+		l.Kind, l.Most = InFlight, Unit(s.Node)
 	}
 	return l
 }
@@ -96,7 +104,32 @@
 }
 
 // Leased tells whether the limit is one of parts that are leased.
-func (s Settings) Leased() bool { return s.Again == 0 }
+func (s Settings) Leased() bool { return s.Again == 0 && s.Retry == 0 }
+
+// OfClaims tells whether the limit counts attempts at execute nodes, not requests.
+func (s Settings) OfClaims() bool { return s.Retry > 0 || s.Node > 0 }
+
+// Cold is what of the limit may be used at a node that can do only a part of what it will: where that gives each member one
+// of what is in flight, each has one at the least.
+func (s Settings) Cold(part float64) Cut {
+	c := Cut{Part: part}
+	if l := s.Limit(); part*float64(l.Most) >= float64(l.Members) {
+		c.Least = 1
+	}
+	return c
+}
+
+// Of is the limit of one tenant's allowance, in requests a second. Without a lease an equal part holds, as without a fleet.
+func (s Settings) Of(tenant string, allowance float64) Settings {
+	s.Name, s.Tenant, s.PerSecond, s.Policy = s.Name+"/"+tenant, tenant, allowance, available
+	return s
+}
+
+// At is the limit for one execute node, of one that is for each.
+func (s Settings) At(node string) Settings {
+	s.Name += "/" + node
+	return s
+}
 
 // Applies tells whether a request counts under the limit.
 func (s Settings) Applies(class, tenant string) bool {
@@ -106,6 +139,12 @@
 // Bound is a line on what is promised, with the figures of the settings.
 func (s Settings) Bound() string {
 	l := s.Limit()
+	if s.Retry > 0 {
+		return fmt.Sprintf("quota %s: attempts after the first are %g%% of those at the most, and %d for each member, whatever fails", s.Name, s.Retry, againSaved)
+	}
+	if s.Shares {
+		return fmt.Sprintf("quota %s: the parts of each tenant's allowance sum to it, and with cut members without a lease to cut/%d of its pool more", s.Name, s.Members)
+	}
 	if l.Kind == Again {
 		return fmt.Sprintf("quota %s: repeats are let through as %g%% of the other requests, and %d for each member, whatever fails", s.Name, s.Again, againSaved)
 	}
@@ -115,7 +154,11 @@
 		}
 		return fmt.Sprintf("%d in flight", u)
 	}
-	line := fmt.Sprintf("quota %s: %s for the fleet, %s of it for each of %d members whatever fails; ", s.Name, show(l.Most), show(l.floor()), l.Members)
+	each := ""
+	if s.Node > 0 {
+		each = " at each execute node"
+	}
+	line := fmt.Sprintf("quota %s: %s%s for the fleet, %s of it for each of %d members whatever fails; ", s.Name, show(l.Most), each, show(l.floor()), l.Members)
 	if l.Available {
 		line += fmt.Sprintf("over by cut * pool / members at the most, with cut members without a lease: by %s each", show(l.pool()/max(1, l.Members)))
 	} else {
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -9,6 +9,9 @@
 
 // Observer is told what comes of claims and what is listed, on the relay's goroutine. Its methods must not block.
 type Observer interface {
+	// Claim is asked before each claim: one that is not let through ends as skipped, which tells the module nothing of the
+	// node. warm is the part of its full capacity that the node has now at the least, by the contract. done, if there is one, is called once the claim is reported.
+	Claim(node, class, tenant string, again bool, warm float64, ends time.Time) (done func(), ok bool)
 	// Outcome is how a claim at the execute node of a name ended, and how long after it was issued.
 	Outcome(node string, o logic.Outcome, took time.Duration)
 	// Listed are the execute nodes that the list has as ready, but for those suspended by hand or by word of the fleet.
@@ -51,6 +54,20 @@
 	})
 }
 
+// warm is the part of its full capacity that a node has at the least since its start, by the contract.
+func (r *Relay) warm(n *node) float64 {
+	c, age := &r.cfg.Contract, r.now()-n.since
+	if n.since <= 0 || c.Cold <= 0 || age >= c.Cold {
+		return 1
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*float64(max(age, 0))/float64(c.Cold)
+}
+
+// Allot tells the module what of a tenant's allowance is this sidecar's, in requests a second; below 0: an equal part.
+func (r *Relay) Allot(tenant string, rate float64) {
+	r.box.Put(func() { r.balancer.Allot(tenant, rate) })
+}
+
 // drainHeld is for how long a node is seen as draining on the word of others that the list does not bear out.
 const drainHeld = time.Minute
 
--- a/internal/relay/observe_test.go
+++ b/internal/relay/observe_test.go
@@ -19,6 +19,59 @@
 	outcomes map[string]int
 	listed   []string
 	drains   []string
+	held     int
+	warm     float64
+	full     bool // no claim is let through
+}
+
+// A claim that the limits do not let through is never written: the module goes on as its rules allow, and what the others
+// hold is given back once each.
+func TestClaimsAreLetThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{claims: map[uint64]Claim{}, gate: budget.NewGate(1<<20, 1)}
+		cfg := logic.Config{Tick: 5 * time.Millisecond, Classes: []logic.Class{{Name: "once", Effect: logic.Unsafe, Deadline: time.Second}},
+			Limits: logic.Limits{Attempts: 3}}
+		var err error
+		if b.Relay, err = New(cfg, 1, b, zerolog.Nop()); err != nil {
+			t.Fatal(err)
+		}
+		w := &watcher{outcomes: map[string]int{}, full: true}
+		b.Observe(w)
+		b.Start(b)
+		defer b.box.Close()
+		b.list(true, member(8, logic.Ready), member(9, logic.Ready))
+		b.lines = nil
+		b.submit("once")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if got := strings.Join(b.lines, ", "); got != "answer 1 requeue" {
+			t.Errorf("%q: it never ran, so coming again does no harm", got)
+		}
+		w.full = false
+		id := b.submit("once")
+		if w.held != 1 || w.warm != 1 {
+			t.Errorf("%d held by one claim, %g warm", w.held, w.warm)
+		}
+		b.outcome(id, logic.Done, "hi")
+		if w.held != 0 {
+			t.Errorf("%d held after it", w.held)
+		}
+		id = b.submit("once") // the node may work on what broke off until the request's time is over
+		b.outcome(id, logic.Reset, "")
+		if w.held != 1 {
+			t.Errorf("%d held by what broke off", w.held)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if w.held != 0 {
+			t.Errorf("%d held after the request's time", w.held)
+		}
+		b.cfg.Contract = logic.Contract{ColdFrom: 0.2, Cold: 10 * time.Second}
+		fresh := &node{since: b.now() - 5*time.Second}
+		if warm := b.warm(fresh); warm < 0.599 || warm > 0.601 {
+			t.Errorf("%g warm at half of the cold time", warm)
+		}
+	})
 }
 
 func (w *watcher) Outcome(node string, o logic.Outcome, took time.Duration) {
@@ -27,6 +80,15 @@
 	}
 }
 
+func (w *watcher) Claim(node, _, _ string, again bool, warm float64, _ time.Time) (func(), bool) {
+	w.warm = warm
+	if w.full {
+		return nil, false
+	}
+	w.held++
+	return func() { w.held-- }, true
+}
+
 func (w *watcher) Drains(node string, since time.Duration, drains bool) {
 	w.drains = append(w.drains, fmt.Sprint(node, since, drains))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,12 +159,14 @@
 	Job
 	ended    bool
 	attempts int
+	sent     int           // attempts that limits of the fleet let through
 	out      map[int]claim // not yet reported
 }
 
 type claim struct {
 	node   uint64
 	issued time.Time
+	done   func() // gives back what it holds of limits; nil: nothing
 }
 
 // node is an execute node of the list. Most of a long list never get a claim: those have no Node.
@@ -318,8 +320,6 @@
 	id := ClaimID{a.Request, j.attempts}
 	now := time.Now()
 	j.attempts++
-	j.out[id.Attempt] = claim{node: a.Server, issued: now}
-	n.out++
 	deadline := j.Expires
 	if a.After > 0 {
 		deadline = now.Add(min(a.After, j.Expires.Sub(now)))
@@ -327,6 +327,19 @@
 	if n.Node == nil {
 		n.Node = r.nodes.Open(n.member, r.report)
 	}
+	var done func()
+	let := true
+	if r.observer != nil {
+		done, let = r.observer.Claim(n.member.Name, j.Class, j.Tenant, j.sent > 0, r.warm(n), j.Expires)
+	}
+	j.out[id.Attempt] = claim{node: a.Server, issued: now, done: done}
+	n.out++
+	if let {
+		j.sent++
+	} else {
+		r.box.Put(func() { r.outcome(id, Result{Outcome: logic.Skipped, At: time.Now()}) })
+		return
+	}
 	n.Claim(Claim{ID: id, Request: j.Request, Deadline: deadline})
 }
 
@@ -352,6 +365,13 @@
 	delete(j.out, id.Attempt)
 	n := r.open[c.node]
 	n.out--
+	switch {
+	case c.done == nil:
+	case res.Outcome == logic.TimedOut || res.Outcome == logic.Canceled || res.Outcome == logic.Reset:
+		time.AfterFunc(time.Until(j.Expires), c.done) // the node may still work on it
+	default:
+		c.done()
+	}
 	if r.observer != nil {
 		r.observer.Outcome(n.member.Name, res.Outcome, res.At.Sub(c.issued))
 	}
--- a/internal/rig/plan.go
+++ b/internal/rig/plan.go
@@ -11,6 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"fieldrelay/internal/checker"
 	"fieldrelay/internal/faultline"
 )
 
@@ -22,6 +23,9 @@
 	For      int     `toml:"for_ms"`     // of faults; a time to settle follows
 	Rate     float64 `toml:"rate"`       // requests a second, for the whole fleet
 	Keep     bool    `toml:"keep_state"` // voters keep their state in a folder
+	Limit    float64 `toml:"limit"`      // requests of class order a second, for the whole fleet; 0: no limit
+	Policy   string  `toml:"policy"`     // of the limit: strict or available
+	Pace     int     `toml:"pace_ms"`    // of the fleet; 0: the usual one
 	Steps    []Step  `toml:"step"`
 }
 
@@ -74,6 +78,8 @@
 	mostNodes    = 64
 	mostSteps    = 10_000
 	mostFor      = 24 * 60 * 60 * 1000
+
+	leastPace, mostPace = 20, 10_000
 )
 
 // Check names what is wrong with a plan.
@@ -89,6 +95,12 @@
 	if p.For < 0 || p.For > mostFor {
 		bad("for_ms: %d; allowed: 0 to %d", p.For, mostFor)
 	}
+	if p.Limit < 0 || p.Limit > 0 && p.Policy != "strict" && p.Policy != "available" {
+		bad("limit, policy: %g, %q; allowed: a limit over 0 with strict or available", p.Limit, p.Policy)
+	}
+	if p.Pace != 0 && (p.Pace < leastPace || p.Pace > mostPace) {
+		bad("pace_ms: %d; allowed: %d to %d", p.Pace, leastPace, mostPace)
+	}
 	if len(p.Steps) > mostSteps {
 		bad("%d steps; allowed: %d", len(p.Steps), mostSteps)
 	}
@@ -138,6 +150,70 @@
 // Text is the plan as a file.
 func (p Plan) Text() ([]byte, error) { return toml.Marshal(p) }
 
+// floorPct is the part of a plan's limit that is reserved for the members.
+const floorPct = 20
+
+// Limits is the section quota for the plan's limit.
+func (p Plan) Limits() string {
+	if p.Limit == 0 {
+		return ""
+	}
+	return fmt.Sprintf("[[quota]]\nname = \"orders\"\nclass = \"order\"\nper_second = %g\nfloor_pct = %d\nmembers = %d\npolicy = %q\n",
+		p.Limit, floorPct, p.Sidecars, p.Policy)
+}
+
+// over is by how much the policy lets the limit be passed, a second: each member without a lease by an equal part of the pool.
+func (p Plan) over() float64 {
+	if p.Policy != "available" {
+		return 0
+	}
+	return p.Limit * (100 - floorPct) / 100
+}
+
+// Window is the most that began in any window of a length, and what may.
+type Window struct {
+	Length time.Duration
+	Began  int
+	May    float64
+}
+
+// heldUp is for how long a busy machine may hold requests up that were let through, and let them go at once.
+const heldUp = 100 * time.Millisecond
+
+// Windows judges a plan's limit by what began at the nodes, and tells the part of it that was used from the first to the
+// last of those. burst is what the limit lets be made up for.
+func (p Plan) Windows(entries []checker.Entry) (all []Window, used float64) {
+	const burst = 100 * time.Millisecond
+	for _, length := range []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second} {
+		may := (p.Limit+p.over())*(length+burst+heldUp).Seconds() + float64(p.Sidecars)
+		all = append(all, Window{length, checker.Most(entries, checker.Ran, "order", length), may})
+	}
+	var first, last time.Duration
+	began := 0.0
+	for _, e := range entries {
+		if e.Kind == checker.Ran && e.Class == "order" {
+			if began++; began == 1 {
+				first = e.At
+			}
+			last = e.At
+		}
+	}
+	if last > first && p.Limit > 0 {
+		used = began / (last - first).Seconds() / p.Limit
+	}
+	return all, used
+}
+
+// Limited has a drawn plan hold a limit while twice as much of it is asked for. Only what is between sidecars is struck, and
+// themselves: what waits on a link to a node was let through before.
+func (p Plan) Limited(limit float64, policy string) Plan {
+	p.Limit, p.Policy, p.Pace, p.Rate = limit, policy, 50, 2*limit*float64(len(Classes))
+	p.Steps = slices.DeleteFunc(slices.Clone(p.Steps), func(s Step) bool {
+		return slices.Contains(s.To, "nodes") || slices.Contains(s.To, "discovery") || slices.Contains(s.From, "client") || len(s.To) == 1 && s.To[0][0] == 'n'
+	})
+	return p
+}
+
 // Draw draws a plan: faults of all kinds one after another and over one another, each undone before the plan ends. At
 // no time are as many as half of the sidecars down or stopped.
 func Draw(seed uint64, sidecars, nodes int, forMs int, rate float64) Plan {
--- a/internal/rig/quota_test.go
+++ b/internal/rig/quota_test.go
@@ -202,3 +202,70 @@
 		t.Errorf("%d began at the other one", n1)
 	}
 }
+
+// At each node no more is in work than the limit, whoever sends it, through the loss of a member and a stop; and the attempts
+// after the first stay a part of those.
+func TestNodeLimitHolds(t *testing.T) {
+	const most = 12
+	tail := fmt.Sprintf("[[quota]]\nname = \"each\"\nnode_in_flight = %d\nfloor_pct = 34\nmembers = 4\n[[quota]]\nname = \"retries\"\nretry_pct = 10\n", most)
+	r := running(t, Options{Sidecars: 4, Nodes: 3, Work: 150 * time.Millisecond, Lease: 6 * time.Second, Tail: tail})
+	for _, n := range r.nodes {
+		n.Heeds.Store(true)
+	}
+	until(t, r, 60*time.Second, "one view", r.Agreed)
+	ctx, end := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	load.Go(func() { r.Load(ctx, 400) }) // 20 in work at each node, without the limit
+	defer load.Wait()
+	defer end()
+	leased := func() bool {
+		for _, s := range r.Sidecars {
+			lines, err := s.Manage("QUOTAS")
+			if _, runs := s.Running(); runs && (err != nil || strings.Count(strings.Join(lines, "\n"), "each/n") != 3 || strings.Contains(lines[1], "lease=none")) {
+				return false
+			}
+		}
+		return true
+	}
+	until(t, r, 60*time.Second, "all have parts at each node", leased)
+	until(t, r, 60*time.Second, "the whole limit is given out", func() bool {
+		sum := 0.0
+		for _, s := range r.Sidecars {
+			n, _ := here(s)
+			sum += n
+		}
+		return sum >= most-1
+	})
+	ran := func() (n int) {
+		for _, e := range r.History.Entries() {
+			if e.Kind == checker.Ran {
+				n++
+			}
+		}
+		return n
+	}
+	before, from := ran(), time.Now()
+	until(t, r, 30*time.Second, "three seconds", func() bool { return time.Since(from) > 3*time.Second })
+	t.Logf("%.2f of what the limits let through", float64(ran()-before)/time.Since(from).Seconds()*0.150/(3*most))
+	r.Sidecars[1].Kill()
+	r.Sidecars[3].Stop()
+	from = time.Now()
+	until(t, r, 30*time.Second, "a lease", func() bool { return time.Since(from) > r.opts.Lease+time.Second })
+	r.Sidecars[3].Continue()
+	r.Sidecars[1].Start()
+	until(t, r, 60*time.Second, "all have parts again", leased)
+	end()
+	load.Wait()
+	for i, n := range r.nodes {
+		if peak := n.Peak.Load(); peak > most || peak < most/2 {
+			t.Errorf("%d in work at n%d at the most, the limit is %d", peak, i+1, most)
+		} else {
+			t.Logf("%d of %d in work at n%d at the most", peak, most, i+1)
+		}
+	}
+	lines, err := r.Sidecars[0].Manage("QUOTAS")
+	t.Log(lines, err)
+	if v := checker.Judge(r.History.Entries(), Classes, r.Bound()); v.SingleTwice+v.KeyedTwice > 0 {
+		t.Logf("ran twice, at a loss of a sidecar: %d single-shot, %d keyed", v.SingleTwice, v.KeyedTwice)
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,7 +33,10 @@
 	Slow  atomic.Int64 // nanoseconds
 	Size  atomic.Int64 // bytes of an answer
 	Jobs  atomic.Int64 // answered or about to be
+	Now   atomic.Int64 // in work,
+	Peak  atomic.Int64 // and the most of that so far
 	Fails atomic.Bool  // every job is answered with an error
+	Heeds atomic.Bool  // work ends with the time that the job came with
 	// Ran is told of each job before it is answered; drop means that the node knows the key and does no work. Set it
 	// before the first job comes; nil: none is told.
 	Ran func(id, key, class string) (drop bool)
@@ -62,6 +66,12 @@
 
 func (n *Node) serve(ctx *fasthttp.RequestCtx) {
 	n.Jobs.Add(1)
+	for now := n.Now.Add(1); ; {
+		if peak := n.Peak.Load(); now <= peak || n.Peak.CompareAndSwap(peak, now) {
+			break
+		}
+	}
+	defer n.Now.Add(-1)
 	delay := n.Delay.Load()
 	if len(ctx.PostBody()) >= LargeBody {
 		delay = n.Slow.Load()
@@ -72,8 +82,14 @@
 			delay = 0
 		}
 	}
+	late := false
+	if left, err := strconv.ParseFloat(string(ctx.Request.Header.Peek("X-Budget")), 64); err == nil && n.Heeds.Load() {
+		if budget := int64(left * float64(time.Second)); budget < delay {
+			delay, late = budget, true
+		}
+	}
 	time.Sleep(time.Duration(delay))
-	if n.Fails.Load() {
+	if late || n.Fails.Load() {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -95,6 +95,9 @@
 	OverShareWorth float64
 }
 
+// Allot tells what of a tenant's allowance is this sidecar's, in requests a second; below 0: an equal part, as at first.
+func (b *Balancer) Allot(tenant string, rate float64) { b.door.Allot(tenant, rate) }
+
 // Tenant is a caller with a share of what the fleet can do; what it sends beyond that is worth little.
 type Tenant = door.Tenant
 
