--- /dev/null
+++ b/internal/relay/same_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/budget"
+	"fieldrelay/logic"
+)
+
+// script plays drawn jobs, outcomes and lists to a relay and gives all that it told the others, in order.
+func script(t *testing.T, seed uint64, o Observer) (lines []string) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{claims: map[uint64]Claim{}, gate: budget.NewGate(1<<24, 1)}
+		cfg := logic.Config{Tick: 5 * time.Millisecond, Classes: []logic.Class{{Name: "safe", Deadline: time.Second, Aim: 300 * time.Millisecond},
+			{Name: "once", Effect: logic.Unsafe, Deadline: time.Second}}, Limits: logic.Limits{Attempts: 4, RetryAfter: true, MaxRetryAfter: time.Second, Cancel: true},
+			Contract: logic.Contract{ColdFrom: 0.3, Cold: time.Second}}
+		var err error
+		if b.Relay, err = New(cfg, seed, b, zerolog.Nop()); err != nil {
+			t.Fatal(err)
+		}
+		if o != nil {
+			b.Observe(o)
+		}
+		b.Start(b)
+		defer b.box.Close()
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var all []Member
+		for i := range 5 {
+			m := member(uint64(i+1), logic.Ready)
+			m.Name = fmt.Sprint("n", i+1)
+			all = append(all, m)
+		}
+		b.list(true, all...)
+		var open []uint64
+		for range 400 {
+			switch k := rng.IntN(10); {
+			case k < 5:
+				open = append(open, b.submit([]string{"safe", "once"}[rng.IntN(2)]))
+			case k < 9 && len(open) > 0:
+				at := rng.IntN(len(open))
+				id := open[at]
+				if c, ok := b.claims[id]; ok && b.jobs[id] != nil {
+					if _, out := b.jobs[id].out[c.ID.Attempt]; out {
+						b.outcome(id, []logic.Outcome{logic.Done, logic.Done, logic.Errored, logic.Busy, logic.Refused, logic.Reset}[rng.IntN(6)], "x")
+					}
+				}
+				if b.jobs[id] == nil {
+					open = slices.Delete(open, at, at+1)
+				}
+			default:
+				m := all[rng.IntN(len(all))]
+				m.State = []logic.State{logic.Ready, logic.Draining}[rng.IntN(2)]
+				b.list(false, m)
+			}
+			time.Sleep(time.Duration(1 + rng.Int64N(int64(30*time.Millisecond)))) // no two timers at one time
+			synctest.Wait()
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		lines = slices.Clone(b.lines)
+	})
+	return lines
+}
+
+// Without a fleet, and in one that limits nothing and avoids nothing, the same is decided: event by event, to the word.
+func TestSameDecisionsWithoutAFleet(t *testing.T) {
+	claims := 0
+	for seed := range uint64(20) {
+		alone, observed := script(t, seed, nil), script(t, seed, &watcher{outcomes: map[string]int{}})
+		if !slices.Equal(alone, observed) {
+			t.Fatalf("seed %d:\n%q\n%q", seed, alone, observed)
+		}
+		claims += len(alone)
+	}
+	if claims < 4000 {
+		t.Errorf("%d lines compared", claims)
+	}
+	t.Logf("%d lines compared", claims)
+	// It would be noticed.
+	if slices.Equal(script(t, 3, nil), script(t, 3, &watcher{outcomes: map[string]int{}, full: true})) {
+		t.Error("an observer that lets nothing through makes no difference")
+	}
+}
