Give back what a late attempt holds on the relay's goroutine, and read tests' state there

The timer puts it into the mailbox now, so that an observer is called by one goroutine alone, as its page says; tests look through the mailbox. `go test -race -count=3 ./internal/relay` passes.

--- a/internal/relay/observe_test.go
+++ b/internal/relay/observe_test.go
@@ -47,28 +47,31 @@
 		if got := strings.Join(b.lines, ", "); got != "answer 1 requeue" {
 			t.Errorf("%q: it never ran, so coming again does no harm", got)
 		}
-		w.full = false
+		b.on(func() { w.full = false })
 		id := b.submit("once")
-		if w.held != 1 || w.warm != 1 {
-			t.Errorf("%d held by one claim, %g warm", w.held, w.warm)
+		if held, warm := w.of(b); held != 1 || warm != 1 {
+			t.Errorf("%d held by one claim, %g warm", held, warm)
 		}
 		b.outcome(id, logic.Done, "hi")
-		if w.held != 0 {
-			t.Errorf("%d held after it", w.held)
+		if held, _ := w.of(b); held != 0 {
+			t.Errorf("%d held after it", held)
 		}
 		id = b.submit("once") // the node may work on what broke off until the request's time is over
 		b.outcome(id, logic.Reset, "")
-		if w.held != 1 {
-			t.Errorf("%d held by what broke off", w.held)
+		if held, _ := w.of(b); held != 1 {
+			t.Errorf("%d held by what broke off", held)
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
-		if w.held != 0 {
-			t.Errorf("%d held after the request's time", w.held)
-		}
-		b.cfg.Contract = logic.Contract{ColdFrom: 0.2, Cold: 10 * time.Second}
-		fresh := &node{since: b.now() - 5*time.Second}
-		if warm := b.warm(fresh); warm < 0.599 || warm > 0.601 {
+		if held, _ := w.of(b); held != 0 {
+			t.Errorf("%d held after the request's time", held)
+		}
+		warm := 0.0
+		b.on(func() {
+			b.cfg.Contract = logic.Contract{ColdFrom: 0.2, Cold: 10 * time.Second}
+			warm = b.warm(&node{since: b.now() - 5*time.Second})
+		})
+		if warm < 0.599 || warm > 0.601 {
 			t.Errorf("%g warm at half of the cold time", warm)
 		}
 	})
@@ -89,6 +92,18 @@
 	return func() { w.held-- }, true
 }
 
+// of tells what is held, and how warm the last node was, as the relay's goroutine has it.
+func (w *watcher) of(b *bench) (held int, warm float64) {
+	b.on(func() { held, warm = w.held, w.warm })
+	return held, warm
+}
+
+// on does something on the relay's goroutine and waits for it.
+func (b *bench) on(do func()) {
+	b.box.Put(do)
+	synctest.Wait()
+}
+
 func (w *watcher) Drains(node string, since time.Duration, drains bool) {
 	w.drains = append(w.drains, fmt.Sprint(node, since, drains))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -368,7 +368,7 @@
 	switch {
 	case c.done == nil:
 	case res.Outcome == logic.TimedOut || res.Outcome == logic.Canceled || res.Outcome == logic.Reset:
-		time.AfterFunc(time.Until(j.Expires), c.done) // the node may still work on it
+		time.AfterFunc(time.Until(j.Expires), func() { r.box.Put(c.done) }) // the node may still work on it
 	default:
 		c.done()
 	}
--- a/internal/relay/same_test.go
+++ b/internal/relay/same_test.go
@@ -46,12 +46,17 @@
 			case k < 9 && len(open) > 0:
 				at := rng.IntN(len(open))
 				id := open[at]
-				if c, ok := b.claims[id]; ok && b.jobs[id] != nil {
-					if _, out := b.jobs[id].out[c.ID.Attempt]; out {
-						b.outcome(id, []logic.Outcome{logic.Done, logic.Done, logic.Errored, logic.Busy, logic.Refused, logic.Reset}[rng.IntN(6)], "x")
+				out, there := false, false
+				b.on(func() {
+					if j := b.jobs[id]; j != nil {
+						_, out = j.out[b.claims[id].ID.Attempt]
 					}
+				})
+				if out {
+					b.outcome(id, []logic.Outcome{logic.Done, logic.Done, logic.Errored, logic.Busy, logic.Refused, logic.Reset}[rng.IntN(6)], "x")
 				}
-				if b.jobs[id] == nil {
+				b.on(func() { there = b.jobs[id] != nil })
+				if !there {
 					open = slices.Delete(open, at, at+1)
 				}
 			default:
@@ -64,7 +69,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
-		lines = slices.Clone(b.lines)
+		b.on(func() { lines = slices.Clone(b.lines) })
 	})
 	return lines
 }
