Cut a zone's name that a member's record cannot hold

With verdicts on, the record of a sidecar names its zone, 40 bytes at the most; the platform's settings allow longer names. Such a record was refused by all (member.Valid), so that the sidecar stood alone. The name is cut at the start of the fleet now; a test with a name of 100 bytes fails without that.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -110,7 +110,7 @@
 		Limits: limits, Demand: f.limits.demand, Words: opts.Words}
 	if set.Verdicts && f.avoid != nil {
 		f.seen.on = true
-		cfg.Seen, cfg.VerdictPct, cfg.Member.Zone = &f.seen, set.VerdictPc, opts.Zone
+		cfg.Seen, cfg.VerdictPct, cfg.Member.Zone = &f.seen, set.VerdictPc, opts.Zone[:min(len(opts.Zone), member.MostZone)]
 	}
 	f.core, err = NewCore(cfg, 0)
 	if err != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -99,3 +99,16 @@
 	w <- string(line)
 	return len(line), nil
 }
+
+// A zone's name that is longer than a record may hold is cut: the member is one of the fleet all the same.
+func TestLongZone(t *testing.T) {
+	a := start(t, "a")
+	s := settings.Defaults()
+	s.Fleet, s.Listen, s.Join, s.Pace, s.Lease, s.Voters, s.Verdicts = "test", "127.0.0.1:0", []string{a.Addr()}, 50, 1000, []string{"a"}, true
+	b, err := Start(Options{Settings: s, Name: "b", Zone: strings.Repeat("z", 100), Avoid: func([]string) {}}, zerolog.New(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Abandon)
+	until(t, "both see each other", func() bool { return shows(a, "b", "alive") && shows(b, "a", "alive") })
+}
