Divide a tenant's allowance evenly again once the file no longer says otherwise

Found on reading the change again: with the table of allowances taken out at SIGHUP, the module kept the last part it was told (limits.go made its gates anew and told nobody). Those tenants are told an equal part now; the test of ten thousand tenants fails without that.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -22,6 +22,7 @@
 	tenants  map[string][]*limited // and for one
 	shares   []*limited            // of tenants' allowances
 	allowed  []logic.Tenant
+	undo     []string   // tenants whose allowance is no longer divided
 	claims   []*limited // those of attempts that are for all nodes,
 	atNode   map[string][]*limited
 	settings quota.All
@@ -72,7 +73,7 @@
 
 // make makes the gates anew of the settings and the nodes.
 func (l *limits) make() (list []quota.Limit) {
-	was := l.byName
+	was, shared := l.byName, l.shares
 	l.gates, l.claims, l.general, l.shares = nil, nil, nil, nil
 	l.byName, l.atNode, l.tenants = map[string]*limited{}, map[string][]*limited{}, map[string][]*limited{}
 	add := func(s quota.Settings) *limited {
@@ -112,6 +113,11 @@
 			l.general = append(l.general, add(s))
 		}
 	}
+	for _, g := range shared {
+		if !slices.ContainsFunc(l.tenants[g.Tenant], func(o *limited) bool { return o.Shares }) {
+			l.undo = append(l.undo, g.Tenant)
+		}
+	}
 	return list
 }
 
@@ -128,6 +134,10 @@
 	now := time.Since(l.origin)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, tenant := range l.undo {
+		tell(tenant, -1) // an equal part again
+	}
+	l.undo = nil
 	for _, g := range l.shares {
 		part := g.told.past
 		if now < g.told.until {
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -115,6 +115,11 @@
 	if l.allotted(tell); len(told) != 1 || told["tenant-7"] != 9 {
 		t.Errorf("%v told by a grant", told)
 	}
+	clear(told)
+	l.set(nil) // the table is gone from the file: equal parts again
+	if l.allotted(tell); len(told) != 10_000 || told["tenant-7"] != -1 {
+		t.Errorf("%d told, tenant-7 %g", len(told), told["tenant-7"])
+	}
 }
 
 // Limits of attempts: each node has its own, and what leaves the list leaves them.
