Ask for the list again before what a silent watch missed counts as told

The calls themselves took 14 ms (median), 105 ms at the most, and none failed.

At fault: logic/logic.go, listLost: the wait that spares the list's service (300 sidecars x some hundred entries, capped at half of ask_every_ms) was taken also where the watch had been silent, since nobody told the module that what it misses counts as told so soon. internal/source/platform knew and said only "lost".

Now the source says with a loss when what is missed counts as told: 6 s after the last line of a watch that fell silent, 4 s after a move; it goes on saying so until a watch begins. The module waits an even part of half of what is left, so a second call still comes in time. Silence is noticed after 2.5 s (lines come every 2 s). The worst case is 2.5 + 1.75 s.

Tests: the module's for 200 seeds, the source's with watches that fall silent, fail again and move; both fail without the change.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -250,9 +250,16 @@
 	r.box.Put(func() { r.members(l) })
 }
 
-// ListLost tells that a watch failed or broke off.
-func (r *Relay) ListLost() {
-	r.box.Put(func() { r.step(&logic.Event{Kind: logic.EvListLost}) })
+// ListLost tells that a watch failed or broke off, and when what is missed counts as told; the zero time: by the contract's
+// interval alone.
+func (r *Relay) ListLost(told time.Time) {
+	r.box.Put(func() {
+		ev := &logic.Event{Kind: logic.EvListLost}
+		if !told.IsZero() {
+			ev.Expires = r.moment(told)
+		}
+		r.step(ev)
+	})
 }
 
 // moment is a time on the module's clock: Unix time at the start and monotonic time since, so that it
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -146,7 +146,7 @@
 			b.submitAs(4, "call1", "odd")
 		}, "claim 1.0 at 8 for 1s, answer 2 again, answer 1 served hi, answer 3 again, answer 4 failed"},
 		"a lost list is asked for again": {func(b *bench) {
-			b.ListLost()
+			b.ListLost(time.Time{})
 			time.Sleep(time.Second)
 		}, "watch"},
 		// A panic in the module costs its open jobs, not the process; the next job is served.
--- a/internal/source/platform/nodelist.go
+++ b/internal/source/platform/nodelist.go
@@ -20,13 +20,16 @@
 // Sink is told what discovery says. No call may block.
 type Sink interface {
 	Members(relay.Members)
-	ListLost()
+	ListLost(told time.Time) // told: when what is missed counts as told; zero: not soon
 }
 
-// Discovery writes an empty line every two seconds when nothing changes, and what it tells counts as told
-// after six: a watch silent for this long is lost.
+// Discovery writes an empty line every two seconds when nothing changes: a watch silent for longer is lost. What it missed
+// counts as told six seconds after it fell silent, which was after its last line; what a move to another address
+// leaves out, after four (PROTOCOL, LATER).
 const (
-	silence  = 3 * time.Second
+	silence  = 2500 * time.Millisecond
+	toldMiss = 6 * time.Second
+	toldMove = 4 * time.Second
 	dialing  = time.Second
 	mostLine = 1 << 20
 )
@@ -52,6 +55,7 @@
 	ids        map[string]uint64 // of every instance that is listed
 	taken      map[uint64]bool
 	watch      *stream        // the present one, or nil
+	told       time.Time      // what is missed since the last watch counts as told then; zero: not soon
 	kept       *budget.Charge // for the instances
 }
 
@@ -85,7 +89,7 @@
 func (a *Actor) Move(addr string) {
 	a.box.Put(func() {
 		if addr != a.addr {
-			a.addr, a.generation = addr, 0
+			a.addr, a.generation, a.told = addr, 0, time.Now().Add(toldMove)
 			a.open()
 		}
 	})
@@ -127,7 +131,7 @@
 		if !a.box.Put(func() {
 			if a.watch == s {
 				if !begun {
-					begun = true
+					begun, a.told = true, time.Time{}
 					a.log.Info().Dur("waited", time.Since(asked)).Msg("watch begun")
 				}
 				a.tell(l, false)
@@ -141,8 +145,11 @@
 	a.box.Put(func() {
 		if a.watch == s {
 			a.watch = nil
+			if begun && s.silent(err) {
+				a.told = s.heard.Add(toldMiss)
+			}
 			a.log.Warn().Err(err).Dur("lasted", time.Since(asked)).Msg("watch lost")
-			a.sink.ListLost()
+			a.sink.ListLost(a.told)
 		}
 	})
 }
--- a/internal/source/platform/nodelist_test.go
+++ b/internal/source/platform/nodelist_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -17,7 +18,14 @@
 // told stands in for the relay.
 type told struct{ *scenario.Stage }
 
-func (s told) ListLost() { s.Event("lost") }
+func (s told) ListLost(told time.Time) {
+	switch left := time.Until(told); {
+	case told.IsZero():
+		s.Event("lost")
+	case left > 0:
+		s.Event(fmt.Sprintf("lost, told within %ds", int(left.Seconds())+1))
+	}
+}
 func (s told) Members(l relay.Members) {
 	text := fmt.Sprintf("complete=%t stored=%t", l.Complete, l.Stored)
 	for _, m := range l.Members {
@@ -51,7 +59,30 @@
 		"an unknown lifecycle is a loss": begin + head + chunk(strings.Replace(change, "Terminating", "Odd", 1)) + "\n wait lost\n d wait",
 		"a long line is a loss":          begin + head + `200000\r\n{"generation":4,"note":"` + strings.Repeat("x", mostLine) + "\n wait lost\n d wait",
 		// Discovery writes every 2 s: a watch that says nothing is lost, although its connection stays open.
-		"silence is a loss": begin + head + "\n wait lost\n d wait",
+		// Before anything was told, it was the call that failed.
+		"a call that is not answered is a loss": begin + head + "\n wait lost\n d wait",
+		// A watch missed changes from its last line on: they count as told 6 s later, so 3.5 s are left once 2.5 s of silence
+		// are noticed. That holds for each further call until one begins.
+		"silence is a loss with little time left": begin + head + chunk(change) + `
+			wait complete=false stored=false h:1/1/7ms
+			wait lost, told within 4s
+			d wait
+			watch send now
+			e expect after=5 HTTP
+			e send HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n
+			wait lost, told within 4s
+			watch send now
+			f expect after=5 HTTP
+			f ` + strings.TrimPrefix(head, "d ") + chunk(strings.Replace(change, "5", "6", 1)) + `
+			wait complete=false stored=false h:1/1/7ms
+			f close
+			wait lost`,
+		"a move that fails leaves little time": begin + head + `
+			move send away
+			d wait
+			moved expect GET /v1/endpoints?watch=1 HTTP/1.1\r\n
+			moved send HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n
+			wait lost, told within 4s`,
 		// A second ask replaces the watch; the first must not be told as lost.
 		"a new watch ends the old one": begin + head + `
 			watch send again
--- a/internal/source/platform/stream.go
+++ b/internal/source/platform/stream.go
@@ -19,7 +19,8 @@
 type stream struct {
 	addr   string
 	after  uint64
-	entry  func() // called before an entry is held
+	entry  func()    // called before an entry is held
+	heard  time.Time // when the last line came; of run's goroutine, until it has returned
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -32,16 +33,24 @@
 
 func (s *stream) close() { s.cancel() }
 
+// silent tells whether the end that run gave is that nothing came for too long.
+func (s *stream) silent(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // lines reads for as long as a line comes to its end now and then.
 type lines struct {
 	io.Reader
-	conn net.Conn
+	conn  net.Conn
+	heard *time.Time
 }
 
 func (l lines) Read(p []byte) (int, error) {
 	n, err := l.Reader.Read(p)
 	if bytes.IndexByte(p[:n], '\n') >= 0 {
-		l.conn.SetDeadline(time.Now().Add(silence))
+		*l.heard = time.Now()
+		l.conn.SetDeadline(l.heard.Add(silence))
 	}
 	return n, err
 }
@@ -74,7 +83,7 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return fmt.Errorf("discovery answered %d", resp.StatusCode())
 	}
-	objects := endpoints.NewDecoder(lines{resp.BodyStream(), conn}, mostLine)
+	objects := endpoints.NewDecoder(lines{resp.BodyStream(), conn, &s.heard}, mostLine)
 	objects.Entry = s.entry
 	for {
 		l, err := objects.Next()
--- a/logic/api.go
+++ b/logic/api.go
@@ -162,7 +162,7 @@
 	Key      uint64
 	HasKey   bool
 	Hint     time.Duration // expected work; 0: not told
-	Expires  time.Duration // when the client stops waiting
+	Expires  time.Duration // when the client stops waiting; EvListLost: when what was missed counts as told, 0: as AskEvery says
 	Attempt  int
 	Latency  time.Duration
 	Outcome  Outcome
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -235,7 +235,7 @@
 	case EvMembers:
 		b.members(ev)
 	case EvListLost:
-		b.listLost()
+		b.listLost(ev.Expires)
 	case EvRequest:
 		b.request(ev)
 	case EvStarted:
@@ -405,12 +405,16 @@
 }
 
 // listLost asks again after a wait that doubles and lets the calls of all others pass, so that a service in
-// trouble is not kept there; the old list goes on being used.
-func (b *Balancer) listLost() {
+// trouble is not kept there. Where what was missed counts as told soon, a second call has time before that.
+func (b *Balancer) listLost(told time.Duration) {
 	if b.cfg.Subscribe {
 		work := min(b.listWork(), 2*b.longestAsk())
 		b.askWait = min(max(2*b.askWait, b.longestAsk()/16, work), max(b.longestAsk(), work))
-		b.askIn(time.Duration((0.5 + b.rng.Float64()/2) * float64(b.askWait)))
+		wait := (0.5 + b.rng.Float64()/2) * float64(b.askWait)
+		if told > b.now {
+			wait = min(wait, b.rng.Float64()*float64(max(told-b.now, b.longestAsk()/8))/2)
+		}
+		b.askIn(time.Duration(wait))
 	}
 }
 
@@ -449,8 +453,7 @@
 	return g == GroupAll || (g == GroupZone && a.Zone == s.Zone) || (g == GroupCell && a.Cell == s.Cell)
 }
 
-// width is the size of the subset: as many servers as the own requests keep fresh within δ. Of a large fleet
-// a quiet sidecar would know nothing, and keep a connection to each.
+// width is the size of the subset: as many servers as the own requests keep fresh within δ.
 func (b *Balancer) width() int { return max(int(b.rate*ageing.Seconds()/freshen), subsetLeast) }
 
 // candidates sets b.set to the servers r may go to: the first in this sidecar's order, as many as its width,
@@ -504,9 +507,7 @@
 // a time would hold a jam up: a small share of the own requests tries the one heard of least lately.
 func (b *Balancer) leaveLate(r *request) {
 	left := (r.useful() - b.now).Seconds() * lateRoom
-	tooLate := func(s *server) bool {
-		return s.lates >= lateRow || s.seeded && b.effective(s)*left < r.cost
-	}
+	tooLate := func(s *server) bool { return s.lates >= lateRow || s.seeded && b.effective(s)*left < r.cost }
 	if !slices.ContainsFunc(b.set, func(s *server) bool { return !tooLate(s) }) {
 		return
 	}
@@ -523,8 +524,7 @@
 	b.set = slices.DeleteFunc(b.set, tooLate)
 }
 
-// across is 1 if a send to s is charged for leaving the zone, or else 0. The subset has as many of each; the
-// weights keep off those across until the near ones are slow.
+// across is 1 if a send to s is charged for leaving the zone, or else 0. The subset has as many of each.
 func (b *Balancer) across(s *server) int {
 	if b.cfg.Prices.CrossZone > 0 && s.Zone != b.cfg.Zone {
 		return 1
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -316,6 +316,44 @@
 	}
 }
 
+// What a silent watch missed counts as told 6 s after its last line, and a drain gives half a second more. Asked for after
+// the wait that spares the service, up to half of AskEvery, the list came later than that.
+func TestAMissedListIsAskedForBeforeItCountsAsTold(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Subscribe, cfg.Balancers = true, 300
+	latest := time.Duration(0)
+	for seed := range uint64(200) {
+		b, _ := New(cfg, seed)
+		r := &rig{t: t, b: b, now: time.Minute}
+		r.step(Event{Kind: EvMembers, Servers: fleet(60), Complete: true})
+		const left = 3500 * ms
+		told := r.now + left
+		for call := 1; call <= 2; call++ {
+			r.step(Event{Kind: EvListLost, Expires: told})
+			w, _ := r.find(ActWake)
+			r.now = w.At
+			r.step(Event{Kind: EvWake, Timer: w.Timer})
+			if _, ok := r.find(ActWatch); !ok {
+				t.Fatal("not asked again")
+			}
+			if call == 1 {
+				latest = max(latest, r.now-(told-left))
+			}
+			r.now += time.Second // the call waits in vain
+		}
+		if late := r.now - time.Second - told; late > 0 {
+			t.Errorf("seed %d: the second call comes %s after what was missed counts as told", seed, late)
+		}
+		r.step(Event{Kind: EvListLost, Expires: told}) // it counts as told: the service is spared again
+		if w, _ := r.find(ActWake); r.now > told && w.At-r.now < cfg.Contract.AskEvery/32 {
+			t.Errorf("seed %d: asked again after %s though all is told", seed, w.At-r.now)
+		}
+	}
+	if latest > 1750*ms || latest < time.Second {
+		t.Errorf("300 sidecars ask within %s", latest)
+	}
+}
+
 func TestUnknownEventsAreIgnored(t *testing.T) {
 	r := newRig(t, settings(Safe), fleet(1)...)
 	r.serve(1, func(uint64) time.Duration { return ms })
