Take a call for the list that is never answered for a watch that fell silent

The clock counts from the call then. A connection that does not come up is still a call that failed. Test: both kinds of silence.

--- a/internal/source/platform/nodelist.go
+++ b/internal/source/platform/nodelist.go
@@ -145,7 +145,7 @@
 	a.box.Put(func() {
 		if a.watch == s {
 			a.watch = nil
-			if begun && s.silent(err) {
+			if s.silent(err) {
 				a.told = s.heard.Add(toldMiss)
 			}
 			a.log.Warn().Err(err).Dur("lasted", time.Since(asked)).Msg("watch lost")
--- a/internal/source/platform/nodelist_test.go
+++ b/internal/source/platform/nodelist_test.go
@@ -59,8 +59,8 @@
 		"an unknown lifecycle is a loss": begin + head + chunk(strings.Replace(change, "Terminating", "Odd", 1)) + "\n wait lost\n d wait",
 		"a long line is a loss":          begin + head + `200000\r\n{"generation":4,"note":"` + strings.Repeat("x", mostLine) + "\n wait lost\n d wait",
 		// Discovery writes every 2 s: a watch that says nothing is lost, although its connection stays open.
-		// Before anything was told, it was the call that failed.
-		"a call that is not answered is a loss": begin + head + "\n wait lost\n d wait",
+		"a call that is not answered is a loss": begin + "wait lost, told within 4s\n d wait",
+		"a watch that tells nothing is a loss":  begin + head + "\n wait lost, told within 4s\n d wait",
 		// A watch missed changes from its last line on: they count as told 6 s later, so 3.5 s are left once 2.5 s of silence
 		// are noticed. That holds for each further call until one begins.
 		"silence is a loss with little time left": begin + head + chunk(change) + `
--- a/internal/source/platform/stream.go
+++ b/internal/source/platform/stream.go
@@ -20,7 +20,7 @@
 	addr   string
 	after  uint64
 	entry  func()    // called before an entry is held
-	heard  time.Time // when the last line came; of run's goroutine, until it has returned
+	heard  time.Time // when the last line came, or the call was made; of run's goroutine, until it has returned
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -33,10 +33,11 @@
 
 func (s *stream) close() { s.cancel() }
 
-// silent tells whether the end that run gave is that nothing came for too long.
+// silent tells whether the end that run gave is that nothing came for too long. A connection that did not come up is none
+// that fell silent.
 func (s *stream) silent(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	var timeout interface{ Timeout() bool }
+	return !s.heard.IsZero() && (errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout())
 }
 
 // lines reads for as long as a line comes to its end now and then.
@@ -66,7 +67,8 @@
 	defer conn.Close()
 	defer context.AfterFunc(s.ctx, func() { conn.Close() })()
 
-	conn.SetDeadline(time.Now().Add(silence))
+	s.heard = time.Now()
+	conn.SetDeadline(s.heard.Add(silence))
 	target := "/v1/endpoints?watch=1"
 	if s.after > 0 {
 		target += fmt.Sprintf("&after=%d", s.after)
