--- /dev/null
+++ b/internal/contract/broken_test.go
@@ -0,0 +1,126 @@
+package contract
+
+import (
+	"errors"
+	"io/fs"
+	"strings"
+	"testing"
+
+	"fieldrelay/internal/store"
+)
+
+// broken wraps what a place opens.
+func broken(layer func(store.Layer) store.Layer, wrap func(store.Store) store.Store, redo func(l store.Layer, path string, err error) bool, owner string) StoreMaker {
+	const most = 4 << 10
+	return StoreMaker{Most: most, Begin: func(t T, seed uint64) StorePlace {
+		return FilePlace(seed, func(l store.Layer, path, who string) (store.Store, store.Found, error) {
+			under := l
+			if layer != nil {
+				l = layer(l)
+			}
+			if owner != "" {
+				who = owner
+			}
+			f, found, err := store.OpenFile(l, store.Options{Path: path, Owner: who, Most: most})
+			if err != nil && redo != nil && redo(under, path, err) {
+				f, found, err = store.OpenFile(l, store.Options{Path: path, Owner: who, Most: most})
+			}
+			if err != nil {
+				return nil, found, err
+			}
+			if wrap != nil {
+				return wrap(f), found, nil
+			}
+			return f, found, nil
+		}, func(text []byte) []byte { return store.Reformat(text, store.Format+1) })
+	}}
+}
+
+type unsynced struct{ store.Layer }
+
+func (unsynced) Sync(string) error { return nil }
+
+type unlocked struct{ store.Layer }
+
+func (unlocked) Lock(string) (func() error, error) { return func() error { return nil }, nil }
+
+// forgetful keeps no word on how far it had come.
+type forgetful struct{ store.Layer }
+
+func (f forgetful) ReadFile(path string, most int) ([]byte, error) {
+	if strings.HasSuffix(path, ".far") {
+		return nil, fs.ErrNotExist
+	}
+	return f.Layer.ReadFile(path, most)
+}
+
+// trusting reads what is there as if it were whole: what is torn ends the process's start.
+type halving struct{ store.Store }
+
+func (h halving) Commit(b *store.Batch) error {
+	if err := h.Store.Commit(b); !errors.Is(err, store.ErrFull) {
+		return err
+	}
+	return put(h.Store, "a", "half")
+}
+
+type lossy struct{ store.Store }
+
+func (l lossy) Each(prefix string, do func(string, []byte) error) error {
+	return l.Store.Each(prefix, func(k string, v []byte) error {
+		if len(v) == 0 {
+			return nil // an empty value is taken for none
+		}
+		return do(k, v)
+	})
+}
+
+// stubborn does not start on what is torn.
+func stubborn() StoreMaker {
+	m := broken(nil, nil, nil, "")
+	begin := m.Begin
+	m.Begin = func(t T, seed uint64) StorePlace {
+		p := begin(t, seed)
+		open := p.Open
+		p.Open = func(owner string) (store.Store, store.Found, error) {
+			s, found, err := open(owner)
+			if err == nil && found.Why != "" {
+				return nil, found, errors.Join(errors.New(found.Why), s.Close())
+			}
+			return s, found, err
+		}
+		return p
+	}
+	return m
+}
+
+// Each clause has a store that breaks it, and is the one that is named.
+func TestBrokenStoresAreNamed(t *testing.T) {
+	wipe := func(which error) func(l store.Layer, path string, err error) bool {
+		return func(l store.Layer, path string, err error) bool {
+			return errors.Is(err, which) && l.Rename(path, path+".gone") == nil
+		}
+	}
+	for want, m := range map[string]StoreMaker{
+		"a batch is done whole and in order":                         broken(nil, func(s store.Store) store.Store { return lossy{s} }, nil, ""),
+		"a batch over the bound is refused whole":                    broken(nil, func(s store.Store) store.Store { return halving{s} }, nil, ""),
+		"what was acknowledged is there after a crash":               broken(func(l store.Layer) store.Layer { return unsynced{l} }, nil, nil, ""),
+		"torn or foreign bytes are one clear line and a blank store": stubborn(),
+		"a later format is refused untouched":                        broken(nil, nil, wipe(store.ErrLater), ""),
+		"another owner's store is refused untouched":                 broken(nil, nil, nil, "anybody"),
+		"an older copy put back is recognised":                       broken(func(l store.Layer) store.Layer { return forgetful{l} }, nil, nil, ""),
+		"one process has it at a time":                               broken(func(l store.Layer) store.Layer { return unlocked{l} }, nil, nil, ""),
+	} {
+		names := Broken(t, StoreClauses, m)
+		found := false
+		for _, n := range names {
+			found = found || n == want
+		}
+		if !found {
+			t.Errorf("%s: not named, but %q", want, names)
+		}
+	}
+	if names := Broken(t, StoreClauses, broken(nil, nil, nil, "")); len(names) > 0 {
+		t.Errorf("a whole store is said to break %q", names)
+	}
+}
--- /dev/null
+++ b/internal/contract/place.go
@@ -0,0 +1,117 @@
+package contract
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"sync"
+
+	"fieldrelay/internal/store"
+)
+
+// FilePlace is a place on a Layer, for a store in plain files. later makes a text say that it is of a later format.
+func FilePlace(seed uint64, open func(l store.Layer, path, owner string) (store.Store, store.Found, error), later func([]byte) []byte) StorePlace {
+	const path = "dir/kept"
+	l := NewLayer(seed)
+	rng := rand.New(rand.NewPCG(seed, 3))
+	p := StorePlace{
+		Open:           func(owner string) (store.Store, store.Found, error) { return open(l, path, owner) },
+		Spoil:          func(change func([]byte) []byte) bool { return l.Spoil(path, change) },
+		Bytes:          func() []byte { return l.Text(path) },
+		Later:          func() { l.Spoil(path, later) },
+		KnowsOldCopies: true,
+	}
+	p.Kill = func(work func(store.Store) error) error {
+		l.KillAt = 1 + rng.IntN(60)
+		s, _, err := p.Open(storeOwner)
+		if err == nil {
+			err = work(s)
+		}
+		if err != nil && !errors.Is(err, errKilled) && !errors.Is(err, store.ErrBroken) {
+			return err
+		}
+		if rng.IntN(4) == 0 {
+			l.Kill()
+		} else {
+			l.Crash()
+		}
+		return nil
+	}
+	return p
+}
+
+// DiskPlace is a place at a path of the system's. Its processes die in the middle of a batch: what the next one finds is a
+// copy that was taken while that was written.
+func DiskPlace(path string, seed uint64, open func(owner string) (store.Store, store.Found, error)) StorePlace {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	read := func() []byte {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return nil
+		}
+		return b
+	}
+	write := func(b []byte) bool { return os.WriteFile(path, b, 0o600) == nil }
+	return StorePlace{
+		Open: open,
+		Spoil: func(change func([]byte) []byte) bool {
+			b := read()
+			return b != nil && write(change(b))
+		},
+		Bytes: read,
+		Kill: func(work func(store.Store) error) error {
+			s, found, err := open(storeOwner)
+			if err != nil {
+				return err
+			}
+			if found.Why != "" {
+				return errors.New("told: " + found.Why)
+			}
+			k := &dying{Store: s, left: rng.IntN(5), read: read, spins: rng.IntN(20_000)}
+			if err := work(k); err != nil && !errors.Is(err, errKilled) {
+				return err
+			}
+			if k.copied == nil {
+				k.copied = read()
+			}
+			if err := s.Close(); err != nil {
+				return err
+			}
+			if len(k.copied) > 0 && !write(k.copied) {
+				return errors.New("the copy is not written")
+			}
+			return nil
+		},
+	}
+}
+
+// dying is a store whose process dies in one of its batches.
+type dying struct {
+	store.Store
+	left   int // batches before that
+	spins  int // how far into it
+	read   func() []byte
+	copied []byte
+}
+
+func (d *dying) Commit(b *store.Batch) error {
+	if d.copied != nil {
+		return errKilled
+	}
+	if d.left--; d.left >= 0 {
+		return d.Store.Commit(b)
+	}
+	before := d.read()
+	var wg sync.WaitGroup
+	var err error
+	wg.Go(func() { err = d.Store.Commit(b) })
+	for i := range d.spins { // work of a drawn length, so that the copy falls anywhere
+		if bytes.Count(before[:min(len(before), 64)], []byte{byte(i)}) > 64 {
+			break
+		}
+	}
+	d.copied = d.read()
+	wg.Wait()
+	return errors.Join(errKilled, err)
+}
--- a/internal/daemon/manage.go
+++ b/internal/daemon/manage.go
@@ -1,11 +1,10 @@
 package daemon
 
 import (
-	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +29,7 @@
 	figures *metrics.Registry
 	peers   *peers
 	told    *told
-	kept    string // the file of the suspensions, for the process after this one
+	kept    *kept // for the process after this one
 	log     zerolog.Logger
 
 	serving  atomic.Int64 // Unix nanoseconds since fronts take clients; 0: not yet
@@ -103,35 +102,25 @@
 
 // keep writes the names suspended now where the process after this one finds them.
 func (o *operations) keep(names []string) {
-	if o.kept == "" {
+	if o.kept == nil {
 		return
 	}
-	if err := writeWhole(o.kept, o.told.here(names)); err != nil {
+	if err := o.kept.write(keySuspended, o.told.here(names)); err != nil {
 		o.log.Error().Err(err).Msg("suspensions not kept for the next process")
 	}
 }
 
 // suspensions reads what the process before this one kept. None kept is none.
-func suspensions(path string) ([]string, error) {
-	text, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
+func suspensions(k *kept) (names []string, err error) {
+	if err := k.read(keySuspended, &names); err != nil {
 		return nil, err
 	}
-	var names []string
-	if err := json.Unmarshal(text, &names); err != nil || len(names) > relay.MostSuspended {
-		return nil, errors.Join(errors.New(path+": not a list of suspended execute nodes"), err)
+	if len(names) > relay.MostSuspended {
+		return nil, fmt.Errorf("%d suspended execute nodes, %d at most", len(names), relay.MostSuspended)
 	}
 	return names, nil
 }
 
-// keptPath is the file of the suspensions of a sidecar: in $TMPDIR, which a process that replaces this one shares.
-func keptPath(name string) string {
-	return filepath.Join(os.TempDir(), "fieldrelay-"+filepath.Base(name)+".suspended.json")
-}
-
 func (o *operations) Pause() {
 	o.paused.Store(true)
 	for _, f := range o.fronts.Fronts() {
--- a/internal/daemon/manage_test.go
+++ b/internal/daemon/manage_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"os"
-	"path/filepath"
 	"slices"
 	"syscall"
 	"testing"
@@ -52,7 +51,7 @@
 // What one process suspends, the next one reads; a file that is not a list is an error, none is none.
 func TestSuspensionsKept(t *testing.T) {
 	dir := t.TempDir()
-	o := &operations{told: &told{}, kept: filepath.Join(dir, "s.json")}
+	o := &operations{told: &told{}, kept: keptFor(dir, "s")}
 	if names, err := suspensions(o.kept); err != nil || names != nil {
 		t.Fatalf("no file: %v %v", names, err)
 	}
@@ -66,8 +65,24 @@
 	if names, err := suspensions(o.kept); err != nil || !slices.Equal(names, []string{"a", "c"}) {
 		t.Fatalf("kept beside the fleet's: %v %v", names, err)
 	}
-	os.WriteFile(o.kept, []byte("{"), 0o600)
-	if _, err := suspensions(o.kept); err == nil {
-		t.Error("a broken file is taken")
+	if err := os.WriteFile(o.kept.options.Path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if names, err := suspensions(o.kept); err == nil {
+		t.Errorf("a broken file is taken: %q", names)
+	}
+	// What a program before the store kept goes on, and is gone once it is kept anew.
+	earlier := keptFor(dir, "e")
+	if err := os.WriteFile(earlier.earlier[keySuspended], []byte(`["x"]`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if names, err := suspensions(earlier); err != nil || !slices.Equal(names, []string{"x"}) {
+		t.Errorf("of an earlier program: %v %v", names, err)
+	}
+	if err := earlier.write(keySuspended, []string{"y"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(earlier.earlier[keySuspended]); err == nil {
+		t.Error("the earlier file is still there, for an earlier program to believe")
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -83,7 +83,7 @@
 		return err
 	}
 	figures.Hosts(core.Hosts)
-	kept := keptPath(cfg.Name)
+	kept := keptFor(os.TempDir(), cfg.Name)
 	names, err := suspensions(kept)
 	if err != nil {
 		log.Warn().Err(err).Msg("suspensions of the process before not taken")
@@ -99,7 +99,7 @@
 		inherited.Listeners[cfg.Listen] = ln
 	}
 	list := platform.New(cfg.Discovery, core, gate, hub.Part("list"))
-	members := &peers{name: cfg.Name, log: hub.Part("fleet"), join: join, zone: cfg.Logic.Zone, tenants: cfg.Logic.Tenants, core: core, told: newTold(core, cfg.Name, hub.Part("fleet"))}
+	members := &peers{name: cfg.Name, log: hub.Part("fleet"), join: join, zone: cfg.Logic.Zone, tenants: cfg.Logic.Tenants, core: core, told: newTold(core, kept, hub.Part("fleet"))}
 	if join != nil {
 		core.Observe(members)
 	}
--- a/internal/daemon/told.go
+++ b/internal/daemon/told.go
@@ -1,10 +1,6 @@
 package daemon
 
 import (
-	"encoding/json"
-	"errors"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 
@@ -18,7 +14,7 @@
 // a node takes jobs again once neither of the two has it suspended.
 type told struct {
 	core *relay.Relay
-	path string
+	kept *kept
 	log  zerolog.Logger
 
 	mu        sync.Mutex
@@ -26,32 +22,27 @@
 	byHand    map[string]bool // here
 }
 
-func newTold(core *relay.Relay, name string, log zerolog.Logger) *told {
-	return &told{core: core, path: filepath.Join(os.TempDir(), "fieldrelay-"+filepath.Base(name)+".fleet.json"), log: log, byHand: map[string]bool{}}
+func newTold(core *relay.Relay, kept *kept, log zerolog.Logger) *told {
+	return &told{core: core, kept: kept, log: log, byHand: map[string]bool{}}
 }
 
 // read is what the process before this one kept; it takes effect.
 func (t *told) read() []verdict.Word {
-	text, err := os.ReadFile(t.path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
 	var words []verdict.Word
-	if err == nil {
-		err = json.Unmarshal(text, &words)
-	}
-	if err != nil {
+	if err := t.kept.read(keyWords, &words); err != nil {
 		t.log.Warn().Err(err).Msg("what the fleet said of execute nodes before not taken")
 		return nil
 	}
-	t.apply(words)
+	if len(words) > 0 {
+		t.apply(words)
+	}
 	return words
 }
 
 // changed takes over what the fleet says now, and keeps it.
 func (t *told) changed(all []verdict.Word) {
 	t.apply(all)
-	if err := writeWhole(t.path, all); err != nil {
+	if err := t.kept.write(keyWords, all); err != nil {
 		t.log.Error().Err(err).Msg("what the fleet says of execute nodes not kept for the next process")
 	}
 }
@@ -108,15 +99,3 @@
 	defer t.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return slices.Contains(t.suspended, n) && !t.byHand[n] })
 }
-
-// writeWhole writes a file as JSON so that a reader finds the old one or the new one.
-func writeWhole(path string, v any) error {
-	text, err := json.Marshal(v)
-	if err == nil {
-		err = os.WriteFile(path+".new", text, 0o600)
-	}
-	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	return err
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,10 +97,14 @@
 	boot, seed := member.NewBoot(time.Now().UnixMilli(), random()), random()
 	var kept *view.Kept
 	if set.State != "" {
-		if f.keeper, kept, err = openKeeper(set.State, set.Fleet, set.Name); err != nil {
+		var why string
+		if f.keeper, kept, why, err = openKeeper(set.State, set.Fleet, set.Name); err != nil {
 			channel.Close()
 			return nil, fmt.Errorf("fleet.state: %w", err)
 		}
+		if why != "" { // without its state this process is a new voter, if it is one
+			log.Error().Msg(why)
+		}
 	}
 	cfg := CoreConfig{Fleet: set.Fleet,
 		Member: member.Config{Name: set.Name, Addr: cmp.Or(set.Advertise, channel.Addr()), Boot: boot, Join: set.Join,
--- a/internal/fleet/keep.go
+++ b/internal/fleet/keep.go
@@ -4,72 +4,76 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"go.etcd.io/bbolt"
 
+	"fieldrelay/internal/store"
+	"fieldrelay/internal/store/bolt"
 	"fieldrelay/internal/view"
 )
 
 // keeper keeps a voter's state in a folder: one bbolt file, synced at each change. A nil keeper keeps nothing.
 type keeper struct {
-	db *bbolt.DB
+	store store.Store
 }
 
 const (
 	keptFile  = "voter.db"
+	mostKept  = 64 << 20        // bytes: the engine's log is cut long before
 	openWait  = 5 * time.Second // for the file, which a process that ends may still hold
-	keptOwner = "owner"
+	entryKeys = "entry/"        // and the number, in hexadecimal digits that sort as it does
+	entryEnd  = "entry0"        // behind the last of those keys
 )
 
-var (
-	metaBucket  = []byte("meta")
-	entryBucket = []byte("entries")
-)
-
-// openKeeper opens the state of a member of a fleet and reads it. That of another member is not touched.
-func openKeeper(folder, fleet, name string) (*keeper, *view.Kept, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return nil, nil, err
+// openKeeper opens the state of a member of a fleet and reads it. That of another member is not touched. why is a line on
+// state that is there and cannot be used.
+func openKeeper(folder, fleet, name string) (k *keeper, kept *view.Kept, why string, err error) {
+	s, found, err := bolt.Open(store.Options{Path: filepath.Join(folder, keptFile), Owner: fleet + "/" + name, Most: mostKept, Wait: openWait}, upgradeKept)
+	if err != nil {
+		return nil, nil, "", err
 	}
-	db, err := bbolt.Open(filepath.Join(folder, keptFile), 0o600, &bbolt.Options{Timeout: openWait})
+	k, kept = &keeper{s}, &view.Kept{}
+	kept.Voter, kept.Era = k.number("voter"), k.number("era")
+	kept.Hard, _ = s.Get("hard")
+	kept.Snapshot, _ = s.Get("snapshot")
+	err = s.Each(entryKeys, func(key string, data []byte) error {
+		index, err := strconv.ParseUint(key[len(entryKeys):], 16, 64)
+		kept.Entries = append(kept.Entries, view.Entry{Index: index, Data: data})
+		return err
+	})
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, "", errors.Join(err, s.Close())
 	}
-	k := &keeper{db}
-	kept := &view.Kept{}
-	err = db.Update(func(tx *bbolt.Tx) error {
-		meta, err := tx.CreateBucketIfNotExists(metaBucket)
-		entries, err2 := tx.CreateBucketIfNotExists(entryBucket)
-		if err := errors.Join(err, err2); err != nil {
-			return err
+	return k, kept, found.Why, nil
+}
+
+// upgradeKept takes over what programs before the store kept in two buckets of their own.
+func upgradeKept(tx *bbolt.Tx, b *store.Batch) error {
+	meta, entries := tx.Bucket([]byte("meta")), tx.Bucket([]byte("entries"))
+	for _, key := range []string{"voter", "era", "hard", "snapshot"} {
+		if v := meta.Get([]byte(key)); v != nil {
+			b.Put(key, v)
 		}
-		owner := fleet + "/" + name
-		if was := meta.Get([]byte(keptOwner)); was != nil && string(was) != owner {
-			return fmt.Errorf("the state is that of %s, not of %s", was, owner)
-		} else if was == nil {
-			if err := meta.Put([]byte(keptOwner), []byte(owner)); err != nil {
-				return err
-			}
+	}
+	if entries == nil {
+		return nil
+	}
+	return entries.ForEach(func(index, data []byte) error {
+		if len(index) != 8 {
+			return fmt.Errorf("an entry's number of %d bytes", len(index))
 		}
-		kept.Voter, kept.Era = read(meta, "voter"), read(meta, "era")
-		kept.Hard = append([]byte(nil), meta.Get([]byte("hard"))...)
-		kept.Snapshot = append([]byte(nil), meta.Get([]byte("snapshot"))...)
-		return entries.ForEach(func(index, data []byte) error {
-			kept.Entries = append(kept.Entries, view.Entry{Index: binary.BigEndian.Uint64(index), Data: append([]byte(nil), data...)})
-			return nil
-		})
+		b.Put(entryKey(binary.BigEndian.Uint64(index)), data)
+		return nil
 	})
-	if err != nil {
-		return nil, nil, errors.Join(err, db.Close())
-	}
-	return k, kept, nil
 }
 
-func read(b *bbolt.Bucket, key string) uint64 {
-	if v := b.Get([]byte(key)); len(v) == 8 {
+func entryKey(index uint64) string { return fmt.Sprintf("%s%016x", entryKeys, index) }
+
+func (k *keeper) number(key string) uint64 {
+	if v, ok := k.store.Get(key); ok && len(v) == 8 {
 		return binary.BigEndian.Uint64(v)
 	}
 	return 0
@@ -80,54 +84,40 @@
 	if k == nil {
 		return nil
 	}
-	return k.db.Update(func(tx *bbolt.Tx) error {
-		meta, entries := tx.Bucket(metaBucket), tx.Bucket(entryBucket)
-		var errs []error
-		put := func(key string, value []byte) { errs = append(errs, meta.Put([]byte(key), value)) }
-		if c.Forget {
-			for _, key := range []string{"voter", "era", "hard", "snapshot"} {
-				errs = append(errs, meta.Delete([]byte(key)))
-			}
-			errs = append(errs, drop(entries, nil))
-		}
-		if c.Voter != 0 {
-			put("voter", binary.BigEndian.AppendUint64(nil, c.Voter))
-			put("era", binary.BigEndian.AppendUint64(nil, c.Era))
-		}
-		if c.Hard != nil {
-			put("hard", c.Hard)
+	var b store.Batch
+	if c.Forget {
+		for _, key := range []string{"voter", "era", "hard", "snapshot"} {
+			b.Delete(key)
 		}
-		if len(c.Entries) > 0 {
-			errs = append(errs, drop(entries, func(index uint64) bool { return index >= c.Entries[0].Index }))
-			for _, e := range c.Entries {
-				errs = append(errs, entries.Put(binary.BigEndian.AppendUint64(nil, e.Index), e.Data))
-			}
-		}
-		if c.Snapshot != nil {
-			put("snapshot", c.Snapshot)
-			last, err := view.SnapshotIndex(c.Snapshot)
-			errs = append(errs, err, drop(entries, func(index uint64) bool { return index <= last }))
+		b.DeleteRange(entryKeys, entryEnd)
+	}
+	if c.Voter != 0 {
+		b.Put("voter", binary.BigEndian.AppendUint64(nil, c.Voter))
+		b.Put("era", binary.BigEndian.AppendUint64(nil, c.Era))
+	}
+	if c.Hard != nil {
+		b.Put("hard", c.Hard)
+	}
+	if len(c.Entries) > 0 {
+		b.DeleteRange(entryKey(c.Entries[0].Index), entryEnd)
+		for _, e := range c.Entries {
+			b.Put(entryKey(e.Index), e.Data)
 		}
-		return errors.Join(errs...)
-	})
-}
-
-// drop deletes entries; which is nil: all.
-func drop(b *bbolt.Bucket, which func(index uint64) bool) error {
-	c := b.Cursor()
-	for key, _ := c.First(); key != nil; key, _ = c.Next() {
-		if which == nil || which(binary.BigEndian.Uint64(key)) {
-			if err := c.Delete(); err != nil {
-				return err
-			}
+	}
+	if c.Snapshot != nil {
+		b.Put("snapshot", c.Snapshot)
+		last, err := view.SnapshotIndex(c.Snapshot)
+		if err != nil {
+			return err
 		}
+		b.DeleteRange(entryKeys, entryKey(last+1))
 	}
-	return nil
+	return k.store.Commit(&b)
 }
 
 func (k *keeper) close() error {
 	if k == nil {
 		return nil
 	}
-	return k.db.Close()
+	return k.store.Close()
 }
--- /dev/null
+++ b/internal/store/bolt/bolt.go
@@ -0,0 +1,258 @@
+// Package bolt is a store in a bbolt file, of which a batch writes only what it
+// changes: for a log.
+package bolt
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+
+	"fieldrelay/internal/store"
+)
+
+// Store is an open file. It is a store.Store.
+type Store struct {
+	db     *bbolt.DB
+	most   int
+	size   int // of keys and values
+	broken bool
+}
+
+var (
+	boltValues = []byte("values")
+	boltMeta   = []byte("meta")
+)
+
+// Each value is followed by a sum of it and its key: bbolt does not see a bit that flips in a value.
+const valueSum = 8
+
+// Open opens a store. upgrade, if it is not nil, is called once with a file that an earlier program wrote in a form of
+// its own, to say what of it goes on.
+func Open(o store.Options, upgrade func(tx *bbolt.Tx, b *store.Batch) error) (*Store, store.Found, error) {
+	path := o.Path
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return nil, store.Found{}, err
+	}
+	s := &Store{most: o.Most}
+	found, err := s.open(o, upgrade)
+	if !errors.Is(err, store.ErrForm) {
+		return s, found, err
+	}
+	why := err.Error()
+	if err := os.Rename(path, path+store.BadSuffix); err != nil {
+		return nil, store.Found{}, err
+	}
+	s = &Store{most: o.Most}
+	_, err = s.open(o, upgrade)
+	return s, store.Found{Blank: true, Why: path + ": " + why + "; it is set aside as " + filepath.Base(path) + store.BadSuffix + " and nothing of it is used"}, err
+}
+
+// open opens and looks through the whole file: what is torn shows here and not in the middle of an election.
+func (s *Store) open(o store.Options, upgrade func(*bbolt.Tx, *store.Batch) error) (found store.Found, err error) {
+	path, owner := o.Path, o.Owner
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a file cut short is a fault of the memory that maps it
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("%w: %v", store.ErrForm, fault)
+		}
+		if err != nil && s.db != nil {
+			s.closeTorn()
+		}
+	}()
+	if info, err := os.Stat(path); err == nil && info.Size() == 0 {
+		return found, fmt.Errorf("%w: it is empty", store.ErrForm)
+	}
+	s.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: max(o.Wait, time.Millisecond)})
+	switch {
+	case err == nil:
+	case errors.Is(err, bbolt.ErrTimeout):
+		return found, fmt.Errorf("%s: %w", path, store.ErrBusy)
+	case errors.Is(err, bbolt.ErrInvalid), errors.Is(err, bbolt.ErrChecksum), errors.Is(err, bbolt.ErrVersionMismatch):
+		return found, fmt.Errorf("%w: %v", store.ErrForm, err)
+	case errors.Is(err, os.ErrPermission):
+		return found, err
+	default: // shorter than a page, or a folder
+		if info, err2 := os.Stat(path); err2 != nil || info.IsDir() {
+			return found, err
+		}
+		return found, fmt.Errorf("%w: %v", store.ErrForm, err)
+	}
+	earlier, begun := false, false
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		for fault := range tx.Check() {
+			return fmt.Errorf("%w: %v", store.ErrForm, fault)
+		}
+		meta := tx.Bucket(boltMeta)
+		if meta == nil {
+			found.Blank = true
+			return nil
+		}
+		if was := meta.Get([]byte("owner")); was != nil && string(was) != owner {
+			return fmt.Errorf("%s: %w: %q, not %q", path, store.ErrOwner, was, owner)
+		}
+		format := meta.Get([]byte("format"))
+		switch {
+		case format == nil:
+			earlier = true
+			return nil
+		case len(format) != 8:
+			return fmt.Errorf("%w: its format has no form", store.ErrForm)
+		case binary.BigEndian.Uint64(format) > store.Format:
+			return fmt.Errorf("%s: %w: %d, this program reads up to %d", path, store.ErrLater, binary.BigEndian.Uint64(format), store.Format)
+		}
+		values := tx.Bucket(boltValues)
+		if values == nil {
+			return fmt.Errorf("%w: no values", store.ErrForm)
+		}
+		found.Blank, begun = true, true
+		return values.ForEach(func(k, v []byte) error {
+			found.Blank = false
+			value, ok := checked(k, v)
+			if !ok {
+				return fmt.Errorf("%w: the value of %q does not fit its sum", store.ErrForm, k)
+			}
+			s.size += len(k) + len(value)
+			return nil
+		})
+	})
+	if err != nil || begun {
+		return found, err
+	}
+	var b store.Batch
+	if earlier && upgrade != nil {
+		if err := s.db.View(func(tx *bbolt.Tx) error { return upgrade(tx, &b) }); err != nil {
+			return found, fmt.Errorf("%w: %v", store.ErrForm, err)
+		}
+	}
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(boltMeta)
+		if err != nil {
+			return err
+		}
+		_, err = tx.CreateBucketIfNotExists(boltValues)
+		return errors.Join(err, meta.Put([]byte("owner"), []byte(owner)), meta.Put([]byte("format"), binary.BigEndian.AppendUint64(nil, store.Format)))
+	})
+	found.Blank = true
+	if err == nil && !b.Empty() {
+		found.Blank, err = false, s.Commit(&b)
+	}
+	return found, err
+}
+
+// closeTorn closes a file that may not be what it should.
+func (s *Store) closeTorn() {
+	defer func() { recover() }()
+	s.db.Close()
+	s.db = nil
+}
+
+func checked(key, stored []byte) ([]byte, bool) {
+	if len(stored) < valueSum {
+		return nil, false
+	}
+	value := stored[:len(stored)-valueSum]
+	return value, binary.BigEndian.Uint64(stored[len(value):]) == valueHash(key, value)
+}
+
+func valueHash(key, value []byte) uint64 {
+	d := xxhash.New()
+	d.Write(key)
+	d.Write([]byte{0})
+	d.Write(value)
+	return d.Sum64()
+}
+
+// Get gives a value.
+func (s *Store) Get(key string) (value []byte, ok bool) {
+	s.db.View(func(tx *bbolt.Tx) error {
+		if v := tx.Bucket(boltValues).Get([]byte(key)); v != nil {
+			value, ok = append([]byte{}, v[:len(v)-valueSum]...), true
+		}
+		return nil
+	})
+	return value, ok
+}
+
+// Each goes through the keys with a prefix.
+func (s *Store) Each(prefix string, do func(key string, value []byte) error) error {
+	return s.db.View(func(tx *bbolt.Tx) error {
+		c := tx.Bucket(boltValues).Cursor()
+		for k, v := c.Seek([]byte(prefix)); k != nil && bytes.HasPrefix(k, []byte(prefix)); k, v = c.Next() {
+			if err := do(string(k), append([]byte{}, v[:len(v)-valueSum]...)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Commit writes a batch and has it synced.
+func (s *Store) Commit(b *store.Batch) error {
+	if s.broken {
+		return store.ErrBroken
+	}
+	ops, err := b.Ops()
+	if err != nil {
+		return err
+	}
+	size := s.size
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		values := tx.Bucket(boltValues)
+		drop := func(k, v []byte) error {
+			size -= len(k) + len(v) - valueSum
+			return values.Delete(k)
+		}
+		for _, o := range ops {
+			key := []byte(o.Key)
+			if o.To != "" {
+				c := values.Cursor()
+				for k, v := c.Seek(key); k != nil && string(k) < o.To; k, v = c.Seek(key) {
+					if err := drop(k, v); err != nil {
+						return err
+					}
+				}
+				continue
+			}
+			if v := values.Get(key); v != nil {
+				if err := drop(key, v); err != nil {
+					return err
+				}
+			}
+			if o.Value != nil {
+				size += len(key) + len(o.Value)
+				if err := values.Put(key, binary.BigEndian.AppendUint64(append([]byte{}, o.Value...), valueHash(key, o.Value))); err != nil {
+					return err
+				}
+			}
+		}
+		if size > s.most {
+			return store.ErrFull
+		}
+		return nil
+	})
+	switch {
+	case err == nil:
+		s.size = size
+	case !errors.Is(err, store.ErrFull):
+		s.broken = true
+	}
+	return err
+}
+
+// Close gives it up.
+func (s *Store) Close() error {
+	if s.db == nil {
+		return nil
+	}
+	db := s.db
+	s.broken = true
+	return db.Close()
+}
--- /dev/null
+++ b/internal/store/bolt/bolt_test.go
@@ -0,0 +1,74 @@
+package bolt_test
+
+import (
+	"encoding/binary"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"go.etcd.io/bbolt"
+
+	"fieldrelay/internal/contract"
+	"fieldrelay/internal/store"
+	"fieldrelay/internal/store/bolt"
+)
+
+const most = 4 << 10
+
+func options(path, owner string) store.Options {
+	return store.Options{Path: path, Owner: owner, Most: most}
+}
+
+// A process that dies in the middle of a batch leaves what a copy taken meanwhile shows.
+func TestBolt(t *testing.T) {
+	contract.Run(t, contract.StoreClauses, contract.StoreMaker{Most: most, Begin: func(t contract.T, seed uint64) contract.StorePlace {
+		path := filepath.Join(t.TempDir(), "kept.db")
+		p := contract.DiskPlace(path, seed, func(owner string) (store.Store, store.Found, error) {
+			return bolt.Open(options(path, owner), nil)
+		})
+		p.Later = func() {
+			db, err := bbolt.Open(path, 0o600, nil)
+			if err == nil {
+				err = errors.Join(db.Update(func(tx *bbolt.Tx) error {
+					return tx.Bucket([]byte("meta")).Put([]byte("format"), binary.BigEndian.AppendUint64(nil, store.Format+1))
+				}), db.Close())
+			}
+			if err != nil {
+				t.Logf("not made later: %v", err)
+			}
+		}
+		return p
+	}})
+}
+
+// What an earlier program kept goes on.
+func TestBoltOfAnEarlierForm(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "voter.db")
+	db, err := bbolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(db.Update(func(tx *bbolt.Tx) error {
+		meta, err := tx.CreateBucket([]byte("meta"))
+		return errors.Join(err, meta.Put([]byte("owner"), []byte("me")), meta.Put([]byte("hard"), []byte("h")))
+	}), db.Close()); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // once upgraded it is like any other
+		s, found, err := bolt.Open(options(path, "me"), func(tx *bbolt.Tx, b *store.Batch) error {
+			b.Put("hard", tx.Bucket([]byte("meta")).Get([]byte("hard")))
+			return nil
+		})
+		if err != nil || found.Blank || found.Why != "" {
+			t.Fatal(found, err)
+		}
+		if v, ok := s.Get("hard"); !ok || string(v) != "h" {
+			t.Errorf("hard is %q", v)
+		}
+		s.Close()
+	}
+	if _, err := os.Stat(path + ".bad"); err == nil {
+		t.Error("it was set aside")
+	}
+}
--- /dev/null
+++ b/internal/store/file.go
@@ -0,0 +1,229 @@
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// File is a store in one plain file, rewritten whole at each batch: for what is small and seldom changes. Beside it lies a
+// second one that says how far it had come, so that an older copy put back in its place is known for one.
+type File struct {
+	Memory
+	layer  Layer
+	path   string
+	head   head
+	unlock func() error
+	broken bool
+}
+
+// head is what a file begins with; its sum is of all that follows and of the rest of the head.
+type head struct {
+	Format  int               `json:"format"`
+	Owner   string            `json:"owner"`
+	Serial  uint64            `json:"serial"`            // of the batch; each is one higher
+	Values  map[string][]byte `json:"values,omitempty"`  // in base64
+	Written int64             `json:"written,omitempty"` // Unix milliseconds, for people alone
+}
+
+// BadSuffix is what the name of a file that was set aside ends with.
+const BadSuffix = ".bad"
+
+const (
+	magic     = "fieldrelay store\n"
+	sumBytes  = 8
+	newSuffix = ".new"  // what is being written
+	farSuffix = ".far"  // how far the store had come
+	lockName  = ".lock" // held by the process that has it open
+	overhead  = 4 << 10 // bytes of a file beside keys and values, at the most,
+	perByte   = 16      // and of one of those: a key of one byte with an empty value is the worst
+)
+
+// OpenFile opens a store.
+func OpenFile(layer Layer, o Options) (*File, Found, error) {
+	if err := layer.MakeDir(filepath.Dir(o.Path)); err != nil {
+		return nil, Found{}, err
+	}
+	unlock, err := lock(layer, o.Path+lockName, o.Wait)
+	if err != nil {
+		return nil, Found{}, err
+	}
+	f := &File{Memory: *NewMemory(o.Most), layer: layer, path: o.Path, head: head{Format: Format, Owner: o.Owner}, unlock: unlock}
+	found, err := f.read()
+	if err != nil {
+		return nil, found, errors.Join(err, unlock())
+	}
+	return f, found, nil
+}
+
+// lock waits a little for a process that ends.
+func lock(layer Layer, path string, wait time.Duration) (func() error, error) {
+	for end := time.Now().Add(wait); ; <-time.After(busyPace) {
+		unlock, err := layer.Lock(path)
+		if !errors.Is(err, ErrBusy) || !time.Now().Before(end) {
+			return unlock, err
+		}
+	}
+}
+
+// Edit opens a plain file for as long as do takes: for what several processes of a sidecar change in turn.
+func Edit(layer Layer, o Options, do func(s Store) error) (Found, error) {
+	f, found, err := OpenFile(layer, o)
+	if err != nil {
+		return found, err
+	}
+	return found, errors.Join(do(f), f.Close())
+}
+
+func (f *File) read() (Found, error) {
+	far, farErr := f.readHead(f.path+farSuffix, overhead)
+	h, err := f.readHead(f.path, overhead+perByte*f.most)
+	switch {
+	case errors.Is(err, fs.ErrNotExist) && (farErr != nil || far.Owner != f.head.Owner || far.Serial == 0):
+		return Found{Blank: true}, nil
+	case errors.Is(err, fs.ErrNotExist):
+		f.head.Serial = far.Serial
+		return Found{Blank: true, Why: fmt.Sprintf("%s: gone, though it had come to change %d; nothing of it is known", f.path, far.Serial)}, nil
+	case errors.Is(err, ErrLater):
+		return Found{}, fmt.Errorf("%s: %w", f.path, err)
+	case errors.Is(err, ErrForm):
+		return f.setAside(far, fmt.Sprintf("%s: %v", f.path, err))
+	case err != nil:
+		return Found{}, err
+	case h.Owner != f.head.Owner:
+		return Found{}, fmt.Errorf("%s: %w: %q, not %q", f.path, ErrOwner, h.Owner, f.head.Owner)
+	case farErr == nil && far.Owner == h.Owner && far.Serial > h.Serial:
+		return f.setAside(far, fmt.Sprintf("%s: an older copy was put back, of change %d where %d was reached", f.path, h.Serial, far.Serial))
+	}
+	// What a process that died had not synced must not be read now and gone after the next crash.
+	if err := errors.Join(f.layer.Sync(f.path), f.layer.SyncDir(filepath.Dir(f.path))); err != nil {
+		return Found{}, err
+	}
+	f.head.Serial = h.Serial
+	for k, v := range h.Values {
+		f.values[k] = v
+	}
+	return Found{Blank: len(h.Values) == 0}, nil
+}
+
+// setAside moves away what cannot be used. The count goes on, so that what was set aside never passes for newer.
+func (f *File) setAside(far head, why string) (Found, error) {
+	if far.Owner == f.head.Owner {
+		f.head.Serial = far.Serial
+	}
+	if err := f.layer.Rename(f.path, f.path+BadSuffix); err != nil {
+		return Found{}, err
+	}
+	return Found{Blank: true, Why: why + "; it is set aside as " + filepath.Base(f.path) + BadSuffix + " and nothing of it is used"}, nil
+}
+
+func (f *File) readHead(path string, most int) (h head, err error) {
+	text, err := f.layer.ReadFile(path, most+1)
+	if err != nil {
+		return h, err
+	}
+	if len(text) > most {
+		return h, fmt.Errorf("%w: more than %d bytes", ErrForm, most)
+	}
+	body, ok := bytes.CutPrefix(text, []byte(magic))
+	if !ok || len(body) < sumBytes {
+		return h, fmt.Errorf("%w: it does not begin as one", ErrForm)
+	}
+	if sum(body[sumBytes:]) != [sumBytes]byte(body[:sumBytes]) {
+		return h, fmt.Errorf("%w: its sum does not fit", ErrForm)
+	}
+	if err := json.Unmarshal(body[sumBytes:], &h); err != nil {
+		return h, fmt.Errorf("%w: %v", ErrForm, err)
+	}
+	if h.Format > Format {
+		return h, fmt.Errorf("%w: %d, this program reads up to %d", ErrLater, h.Format, Format)
+	}
+	return h, nil
+}
+
+func sum(b []byte) (s [sumBytes]byte) {
+	for i, v := 0, xxhash.Sum64(b); i < sumBytes; i, v = i+1, v>>8 {
+		s[i] = byte(v)
+	}
+	return s
+}
+
+// encode is the text of a file.
+func encode(h head) ([]byte, error) {
+	body, err := json.Marshal(h)
+	if err != nil {
+		return nil, err
+	}
+	s := sum(body)
+	return append(append([]byte(magic), s[:]...), body...), nil
+}
+
+// Commit writes a batch. The file is whole at each moment; the word on how far it had come follows it.
+func (f *File) Commit(b *Batch) error {
+	if f.broken {
+		return ErrBroken
+	}
+	next, err := f.with(b)
+	if err != nil {
+		return err
+	}
+	h := f.head
+	h.Serial++
+	h.Written = time.Now().UnixMilli()
+	h.Values = next
+	err = f.write(f.path, h)
+	h.Values = nil
+	if err == nil {
+		err = f.write(f.path+farSuffix, h)
+	}
+	if err != nil {
+		f.broken = true
+		return fmt.Errorf("store: %s: %w", f.path, err)
+	}
+	f.head, f.values = h, next
+	return nil
+}
+
+func (f *File) write(path string, h head) error {
+	text, err := encode(h)
+	if err == nil {
+		err = f.layer.WriteFile(path+newSuffix, text)
+	}
+	if err == nil {
+		err = f.layer.Sync(path + newSuffix)
+	}
+	if err == nil {
+		err = f.layer.Rename(path+newSuffix, path)
+	}
+	if err == nil {
+		err = f.layer.SyncDir(filepath.Dir(path))
+	}
+	return err
+}
+
+// Close gives it up.
+func (f *File) Close() error {
+	if f.unlock == nil {
+		return nil
+	}
+	unlock := f.unlock
+	f.unlock, f.broken = nil, true
+	return unlock()
+}
+
+// Reformat gives the text of a plain file the number of another format: what a later program would write, for tests.
+func Reformat(text []byte, format int) []byte {
+	var h head
+	if len(text) < len(magic)+sumBytes || json.Unmarshal(text[len(magic)+sumBytes:], &h) != nil {
+		return text
+	}
+	h.Format = format
+	text, _ = encode(h)
+	return text
+}
--- /dev/null
+++ b/internal/store/layer.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"errors"
+	"io"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+// Layer is the files under a File. The contract puts one in that tears, cuts and fills up.
+type Layer interface {
+	MakeDir(dir string) error
+	// ReadFile reads a file, most bytes of it at the most.
+	ReadFile(path string, most int) ([]byte, error)
+	WriteFile(path string, text []byte) error // kept once Sync has returned
+	Sync(path string) error
+	Rename(from, to string) error // kept once SyncDir has returned
+	SyncDir(dir string) error
+	// Lock takes a lock that ends with the process; ErrBusy: another one has it.
+	Lock(path string) (unlock func() error, err error)
+}
+
+// Disk is the system's files.
+type Disk struct{}
+
+// MakeDir makes a folder, if it is not there.
+func (Disk) MakeDir(dir string) error { return os.MkdirAll(dir, 0o700) }
+
+// ReadFile reads a file.
+func (Disk) ReadFile(path string, most int) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, int64(most)))
+}
+
+// WriteFile writes a file.
+func (Disk) WriteFile(path string, text []byte) error { return os.WriteFile(path, text, 0o600) }
+
+// Sync has a file kept.
+func (Disk) Sync(path string) error {
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// Rename renames a file, over one that is there.
+func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// SyncDir has the names of a folder kept.
+func (Disk) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// Lock locks a file.
+func (Disk) Lock(path string) (func() error, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return nil, ErrBusy
+		}
+		return nil, err
+	}
+	return f.Close, nil
+}
--- /dev/null
+++ b/internal/store/memory.go
@@ -0,0 +1,74 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Memory is a store that ends with the process; what it holds can be handed to the next one. It is for tests and for
+// sidecars that keep nothing.
+type Memory struct {
+	values map[string][]byte
+	most   int
+}
+
+// NewMemory makes a store of up to most bytes of keys and values.
+func NewMemory(most int) *Memory { return &Memory{values: map[string][]byte{}, most: most} }
+
+// Get gives a value.
+func (m *Memory) Get(key string) ([]byte, bool) {
+	v, ok := m.values[key]
+	return append([]byte{}, v...), ok
+}
+
+// Each goes through the keys with a prefix.
+func (m *Memory) Each(prefix string, do func(key string, value []byte) error) error {
+	for _, k := range slices.Sorted(maps.Keys(m.values)) {
+		if strings.HasPrefix(k, prefix) {
+			if err := do(k, append([]byte{}, m.values[k]...)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Commit does a batch.
+func (m *Memory) Commit(b *Batch) error {
+	next, err := m.with(b)
+	if err == nil {
+		m.values = next
+	}
+	return err
+}
+
+// with is what the values are after a batch.
+func (m *Memory) with(b *Batch) (map[string][]byte, error) {
+	ops, err := b.Ops()
+	if err != nil {
+		return nil, err
+	}
+	next := maps.Clone(m.values)
+	for _, o := range ops {
+		switch {
+		case o.To != "":
+			maps.DeleteFunc(next, func(k string, _ []byte) bool { return k >= o.Key && k < o.To })
+		case o.Value == nil:
+			delete(next, o.Key)
+		default:
+			next[o.Key] = o.Value
+		}
+	}
+	size := 0
+	for k, v := range next {
+		size += len(k) + len(v)
+	}
+	if size > m.most {
+		return nil, ErrFull
+	}
+	return next, nil
+}
+
+// Close does nothing.
+func (m *Memory) Close() error { return nil }
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,85 @@
+package store_test
+
+import (
+	"errors"
+	"path/filepath"
+	"testing"
+
+	"fieldrelay/internal/contract"
+	"fieldrelay/internal/store"
+)
+
+const most = 4 << 10
+
+func options(path, owner string) store.Options {
+	return store.Options{Path: path, Owner: owner, Most: most}
+}
+
+func TestMemory(t *testing.T) {
+	contract.Run(t, contract.StoreClauses, contract.StoreMaker{Most: most, Begin: func(contract.T, uint64) contract.StorePlace {
+		return contract.StorePlace{Open: func(string) (store.Store, store.Found, error) {
+			return store.NewMemory(most), store.Found{Blank: true}, nil
+		}}
+	}})
+}
+
+// The plain file, on a disk that tears what was not synced.
+func TestFile(t *testing.T) {
+	contract.Run(t, contract.StoreClauses, contract.StoreMaker{Most: most, Begin: func(t contract.T, seed uint64) contract.StorePlace {
+		return contract.FilePlace(seed, func(l store.Layer, path, owner string) (store.Store, store.Found, error) {
+			return store.OpenFile(l, options(path, owner))
+		}, laterFile)
+	}})
+}
+
+// laterFile makes a text say that it is of the next format. The head's first pair is the format.
+func laterFile(text []byte) []byte { return store.Reformat(text, store.Format+1) }
+
+// On the system's files.
+func TestFileOnDisk(t *testing.T) {
+	contract.Run(t, contract.StoreClauses, contract.StoreMaker{Most: most, Begin: func(t contract.T, seed uint64) contract.StorePlace {
+		path := filepath.Join(t.TempDir(), "kept")
+		p := contract.DiskPlace(path, seed, func(owner string) (store.Store, store.Found, error) {
+			return store.OpenFile(store.Disk{}, options(path, owner))
+		})
+		p.KnowsOldCopies, p.Kill = true, nil // its crashes are played on a Layer: it is two files
+		p.Later = func() { p.Spoil(laterFile) }
+		return p
+	}})
+}
+
+// A disk that is full keeps what was there, and says so.
+func TestFullDisk(t *testing.T) {
+	l := contract.NewLayer(1)
+	open := func() *store.File {
+		f, _, err := store.OpenFile(l, options("d/kept", "me"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	f := open()
+	put := func(value []byte) error {
+		var b store.Batch
+		b.Put("a", value)
+		return f.Commit(&b)
+	}
+	if err := put([]byte("1")); err != nil {
+		t.Fatal(err)
+	}
+	l.Space = 700
+	if err := put(make([]byte, 600)); err == nil || errors.Is(err, store.ErrFull) {
+		t.Errorf("written to a full disk: %v", err)
+	}
+	if err := put([]byte("2")); !errors.Is(err, store.ErrBroken) {
+		t.Errorf("went on after a failure: %v", err)
+	}
+	f.Close()
+	f = open()
+	if v, ok := f.Get("a"); !ok || string(v) != "1" {
+		t.Errorf("a is %q afterwards", v)
+	}
+	if err := put([]byte("2")); err != nil {
+		t.Errorf("and takes nothing: %v", err)
+	}
+}
