--- /dev/null
+++ b/internal/contract/transport.go
@@ -0,0 +1,329 @@
+package contract
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"fieldrelay/internal/relay"
+	"fieldrelay/logic"
+)
+
+// NodesMaker makes transports to execute nodes, of which a Peer plays one.
+type NodesMaker struct {
+	New func(t T) relay.Nodes
+	// Request is what a claim with a call id asks; Whole tells how many of the bytes that a peer has read are one, 0: not yet.
+	Request func(callID string) *relay.Request
+	Whole   func(b []byte) int
+	// Answer is a good answer with a body.
+	Answer func(body string) string
+}
+
+// NodesClauses are what every transport to execute nodes promises.
+var NodesClauses = []Clause[NodesMaker]{
+	{"each claim is reported once, as it ended", nodesOutcomes},
+	{"a claim is written once at the most", nodesOnce},
+	{"an answer serves the claim that it was made for alone", nodesOwn},
+	{"a silent node makes no other one wait", nodesSilent},
+	{"nothing new goes to a node that is gone", nodesGone},
+	{"close ends all that was begun once the last claim is reported", nodesClose},
+}
+
+// peer is an execute node: behave has each request that came whole, and its connection.
+type peer struct {
+	ln    net.Listener
+	mu    sync.Mutex
+	seen  [][]byte
+	conns []net.Conn
+	wg    sync.WaitGroup
+}
+
+func newPeer(m NodesMaker, behave func(nc net.Conn, n int)) (*peer, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &peer{ln: ln}
+	p.wg.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, nc)
+			p.mu.Unlock()
+			p.wg.Go(func() { p.serve(m, nc, behave) })
+		}
+	})
+	return p, nil
+}
+
+func (p *peer) serve(m NodesMaker, nc net.Conn, behave func(net.Conn, int)) {
+	var read []byte
+	b := make([]byte, 4096)
+	for {
+		n, err := nc.Read(b)
+		if err != nil {
+			return
+		}
+		read = append(read, b[:n]...)
+		for whole := m.Whole(read); whole > 0; whole = m.Whole(read) {
+			p.mu.Lock()
+			p.seen = append(p.seen, read[:whole:whole])
+			count := len(p.seen)
+			p.mu.Unlock()
+			read = read[whole:]
+			behave(nc, count)
+		}
+	}
+}
+
+func (p *peer) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.seen)
+}
+
+func (p *peer) close() {
+	p.ln.Close()
+	p.mu.Lock()
+	for _, nc := range p.conns {
+		nc.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// reports are what a transport has reported.
+type reports struct {
+	mu  sync.Mutex
+	all map[relay.ClaimID][]relay.Result
+}
+
+func newReports() *reports { return &reports{all: map[relay.ClaimID][]relay.Result{}} }
+
+func (r *reports) add(id relay.ClaimID, res relay.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[id] = append(r.all[id], res)
+}
+
+func (r *reports) of(id relay.ClaimID) []relay.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all[id]
+}
+
+func claimID(n int) relay.ClaimID { return relay.ClaimID{Job: uint64(n)} }
+
+// claim makes a claim and waits for its report.
+func (m NodesMaker) claim(node relay.Node, r *reports, n int, patience time.Duration) (relay.Result, error) {
+	node.Claim(relay.Claim{ID: claimID(n), Request: m.Request(fmt.Sprintf("c%d", n)), Deadline: time.Now().Add(patience)})
+	err := until(fmt.Sprintf("a report of claim %d", n), func() bool { return len(r.of(claimID(n))) > 0 })
+	if err != nil {
+		return relay.Result{}, err
+	}
+	return r.of(claimID(n))[0], nil
+}
+
+// open opens the node of a peer.
+func (m NodesMaker) open(t T, behave func(net.Conn, int)) (*peer, relay.Node, *reports, error) {
+	p, err := newPeer(m, behave)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	r := newReports()
+	return p, m.New(t).Open(relay.Member{Name: "n", Addr: p.ln.Addr().String(), Told: time.Now()}, r.add), r, nil
+}
+
+func nodesOutcomes(t T, m NodesMaker) error {
+	for name, c := range map[string]struct {
+		behave func(m NodesMaker, nc net.Conn)
+		want   []logic.Outcome
+	}{
+		"an answer":              {func(m NodesMaker, nc net.Conn) { io.WriteString(nc, m.Answer("hi")) }, []logic.Outcome{logic.Done}},
+		"a close":                {func(_ NodesMaker, nc net.Conn) { nc.Close() }, []logic.Outcome{logic.Reset}},
+		"noise":                  {func(_ NodesMaker, nc net.Conn) { io.WriteString(nc, "\x00\x01noise\r\n\r\n"); nc.Close() }, []logic.Outcome{logic.Reset, logic.Errored}},
+		"silence":                {func(NodesMaker, net.Conn) {}, []logic.Outcome{logic.TimedOut}},
+		"half an answer":         {func(m NodesMaker, nc net.Conn) { a := m.Answer("hi"); io.WriteString(nc, a[:len(a)-1]); nc.Close() }, []logic.Outcome{logic.Reset, logic.Errored}},
+		"an answer and one more": {func(m NodesMaker, nc net.Conn) { io.WriteString(nc, m.Answer("hi")+m.Answer("ho")) }, []logic.Outcome{logic.Done}},
+	} {
+		p, node, r, err := m.open(t, func(nc net.Conn, _ int) { c.behave(m, nc) })
+		if err != nil {
+			return err
+		}
+		res, err := m.claim(node, r, 1, 300*time.Millisecond)
+		if err == nil {
+			err = fmt.Errorf("outcome %d", res.Outcome)
+			for _, w := range c.want {
+				if res.Outcome == w {
+					err = nil
+				}
+			}
+		}
+		if err == nil && res.Outcome == logic.Done && string(res.Body) != "hi" {
+			err = fmt.Errorf("body %q", res.Body)
+		}
+		node.Cancel(claimID(1)) // of one that has been reported: nothing comes of it
+		node.Close()
+		p.close()
+		if err == nil && len(r.of(claimID(1))) != 1 {
+			err = fmt.Errorf("%d reports", len(r.of(claimID(1))))
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	r := newReports()
+	node := m.New(t).Open(relay.Member{Addr: address, Told: time.Now()}, r.add)
+	defer node.Close()
+	if res, err := m.claim(node, r, 1, patience/10); err != nil || res.Outcome != logic.Refused {
+		return fmt.Errorf("nobody there: outcome %d, %v", res.Outcome, err)
+	}
+	return nil
+}
+
+func nodesOnce(t T, m NodesMaker) error {
+	// The node breaks each kept connection under the next request, which must not be written again.
+	p, node, r, err := m.open(t, func(nc net.Conn, n int) {
+		if n%2 == 1 {
+			io.WriteString(nc, m.Answer("hi"))
+		} else {
+			nc.Close()
+		}
+	})
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	defer node.Close()
+	for n := 1; n <= 6; n++ {
+		if _, err := m.claim(node, r, n, time.Second); err != nil {
+			return err
+		}
+		if p.count() > n {
+			return fmt.Errorf("%d requests came of %d claims", p.count(), n)
+		}
+	}
+	return nil
+}
+
+func nodesOwn(t T, m NodesMaker) error {
+	// Behind its first answer the node sends another one at once: it must not serve the next claim.
+	p, node, r, err := m.open(t, func(nc net.Conn, n int) {
+		io.WriteString(nc, m.Answer(fmt.Sprint(n)))
+		if n == 1 {
+			io.WriteString(nc, m.Answer("stray"))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	defer node.Close()
+	for n := 1; n <= 4; n++ {
+		res, err := m.claim(node, r, n, time.Second)
+		if err != nil {
+			return err
+		}
+		if res.Outcome == logic.Done && string(res.Body) == "stray" {
+			return fmt.Errorf("claim %d was served with what was not made for it", n)
+		}
+	}
+	return nil
+}
+
+func nodesSilent(t T, m NodesMaker) error {
+	nodes := m.New(t)
+	silent, err := newPeer(m, func(net.Conn, int) {})
+	if err != nil {
+		return err
+	}
+	defer silent.close()
+	good, err := newPeer(m, func(nc net.Conn, _ int) { io.WriteString(nc, m.Answer("hi")) })
+	if err != nil {
+		return err
+	}
+	defer good.close()
+	r := newReports()
+	a := nodes.Open(relay.Member{Name: "a", Addr: silent.ln.Addr().String(), Told: time.Now()}, r.add)
+	b := nodes.Open(relay.Member{Name: "b", Addr: good.ln.Addr().String(), Told: time.Now()}, r.add)
+	defer b.Close()
+	defer a.Close()
+	from := time.Now()
+	for n := 100; n < 104; n++ {
+		a.Claim(relay.Claim{ID: claimID(n), Request: m.Request("s"), Deadline: time.Now().Add(time.Second)})
+	}
+	if res, err := m.claim(b, r, 1, patience); err != nil || res.Outcome != logic.Done {
+		return fmt.Errorf("beside a silent node: outcome %d, %v", res.Outcome, err)
+	}
+	if took := time.Since(from); took > 900*time.Millisecond {
+		return fmt.Errorf("it waited %v for a silent node", took)
+	}
+	for n := 100; n < 104; n++ {
+		if err := until("the silent node's claims are reported", func() bool { return len(r.of(claimID(n))) == 1 }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func nodesGone(t T, m NodesMaker) error {
+	p, node, r, err := m.open(t, func(nc net.Conn, _ int) { io.WriteString(nc, m.Answer("hi")) })
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	defer node.Close()
+	if _, err := m.claim(node, r, 1, time.Second); err != nil {
+		return err
+	}
+	gone := relay.Member{Name: "n", Addr: p.ln.Addr().String(), Told: time.Now().Add(-time.Minute)}
+	gone.State = logic.Gone
+	node.Update(gone)
+	res, err := m.claim(node, r, 2, time.Second)
+	if err != nil {
+		return err
+	}
+	if p.count() != 1 || res.Outcome != logic.Skipped && res.Outcome != logic.Refused {
+		return fmt.Errorf("%d requests came, outcome %d", p.count(), res.Outcome)
+	}
+	return nil
+}
+
+func nodesClose(t T, m NodesMaker) error {
+	before := goleak.IgnoreCurrent()
+	p, node, r, err := m.open(t, func(nc net.Conn, n int) {
+		if n == 1 {
+			io.WriteString(nc, m.Answer("hi"))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := m.claim(node, r, 1, time.Second); err != nil {
+		return err
+	}
+	node.Claim(relay.Claim{ID: claimID(2), Request: m.Request("c2"), Deadline: time.Now().Add(200 * time.Millisecond)})
+	if err := until("the second request", func() bool { return p.count() == 2 }); err != nil {
+		return err
+	}
+	node.Close()
+	if err := until("a report after close", func() bool { return len(r.of(claimID(2))) == 1 }); err != nil {
+		return errors.Join(errors.New("what was out is lost"), err)
+	}
+	p.close()
+	return goleak.Find(before)
+}
