Measure how a fleet comes back when most sidecars end at once

Need: a baseline before anything is built for it. The stand-in nodes can have cores, a bounded queue and a cold time now: those that serve any number at once hide what a wave does.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -25,6 +25,7 @@
 	Sidecars int
 	Nodes    int           // execute nodes
 	Work     time.Duration // of an execute node for a request
+	Cores    int           // of an execute node: so many requests at a time, as many more wait ten times over; 0: any number
 	Dir      string        // for files; it has to be there
 	Seed     uint64
 	Operator string        // more keys of the section fleet, as TOML lines
@@ -100,6 +101,7 @@
 		if err != nil {
 			return nil, err
 		}
+		n.Cores, n.Queue = opts.Cores, 10*opts.Cores
 		name := nodeName(i)
 		n.Ran = func(id, key, class string) bool { return r.ran(name, id, key, class) }
 		r.nodes = append(r.nodes, n)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,15 @@
 	Peak  atomic.Int64 // and the most of that so far
 	Fails atomic.Bool  // every job is answered with an error
 	Heeds atomic.Bool  // work ends with the time that the job came with
+	// Of a node that can do only so much: how many jobs it works at at a time (0: any number), how many more wait before it
+	// turns jobs away, and for how long after its start it works at a third of its speed at first.
+	Cores, Queue, Cold int
+	started            time.Time
+	cores              chan struct{}
+	waiting            atomic.Int64
+	once               sync.Once
+	Tally              Tally // of connections; those of jobs are Came
+	Came               Tally
 	// Ran is told of each job before it is answered; drop means that the node knows the key and does no work. Set it
 	// before the first job comes; nil: none is told.
 	Ran func(id, key, class string) (drop bool)
@@ -49,11 +59,16 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{ln: ln}
+	n := &Node{ln: ln, started: time.Now()}
 	n.Delay.Store(int64(delay))
 	n.Size.Store(int64(size))
 	server := &fasthttp.Server{Handler: n.serve, MaxRequestBodySize: mostBody, Concurrency: 1 << 16,
-		DisablePreParseMultipartForm: true, ReduceMemoryUsage: true, Logger: silent{}}
+		DisablePreParseMultipartForm: true, ReduceMemoryUsage: true, Logger: silent{},
+		ConnState: func(_ net.Conn, s fasthttp.ConnState) {
+			if s == fasthttp.StateNew {
+				n.Tally.Add()
+			}
+		}}
 	go server.Serve(ln)
 	return n, nil
 }
@@ -64,8 +79,85 @@
 // Close ends the node's listener; what it has taken goes on.
 func (n *Node) Close() { n.ln.Close() }
 
+// Tally keeps when something happened. The zero Tally is ready.
+type Tally struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+// mostTally bounds a tally: the oldest half goes.
+const mostTally = 1 << 20
+
+// Add counts one now.
+func (t *Tally) Add() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.at) >= mostTally {
+		t.at = append(t.at[:0], t.at[mostTally/2:]...)
+	}
+	t.at = append(t.at, time.Now())
+}
+
+// Times are those from a time on.
+func (t *Tally) Times(from time.Time) (all []time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range t.at {
+		if !at.Before(from) {
+			all = append(all, at)
+		}
+	}
+	return all
+}
+
+// Peak is the most within a window, of several tallies together, between two times.
+func Peak(window time.Duration, from, to time.Time, tallies ...*Tally) (most int) {
+	var all []time.Time
+	for _, t := range tallies {
+		for _, at := range t.Times(from) {
+			if at.Before(to) {
+				all = append(all, at)
+			}
+		}
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	for first, last := 0, 0; last < len(all); last++ {
+		for all[last].Sub(all[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// coldFrom is the part of its speed that a node begins with.
+const coldFrom = 1.0 / 3
+
+// work keeps one core busy for the time that a job takes there now. It tells whether there was room.
+func (n *Node) work(delay time.Duration) bool {
+	if n.Cores == 0 {
+		time.Sleep(delay)
+		return true
+	}
+	n.once.Do(func() { n.cores = make(chan struct{}, n.Cores) })
+	if n.waiting.Add(1) > int64(n.Cores+n.Queue) {
+		n.waiting.Add(-1)
+		return false
+	}
+	defer n.waiting.Add(-1)
+	n.cores <- struct{}{}
+	defer func() { <-n.cores }()
+	speed := 1.0
+	if age := time.Since(n.started); n.Cold > 0 && age < time.Duration(n.Cold) {
+		speed = coldFrom + (1-coldFrom)*float64(age)/float64(n.Cold)
+	}
+	time.Sleep(time.Duration(float64(delay) / speed))
+	return true
+}
+
 func (n *Node) serve(ctx *fasthttp.RequestCtx) {
 	n.Jobs.Add(1)
+	n.Came.Add()
 	for now := n.Now.Add(1); ; {
 		if peak := n.Peak.Load(); now <= peak || n.Peak.CompareAndSwap(peak, now) {
 			break
@@ -88,7 +180,11 @@
 			delay, late = budget, true
 		}
 	}
-	time.Sleep(time.Duration(delay))
+	if !n.work(time.Duration(delay)) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set("X-Rejected", "1")
+		return
+	}
 	if late || n.Fails.Load() {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -146,6 +242,8 @@
 	generation int
 	list       []byte
 	changed    chan struct{} // closed at the next change
+	Calls      Tally
+	Down       atomic.Bool // calls end in 503
 }
 
 // NewDiscovery starts discovery with a list.
@@ -192,6 +290,11 @@
 }
 
 func (d *Discovery) serve(ctx *fasthttp.RequestCtx) {
+	d.Calls.Add()
+	if d.Down.Load() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	if !ctx.QueryArgs().Has("watch") {
 		list, _ := d.now()
 		ctx.Write(list)
