Read editions of rules, and tell two programs that understand one otherwise

Need: a fleet is to be led by rules that every sidecar understands; what a program says of itself is not enough.

--- /dev/null
+++ b/internal/rules/limits.go
@@ -0,0 +1,69 @@
+package rules
+
+import (
+	"errors"
+	"fmt"
+
+	"fieldrelay/internal/quota"
+)
+
+// LimitRules are the limits of the whole fleet, as the tables [[quota]] say them.
+type LimitRules struct {
+	Quotas []Quota `cbor:"1,keyasint,omitempty"`
+}
+
+// Quota is one limit. Numbers that are no whole ones are in thousandths.
+type Quota struct {
+	Name      string `cbor:"1,keyasint"`
+	Class     string `cbor:"2,keyasint,omitempty"`
+	Tenant    string `cbor:"3,keyasint,omitempty"`
+	PerSecond int64  `cbor:"4,keyasint,omitempty"` // thousandths
+	InFlight  int    `cbor:"5,keyasint,omitempty"`
+	Again     int64  `cbor:"6,keyasint,omitempty"` // thousandths of a percent
+	Retry     int64  `cbor:"7,keyasint,omitempty"` // likewise
+	Node      int    `cbor:"8,keyasint,omitempty"`
+	Shares    bool   `cbor:"9,keyasint,omitempty"`
+	Floor     int    `cbor:"10,keyasint,omitempty"`
+	Members   int    `cbor:"11,keyasint,omitempty"`
+	Policy    string `cbor:"12,keyasint,omitempty"`
+	Burst     int    `cbor:"13,keyasint,omitempty"`
+}
+
+const thousand = 1000
+
+// Settings are the limits in the form of the operator's file.
+func (l *LimitRules) Settings() (all quota.All) {
+	for _, q := range l.Quotas {
+		all = append(all, quota.Settings{Name: q.Name, Class: q.Class, Tenant: q.Tenant, PerSecond: float64(q.PerSecond) / thousand, InFlight: q.InFlight,
+			Again: float64(q.Again) / thousand, Retry: float64(q.Retry) / thousand, Node: q.Node, Shares: q.Shares, Floor: q.Floor, Members: q.Members,
+			Policy: q.Policy, Burst: q.Burst})
+	}
+	return all
+}
+
+// LimitsRule is the rule of limits.
+func LimitsRule(all quota.All) (Rule, error) {
+	l := LimitRules{}
+	for _, s := range all {
+		l.Quotas = append(l.Quotas, Quota{Name: s.Name, Class: s.Class, Tenant: s.Tenant, PerSecond: int64(s.PerSecond*thousand + 0.5), InFlight: s.InFlight,
+			Again: int64(s.Again*thousand + 0.5), Retry: int64(s.Retry*thousand + 0.5), Node: s.Node, Shares: s.Shares, Floor: s.Floor, Members: s.Members,
+			Policy: s.Policy, Burst: s.Burst})
+	}
+	return Rule{Kind: Limits, Format: Format{1, 0}, Body: encode(&l)}, l.check()
+}
+
+func (l *LimitRules) check() error {
+	var errs []error
+	l.Settings().Check(true, func(key string, read any, allowed string) {
+		errs = append(errs, fmt.Errorf("quota%s: %v; allowed: %s", key, read, allowed))
+	})
+	return errors.Join(errs...)
+}
+
+func readLimits(r Rule) (*LimitRules, error) {
+	l := &LimitRules{}
+	if err := body(r, l); err != nil {
+		return nil, err
+	}
+	return l, l.check()
+}
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,251 @@
+// Package rules is what leads a fleet: editions of rules, each in a kind and a
+// format, their canonical form and what they decide. It is plain functions
+// without I/O. docs/design-rules.md says why it is so.
+package rules
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bounds.
+const (
+	MostBytes = 64 << 10 // of an edition's canonical form
+	MostReads = 128      // bytes of what a member says that it reads
+	mostKinds = 8
+)
+
+// Kind is what a rule is about.
+type Kind string
+
+// The kinds.
+const (
+	Sampling Kind = "sampling"
+	Limits   Kind = "limits"
+)
+
+// Format numbers the form of a kind's rules. A reader of a minor reads all lower minors of its major.
+type Format struct {
+	Major uint8 `cbor:"1,keyasint"`
+	Minor uint8 `cbor:"2,keyasint,omitempty"`
+}
+
+func (f Format) String() string { return fmt.Sprintf("%d.%d", f.Major, f.Minor) }
+
+// Compare orders formats.
+func (f Format) Compare(g Format) int {
+	return cmp.Or(cmp.Compare(f.Major, g.Major), cmp.Compare(f.Minor, g.Minor))
+}
+
+// ParseFormat reads "2" or "2.1".
+func ParseFormat(text string) (f Format, err error) {
+	major, minor, has := strings.Cut(text, ".")
+	if _, err := fmt.Sscanf(major, "%d", &f.Major); err != nil || f.Major == 0 || fmt.Sprint(f.Major) != major {
+		return Format{}, fmt.Errorf("format %q: a number over 0, and a second one behind a point, is taken", text)
+	}
+	if _, err := fmt.Sscanf(minor, "%d", &f.Minor); has && (err != nil || fmt.Sprint(f.Minor) != minor) {
+		return Format{}, fmt.Errorf("format %q: what is behind the point is no number", text)
+	}
+	return f, nil
+}
+
+// Reads is what a program reads: for each kind the formats, the highest minor of each major.
+type Reads map[Kind][]Format
+
+// Here is what this program reads.
+func Here() Reads {
+	return Reads{Sampling: {{1, 0}, {2, 0}}, Limits: {{1, 0}}}
+}
+
+// String is the form in a member's record: "limits 1.0;sampling 1.0,2.0".
+func (r Reads) String() string {
+	var kinds []string
+	for k, formats := range r {
+		var all []string
+		for _, f := range slices.SortedFunc(slices.Values(formats), Format.Compare) {
+			all = append(all, f.String())
+		}
+		kinds = append(kinds, string(k)+" "+strings.Join(all, ","))
+	}
+	slices.Sort(kinds)
+	return strings.Join(kinds, ";")
+}
+
+// ParseReads reads that form. A program from before rules says nothing and reads none.
+func ParseReads(text string) (Reads, error) {
+	r := Reads{}
+	if len(text) > MostReads {
+		return nil, fmt.Errorf("rules: what is read takes %d bytes, %d at most", len(text), MostReads)
+	}
+	for part := range strings.SplitSeq(text, ";") {
+		if part == "" {
+			continue
+		}
+		kind, formats, ok := strings.Cut(part, " ")
+		if !ok || kind == "" || len(r) >= mostKinds {
+			return nil, fmt.Errorf("rules: %q is not what somebody reads", part)
+		}
+		for f := range strings.SplitSeq(formats, ",") {
+			format, err := ParseFormat(f)
+			if err != nil {
+				return nil, err
+			}
+			r[Kind(kind)] = append(r[Kind(kind)], format)
+		}
+	}
+	return r, nil
+}
+
+// Has tells whether a format of a kind is read.
+func (r Reads) Has(k Kind, f Format) bool {
+	return slices.ContainsFunc(r[k], func(g Format) bool { return g.Major == f.Major && g.Minor >= f.Minor })
+}
+
+// Rule is the rules of one kind, in the canonical form of their format.
+type Rule struct {
+	Kind   Kind   `cbor:"1,keyasint"`
+	Format Format `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint"`
+}
+
+// Digest names content.
+type Digest [sha256.Size]byte
+
+func (d Digest) String() string { return hex.EncodeToString(d[:6]) }
+
+// Edition is rules under a number. The zero Edition has no rules.
+type Edition struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Rules  []Rule `cbor:"2,keyasint"` // by kind
+}
+
+// Digest is that of the rules; the number does not count.
+func (e Edition) Digest() Digest { return sha256.Sum256(encode(e.Rules)) }
+
+// Find gives the rules of a kind.
+func (e Edition) Find(k Kind) (Rule, bool) {
+	i := slices.IndexFunc(e.Rules, func(r Rule) bool { return r.Kind == k })
+	if i < 0 {
+		return Rule{}, false
+	}
+	return e.Rules[i], true
+}
+
+var canonical = func() cbor.EncMode {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+// strict reads a body: a key that is not known, or twice, is an error.
+var strict = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxNestedLevels: 8,
+		MaxArrayElements: 1 << 14, MaxMapPairs: 1 << 10, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+func encode(v any) []byte {
+	b, err := canonical.Marshal(v)
+	if err != nil {
+		panic(err) // numbers, text and lists of them
+	}
+	return b
+}
+
+// What keeps an edition from being read. Misread names which rule it is.
+type Misread struct {
+	Kind   Kind
+	Format Format
+	Why    string // "kind not known", "format not read", "feature ...", ...
+}
+
+func (m *Misread) Error() string { return fmt.Sprintf("rules %s %s: %s", m.Kind, m.Format, m.Why) }
+
+// Compiled is an edition as it is gone by.
+type Compiled struct {
+	Edition  Edition
+	Sampling *SamplingRules // nil: none
+	Limits   *LimitRules
+}
+
+// Read reads an edition whole, as a program that reads what reads says. Its error is a *Misread, or says that the
+// edition is too long or has no form.
+func Read(e Edition, reads Reads) (*Compiled, error) {
+	c := &Compiled{Edition: e}
+	if size := len(encode(e.Rules)); size > MostBytes {
+		return nil, fmt.Errorf("rules: %d bytes, %d at most", size, MostBytes)
+	}
+	if len(e.Rules) > mostKinds || !slices.IsSortedFunc(e.Rules, func(a, b Rule) int { return cmp.Compare(a.Kind, b.Kind) }) {
+		return nil, errors.New("rules: not in the order of their kinds")
+	}
+	for i, r := range e.Rules {
+		bad := func(format string, args ...any) error {
+			return &Misread{r.Kind, r.Format, fmt.Sprintf(format, args...)}
+		}
+		if i > 0 && e.Rules[i-1].Kind == r.Kind {
+			return nil, bad("twice")
+		}
+		if _, known := reads[r.Kind]; !known {
+			return nil, bad("kind not known")
+		}
+		if !reads.Has(r.Kind, r.Format) {
+			return nil, bad("format not read, only %s", Reads{r.Kind: reads[r.Kind]})
+		}
+		var err error
+		switch r.Kind {
+		case Sampling:
+			c.Sampling, err = readSampling(r)
+		case Limits:
+			c.Limits, err = readLimits(r)
+		default:
+			err = errors.New("kind not known")
+		}
+		if err != nil {
+			return nil, bad("%v", err)
+		}
+	}
+	return c, nil
+}
+
+// body reads a body into v and checks that it is in its canonical form: written otherwise it would have another digest.
+func body(r Rule, v any) error {
+	if err := strict.Unmarshal(r.Body, v); err != nil {
+		return fmt.Errorf("not read: %w", err)
+	}
+	if !slices.Equal(encode(v), r.Body) {
+		return errors.New("not in its canonical form")
+	}
+	return nil
+}
+
+// Lower writes an edition in formats that somebody reads, where that loses nothing. lost names what would be lost; then the
+// edition is not to be used.
+func Lower(e Edition, reads Reads) (lower Edition, lost []string) {
+	lower.Number = e.Number
+	for _, r := range e.Rules {
+		if reads.Has(r.Kind, r.Format) {
+			lower.Rules = append(lower.Rules, r)
+			continue
+		}
+		if r.Kind == Sampling && r.Format.Major == 2 && reads.Has(Sampling, Format{1, 0}) {
+			one, missing := lowerSampling(r)
+			lost = append(lost, missing...)
+			lower.Rules = append(lower.Rules, one)
+			continue
+		}
+		lost = append(lost, fmt.Sprintf("all of %s %s", r.Kind, r.Format))
+	}
+	return lower, lost
+}
--- /dev/null
+++ b/internal/rules/trial.go
@@ -0,0 +1,118 @@
+package rules
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Cases is how many drawn cases a trial decides.
+const Cases = 128
+
+// Trial is what a program makes of an edition: four bytes for the decision on each case, and first what it says of each
+// rule's canonical form.
+type Trial [4 * (Cases + 1)]byte
+
+// Case is what a decision is made on. What is drawn depends on the content alone, so all draw the same.
+type Case struct {
+	Class, Tenant, Node string
+	ID                  string
+	Again, Failed       bool
+	Took                uint32 // milliseconds
+}
+
+func (c Case) String() string {
+	return fmt.Sprintf("class %q, tenant %q, node %q, id %s, again %t, failed %t, %d ms", c.Class, c.Tenant, c.Node, c.ID, c.Again, c.Failed, c.Took)
+}
+
+// DrawCases draws the cases of an edition. Names come from the rules themselves and from outside of them, so that each rule
+// is met and so is what none speaks of; times lie about those that the rules name.
+func DrawCases(c *Compiled) []Case {
+	d := c.Edition.Digest()
+	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(d[:8]), binary.BigEndian.Uint64(d[8:16])))
+	classes, tenants := []string{"", "other"}, []string{"", "other"}
+	slow := uint32(1000)
+	if s := c.Sampling; s != nil {
+		for _, n := range s.Classes {
+			classes = append(classes, n.Name)
+		}
+		for _, n := range s.Tenants {
+			tenants = append(tenants, n.Name)
+		}
+		if s.Slow > 0 {
+			slow = s.Slow
+		}
+	}
+	if l := c.Limits; l != nil {
+		for _, q := range l.Quotas {
+			classes, tenants = append(classes, q.Class), append(tenants, q.Tenant)
+		}
+	}
+	pick := func(from []string) string { return from[rng.IntN(len(from))] }
+	all := make([]Case, Cases)
+	for i := range all {
+		all[i] = Case{Class: pick(classes), Tenant: pick(tenants), Node: fmt.Sprintf("n%d", rng.IntN(8)), ID: fmt.Sprintf("%016x", rng.Uint64()),
+			Again: rng.IntN(3) == 0, Failed: rng.IntN(4) == 0, Took: slow - 2 + uint32(rng.IntN(5))}
+	}
+	return all
+}
+
+// Decide is what the rules decide on a case, in words.
+func (c *Compiled) Decide(q Case) string {
+	text := ""
+	if s := c.Sampling; s != nil {
+		rate := s.RateOf(q.Class, q.Tenant)
+		hash := TraceHash(s.Salt, q.ID)
+		text += fmt.Sprintf("rate %d hash %x captured %t kept %t caps %d %d %d least %d", rate, hash, Captures(hash, rate), s.Keeps(q.Failed, q.Took), s.Records, s.Bytes, s.PerNode, s.Least)
+	}
+	if l := c.Limits; l != nil {
+		for _, x := range l.Settings() {
+			if !x.Applies(q.Class, q.Tenant) {
+				continue
+			}
+			limit := x.Limit()
+			text += fmt.Sprintf("; limit %s kind %d most %d floor %d members %d available %t burst %v leased %t claims %t shares %t", x.Name, limit.Kind, limit.Most, limit.Floor,
+				limit.Members, limit.Available, x.BurstTime(), x.Leased(), x.OfClaims(), x.Shares)
+		}
+	}
+	return text
+}
+
+// Keeps tells whether a trace that has ended so is kept after the fact.
+func (s *SamplingRules) Keeps(failed bool, took uint32) bool {
+	return s.Failed && failed || s.Slow > 0 && took > s.Slow
+}
+
+// TraceHash is the hash of a trace's id. Its salt is the edition's, so that nobody can choose ids that are captured.
+func TraceHash(salt uint64, id string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(salt)
+	d.WriteString(id)
+	return d.Sum64()
+}
+
+// Try decides the cases.
+func Try(c *Compiled) Trial { return TryWith(c, c.Decide) }
+
+// TryWith decides the cases in another way: that of a program which understands the rules otherwise.
+func TryWith(c *Compiled, decide func(Case) string) (t Trial) {
+	put := func(i int, text string) { binary.BigEndian.PutUint32(t[4*i:], uint32(xxhash.Sum64String(text))) }
+	put(0, string(encode(c.Edition.Rules)))
+	for i, q := range DrawCases(c) {
+		put(i+1, decide(q))
+	}
+	return t
+}
+
+// Differs tells where two trials first differ: -1, nowhere; 0, in the canonical form; else in the case of that number, from 1.
+func Differs(a, b Trial) int {
+	for i := range Cases + 1 {
+		if !slices.Equal(a[4*i:4*i+4], b[4*i:4*i+4]) {
+			return i
+		}
+	}
+	return -1
+}
