Check that every sidecar understands an edition of rules before it holds

Need: a fleet of several versions must not go by rules that one of them reads otherwise.

internal/skew: Step(now, event) -> actions in each member. The member that leads the voters offers an edition, each reads it, decides 128 drawn cases and answers; the leader compares with its own. Once all of the view understand (and who is away and may return), the next view carries the edition's number and digest, so that the leases of views bound how long the one before goes on: nothing new had to be proved. Policies wait, lower, leave behind. Records of members say which formats are read (128 bytes at the most).

Found on the way: with the last passed round alone remembered, two trials at once were passed on for ever (lowering took 137 s of processor time, a storm did not end): the last 32 are remembered, four a pace passed on at the most.

Noticed: the next edition at once, an edition by its number without content, claims believed, silence taken for understanding.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -13,6 +13,8 @@
 	"fieldrelay/internal/member"
 	"fieldrelay/internal/peer"
 	"fieldrelay/internal/quota"
+	"fieldrelay/internal/rules"
+	"fieldrelay/internal/skew"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/internal/view"
 )
@@ -56,18 +58,21 @@
 		Since  time.Duration
 		Drains bool
 	}
+	// PushRules is the edition of this member's file, which it wants to hold.
+	PushRules struct{ Edition rules.Edition }
 	// Recover is the operator's word that the majority of the voters is lost for good.
 	Recover struct{}
 )
 
-func (Tick) event()    {}
-func (Got) event()     {}
-func (Leave) event()   {}
-func (Change) event()  {}
-func (Recover) event() {}
-func (Limits) event()  {}
-func (Say) event()     {}
-func (Drains) event()  {}
+func (Tick) event()      {}
+func (PushRules) event() {}
+func (Got) event()       {}
+func (Leave) event()     {}
+func (Change) event()    {}
+func (Recover) event()   {}
+func (Limits) event()    {}
+func (Say) event()       {}
+func (Drains) event()    {}
 
 // Action is what a Core wants done.
 type Action interface{ action() }
@@ -100,6 +105,10 @@
 	DrainsChanged struct{ News []verdict.Word }
 	// PartsChanged is that this member's parts of the limits may have changed.
 	PartsChanged struct{}
+	// RulesForced is that this member goes by an edition from now on, whole.
+	RulesForced struct{ Compiled *rules.Compiled }
+	// RulesLine is a line on rules for the operator.
+	RulesLine struct{ skew.Line }
 	// ModeChanged is a new mode.
 	ModeChanged struct {
 		Mode, Was Mode
@@ -108,6 +117,8 @@
 )
 
 func (Transmit) action()      {}
+func (RulesForced) action()   {}
+func (RulesLine) action()     {}
 func (MemberChanged) action() {}
 func (ModeChanged) action()   {}
 func (Save) action()          {}
@@ -134,6 +145,7 @@
 	Seen          Seen
 	VerdictPct    int              // of the listed nodes, and of each zone's, that may be under verdict
 	MutateVerdict verdict.Mutation // of tests alone
+	Rules         *skew.Config     // of what follows from the others the rest is filled in; nil: no rules
 }
 
 // Seen is what a member knows of execute nodes by itself.
@@ -174,6 +186,7 @@
 	holder   *quota.Holder
 	grants   *quota.Granter
 	judge    *verdict.Judge // nil: no verdicts are made
+	skew     *skew.Machine  // nil: no rules
 	mode     Mode
 	back     time.Duration // when the lease that is held again is shown; 0: none is waited for
 	out      []Action
@@ -197,6 +210,9 @@
 	cfg.View.Members, cfg.View.Member = c.member.Those, c.member.Peer
 	views, err := view.New(cfg.View, now)
 	c.views = views
+	if cfg.Rules != nil && err == nil {
+		c.newSkew(*cfg.Rules, now)
+	}
 	return c, err
 }
 
@@ -209,6 +225,9 @@
 	if c.judge != nil {
 		next = min(next, c.judge.Next())
 	}
+	if c.skew != nil {
+		next = min(next, c.skew.Next())
+	}
 	if c.back > 0 {
 		next = min(next, c.back)
 	}
@@ -255,10 +274,13 @@
 		c.out = append(c.out, PartsChanged{})
 	case Leave:
 		c.take(c.member.Step(now, member.Leave{}))
+	case PushRules:
+		c.rule(skew.Push{Edition: e.Edition})
 	case Change:
 		c.take(c.member.Step(now, member.Seeds{Join: e.Join}))
 	}
 	if c.mode != Yielded {
+		c.rule(skew.Tick{})
 		c.limit()
 		if c.judge != nil && c.judge.Next() <= c.now {
 			c.judged(verdict.Look{Evidence: c.cfg.Seen.Evidence(c.now), Peers: c.observers(), Nodes: c.cfg.Seen.Listed()})
@@ -416,6 +438,9 @@
 	if f.Grant != nil {
 		c.granted(*f.Grant)
 	}
+	if f.Rules != nil {
+		c.rule(skew.Heard{From: f.From, Message: *f.Rules})
+	}
 	if f.View != nil {
 		c.agree(view.Received{From: f.From, Message: *f.View})
 	}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -14,6 +14,8 @@
 	"fieldrelay/internal/member"
 	"fieldrelay/internal/peer"
 	"fieldrelay/internal/quota"
+	"fieldrelay/internal/rules"
+	"fieldrelay/internal/skew"
 	"fieldrelay/internal/view"
 )
 
@@ -35,7 +37,8 @@
 	Limits      []quota.Limit
 	Demand      func(member int, now time.Duration) quota.Unit // of each limit, by the world's time
 	MutateQuota quota.Mutation
-	Station     *Station // execute nodes that the members send to; nil: none, and no verdicts
+	Rules       func(member int) *skew.Config // of each start; nil: no rules
+	Station     *Station                      // execute nodes that the members send to; nil: none, and no verdicts
 	// LoseLog has a voter come back under its identity without its state: a fault put in on purpose.
 	LoseLog bool
 }
@@ -66,6 +69,7 @@
 	since      time.Duration // of this start, on the world's clock
 	rate       float64
 	kept       *view.Kept
+	Edition    rules.Edition // that its last process went by
 	setBack    time.Duration
 	start      uint64 // number of this start
 	boots      uint64
@@ -230,6 +234,12 @@
 	if w.opts.Station != nil {
 		w.opts.Station.join(n, &cfg)
 	}
+	if w.opts.Rules != nil {
+		if cfg.Rules = w.opts.Rules(n.Index); cfg.Rules != nil {
+			cfg.Rules.Kept = n.Edition
+			cfg.Member.Reads = cfg.Rules.Reads.String()
+		}
+	}
 	var err error
 	n.Core, err = fleet.NewCore(cfg, 0)
 	if err != nil {
@@ -264,6 +274,9 @@
 	})
 }
 
+// Do lets something happen at it.
+func (n *Node) Do(e fleet.Event) { n.step(e) }
+
 func (n *Node) step(e fleet.Event) {
 	if n.Core == nil {
 		return
@@ -289,8 +302,11 @@
 				}
 			}
 		default:
-			if a, ok := a.(fleet.Avoid); ok {
+			switch a := a.(type) {
+			case fleet.Avoid:
 				n.avoids(a.Nodes)
+			case fleet.RulesForced:
+				n.Edition = a.Compiled.Edition
 			}
 			if w.Heard != nil {
 				w.Heard(n, w.now, a)
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -79,7 +79,7 @@
 // New makes a machine. now is the present on the clock that Step is called with.
 func New(cfg Config, now time.Duration) *Machine {
 	m := &Machine{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)), peers: map[string]*peer{}, seeds: map[string]string{}, now: now, differsSince: -1}
-	m.self = Record{Name: cfg.Name, Addr: cfg.Addr, Boot: cfg.Boot, Inc: max(1, cfg.Inc), Zone: cfg.Zone}
+	m.self = Record{Name: cfg.Name, Addr: cfg.Addr, Boot: cfg.Boot, Inc: max(1, cfg.Inc), Zone: cfg.Zone, Reads: cfg.Reads}
 	m.seq = uint64(m.rng.Uint32()) // an answer to an earlier process of this name must not pass for one to this one
 	m.periodDue = now + m.jitter(cfg.Pace)
 	m.seedDue = now
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,7 @@
 	MostName    = 40   // bytes of a name
 	MostAddr    = 64   // bytes of an address
 	MostZone    = 40   // bytes of a zone's name
+	MostReads   = 128  // bytes of what it reads
 	mostNews    = 6    // records in a datagram, so that it stays within 1,400 bytes
 	mostQueued  = 4 * MostMembers
 )
@@ -56,6 +57,8 @@
 	// process can say so.
 	Over uint64 `cbor:"7,keyasint,omitempty"`
 	Zone string `cbor:"8,keyasint,omitempty"` // where it stands, by its own word
+	// Reads is which formats of rules it reads, by its own word; empty: none.
+	Reads string `cbor:"9,keyasint,omitempty"`
 }
 
 // Present tells whether the process belongs to those that are there.
@@ -77,8 +80,8 @@
 	switch {
 	case r.Name == "" || len(r.Name) > MostName || len(r.By) > MostName:
 		return fmt.Errorf("member: a name of %d bytes, 1 to %d are taken", len(r.Name), MostName)
-	case len(r.Addr) > MostAddr || len(r.Zone) > MostZone:
-		return errors.New("member: address or zone too long")
+	case len(r.Addr) > MostAddr || len(r.Zone) > MostZone || len(r.Reads) > MostReads:
+		return errors.New("member: address, zone or formats too long")
 	case r.State > Left:
 		return errors.New("member: unknown state")
 	}
@@ -160,14 +163,15 @@
 
 // Config is what a machine is made with.
 type Config struct {
-	Name string
-	Addr string // where the others reach it
-	Boot uint64 // of this start, see NewBoot
-	Inc  uint64 // the first incarnation; 0 is 1
-	Zone string // where it stands; empty: not told
-	Join []string
-	Pace time.Duration // between two probes
-	Seed uint64
+	Name  string
+	Addr  string // where the others reach it
+	Boot  uint64 // of this start, see NewBoot
+	Inc   uint64 // the first incarnation; 0 is 1
+	Zone  string // where it stands; empty: not told
+	Reads string // which formats of rules it reads; empty: none
+	Join  []string
+	Pace  time.Duration // between two probes
+	Seed  uint64
 	// Mutate makes the machine wrong on purpose, so that tests can show that they would notice. Nothing else sets it.
 	Mutate Mutation
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -13,6 +13,7 @@
 
 	"fieldrelay/internal/member"
 	"fieldrelay/internal/quota"
+	"fieldrelay/internal/skew"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/internal/view"
 )
@@ -46,6 +47,7 @@
 	Opinions []verdict.Opinion `cbor:"12,keyasint,omitempty"`
 	// Drains are words on execute nodes that drain.
 	Drains []verdict.Word `cbor:"13,keyasint,omitempty"`
+	Rules  *skew.Message  `cbor:"14,keyasint,omitempty"` // of the checker of rules
 }
 
 // What keeps a frame from being taken.
--- /dev/null
+++ b/internal/skew/skew.go
@@ -0,0 +1,202 @@
+// Package skew checks, before an edition of rules holds, that every sidecar
+// understands it: each one reads it and decides drawn cases, and the member that
+// leads the voters compares. It is a state machine: Step(now, event) ->
+// actions, without I/O, clock or goroutine, and the same seed and events give
+// the same actions. docs/design-rules.md says why it is so.
+package skew
+
+import (
+	"fmt"
+	"time"
+
+	"fieldrelay/internal/member"
+	"fieldrelay/internal/rules"
+	"fieldrelay/internal/view"
+)
+
+// Phase is how far an edition has come, as the leader has it.
+type Phase uint8
+
+// The phases.
+const (
+	Nothing  Phase = iota
+	Offered        // told to the members, some of which have not answered
+	Read           // every member has answered
+	Agreed         // proposed with a view
+	InForce        // the decided view has it
+	Rejected       // it cannot be read, or nothing may be lost and something would
+)
+
+func (p Phase) String() string {
+	return [...]string{"nothing", "offered", "read", "agreed", "in force", "rejected"}[min(p, Rejected)]
+}
+
+// Understanding is what became of a member's trial.
+type Understanding uint8
+
+// What a trial can come to.
+const (
+	Silent Understanding = iota
+	Understands
+	CannotRead
+	Otherwise // it reads it and decides otherwise
+)
+
+func (u Understanding) String() string {
+	return [...]string{"not heard of", "understands", "cannot read", "reads otherwise"}[min(u, Otherwise)]
+}
+
+// Kind is what a message is.
+type Kind uint8
+
+// The kinds.
+const (
+	Draft   Kind = iota + 1 // from who pushes, to the leader: the edition, without a number
+	Status                  // back: how far it has come
+	Offer                   // try this edition; passed on once by each
+	Reading                 // what came of the trial, to the leader
+	Want                    // who has the content of this digest?
+	Have                    // this is it
+)
+
+// Message passes between members.
+type Message struct {
+	Kind    Kind           `cbor:"1,keyasint"`
+	Edition *rules.Edition `cbor:"2,keyasint,omitempty"` // Draft, Offer, Have
+	Leader  string         `cbor:"3,keyasint,omitempty"` // Offer: who is to be answered
+	Round   uint64         `cbor:"4,keyasint,omitempty"` // Offer: of the leader's trial; Reading: the same
+	Digest  string         `cbor:"5,keyasint,omitempty"` // Status, Want
+	Trial   []byte         `cbor:"6,keyasint,omitempty"` // Reading: of who reads it
+	Misread string         `cbor:"7,keyasint,omitempty"` // Reading: why it cannot be read
+	Phase   Phase          `cbor:"8,keyasint,omitempty"` // Status
+	Number  uint64         `cbor:"9,keyasint,omitempty"` // Status
+	Why     []string       `cbor:"10,keyasint,omitempty"`
+}
+
+// Event is what happens to the machine.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Tick is that time has passed, or that the view may have changed.
+	Tick struct{}
+	// Heard is a message of another member.
+	Heard struct {
+		From    member.Record
+		Message Message
+	}
+	// Push is the edition of this member's file, which it wants to hold. Its number does not count.
+	Push struct{ Edition rules.Edition }
+)
+
+func (Tick) event()  {}
+func (Heard) event() {}
+func (Push) event()  {}
+
+// Action is what the machine wants done.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Send is a message for a member, by name.
+	Send struct {
+		To      string
+		Message Message
+	}
+	// Spread is a message for some others, drawn anew each time.
+	Spread struct{ Message Message }
+	// Propose is what the leader has agreed with the next view.
+	Propose struct{ Rules view.Rules }
+	// Force is that this member goes by an edition from now on, whole.
+	Force struct{ Compiled *rules.Compiled }
+	// Line is a line for the operator.
+	Line struct {
+		Text string
+		Loud bool
+	}
+)
+
+func (Send) action()    {}
+func (Spread) action()  {}
+func (Propose) action() {}
+func (Force) action()   {}
+func (Line) action()    {}
+
+// Config is what a machine is made with. The functions are called in Step.
+type Config struct {
+	Name   string
+	Boot   uint64
+	Pace   time.Duration
+	Bound  time.Duration // for which a view is held at the most after the next was decided: view.Bound
+	Seed   uint64
+	Reads  rules.Reads
+	Lower  bool          // write an edition in a format that all read, where that loses nothing
+	Behind int           // members that may be left behind
+	Return time.Duration // a member that is away counts for so long
+	Hear   time.Duration // a member that does not answer is not heard of after so long
+	Kept   rules.Edition // that this member went by before it was started; number 0: none
+
+	View    func() (view.View, bool)
+	Holds   func() bool              // the view, which is the newest then
+	Decided func() (view.View, bool) // by the voters, where this member votes
+	Leader  func() string
+	Members func() []Member // all that are known, this one among them, by name
+	// Decide is how this program decides a case; nil: as it does.
+	Decide func(c *rules.Compiled, q rules.Case) string
+	Mutate Mutation
+}
+
+// Member is another sidecar, by this one's opinion.
+type Member struct {
+	Name  string
+	Boot  uint64
+	Reads string
+	Away  time.Duration // for so long by now; -1: it is there; what has left for good is not among them
+}
+
+// Mutation is a fault put in on purpose.
+type Mutation uint8
+
+// The mutations.
+const (
+	NoMutation    Mutation = iota
+	TrustsClaims           // a member that says that it reads the format is not tried
+	SkipsSilent            // who has not answered counts as one that understands
+	NoWait                 // the next edition is agreed at once
+	HalfInForce            // an edition is gone by before its content was read
+	AnyBoot                // an answer of an earlier process of a name counts
+	OverwritesNew          // an edition of a lower number is gone back to
+)
+
+// Times in paces.
+const (
+	draftEvery   = 4 // a draft is sent to the leader again
+	tellAfter    = 2 // who has not answered is told directly, and again
+	tellAtOnce   = 8 // of those, in a pace
+	wantEvery    = 2
+	proposeEvery = 4
+	mostPasses   = 4  // offers passed on in a pace
+	mostPassed   = 32 // rounds that are remembered
+	mostHeld     = 6  // editions whose content is kept
+	mostQueue    = 4  // drafts that wait
+	mostWhy      = 16 // lines of why
+)
+
+// held is an edition whose content is here.
+type held struct {
+	edition  rules.Edition
+	compiled *rules.Compiled // nil: it cannot be read
+	err      error
+	trial    rules.Trial
+	used     time.Duration
+}
+
+// Bounds are what the section promises, with figures.
+func Bounds(lease time.Duration, drift float64, pace time.Duration) []string {
+	b := view.Bound(lease, drift).Round(time.Millisecond)
+	return []string{
+		fmt.Sprintf("rules: no member that holds a view goes by the edition before for longer than lease_ms * (1 + drift) = %v after the next was agreed", b),
+		fmt.Sprintf("rules: two editions are agreed at least %v apart, so at most two are in force at once among those that hold a view", b),
+		fmt.Sprintf("rules: one that is cut off goes by its last edition, and says so once its lease is over, %v at the most", b),
+	}
+}
--- a/internal/view/machine.go
+++ b/internal/view/machine.go
@@ -98,6 +98,14 @@
 // View is the view that this member goes by, if it has one. It may be old: see Holds.
 func (m *Machine) View() (View, bool) { return m.view, m.has }
 
+// Decided is the view that the voters have decided last, as this one knows, if it votes.
+func (m *Machine) Decided() (View, bool) {
+	if m.voter == nil {
+		return View{}, false
+	}
+	return m.voter.decided.View, true
+}
+
 // Until is the time to which this member holds its view: it belongs to it, and the view was the newest at some moment
 // within the lease before. A time that has passed: it does not hold it.
 func (m *Machine) Until() time.Duration {
@@ -171,6 +179,10 @@
 		m.stamped(e.From.Name, e.Stamp, e.Asked, nil)
 	case Recover:
 		m.recover()
+	case Rule:
+		if m.voter != nil && m.voter.leads() && len(e.Rules.Digest) <= mostDigest && e.Rules.Number > m.voter.decided.View.Rules.Number {
+			m.voter.rules = e.Rules
+		}
 	}
 	m.guard(m.timers)
 	return m.out
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -44,8 +44,18 @@
 type View struct {
 	ID      ID       `cbor:"1,keyasint"`
 	Members []Member `cbor:"2,keyasint"`
+	Rules   Rules    `cbor:"3,keyasint,omitzero"` // that hold with it
 }
 
+// Rules names the edition of rules that holds with a view: who goes by the view goes by that edition.
+type Rules struct {
+	Number uint64 `cbor:"1,keyasint,omitempty"` // 0: none
+	Digest string `cbor:"2,keyasint,omitempty"` // of the content, in hexadecimal digits
+}
+
+// mostDigest bounds a digest, in bytes.
+const mostDigest = 64
+
 // whole is what the shares of a view sum to at the most.
 const whole = 1_000_000
 
@@ -153,8 +163,12 @@
 	// Recover is the operator's word that the majority of the voters is lost for good: this process founds a group of its
 	// own with what it knows.
 	Recover struct{}
+	// Rule is that this process, where it leads, is to propose an edition of rules with the next view. It says so again
+	// until the view has them.
+	Rule struct{ Rules Rules }
 )
 
+func (Rule) event()     {}
 func (Tick) event()     {}
 func (Received) event() {}
 func (Stamped) event()  {}
--- a/internal/view/voter.go
+++ b/internal/view/voter.go
@@ -36,6 +36,7 @@
 	differs    time.Duration    // since when the leader's opinion is not the view; -1: it is
 	proposed   time.Duration    // when the last proposal was made; -1: none is open
 	mine       uint64           // its nonce
+	rules      Rules            // to be proposed with the next view, if they are later than the present ones
 	changed    time.Duration    // when the last change of voters was proposed; -1: none
 	candidates map[string]candidate
 	missing    map[uint64]time.Duration // voters that stay away, since when
@@ -119,6 +120,8 @@
 	}
 	if m.voter.leads() {
 		m.lead()
+	} else {
+		v.rules = Rules{} // the next one that leads asks all anew
 	}
 	m.work()
 	if v = m.voter; v == nil {
@@ -156,7 +159,10 @@
 // next is the view that this process's opinion asks for.
 func (m *Machine) next() View {
 	present := m.cfg.Members()
-	next := View{ID: ID{Era: m.voter.decided.Group.Era, Number: m.voter.decided.View.ID.Number + 1}}
+	next := View{ID: ID{Era: m.voter.decided.Group.Era, Number: m.voter.decided.View.ID.Number + 1}, Rules: m.voter.decided.View.Rules}
+	if m.voter.rules.Number > next.Rules.Number {
+		next.Rules = m.voter.rules
+	}
 	for _, r := range present {
 		next.Members = append(next.Members, Member{Name: r.Name, Addr: r.Addr, Boot: r.Boot, Inc: r.Inc, Share: uint32(whole / len(present))})
 	}
@@ -166,7 +172,7 @@
 func (m *Machine) proposeView() {
 	v := m.voter
 	next := m.next()
-	same := slices.EqualFunc(next.Members, v.decided.View.Members, func(a, b Member) bool {
+	same := next.Rules == v.decided.View.Rules && slices.EqualFunc(next.Members, v.decided.View.Members, func(a, b Member) bool {
 		return a.Name == b.Name && a.Boot == b.Boot && a.Addr == b.Addr
 	})
 	switch {
