Push editions of rules to processes, which all go by one that all understand

Need: the checker has to run in the sidecar, with files, limits, figures and a place to look.

[rules] of the operator's file (off unless on = true): the file that is pushed at a start and at SIGHUP, formats that are held back as in a rolling upgrade, the policy. Limits of an edition in force come in the place of the tables [[quota]]. The edition gone by is kept beside the voter's state. RULES at the management address, two figures, a line for each phase; fieldrelay check names every fault with line and column and prints the bounds. Without the section no frame, record or view differs.

--- a/cmd/fieldrelayctl/main.go
+++ b/cmd/fieldrelayctl/main.go
@@ -18,6 +18,7 @@
 	"github.com/alecthomas/kong"
 
 	"fieldrelay/internal/config"
+	"fieldrelay/internal/skew"
 )
 
 // Exit codes.
@@ -118,6 +119,16 @@
 	if err != nil {
 		return err
 	}
+	if r := cfg.Operator.Rules; r.On {
+		_, err := skew.Configure(r)
+		if r.File != "" {
+			_, err2 := skew.ReadFile(r.File)
+			err = errors.Join(err, err2)
+		}
+		if err != nil {
+			return err
+		}
+	}
 	fmt.Fprintf(w.out, "no fault in %d settings\n", len(cfg.Shown()))
 	if s := cfg.Operator.Fleet; s.Enabled() {
 		for _, line := range s.Bounds() {
@@ -126,6 +137,11 @@
 		for _, q := range cfg.Operator.Quota {
 			fmt.Fprintln(w.out, q.Bound())
 		}
+		if r := cfg.Operator.Rules; r.On {
+			for _, line := range skew.Bounds(s.LeaseTime(), s.DriftPart()) {
+				fmt.Fprintln(w.out, line)
+			}
+		}
 	}
 	return nil
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,7 @@
 	"fieldrelay/internal/handover"
 	"fieldrelay/internal/logging"
 	"fieldrelay/internal/quota"
+	rules "fieldrelay/internal/skew/settings"
 )
 
 // OperatorVersion is the version of the operator's file that this program reads.
@@ -37,11 +38,12 @@
 	Replace handover.Settings `toml:"replace"`
 	Fleet   settings.Settings `toml:"fleet"`
 	Quota   quota.All         `toml:"quota"`
+	Rules   rules.Settings    `toml:"rules"`
 }
 
 // OperatorDefaults are the settings where there is no operator's file.
 func OperatorDefaults() Operator {
-	return Operator{Version: OperatorVersion, Log: logging.Defaults(), Replace: handover.Defaults(), Fleet: settings.Defaults()}
+	return Operator{Version: OperatorVersion, Log: logging.Defaults(), Replace: handover.Defaults(), Fleet: settings.Defaults(), Rules: rules.Defaults()}
 }
 
 var operatorSchema = sync.OnceValue(func() schema { return schemaOf(reflect.TypeFor[Operator](), "toml") })
@@ -113,6 +115,7 @@
 	o.Replace.Check(src.under("replace"))
 	o.Fleet.Check(src.under("fleet"))
 	o.Quota.Check(o.Fleet.Enabled(), func(key string, read any, allowed string) { src.fault("quota"+key, read, allowed) })
+	o.Rules.Check(o.Fleet.Enabled(), src.under("rules"))
 	return o, src
 }
 
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -17,6 +17,7 @@
 	"fieldrelay/internal/config"
 	"fieldrelay/internal/fleet/settings"
 	"fieldrelay/internal/quota"
+	rules "fieldrelay/internal/skew/settings"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/logic"
 )
@@ -36,8 +37,12 @@
 	Figures(prefix string) []string // StatsD lines
 	Recover() error                 // the voters begin anew with this process
 	SetQuotas(all quota.All)        // the limits of the fleet
-	SetTenants(all []logic.Tenant)  // of the settings
-	Quotas() []string               // a line a limit
+	// CheckRules reads the file of rules of new settings; SetRules takes it over and pushes what it says.
+	CheckRules(next rules.Settings) error
+	SetRules(next rules.Settings)
+	Rules() ([]string, error)      // what there is to tell of rules
+	SetTenants(all []logic.Tenant) // of the settings
+	Quotas() []string              // a line a limit
 	// Verdicts has a line for each execute node that is spoken of.
 	Verdicts() ([]string, error)
 	Outcome(node string, failed bool, took time.Duration) // of a claim
@@ -62,6 +67,7 @@
 type FleetOptions struct {
 	Settings settings.Settings
 	Quotas   quota.All
+	Rules    rules.Settings
 	Name     string         // the sidecar's, for settings that give none
 	Words    []verdict.Word // on execute nodes, kept from before
 	// Changed is told all words on execute nodes when they change. It must not block.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -14,6 +14,7 @@
 	"fieldrelay/internal/quota"
 	"fieldrelay/internal/reconfig"
 	"fieldrelay/internal/relay"
+	rules "fieldrelay/internal/skew/settings"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/logic"
 )
@@ -36,6 +37,7 @@
 	mu  sync.Mutex
 	is  settings.Settings // in force
 	all quota.All         // likewise
+	led rules.Settings    // likewise
 	now Fleet             // nil: off
 	// listed are the execute nodes that take claims.
 	listed  []verdict.Node
@@ -44,9 +46,9 @@
 
 // start joins. A process that replaces another waits until that one has left the address, and serves alone if it does
 // not.
-func (p *peers) start(s settings.Settings, q quota.All, replaces bool) error {
+func (p *peers) start(s settings.Settings, q quota.All, r rules.Settings, replaces bool) error {
 	p.mu.Lock()
-	p.is, p.all = s, q
+	p.is, p.all, p.led = s, q, r
 	p.mu.Unlock()
 	if !s.Enabled() {
 		return nil
@@ -55,7 +57,7 @@
 		return errors.New("fleet: this program has none in it")
 	}
 	for end := time.Now().Add(fleetPatience); ; <-time.After(fleetPace) {
-		f, err := p.join(FleetOptions{Settings: s, Quotas: q, Name: p.name, Words: p.told.read(), Changed: p.told.changed,
+		f, err := p.join(FleetOptions{Settings: s, Quotas: q, Rules: r, Name: p.name, Words: p.told.read(), Changed: p.told.changed,
 			Zone: p.zone, Avoid: p.core.Avoid, Drains: p.told.drains, Tenants: p.tenants, Allot: p.core.Allot}, p.log)
 		if err == nil {
 			p.mu.Lock()
@@ -162,19 +164,23 @@
 
 // prepare is the section's part of a reload. What can fail, a new address, is tried before anything changes.
 func (p *peers) prepare(next *config.Config) (reconfig.Change, error) {
-	s, q := next.Operator.Fleet, next.Operator.Quota
+	s, q, r := next.Operator.Fleet, next.Operator.Quota, next.Operator.Rules
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch was := p.is; {
-	case was.Equal(s) && slices.Equal(p.all, q):
+	case was.Equal(s) && slices.Equal(p.all, q) && p.led.Equal(r) && r.File == "":
 		return nil, nil
-	case p.now != nil && was.Live(s):
+	case p.now != nil && was.Live(s) && p.led.Live(r):
+		if err := p.now.CheckRules(r); err != nil {
+			return nil, err
+		}
 		return reconfig.Do(func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.is, p.all = s, q
+			p.is, p.all, p.led = s, q, r
 			p.now.Set(s)
 			p.now.SetQuotas(q)
+			p.now.SetRules(r)
 		}), nil
 	case s.Enabled() && p.join == nil:
 		return reconfig.Do(func() {
@@ -192,7 +198,7 @@
 		p.mu.Lock()
 		p.now = nil
 		p.mu.Unlock()
-		if err := p.start(s, q, false); err != nil {
+		if err := p.start(s, q, r, false); err != nil {
 			p.log.Error().Err(err).Msg("fleet not joined, serving alone")
 		}
 	}), nil
@@ -220,6 +226,8 @@
 	return o.fleetLines(func(f Fleet) ([]string, error) { return f.Quotas(), nil })
 }
 
+func (o *operations) Rules() ([]string, error) { return o.fleetLines(Fleet.Rules) }
+
 func (o *operations) Verdicts() ([]string, error) { return o.fleetLines(Fleet.Verdicts) }
 
 func (o *operations) Peers() ([]string, error) {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -151,14 +151,14 @@
 		return err
 	}
 	if !inherited.Replaces() {
-		if err := members.start(cfg.Operator.Fleet, cfg.Operator.Quota, false); err != nil {
+		if err := members.start(cfg.Operator.Fleet, cfg.Operator.Quota, cfg.Operator.Rules, false); err != nil {
 			return err
 		}
 	}
 	opened.Commit()
 	fronts.Settle()
 	if inherited.Replaces() { // only now has the process before this one cause to leave the fleet's address
-		members.start(cfg.Operator.Fleet, cfg.Operator.Quota, true)
+		members.start(cfg.Operator.Fleet, cfg.Operator.Quota, cfg.Operator.Rules, true)
 	}
 	ops.serving.Store(time.Now().UnixNano())
 	log.Info().Stringer("listen", fronts.Listeners()[cfg.Listen].Addr()).Int("procs", cfg.Procs).Int("inbound", cfg.Inbound).
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"fieldrelay/internal/member"
 	"fieldrelay/internal/peer"
 	"fieldrelay/internal/quota"
+	rulesettings "fieldrelay/internal/skew/settings"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/internal/view"
 	"fieldrelay/logic"
@@ -55,6 +56,7 @@
 	avoid    func(nodes []string)
 	drains   func(news []verdict.Word)
 	allot    func(tenant string, rate float64)
+	ruled    ruled
 	strange  map[string]bool // senders refused, which are told in one line each
 }
 
@@ -62,6 +64,7 @@
 type Options struct {
 	Settings settings.Settings
 	Quotas   quota.All
+	Rules    rulesettings.Settings
 	Name     string         // the sidecar's, for settings that give none
 	Words    []verdict.Word // on execute nodes, kept from before
 	// Changed is told all words on execute nodes when they change, on the actor's goroutine. It must not block.
@@ -116,6 +119,11 @@
 		f.seen.on = true
 		cfg.Seen, cfg.VerdictPct, cfg.Member.Zone = &f.seen, set.VerdictPc, opts.Zone[:min(len(opts.Zone), member.MostZone)]
 	}
+	push, err := f.ruled.begin(&cfg, set, opts, log)
+	if err != nil {
+		channel.Close()
+		return nil, errors.Join(err, f.keeper.close())
+	}
 	f.core, err = NewCore(cfg, 0)
 	if err != nil {
 		channel.Close()
@@ -126,6 +134,9 @@
 		Dur("pace", set.PaceTime()).Msg("fleet on")
 	f.limits.tell(f.core.Holder())
 	f.box.Put(func() { f.step(Tick{}) })
+	if push != nil {
+		f.box.Put(func() { f.step(PushRules{*push}) })
+	}
 	go func() {
 		defer close(f.done)
 		f.box.Run()
@@ -206,6 +217,10 @@
 			f.log.Info().Str("node", a.Node).Str("verdict", a.What).Strs("observers", a.Observers).Dur("for", a.For).Msg("verdict")
 		case PartsChanged:
 			f.limits.tell(f.core.Holder())
+		case RulesForced:
+			f.goBy(a)
+		case RulesLine:
+			f.ruled.line(f.log, a)
 		case Notice:
 			level := zerolog.InfoLevel
 			if a.Loud {
@@ -224,6 +239,7 @@
 			f.log.WithLevel(level).Stringer("mode", a.Mode).Stringer("was", a.Was).Str("why", a.Why).Msg("fleet mode")
 		}
 	}
+	f.ruled.look(f.core)
 	if f.allot != nil {
 		f.limits.allotted(f.allot) // also once a lease has run out: nobody says so
 	}
@@ -317,6 +333,7 @@
 		figure("mode", "g", int64(f.Mode())), figure("view", "g", f.number.Load()), figure("members", "g", f.members.Load()),
 		figure("datagrams_sent", "c", c.SentDatagrams), figure("frames_streamed", "c", c.SentStreamed), figure("bytes_sent", "c", c.SentBytes),
 		figure("frames_got", "c", c.GotFrames), figure("bytes_got", "c", c.GotBytes),
+		figure("rules", "g", f.ruled.number.Load()), figure("rules_behind", "g", f.ruled.behind.Load()),
 		figure("nodes_avoided", "g", f.avoided.Load()), figure("let", "c", let), figure("turned_back", "c", refused),
 		figure("frames_dropped", "c", c.Dropped+f.overflow.Load()), figure("frames_refused", "c", f.refused.Load()+c.Refused),
 	}
@@ -386,7 +403,12 @@
 
 // SetQuotas replaces the limits of the fleet.
 func (f *Fleet) SetQuotas(all quota.All) {
-	f.box.Put(func() { f.step(Limits{f.limits.set(all)}) })
+	f.box.Put(func() {
+		f.ruled.tables = all
+		if !f.ruled.limits { // those of the edition in force come before the file's own
+			f.step(Limits{f.limits.set(all)})
+		}
+	})
 }
 
 // SetTenants takes over the tenants of new settings.
--- a/internal/fleet/rules.go
+++ b/internal/fleet/rules.go
@@ -1,11 +1,23 @@
 package fleet
 
 import (
+	"bytes"
+	"errors"
+	"path/filepath"
+	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/fleet/settings"
 	"fieldrelay/internal/member"
 	"fieldrelay/internal/peer"
+	"fieldrelay/internal/quota"
+	"fieldrelay/internal/rules"
 	"fieldrelay/internal/skew"
+	rulesettings "fieldrelay/internal/skew/settings"
+	"fieldrelay/internal/store"
 	"fieldrelay/internal/view"
 )
 
@@ -60,3 +72,149 @@
 		}
 	}
 }
+
+// ruled is the actor's part in rules.
+type ruled struct {
+	on     bool          // set before anybody asks
+	kept   store.Options // of the edition gone by; no path: it is not kept
+	pushed rules.Digest  // of what was read from the file last
+	tables quota.All     // of the operator's file
+	limits bool          // an edition in force has limits
+
+	number atomic.Int64 // of the edition gone by
+	behind atomic.Int64 // 1: this member does not go by its view's
+}
+
+const (
+	editionFile = "rules.kept"
+	editionKey  = "edition"
+	mostEdition = 2 * rules.MostBytes
+	editionWait = 2 * time.Second
+)
+
+// begin reads what is pushed from here and what was kept. A file with faults keeps the sidecar from being started; an
+// edition that was kept and cannot be used is one line.
+func (r *ruled) begin(cfg *CoreConfig, set settings.Settings, opts Options, log zerolog.Logger) (push *rules.Edition, err error) {
+	r.on, r.tables = opts.Rules.On, opts.Quotas
+	if cfg.Rules, err = skew.Configure(opts.Rules); err != nil || cfg.Rules == nil {
+		return nil, err
+	}
+	cfg.Member.Reads = cfg.Rules.Reads.String()
+	if opts.Rules.File != "" {
+		e, err := skew.ReadFile(opts.Rules.File)
+		if err != nil {
+			return nil, err
+		}
+		push, r.pushed = &e, e.Digest()
+	}
+	if set.State == "" {
+		return push, nil
+	}
+	r.kept = store.Options{Path: filepath.Join(set.State, editionFile), Owner: set.Fleet + "/" + set.Name, Most: mostEdition, Wait: editionWait}
+	found, err := store.Edit(store.Disk{}, r.kept, func(s store.Store) error {
+		if text, ok := s.Get(editionKey); ok {
+			return cbor.Unmarshal(text, &cfg.Rules.Kept)
+		}
+		return nil
+	})
+	if err != nil || found.Why != "" {
+		cfg.Rules.Kept = rules.Edition{}
+		log.Warn().Err(err).Str("why", found.Why).Msg("edition kept before not taken")
+	}
+	return push, nil
+}
+
+// keep keeps the edition that is gone by.
+func (r *ruled) keep(e rules.Edition) error {
+	if r.kept.Path == "" {
+		return nil
+	}
+	text, err := cbor.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, err = store.Edit(store.Disk{}, r.kept, func(s store.Store) error {
+		if was, ok := s.Get(editionKey); ok && bytes.Equal(was, text) {
+			return nil
+		}
+		var b store.Batch
+		b.Put(editionKey, text)
+		return s.Commit(&b)
+	})
+	return err
+}
+
+func (r *ruled) line(log zerolog.Logger, l RulesLine) {
+	level := zerolog.InfoLevel
+	if l.Loud {
+		level = zerolog.ErrorLevel
+	}
+	log.WithLevel(level).Str("rules", l.Text).Msg("rules")
+}
+
+// look keeps what the figures tell.
+func (r *ruled) look(c *Core) {
+	if c.skew == nil {
+		return
+	}
+	if e := c.skew.Edition(); e != nil {
+		r.number.Store(int64(e.Edition.Number))
+	}
+	behind := int64(0)
+	if c.skew.Behind() != "" {
+		behind = 1
+	}
+	r.behind.Store(behind)
+}
+
+// goBy puts an edition in force here, whole.
+func (f *Fleet) goBy(a RulesForced) {
+	if err := f.ruled.keep(a.Compiled.Edition); err != nil {
+		f.log.Error().Err(err).Msg("edition not kept for the next process")
+	}
+	f.log.Info().Uint64("edition", a.Compiled.Edition.Number).Str("digest", a.Compiled.Edition.Digest().String()).Msg("rules in force")
+	all := f.ruled.tables
+	if f.ruled.limits = a.Compiled.Limits != nil; f.ruled.limits {
+		all = a.Compiled.Limits.Settings()
+	}
+	list := f.limits.set(all)
+	f.box.Put(func() { f.step(Limits{list}) })
+}
+
+// CheckRules reads the file of rules of new settings, without any effect.
+func (f *Fleet) CheckRules(next rulesettings.Settings) error {
+	if next.File == "" {
+		return nil
+	}
+	_, err := skew.ReadFile(next.File)
+	return err
+}
+
+// SetRules pushes what the file says now, if that is not what it said last.
+func (f *Fleet) SetRules(next rulesettings.Settings) {
+	var e rules.Edition
+	if next.File != "" {
+		var err error
+		if e, err = skew.ReadFile(next.File); err != nil { // it has changed since it was checked
+			f.log.Error().Err(err).Msg("rules not pushed")
+			return
+		}
+	}
+	f.box.Put(func() {
+		if next.File != "" && e.Digest() != f.ruled.pushed {
+			f.ruled.pushed = e.Digest()
+			f.step(PushRules{e})
+		}
+	})
+}
+
+// Rules has what there is to tell of rules.
+func (f *Fleet) Rules() (lines []string, err error) {
+	if !f.ruled.on {
+		return nil, errors.New("rules off")
+	}
+	if !f.ask(func() { lines = f.core.Skew().Lines() }) {
+		return nil, errors.New("fleet busy or closed")
+	}
+	return lines, nil
+}
--- a/internal/manage/command.go
+++ b/internal/manage/command.go
@@ -22,6 +22,7 @@
 	Peers    Verb = "PEERS"    // the members of the fleet, then a line eof
 	Quotas   Verb = "QUOTAS"   // the limits of the fleet, then a line eof
 	Verdicts Verb = "VERDICTS" // what the fleet says of execute nodes, then a line eof
+	Rules    Verb = "RULES"    // the editions of rules, then a line eof
 	Recover  Verb = "RECOVER"  // the majority of the fleet's voters is lost for good: begin anew with this one
 )
 
@@ -41,7 +42,7 @@
 	All  bool   // of those: for the whole fleet
 }
 
-var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false, Peers: false, Quotas: false, Verdicts: false, Recover: false}
+var takesID = map[Verb]bool{Status: false, Metrics: false, Suspend: true, Restore: true, Pause: false, Resume: false, Peers: false, Quotas: false, Verdicts: false, Rules: false, Recover: false}
 
 // Parse reads a line without its end. Verbs are taken in any case; an id is taken as it is written.
 func Parse(line string) (Command, error) {
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -42,6 +42,7 @@
 	return nil
 }
 func (f *fake) Recover() error              { return nil }
+func (f *fake) Rules() ([]string, error)    { return []string{"agreed=1"}, nil }
 func (f *fake) Verdicts() ([]string, error) { return []string{"n1 avoid"}, nil }
 func (f *fake) Quotas() ([]string, error)   { return []string{"x per_second limit=5"}, nil }
 func (f *fake) Peers() ([]string, error) {
--- a/internal/manage/server.go
+++ b/internal/manage/server.go
@@ -26,6 +26,7 @@
 	Quotas() ([]string, error)
 	// VERDICTS: a line for each execute node that is spoken of; an error where no verdicts are made.
 	Verdicts() ([]string, error)
+	Rules() ([]string, error)
 	// SUSPEND ID fleet and RESTORE ID fleet: for all members; an error where there is no fleet.
 	SuspendFleet(id string, suspended bool) error
 	// RECOVER: the fleet's voters begin anew with this process; an error where there is no fleet.
@@ -154,8 +155,8 @@
 			return []string{"fail " + err.Error()}
 		}
 		return []string{"ok " + strings.ToLower(string(c.Verb)) + " " + c.ID}
-	case Peers, Quotas, Verdicts:
-		ask := map[Verb]func() ([]string, error){Peers: h.Peers, Quotas: h.Quotas, Verdicts: h.Verdicts}[c.Verb]
+	case Peers, Quotas, Verdicts, Rules:
+		ask := map[Verb]func() ([]string, error){Peers: h.Peers, Quotas: h.Quotas, Verdicts: h.Verdicts, Rules: h.Rules}[c.Verb]
 		lines, err := ask()
 		if err != nil {
 			return []string{"fail " + err.Error()}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -28,13 +28,14 @@
 	Cores    int           // of an execute node: so many requests at a time, as many more wait ten times over; 0: any number
 	Dir      string        // for files; it has to be there
 	Seed     uint64
-	Operator string        // more keys of the section fleet, as TOML lines
-	Tail     string        // more sections
-	Pace     time.Duration // 0: 250 ms
-	Lease    time.Duration // 0: 20 paces
-	Keep     bool          // voters keep their state in a folder
-	NoFleet  bool          // no section fleet at all
-	Direct   bool          // sidecars reach each other without injectors
+	Operator string            // more keys of the section fleet, as TOML lines
+	Tail     string            // more sections
+	TailOf   map[string]string // of one sidecar, in place of Tail
+	Pace     time.Duration     // 0: 250 ms
+	Lease    time.Duration     // 0: 20 paces
+	Keep     bool              // voters keep their state in a folder
+	NoFleet  bool              // no section fleet at all
+	Direct   bool              // sidecars reach each other without injectors
 	History  *checker.History
 }
 
@@ -233,7 +234,11 @@
 			}
 		}
 	}
-	own.WriteString(r.opts.Tail + "\n# end\n")
+	tail, ok := r.opts.TailOf[s.Name]
+	if !ok {
+		tail = r.opts.Tail
+	}
+	own.WriteString(tail + "\n# end\n")
 	return errors.Join(os.WriteFile(filepath.Join(s.dir, "config.json"), []byte(text), 0o600),
 		os.WriteFile(filepath.Join(s.dir, "operator.toml"), []byte(own.String()), 0o600))
 }
--- /dev/null
+++ b/internal/skew/configure.go
@@ -0,0 +1,55 @@
+package skew
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"fieldrelay/internal/rules"
+	"fieldrelay/internal/skew/settings"
+)
+
+// Configure is what a machine is made with by the operator's file; nil: rules are off. Its error names formats that this
+// program does not read.
+func Configure(s settings.Settings) (*Config, error) {
+	if !s.On {
+		return nil, nil
+	}
+	c := &Config{Reads: rules.Here(), Lower: s.Policy == "lower", Behind: s.Behind, Return: s.ReturnTime(), Hear: s.HearTime()}
+	if len(s.Reads) == 0 {
+		return c, nil
+	}
+	held := rules.Reads{}
+	for _, text := range s.Reads {
+		kind, format, _ := strings.Cut(text, " ")
+		f, err := rules.ParseFormat(strings.TrimSpace(format))
+		if err != nil || !rules.Here().Has(rules.Kind(kind), f) {
+			return nil, fmt.Errorf("rules.reads: %q; this program reads %s", text, rules.Here())
+		}
+		held[rules.Kind(kind)] = append(held[rules.Kind(kind)], f)
+	}
+	c.Reads = held
+	return c, nil
+}
+
+// ReadFile reads the file of rules that is pushed. Its error has a line for each fault.
+func ReadFile(path string) (rules.Edition, error) {
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > rules.MostFile {
+		err = fmt.Errorf("%d bytes, %d at most", info.Size(), rules.MostFile)
+	}
+	var text []byte
+	if err == nil {
+		text, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return rules.Edition{}, fmt.Errorf("rules.file: %w", err)
+	}
+	e, faults := rules.Parse(text)
+	var errs []error
+	for _, f := range faults {
+		errs = append(errs, fmt.Errorf("%s:%s", path, f))
+	}
+	return e, errors.Join(errs...)
+}
--- a/internal/skew/skew.go
+++ b/internal/skew/skew.go
@@ -192,7 +192,7 @@
 }
 
 // Bounds are what the section promises, with figures.
-func Bounds(lease time.Duration, drift float64, pace time.Duration) []string {
+func Bounds(lease time.Duration, drift float64) []string {
 	b := view.Bound(lease, drift).Round(time.Millisecond)
 	return []string{
 		fmt.Sprintf("rules: no member that holds a view goes by the edition before for longer than lease_ms * (1 + drift) = %v after the next was agreed", b),
