Have a voter whose store is blank wait for the leases of a group before

Seen while measuring comebacks on processes: a group founded by voters with state folders held its first view 0.1 s after it was founded, where lease * (1 + drift) has to pass first. openKeeper gives a state in which nothing is for a folder in which nothing was, and view.New took any state for one that knows of earlier leases (machine.go, engine: cfg.Kept == nil). So with state named and lost, the old group's holders and the new one's could act beside each other for a lease.

A blank state is none now. The first view of a new fleet with state folders comes a lease later (5 s with the defaults), as it always did without.

--- a/internal/view/machine.go
+++ b/internal/view/machine.go
@@ -40,6 +40,9 @@
 	voter  *voter // nil: this process does not vote
 	blank  uint64 // identity under which it would; 0: none drawn
 	founds founding
+	survey survey
+	// ledHere is when the voters were last led as far as the surveyor knows.
+	ledHere time.Duration
 }
 
 // founding is a try to found a group, by the first of the named voters.
@@ -49,6 +52,8 @@
 	promises map[string]uint64
 	due      time.Duration
 	promised uint64 // era of the last try that this process has promised to join
+	safe     bool   // after a survey
+	last     View   // that is known, then: its rules go on
 }
 
 // decided is what the voters have decided, as it stands in a snapshot.
@@ -70,7 +75,11 @@
 	m.seq = uint64(m.rng.Uint32()) // an answer to an earlier process of this name must not pass for one to this one
 	m.askDue, m.ledAt = now+m.jitter(cfg.Pace), now
 	m.founds.due = now + m.jitter(cfg.Pace)
-	if cfg.Kept != nil && cfg.Kept.Voter != 0 {
+	m.ledHere = now
+	if cfg.Kept != nil && cfg.Kept.Voter == 0 { // a store in which nothing was is no state: leases that it would tell of may run
+		m.cfg.Kept, cfg.Kept = nil, nil
+	}
+	if cfg.Kept != nil {
 		store, d, err := cfg.Kept.storage()
 		if err != nil {
 			return nil, err
@@ -162,6 +171,9 @@
 	if m.founder() {
 		next = min(next, m.founds.due)
 	}
+	if m.surveys() {
+		next = min(next, m.now+m.cfg.Pace/2)
+	}
 	return next
 }
 
@@ -234,6 +246,9 @@
 	if m.founder() && m.founds.due <= m.now {
 		m.tryFounding()
 	}
+	if m.surveys() {
+		m.refound()
+	}
 	if m.askDue <= m.now {
 		m.askDue = m.now + askEvery*m.cfg.Pace/2 + m.jitter(askEvery*m.cfg.Pace)
 		// With time left, what comes with the answers to probes is enough.
@@ -324,8 +339,18 @@
 		}
 		m.learnGroup(from.Name, msg)
 		m.stamped(from.Name, msg.Stamp, asked, msg.View)
+	case Survey:
+		m.send(from.Name, m.surveyed(msg.Seq))
+	case Surveyed:
+		if s := &m.survey; s.seq != 0 && msg.Seq == s.seq && slices.Contains(s.asked, from.Name) {
+			s.told[from.Name] = msg
+		}
 	case Found:
-		m.promise(from.Name, msg)
+		if msg.Safe {
+			m.promiseSafe(from.Name, msg)
+		} else {
+			m.promise(from.Name, msg)
+		}
 	case Promise:
 		m.promisedBy(from.Name, msg)
 	case Begin: // of an earlier try than the last one promised, it must not count: the later one may be founded
@@ -373,7 +398,9 @@
 	// Views of one era follow one another; another era is gone to if it is later, or if this one is surely over.
 	switch {
 	case !m.has || s.ID.Compare(m.latest()) > 0:
-	case s.ID.Era < m.view.ID.Era && known && !m.current():
+	case m.voter != nil && s.ID.Era < m.voter.decided.Group.Era: // a new group waits for the leases of the one before it
+		return
+	case s.ID.Era < m.view.ID.Era && known && m.now-at < m.cfg.Lease && !m.current():
 	default:
 		return
 	}
@@ -510,6 +537,7 @@
 		}
 	}
 	m.founds.tries++
+	m.founds.safe, m.founds.last = false, View{}
 	m.founds.era = max(m.cfg.Boot+m.founds.tries, m.view.ID.Era+1)
 	m.founds.promised = m.founds.era
 	m.founds.promises = map[string]uint64{m.cfg.Name: m.blank}
@@ -530,7 +558,7 @@
 }
 
 func (m *Machine) promisedBy(from string, msg Message) {
-	if m.founds.era == 0 || msg.Seq != m.founds.era || !m.founder() || !slices.Contains(m.cfg.Voters, from) {
+	if m.founds.era == 0 || msg.Seq != m.founds.era || !m.founder() && !(m.founds.safe && m.wantsGroup()) || !slices.Contains(m.cfg.Voters, from) || msg.Safe != m.founds.safe {
 		return
 	}
 	if msg.Voter == 0 { // it belongs to a group: this process has to join that one
@@ -558,7 +586,7 @@
 	for _, name := range slices.Sorted(slices.Values(m.cfg.Voters)) {
 		g.Voters = append(g.Voters, Voter{name, m.founds.promises[name]})
 	}
-	m.found(g, View{ID: ID{Era: g.Era}})
+	m.found(g, View{ID: ID{Era: g.Era}, Rules: m.founds.last.Rules})
 	for _, v := range g.Voters {
 		m.send(v.Name, Message{Kind: Begin, Group: g})
 	}
