Let voters whose majority lost its state found anew where that is sure to be safe

recover = "safe" in [fleet] (off unless named): the first named voter surveys everybody once no leader was heard for eight paces, and founds only if all named voters answer, nobody vouches for a view of the last lease, and of every known group of the latest era, with every absent member of the last view counted in, fewer than a majority can be left. What is missing is told in a line; RECOVER stays.

A fault put in on purpose (founding whoever may be left) is noticed: the replaced voters, cut off, decide beside it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,7 +113,7 @@
 		Member: member.Config{Name: set.Name, Addr: cmp.Or(set.Advertise, channel.Addr()), Boot: boot, Join: set.Join,
 			Pace: set.PaceTime(), Seed: seed},
 		View: view.Config{Name: set.Name, Boot: boot, Voters: set.Voters, Pace: set.PaceTime(), Lease: set.LeaseTime(),
-			Drift: set.DriftPart(), Seed: seed, Kept: kept},
+			Drift: set.DriftPart(), Seed: seed, Kept: kept, Refound: set.Refounds()},
 		Limits: limits, Demand: f.limits.demand, Words: opts.Words}
 	if set.Verdicts && f.avoid != nil {
 		f.seen.on = true
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -29,10 +29,13 @@
 	Verdicts  bool              `toml:"verdicts"`    // whether execute nodes are avoided that most members see failing
 	VerdictPc int               `toml:"verdict_pct"` // percent of them, and of each zone's, that may be avoided so
 	State     string            `toml:"state"`       // folder where a voter keeps its state; empty: it keeps none
+	Recover   string            `toml:"recover"`     // of a majority of voters that lost its state: by hand, or safe: by themselves where it is sure
 }
 
 // Defaults are the settings where the operator says nothing.
-func Defaults() Settings { return Settings{Pace: 250, Lease: 5000, Drift: 1000, VerdictPc: 25} }
+func Defaults() Settings {
+	return Settings{Pace: 250, Lease: 5000, Drift: 1000, VerdictPc: 25, Recover: byHand}
+}
 
 const (
 	leastPace, mostPace = 20, 10_000
@@ -42,6 +45,9 @@
 	mostLease           = 600_000
 	mostDrift           = 100_000
 	mostVerdictPc       = 50
+
+	byHand = "hand"
+	safe   = "safe"
 )
 
 // Enabled tells whether the operator wants a fleet.
@@ -76,6 +82,9 @@
 	if s.VerdictPc < 1 || s.VerdictPc > mostVerdictPc {
 		fault("verdict_pct", s.VerdictPc, fmt.Sprintf("1 to %d", mostVerdictPc))
 	}
+	if s.Recover != byHand && s.Recover != safe {
+		fault("recover", s.Recover, "hand or safe")
+	}
 	if !s.Enabled() {
 		return
 	}
@@ -102,6 +111,9 @@
 // DriftPart is the allowed drift as a part of one.
 func (s *Settings) DriftPart() float64 { return float64(s.Drift) / 1e6 }
 
+// Refounds tells whether the voters found anew by themselves where that is sure to be safe.
+func (s *Settings) Refounds() bool { return s.Recover == safe }
+
 // PaceTime is the time between two probes.
 func (s *Settings) PaceTime() time.Duration { return time.Duration(s.Pace) * time.Millisecond }
 
@@ -115,7 +127,7 @@
 func (s *Settings) Equal(next Settings) bool {
 	return s.Fleet == next.Fleet && s.Name == next.Name && s.Listen == next.Listen && s.Advertise == next.Advertise &&
 		s.Pace == next.Pace && s.Lease == next.Lease && s.Drift == next.Drift &&
-		s.Verdicts == next.Verdicts && s.VerdictPc == next.VerdictPc && s.State == next.State && slices.Equal(s.Voters, next.Voters) && slices.Equal(s.Join, next.Join) && maps.Equal(s.Dial, next.Dial)
+		s.Verdicts == next.Verdicts && s.VerdictPc == next.VerdictPc && s.State == next.State && s.Recover == next.Recover && slices.Equal(s.Voters, next.Voters) && slices.Equal(s.Join, next.Join) && maps.Equal(s.Dial, next.Dial)
 }
 
 // Bounds are what the section promises, a line each, with the figures of this file.
@@ -126,6 +138,11 @@
 		lines = append(lines, fmt.Sprintf("fleet: among %d members a crash is known to all within n * pace + pace + 12 * max(1, log10 n) * pace = %v, as a rule in a fraction of that",
 			n, member.Detection(n, s.PaceTime()).Round(time.Millisecond)))
 	}
+	if s.Refounds() {
+		pace := s.PaceTime()
+		back := max(held, 8*pace) + 8*pace + pace + held + 4*pace
+		lines = append(lines, fmt.Sprintf("fleet: once all members of the last view are back, voters whose majority lost its state hold a view again within 2 * lease_ms * (1 + drift) + 13 * pace = %v", back.Round(time.Millisecond)))
+	}
 	if s.Verdicts {
 		lines = append(lines, verdict.Bounds(s.PaceTime(), s.VerdictPc)...)
 	}
--- /dev/null
+++ b/internal/fleetsim/comeback_test.go
@@ -0,0 +1,234 @@
+package fleetsim
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"fieldrelay/internal/fleet"
+	"fieldrelay/internal/view"
+)
+
+// lost has a part of the members end at once, some voters without their state, and start again within a second. It tells how
+// long all took to hold one view, from the last start.
+func lost(t *testing.T, o Options, killed int, lose func(i int) bool, stay ...int) (w *World, k *Watch, took time.Duration, notices []string) {
+	t.Helper()
+	w = New(o)
+	w.Heard = func(_ *Node, _ time.Duration, a fleet.Action) {
+		if n, ok := a.(fleet.Notice); ok && n.Loud {
+			notices = append(notices, n.Text)
+		}
+	}
+	k = w.Watch()
+	w.StartAll(time.Second)
+	if !w.Run(120*time.Second, w.Agreed) {
+		t.Fatal("no first view")
+	}
+	w.Run(w.now+10*o.Lease, nil)
+	for i := range killed {
+		w.nodes[i].Kill()
+		if lose(i) {
+			w.nodes[i].LoseState()
+		}
+	}
+	for i := range killed {
+		if !slices.Contains(stay, i) {
+			w.At(w.now+500*time.Millisecond+time.Duration(i)*time.Second/time.Duration(killed), w.nodes[i].Start)
+		}
+	}
+	w.Run(w.now+1500*time.Millisecond, nil)
+	from := w.now
+	if !w.Run(from+60*time.Second, w.Agreed) {
+		return w, k, -1, notices
+	}
+	return w, k, w.now - from, notices
+}
+
+// refoundBound is what docs/design-comeback.md promises while nothing is lost on links.
+func refoundBound(pace, lease time.Duration, drift float64) time.Duration {
+	return view.Bound(lease, drift) + 8*pace + pace + view.Bound(lease, drift) + 4*pace
+}
+
+// The voters lose their state and others live on: without an operator's word the fleet is one again, within its bound, in a
+// later era; a minority's loss founds nothing.
+func TestMajorityWithoutStateComesBack(t *testing.T) {
+	pace, lease := 250*time.Millisecond, 5*time.Second
+	for _, members := range []int{4, 10, 50} {
+		for name, c := range map[string]struct {
+			lose    func(i int) bool
+			newEra  bool
+			members int
+		}{
+			"all voters":           {lose: func(i int) bool { return i < 3 }, newEra: true},
+			"two of three voters":  {lose: func(i int) bool { return i < 2 }, newEra: true},
+			"one of three, and no": {lose: func(i int) bool { return i == 1 }},
+		} {
+			var worst time.Duration
+			for seed := range uint64(6) {
+				o := Options{Members: members, Pace: pace, Lease: lease, Delay: 2 * time.Millisecond, Jitter: 5 * time.Millisecond, Drift: 0.001, Keep: true, Refound: true, Seed: seed + 1}
+				w, k, took, notices := lost(t, o, max(3, members*7/10), c.lose)
+				if took < 0 {
+					t.Fatalf("%d members, %s, seed %d: not one again: %q", members, name, seed+1, notices)
+				}
+				worst = max(worst, took)
+				for _, b := range k.Broken {
+					t.Errorf("%d members, %s: %s", members, name, b)
+				}
+				v, _ := w.Node(members - 1).Core.Views().View()
+				if fresh := v.ID.Era>>20 > uint64(30*time.Second/time.Millisecond); fresh != c.newEra { // eras begin with the time
+					t.Errorf("%d members, %s: a new era: %t; %q", members, name, fresh, notices)
+				}
+			}
+			bound := refoundBound(pace, lease, 0.001)
+			t.Logf("%d members, %s: one view %v after the last start at the most, bound %v", members, name, worst, bound)
+			if worst > bound {
+				t.Errorf("%d members, %s: %v", members, name, worst)
+			}
+		}
+	}
+}
+
+// Where it cannot be known that the old majority is gone nothing is founded, and a line says what is missing.
+func TestNothingIsFoundedBesideAMajorityThatMayLive(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose func(i int) bool
+		stay []int // killed and not started again
+		want string
+	}{
+		"a named voter is away":               {func(i int) bool { return i < 2 }, []int{2}, "voter m3 has not answered"},
+		"members that may have become voters": {func(i int) bool { return i < 3 }, []int{5, 6}, "m6, m7 may still be the majority of the voters"},
+	} {
+		_, k, took, notices := lost(t, Options{Members: 10, Lease: 5 * time.Second, Delay: 2 * time.Millisecond, Keep: true, Refound: true, Seed: 3}, 7, c.lose, c.stay...)
+		if took >= 0 {
+			t.Errorf("%s: one view again", name)
+		}
+		if !slices.ContainsFunc(notices, func(n string) bool { return contains(n, c.want) }) {
+			t.Errorf("%s: not told: %q", name, notices)
+		}
+		for _, b := range k.Broken {
+			t.Errorf("%s: %s", name, b)
+		}
+	}
+}
+
+func contains(text, part string) bool {
+	for i := 0; i+len(part) <= len(text); i++ {
+		if text[i:i+len(part)] == part {
+			return true
+		}
+	}
+	return false
+}
+
+// refoundStorm kills members with and without their state, stops and splits them.
+func refoundStorm(seed uint64, mutate view.Mutation) (*Watch, int, bool) {
+	w := New(Options{Members: 6, Seed: seed, Lease: 5 * time.Second, Delay: 2 * time.Millisecond, Jitter: 20 * time.Millisecond, Loss: 0.02, Drift: 0.002, Keep: true, Refound: true, MutateView: mutate})
+	k := w.Watch()
+	founded := 0
+	heard := w.Heard
+	w.Heard = func(n *Node, at time.Duration, a fleet.Action) {
+		if x, ok := a.(fleet.Notice); ok && contains(x.Text, "can decide again") {
+			founded++
+		}
+		heard(n, at, a)
+	}
+	w.StartAll(time.Second)
+	w.Run(20*time.Second, nil)
+	rng := rand.New(rand.NewPCG(seed, 0xbac))
+	for w.now < 240*time.Second {
+		switch rng.IntN(4) {
+		case 0: // most end at once; of some the state is gone
+			for i, n := range w.nodes {
+				if n.Core == nil || rng.IntN(10) < 3 {
+					continue
+				}
+				n.Kill()
+				if i < 3 && rng.IntN(2) == 0 {
+					n.LoseState()
+				}
+				w.At(w.now+time.Duration(rng.IntN(6000))*time.Millisecond, func() {
+					if n.Core == nil {
+						n.Start()
+					}
+				})
+			}
+		case 1:
+			side := rng.IntN(1 << 6)
+			w.Split(func(i int) int { return side >> i & 1 })
+			w.At(w.now+time.Duration(rng.IntN(15))*time.Second, w.Heal)
+		case 2:
+			if n := w.nodes[rng.IntN(6)]; n.Core != nil && !n.stopped {
+				n.Stop(time.Duration(rng.IntN(12)) * time.Second)
+			}
+		}
+		w.Run(w.now+time.Duration(2+rng.IntN(20))*time.Second, nil)
+	}
+	w.Heal()
+	for _, n := range w.nodes {
+		if n.Core == nil {
+			n.Start()
+		}
+	}
+	return k, founded, w.Run(w.now+60*time.Second, w.Agreed)
+}
+
+// Whatever ends, with or without state, in whatever order: no view is held beside another for longer than promised, and
+// all that are there come back together without a word of an operator.
+func TestStormsOfLostState(t *testing.T) {
+	founded, again := 0, 0
+	for seed := range uint64(30) {
+		k, n, ok := refoundStorm(seed+1, view.NoMutation)
+		for _, b := range k.Broken {
+			t.Errorf("seed %d: %s", seed+1, b)
+		}
+		if founded += n; ok {
+			again++
+		} else {
+			t.Errorf("seed %d: not one again", seed+1)
+		}
+	}
+	t.Logf("30 storms: %d times a new group was founded by itself; %d one again in the end", founded, again)
+	if founded < 10 {
+		t.Error("hardly any group was lost: the storms show nothing")
+	}
+}
+
+// The voters were replaced by members that the file does not name, which are then cut off and decide on: the named ones, back
+// without their state, must not found a group beside them. One that does is noticed.
+func TestNothingIsFoundedBesideReplacedVoters(t *testing.T) {
+	for name, mutate := range map[string]view.Mutation{"as it is": view.NoMutation, "whoever may be left": view.RefoundBlind} {
+		w := New(Options{Members: 6, Lease: 5 * time.Second, Delay: 2 * time.Millisecond, Keep: true, Refound: true, MutateView: mutate, Seed: 2})
+		founded := false
+		w.Heard = func(_ *Node, _ time.Duration, a fleet.Action) {
+			x, ok := a.(fleet.Notice)
+			founded = founded || ok && contains(x.Text, "can decide again")
+		}
+		k := w.Watch()
+		w.StartAll(time.Second)
+		w.Run(60*time.Second, w.Agreed)
+		votes := func(i int) func() bool { return func() bool { return w.nodes[i].Core.Views().Votes() } }
+		for i := range 2 { // one after the other, for good as it seems
+			w.nodes[i].Kill()
+			w.nodes[i].LoseState()
+			if !w.Run(w.now+60*time.Second, func() bool { return votes(3)() && (i == 0 || votes(4)()) }) {
+				t.Fatalf("%s: nobody took the place of voter %d", name, i+1)
+			}
+			w.Run(w.now+10*time.Second, nil)
+		}
+		w.Split(func(i int) int { return min(1, max(0, 4-i)*max(0, i-2)+max(0, i-3)*max(0, 5-i)) }) // m4 and m5 by themselves
+		w.nodes[0].Start()
+		w.nodes[1].Start()
+		w.Run(w.now+40*time.Second, nil)
+		if founded != (mutate == view.RefoundBlind) {
+			t.Errorf("%s: founded %t", name, founded)
+		}
+		w.Heal()
+		if again := w.Run(w.now+60*time.Second, w.Agreed); !again && mutate == view.NoMutation {
+			t.Error("not one again after the cut")
+		}
+		if noticed := len(k.Broken) > 0; noticed != (mutate == view.RefoundBlind) {
+			t.Errorf("%s: broken %q", name, k.Broken)
+		}
+	}
+}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -34,6 +34,7 @@
 	Keep        bool          // state of voters outlives their processes
 	Mutate      member.Mutation
 	MutateView  view.Mutation
+	Refound     bool // the voters found anew by themselves where that is safe
 	Limits      []quota.Limit
 	Demand      func(member int, now time.Duration) quota.Unit // of each limit, by the world's time
 	MutateQuota quota.Mutation
@@ -230,7 +231,7 @@
 		Limits: w.opts.Limits, Mutate: w.opts.MutateQuota, Demand: demand,
 		Member: member.Config{Name: n.Name, Addr: n.Addr, Boot: boot, Join: join, Pace: w.opts.Pace, Seed: seed, Mutate: w.opts.Mutate},
 		View: view.Config{Name: n.Name, Boot: boot, Voters: voters, Pace: w.opts.Pace, Lease: w.opts.Lease, Drift: 2.1 * w.opts.Drift, Seed: seed,
-			Kept: n.kept.Clone(), Mutate: w.opts.MutateView}}
+			Kept: n.kept.Clone(), Refound: w.opts.Refound, Mutate: w.opts.MutateView}}
 	if w.opts.Station != nil {
 		w.opts.Station.join(n, &cfg)
 	}
@@ -248,6 +249,9 @@
 	n.step(fleet.Tick{})
 }
 
+// LoseState has the next process find nothing of what was kept.
+func (n *Node) LoseState() { n.kept = nil }
+
 // Kill ends it without a word.
 func (n *Node) Kill() { n.Core, n.start, n.waiting = nil, n.start+1, nil }
 
--- a/internal/rig/comeback_test.go
+++ b/internal/rig/comeback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -105,3 +106,19 @@
 		t.Errorf("%d of %d unanswered", n, asked)
 	}
 }
+
+// Seven of ten end at once, the voters among them without their state, under load: with recover = "safe" the fleet is in
+// full service again within its bound, without anybody's word.
+func TestVotersWithoutStateComeBack(t *testing.T) {
+	r := running(t, Options{Sidecars: 10, Nodes: 6, Cores: 2, Work: 40 * time.Millisecond, Keep: true, Operator: "recover = \"safe\""})
+	c, err := r.lossOf(0.7, func(r *Rig, s *Sidecar) bool { return slices.Contains(r.Voters(), s.Name) }, time.Second, 120)
+	t.Logf("one view again %v after the kill, in full service %v; in 100 ms %d calls for the list, %d connections (%d before), %d requests at nodes (%d before); %d of %d unanswered",
+		c.Together, c.Full, c.Lists, c.Conns, c.ConnsBefore, c.Requests, c.RequestsBefore, c.Unanswered, c.Asked)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bound := 2*r.Bound() + 13*r.opts.Pace + 2*time.Second; c.Together > bound { // and a second each for the kill and for the starts
+		t.Errorf("one view again after %v, bound %v", c.Together, bound)
+	}
+	judged(t, r)
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -119,13 +119,15 @@
 
 // The kinds.
 const (
-	Ask     Kind = iota + 1 // what do you know?
-	Told                    // an answer to Ask, Found and Begin
-	Found                   // do you promise to join the group of this era?
-	Promise                 // yes, under this identity
-	Begin                   // the group is founded
-	Invite                  // take the place of a voter that stays away: draw an identity and ask
-	Raft                    // of the engine
+	Ask      Kind = iota + 1 // what do you know?
+	Told                     // an answer to Ask, Found and Begin
+	Found                    // do you promise to join the group of this era?
+	Promise                  // yes, under this identity
+	Begin                    // the group is founded
+	Invite                   // take the place of a voter that stays away: draw an identity and ask
+	Raft                     // of the engine
+	Survey                   // what do you know of the voters? Asked before a group is founded in the place of a lost one
+	Surveyed                 // an answer to it
 )
 
 // Message passes between members.
@@ -140,6 +142,7 @@
 	Stamp  Stamp  `cbor:"8,keyasint,omitzero"`  // Told
 	Leader string `cbor:"9,keyasint,omitempty"` // Told: who leads the voters, as far as is known
 	Raft   []byte `cbor:"10,keyasint,omitempty"`
+	Safe   bool   `cbor:"11,keyasint,omitempty"` // Found, Promise: after a survey
 }
 
 // Event is what happens to the machine.
@@ -217,7 +220,9 @@
 	Members func() []member.Record
 	// Member is the opinion on one other.
 	Member func(name string) (member.Record, bool)
-	Mutate Mutation // of tests alone
+	// Refound has the named voters found a new group by themselves where a survey proves that no old one can decide again.
+	Refound bool
+	Mutate  Mutation // of tests alone
 }
 
 // Mutation is a fault put in on purpose.
@@ -228,6 +233,7 @@
 	NoMutation      Mutation = iota
 	WithoutMajority          // a voter that hears no leader decides alone
 	PushedAge                // an age counts from when it was heard, not from when it was asked for
+	RefoundBlind             // a new group is founded whoever may be left of the old one
 )
 
 // Times in paces, unless said otherwise.
