Cap what members ask of one when most of a fleet is started at once

Seen by a measurement of mass restarts in simulated time: at 300 members one got 292 to 316 messages and 2.7 MB in 100 ms (7 messages in steady state), all but a few of them answers to the new survey, each with the whole view, since eight paces without a leader are within an election (refound.go); and an address to join by told 11 to 16 whole tables in 100 ms (machine.go, Table), 32 at 1,000.

The survey begins after twenty paces, asks the named voters first and the others eight at a time, and gets a view's number instead of the view. A member tells its whole table four times a pace at the most and names six others to whoever asks beyond, who then asks one of those.

Asking the voters less often in a large fleet was tried and changed nothing.

--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -140,8 +140,10 @@
 	}
 	if s.Refounds() {
 		pace := s.PaceTime()
-		back := max(held, 8*pace) + 8*pace + pace + held + 4*pace
-		lines = append(lines, fmt.Sprintf("fleet: once all members of the last view are back, voters whose majority lost its state hold a view again within 2 * lease_ms * (1 + drift) + 13 * pace = %v", back.Round(time.Millisecond)))
+		for _, n := range []int{5, 50, 500} {
+			back := max(held, 20*pace) + 8*pace + 2*pace + time.Duration(n)*pace/32 + held + 4*pace
+			lines = append(lines, fmt.Sprintf("fleet: once all %d members of the last view are back, voters whose majority lost its state hold a view again within max(lease, 20 * pace) + lease + 14 * pace + n / 32 * pace = %v, lease being lease_ms * (1 + drift)", n, back.Round(time.Millisecond)))
+		}
 	}
 	if s.Verdicts {
 		lines = append(lines, verdict.Bounds(s.PaceTime(), s.VerdictPc)...)
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -56,6 +56,8 @@
 	cut    map[[2]int]bool
 	// Heard is called for each action of a member that others may judge. It may be nil.
 	Heard func(n *Node, at time.Duration, a fleet.Action)
+	// Passed is called for each frame that a member is about to get. It may be nil.
+	Passed func(to *Node, at time.Duration, bytes int, f *peer.Frame)
 	// Stepped is called after each call of a member that runs. It may be nil.
 	Stepped func(n *Node, at time.Duration)
 }
@@ -367,6 +369,9 @@
 		if to.Core == nil || w.cut[[2]int{n.Index, to.Index}] {
 			return
 		}
+		if w.Passed != nil {
+			w.Passed(to, w.now, len(b), &t.Frame)
+		}
 		to.Got.Messages++
 		to.Got.Bytes += int64(len(b))
 		to.step(fleet.Got{Frame: t.Frame})
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -38,6 +38,8 @@
 	differsSince                                      time.Duration // -1: they do not
 	agreeing                                          int           // digests in a row that were the same
 	ended                                             bool
+	tablesAt                                          time.Duration // begin of the pace in which
+	tables                                            int           // so many whole tables were asked for
 	now                                               time.Duration
 	out                                               []Action
 }
@@ -429,8 +431,12 @@
 			m.probe.nacks++
 		}
 	case Table:
-		m.sendTable(answer, TableTold, msg.Seq)
+		m.tellTable(answer, msg.Seq)
 	case TableTold:
+		if msg.Part { // the next one that has another table is asked for all of it
+			m.differsSince = m.now - (differs+1)*m.cfg.Pace
+			m.syncDue = m.now + m.jitter(m.cfg.Pace)
+		}
 		if msg.Seq == m.askedAs && m.asked != "" && len(m.seeds) < MostMembers {
 			m.seeds[m.asked], m.asked = from.Name, ""
 		}
@@ -519,6 +525,23 @@
 	m.out = append(m.out, Send{To: to, Message: Message{Kind: kind, Seq: seq, News: all}, Stream: true})
 }
 
+// tellTable tells all that is known, or, to those who ask after many others, whom else to ask: when most of a fleet is started
+// at once, all ask the few addresses to join by.
+func (m *Machine) tellTable(to Record, seq uint64) {
+	if m.now-m.tablesAt >= m.cfg.Pace {
+		m.tablesAt, m.tables = m.now, 0
+	}
+	if m.tables++; m.tables <= mostTables || len(m.names) <= named {
+		m.sendTable(to, TableTold, seq)
+		return
+	}
+	all := []Record{m.self}
+	for _, p := range m.pick(named, (*peer).present) {
+		all = append(all, p.Record)
+	}
+	m.out = append(m.out, Send{To: to, Message: Message{Kind: TableTold, Seq: seq, News: all, Part: true}, Stream: true})
+}
+
 // tell queues news.
 func (m *Machine) tell(r Record) { m.news.add(r) }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -110,6 +110,7 @@
 	Target Record   `cbor:"4,keyasint,omitzero"`  // PingReq: whom to ask
 	Digest uint64   `cbor:"5,keyasint,omitempty"` // of the records of those present
 	News   []Record `cbor:"6,keyasint,omitempty"`
+	Part   bool     `cbor:"7,keyasint,omitempty"` // TableTold: not all that I know, ask one of those named
 }
 
 // Event is what happens to the machine.
@@ -203,6 +204,8 @@
 	joinMost    = 16 // and doubled up to this
 	agree       = 3  // digests in a row that are the same: the table is known
 	differs     = 4  // for so long tables may differ before they are exchanged
+	mostTables  = 4  // whole tables told in a pace; who asks beyond is named some others
+	named       = 6  // of those
 	forget      = 2400
 	lateness    = 0.5 // a call later than this: the process was held up
 	flapsFree   = 5   // returns in flapsIn that count at once
--- a/internal/view/refound.go
+++ b/internal/view/refound.go
@@ -11,18 +11,21 @@
 // again. docs/design-comeback.md says when that may be.
 type survey struct {
 	seq   uint64
-	at    time.Duration
+	at    time.Duration // when the last of those asked so far was asked
 	asked []string
+	todo  []string // not asked so far
 	told  map[string]Message
 	due   time.Duration
 	said  string // the last line on what is missing
 }
 
-// In paces.
+// In paces, but for surveyBatch.
 const (
-	surveyAfter = 8 // without a leader
-	surveyAgain = 4 // between two surveys; up to twice as many
-	surveyWait  = 1 // for the answers
+	surveyAfter = 20 // without a leader: elections are over by then, and so is the shortest lease but 12 paces
+	surveyAgain = 4  // between two surveys; up to twice as many
+	surveyWait  = 1  // for the answers
+	surveyPart  = 4  // parts of a pace between two batches
+	surveyBatch = 8  // who are asked at a time: all at once would answer at once
 )
 
 // surveys tells whether it is this process's part to survey.
@@ -42,22 +45,50 @@
 	if m.now-m.ledHere < surveyAfter*m.cfg.Pace {
 		return
 	}
-	if s.seq != 0 && m.now-s.at >= surveyWait*m.cfg.Pace {
-		m.decideSurvey()
-		s.seq = 0
+	if s.seq != 0 {
+		switch wait := surveyWait * m.cfg.Pace; {
+		case len(s.todo) > 0 && m.votersTold() && m.now-s.at >= m.cfg.Pace/surveyPart:
+			batch := s.todo[:min(surveyBatch, len(s.todo))]
+			s.todo = s.todo[len(batch):]
+			m.askSurvey(batch)
+		case m.now-s.at >= wait:
+			m.decideSurvey()
+			s.seq = 0
+			s.due = m.now + surveyAgain*m.cfg.Pace + m.jitter(surveyAgain*m.cfg.Pace)
+		}
+		return
 	}
 	if s.due > m.now {
 		return
 	}
-	s.due = m.now + surveyAgain*m.cfg.Pace + m.jitter(surveyAgain*m.cfg.Pace)
 	m.seq++
-	s.seq, s.at, s.told, s.asked = m.seq, m.now, map[string]Message{m.cfg.Name: m.surveyed(m.seq)}, nil
+	s.seq, s.told, s.asked, s.todo = m.seq, map[string]Message{m.cfg.Name: m.surveyed(m.seq)}, []string{m.cfg.Name}, nil
+	var voters []string
 	for _, r := range m.cfg.Members() {
-		s.asked = append(s.asked, r.Name)
-		m.send(r.Name, Message{Kind: Survey, Seq: s.seq})
+		switch {
+		case r.Name == m.cfg.Name:
+		case slices.Contains(m.cfg.Voters, r.Name):
+			voters = append(voters, r.Name) // without all of these the others need not be asked
+		default:
+			s.todo = append(s.todo, r.Name)
+		}
+	}
+	m.askSurvey(voters)
+}
+
+func (m *Machine) askSurvey(names []string) {
+	m.survey.at = m.now
+	m.survey.asked = append(m.survey.asked, names...)
+	for _, name := range names {
+		m.send(name, Message{Kind: Survey, Seq: m.survey.seq})
 	}
 }
 
+// votersTold tells whether all named voters have answered.
+func (m *Machine) votersTold() bool {
+	return !slices.ContainsFunc(m.cfg.Voters, func(name string) bool { _, ok := m.survey.told[name]; return !ok })
+}
+
 func (m *Machine) knownGroup() Group {
 	g, _ := m.Voting()
 	return g
@@ -76,6 +107,7 @@
 		if m.voter != nil && m.voter.decided.View.ID.Compare(v.ID) > 0 {
 			v = m.voter.decided.View
 		}
+		v.Members = nil // which the surveyor has, or asks one for
 		msg.View = &v
 	}
 	return msg
@@ -116,6 +148,9 @@
 			return 0, last, "voter " + name + " has not answered"
 		}
 	}
+	if len(s.todo) > 0 {
+		return 0, last, "not all have been asked"
+	}
 	for _, name := range s.asked {
 		if _, ok := s.told[name]; !ok {
 			return 0, last, name + " is there and has not answered"
@@ -143,6 +178,25 @@
 		}
 	}
 	var away []string
+	switch last.ID {
+	case ID{}:
+	case m.latest():
+		last.Members = m.view.Members
+		if m.pending != nil {
+			last.Members = m.pending.Members
+		}
+	default:
+		if m.voter == nil || m.voter.decided.View.ID != last.ID {
+			for _, name := range s.asked {
+				if v := s.told[name].View; v != nil && v.ID == last.ID {
+					m.ask(name)
+					break
+				}
+			}
+			return era, last, "who belongs to view " + last.ID.String() + " is asked for"
+		}
+		last.Members = m.voter.decided.View.Members
+	}
 	for _, x := range last.Members {
 		if _, ok := s.told[x.Name]; !ok {
 			away = append(away, x.Name)
