Keep a watch open where lists are pushed: none was ever opened there

The source keeps a watch open by itself there: opened at once at the start, since what the agent has counts from the first moment of a process, and again within 20 ms to half a second of a loss. Where the list is asked for nothing changes.

Tests: the source's kept watch (break, refusal, again), the program's start with "automatic"; both fail without the change.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -105,6 +105,9 @@
 	}
 	core.Start(list)
 	list.Start(cfg.Known)
+	if !cfg.Logic.Subscribe { // the module asks for nothing where lists are pushed
+		list.Keep()
+	}
 	defer list.Close()
 
 	patience := cfg.LongestDeadline() + patience
--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -124,3 +124,27 @@
 	}
 	return len(line), nil
 }
+
+// Where lists are pushed the module asks for nothing, and what the agent has counts as told at once: the program opens the
+// watch by itself, and again after a loss.
+func TestPushedListIsWatched(t *testing.T) {
+	discovery := scenario.Listen(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"known":{"generation":1,"instances":[]},"settings":%s}`, discovery.Addr(),
+		strings.Replace(sidecarSettings, `"subscribe"`, `"automatic"`, 1))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("LB_CONFIG", path)
+	log := logLines{make(chan string, 1), make(chan struct{}, 1)}
+	stage := scenario.NewStage(scenario.Accepter(discovery))
+	go func() { stage.Event(fmt.Sprint("ended ", run(os.Getenv, log, nil))) }()
+	<-log.listen
+	stage.Calls["terminate"] = func(string) { syscall.Kill(os.Getpid(), syscall.SIGTERM) }
+	stage.Play(t, `
+		first expect GET /v1/endpoints?watch=1&after=1 HTTP/1.1
+		first close
+		second expect GET /v1/endpoints?watch=1&after=1 HTTP/1.1
+		terminate send now
+		wait ended <nil>`)
+}
--- a/internal/source/platform/nodelist.go
+++ b/internal/source/platform/nodelist.go
@@ -6,6 +6,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,6 +33,9 @@
 	toldMove = 4 * time.Second
 	dialing  = time.Second
 	mostLine = 1 << 20
+
+	leastAgain = 20 * time.Millisecond // of a kept watch
+	mostAgain  = 500 * time.Millisecond
 )
 
 // What an entry is charged: while its list is read and told, and for as long as it is listed, with what the relay and
@@ -57,6 +61,8 @@
 	watch      *stream        // the present one, or nil
 	told       time.Time      // what is missed since the last watch counts as told then; zero: not soon
 	kept       *budget.Charge // for the instances
+	keep       bool           // a watch is kept open without being asked for
+	again      time.Duration  // the longest wait before the next try of that
 }
 
 // New makes the actor of the list.
@@ -71,6 +77,29 @@
 	a.box.Put(func() { a.tell(known, true) })
 }
 
+// Keep keeps a watch open from now on without being asked, for lists that are pushed: what the agent has counts as told at
+// once, so the first call and the one after a loss do not wait. The agent is this sidecar's own, and nobody else is kept
+// waiting by calls.
+func (a *Actor) Keep() {
+	a.box.Put(func() {
+		a.keep, a.again = true, leastAgain
+		a.open()
+	})
+}
+
+// reopen opens the kept watch again after a wait that doubles while nothing comes of it.
+func (a *Actor) reopen() {
+	wait := rand.N(a.again)
+	a.again = min(2*a.again, mostAgain)
+	time.AfterFunc(wait, func() {
+		a.box.Put(func() {
+			if a.keep && a.watch == nil {
+				a.open()
+			}
+		})
+	})
+}
+
 // Watch opens a watch, in place of the one that is open.
 func (a *Actor) Watch() { a.box.Put(a.open) }
 
@@ -98,6 +127,7 @@
 // Close ends the watch and the actor.
 func (a *Actor) Close() {
 	a.box.Put(func() {
+		a.keep = false
 		if a.watch != nil {
 			a.watch.close()
 			a.watch = nil
@@ -131,7 +161,7 @@
 		if !a.box.Put(func() {
 			if a.watch == s {
 				if !begun {
-					begun, a.told = true, time.Time{}
+					begun, a.told, a.again = true, time.Time{}, leastAgain
 					a.log.Info().Dur("waited", time.Since(asked)).Msg("watch begun")
 				}
 				a.tell(l, false)
@@ -150,6 +180,9 @@
 			}
 			a.log.Warn().Err(err).Dur("lasted", time.Since(asked)).Msg("watch lost")
 			a.sink.ListLost(a.told)
+			if a.keep {
+				a.reopen()
+			}
 		}
 	})
 }
--- a/internal/source/platform/nodelist_test.go
+++ b/internal/source/platform/nodelist_test.go
@@ -77,6 +77,18 @@
 			wait complete=false stored=false h:1/1/7ms
 			f close
 			wait lost`,
+		// Where lists are pushed nobody asks: the watch is opened at once, and again after each loss.
+		"a kept watch": `keep send now
+			d expect GET /v1/endpoints?watch=1&after=4 HTTP/1.1\r\n
+			d expect \r\n\r\n
+			` + head + chunk(change) + `
+			wait complete=false stored=false h:1/1/7ms
+			d close
+			wait lost
+			e expect after=5 HTTP
+			e send HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n
+			wait lost
+			f expect after=5 HTTP`,
 		"a move that fails leaves little time": begin + head + `
 			move send away
 			d wait
@@ -117,6 +129,7 @@
 			}
 			a.Start(known)
 			t.Cleanup(a.Close)
+			stage.Calls["keep"] = func(string) { a.Keep() }
 			stage.Calls["watch"] = func(string) { a.Watch() }
 			stage.Calls["move"] = func(string) { a.Move(next.Addr().String()) }
 			stage.Play(t, stored+steps)
