--- a/internal/source/endpoints/list_test.go
+++ b/internal/source/endpoints/list_test.go
@@ -26,6 +26,8 @@
 			[]List{{Generation: 1, Reset: true, Instances: []Instance{a}}, {Generation: 2}}, "EOF"},
 		"keys in any order, and unknown ones": {`{"instances":[` + entry + `],"x":{"y":[1,{}]},"reset":false,"generation":7}`,
 			[]List{{Generation: 7, Instances: []Instance{a}}}, "EOF"},
+		"indented": {"{\n  \"generation\": 1,\n  \"instances\": [\n    " + strings.ReplaceAll(entry, ",", ",\n      ") + "\n  ]\n}\n",
+			[]List{{Generation: 1, Instances: []Instance{a}}}, "EOF"},
 		"no instances":         {`{"generation":1,"instances":null}`, []List{{Generation: 1}}, "EOF"},
 		"no generation":        {`{"instances":[]}`, nil, "generation: missing"},
 		"an odd generation":    {`{"generation":-1}`, nil, "generation: "},
