Explore every order of up to six events of the checker of rules

Need: decisions go through exhaustive small-state checks, not storms alone. Three members with every message held until it is delivered, a leader that changes, one that is started anew, a second edition pushed by another, views adopted when the exploration says so.

--- /dev/null
+++ b/internal/skew/check_test.go
@@ -0,0 +1,223 @@
+package skew
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fieldrelay/internal/explore"
+	"fieldrelay/internal/member"
+	"fieldrelay/internal/rules"
+	"fieldrelay/internal/view"
+)
+
+const pace = time.Second
+
+// three are three members of a view, with every message held until it is delivered or dropped. What the leader proposes is
+// decided at once and reaches the others when the exploration says so.
+type three struct {
+	machines [3]*Machine
+	boots    [3]uint64
+	leader   int
+	now      time.Duration
+	decided  view.View
+	adopted  [3]view.View
+	links    map[[2]int][]Message
+	agreedAt map[uint64]time.Duration
+	digests  map[uint64]string
+	odd      func(*rules.Compiled, rules.Case) string // how the third understands the rules; nil: as the others
+	restarts int
+	mutate   Mutation
+	broken   error
+	pushed   map[string]bool
+}
+
+func numbered(salt int) rules.Edition {
+	e, faults := rules.Parse(fmt.Appendf(nil, "version = 1\n[sampling]\nformat = \"2\"\nsalt = %d\nrate = 0.5\nkeep_failed = true\n# end\n", salt))
+	if len(faults) > 0 {
+		panic(faults)
+	}
+	return e
+}
+
+func (w *three) start(i int, odd bool) {
+	w.boots[i] += 10
+	cfg := Config{Name: name(i), Boot: w.boots[i], Pace: pace, Bound: 20 * pace, Seed: uint64(i), Reads: rules.Here(), Hear: 1000 * pace, Mutate: w.mutate,
+		View: func() (view.View, bool) { return w.adopted[i], true }, Holds: func() bool { return w.adopted[i].ID == w.decided.ID },
+		Decided: func() (view.View, bool) { return w.decided, true }, Leader: func() string { return name(w.leader) },
+		Members: func() (all []Member) {
+			for j := range 3 {
+				all = append(all, Member{Name: name(j), Boot: w.boots[j], Reads: rules.Here().String(), Away: -1})
+			}
+			return all
+		}}
+	if odd {
+		cfg.Decide = w.odd
+	}
+	w.machines[i] = New(cfg, w.now)
+}
+
+func name(i int) string { return string(rune('a' + i)) }
+
+func newThree(odd func(*rules.Compiled, rules.Case) string, mutate Mutation) *three {
+	w := &three{links: map[[2]int][]Message{}, agreedAt: map[uint64]time.Duration{}, digests: map[uint64]string{}, odd: odd, mutate: mutate, pushed: map[string]bool{}}
+	w.decided = view.View{ID: view.ID{Era: 1, Number: 1}}
+	for i := range 3 {
+		w.decided.Members = append(w.decided.Members, view.Member{Name: name(i)})
+		w.boots[i] = uint64(i + 1)
+	}
+	for i := range 3 {
+		w.adopted[i] = w.decided
+		w.start(i, i == 2 && odd != nil)
+	}
+	w.step(1, Push{Edition: numbered(1)})
+	return w
+}
+
+func (w *three) step(i int, e Event) {
+	for _, a := range w.machines[i].Step(w.now, e) {
+		switch a := a.(type) {
+		case Send:
+			w.put(i, strings.Index("abc", a.To), a.Message)
+		case Spread:
+			for j := range 3 {
+				w.put(i, j, a.Message)
+			}
+		case Propose:
+			w.propose(a.Rules)
+		case Force:
+			d := digest(a.Compiled.Edition)
+			if was := w.digests[a.Compiled.Edition.Number]; was != d {
+				w.broken = fmt.Errorf("%s goes by edition %d as %.6s, agreed was %.6s", name(i), a.Compiled.Edition.Number, d, was)
+			}
+		}
+	}
+}
+
+func (w *three) propose(r view.Rules) {
+	if r.Number <= w.decided.Rules.Number {
+		return
+	}
+	if w.odd != nil {
+		w.broken = errors.New("agreed though one reads it otherwise")
+	}
+	if at, ok := w.agreedAt[r.Number-1]; ok && w.now-at < 20*pace {
+		w.broken = fmt.Errorf("edition %d agreed %v after the one before", r.Number, w.now-at)
+	}
+	w.decided.ID.Number++
+	w.decided.Rules = r
+	w.agreedAt[r.Number], w.digests[r.Number] = w.now, r.Digest
+}
+
+func (w *three) put(from, to int, m Message) {
+	if id := [2]int{from, to}; to >= 0 && from != to && len(w.links[id]) < 4 {
+		w.links[id] = append(w.links[id], m)
+	}
+}
+
+func (w *three) Events() (names []string) {
+	w.each(func(name string, _ func()) { names = append(names, name) })
+	return names
+}
+
+func (w *three) Do(event int) {
+	n := 0
+	w.each(func(_ string, do func()) {
+		if n == event {
+			do()
+		}
+		n++
+	})
+}
+
+// each goes through what can happen now. do is called for one of them at the most.
+func (w *three) each(see func(string, func())) {
+	type event struct {
+		name string
+		do   func()
+	}
+	var all []event
+	add := func(name string, do func()) { all = append(all, event{name, do}) }
+	for i := range 3 {
+		for j := range 3 {
+			id := [2]int{i, j}
+			if len(w.links[id]) == 0 {
+				continue
+			}
+			take := func() Message { m := w.links[id][0]; w.links[id] = w.links[id][1:]; return m }
+			add(fmt.Sprintf("%s>%s", name(i), name(j)), func() {
+				w.step(j, Heard{From: member.Record{Name: name(i), Boot: w.boots[i]}, Message: take()})
+			})
+		}
+		if w.adopted[i].ID != w.decided.ID {
+			add("adopt "+name(i), func() { w.adopted[i] = w.decided; w.step(i, Tick{}) })
+		}
+	}
+	add("three paces", func() {
+		w.now += 3 * pace
+		for i := range 3 {
+			w.step(i, Tick{})
+		}
+	})
+	if w.leader == 0 {
+		add("b leads", func() { w.leader = 1 })
+	}
+	if w.restarts == 0 {
+		add("c anew", func() { w.restarts++; w.start(2, w.odd != nil) })
+	}
+	if !w.pushed["c"] {
+		add("c pushes", func() { w.pushed["c"] = true; w.step(2, Push{Edition: numbered(2)}) })
+	}
+	for _, e := range all {
+		see(e.name, e.do)
+	}
+}
+
+func (w *three) Hash() uint64 {
+	h := xxhash.New()
+	fmt.Fprint(h, w.leader, w.boots, w.decided.ID, w.decided.Rules, w.restarts, w.pushed, w.now)
+	for i, m := range w.machines {
+		fmt.Fprint(h, w.adopted[i].ID, m.forced, m.behind, m.pushed, m.mine != nil, m.phase, len(m.passed), len(m.queue))
+		if o := m.offer; o != nil {
+			fmt.Fprint(h, o.digest, o.phase, o.proposed, len(o.readings), o.readings["a"].boot, o.readings["b"].boot, o.readings["c"].boot)
+		}
+		for j := range 3 {
+			for _, msg := range w.links[[2]int{i, j}] {
+				fmt.Fprint(h, j, msg.Kind, msg.Digest, msg.Round, msg.Phase)
+			}
+		}
+	}
+	return h.Sum64()
+}
+
+func (w *three) Check() error { return w.broken }
+
+// Every order of up to six events of three members, one of which may read the rules otherwise, be started anew, or push
+// another edition, while the leader changes: an edition is agreed only once all understand it, and gone by as it was agreed.
+func TestEveryOrder(t *testing.T) {
+	for name, odd := range map[string]func(*rules.Compiled, rules.Case) string{"all alike": nil,
+		"one reads otherwise": func(c *rules.Compiled, q rules.Case) string { q.Failed = false; return c.Decide(q) }} {
+		r, err := explore.All(func() explore.System { return newThree(odd, NoMutation) }, 6, 400_000)
+		if err != nil || !r.Full {
+			t.Errorf("%s: %v, %+v", name, err, r)
+		}
+		t.Logf("%s: %d states, %d orders", name, r.States, r.Paths)
+	}
+	for name, c := range map[string]struct {
+		odd    func(*rules.Compiled, rules.Case) string
+		mutate Mutation
+	}{
+		"claims believed":    {func(c *rules.Compiled, q rules.Case) string { q.Failed = false; return c.Decide(q) }, TrustsClaims},
+		"silence understood": {func(c *rules.Compiled, q rules.Case) string { q.Failed = false; return c.Decide(q) }, SkipsSilent},
+	} {
+		if _, err := explore.All(func() explore.System { return newThree(c.odd, c.mutate) }, 7, 200_000); err == nil {
+			t.Errorf("%s: not noticed", name)
+		} else {
+			t.Logf("%s: %v", name, err)
+		}
+	}
+}
