Decide on the path of a request which traces are captured, with caps and a brake

Need: captures alike at every sidecar without a message, bounded at each, at a few nanoseconds a request, away from the relay's loop.

The hash of a trace mixes the salt in afterwards: one pass over the id.

--- a/internal/rules/trial.go
+++ b/internal/rules/trial.go
@@ -88,10 +88,9 @@
 
 // TraceHash is the hash of a trace's id. Its salt is the edition's, so that nobody can choose ids that are captured.
 func TraceHash(salt uint64, id string) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(salt)
-	d.WriteString(id)
-	return d.Sum64()
+	h := (xxhash.Sum64String(id) ^ salt*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9 // the mixing of SplitMix64
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
 }
 
 // Try decides the cases.
--- /dev/null
+++ b/internal/sampling/path_test.go
@@ -0,0 +1,246 @@
+package sampling
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"fieldrelay/internal/rules"
+)
+
+func some() *rules.SamplingRules {
+	return &rules.SamplingRules{Salt: 5, Rate: rules.Rate(0.1), Classes: []rules.Named{{Name: "order", Rate: rules.Rate(0.5)}, {Name: "quiet", Rate: 0}},
+		Tenants: []rules.Named{{Name: "novak", Rate: rules.PerWhole}}, Records: 100, Bytes: 10_000, PerNode: 40}
+}
+
+// Sidecars that go by one edition and brake capture all hops of a trace or none; what is captured under a brake is under each
+// lesser one.
+func TestHopsAreCapturedAlike(t *testing.T) {
+	var paths [3]Path
+	for i := range paths {
+		paths[i].Set(7, some(), 2)
+	}
+	var less Path
+	less.Set(7, some(), 1)
+	n := 0
+	for i := range 50_000 {
+		id := strconv.Itoa(i)
+		class := [...]string{"order", "look", "quiet"}[i%3]
+		first := paths[0].Decide(id, class, "")
+		for j := range paths {
+			if d := paths[j].Decide(id, class, ""); d != first {
+				t.Fatalf("%s: %+v at one sidecar, %+v at another", id, first, d)
+			}
+		}
+		if first.Captured && !less.Decide(id, class, "").Captured {
+			t.Fatalf("%s: captured under brake 2 and not under 1", id)
+		}
+		if first.Captured {
+			n++
+		}
+	}
+	if n < 2100 || n > 2900 { // (0.125 + 0.025 + 0) / 3 of 50,000
+		t.Errorf("%d captured", n)
+	}
+}
+
+// The truth lies within the interval of the estimate 95 times in a hundred, over 1,000 seeds: no rate biases it.
+func TestEstimatesHaveNoBias(t *testing.T) {
+	const seeds, traces = 1000, 4000
+	held, sum := 0, 0.0
+	for seed := range seeds {
+		s := some()
+		s.Salt = uint64(seed)*2654435761 + 1
+		var p Path
+		p.Set(1, s, Brake(seed%3))
+		rng := rand.New(rand.NewPCG(uint64(seed), 1))
+		truth, estimate, variance := 0.0, 0.0, 0.0
+		for i := range traces {
+			class := [...]string{"order", "look", "order"}[i%3]
+			took := rng.ExpFloat64()
+			truth += took
+			if d := p.Decide(strconv.Itoa(seed*traces+i), class, ""); d.Captured {
+				w := d.Weight()
+				estimate += w * took
+				variance += w * (w - 1) * took * took // Horvitz and Thompson, for draws that do not depend on each other
+			}
+		}
+		if math.Abs(estimate-truth) <= 1.96*math.Sqrt(variance) {
+			held++
+		}
+		sum += estimate / truth
+	}
+	t.Logf("the interval held the truth in %d of %d; estimate over truth %.3f in the mean", held, seeds, sum/seeds)
+	if mean := sum / seeds; mean < 0.98 || mean > 1.02 {
+		t.Errorf("estimates are %.3f of the truth in the mean", mean)
+	}
+	if held < seeds*93/100 {
+		t.Errorf("%d of %d", held, seeds)
+	}
+}
+
+// Whatever comes, no window of one second has more than the caps, and a node none more than its own.
+func TestCapsHoldInEverySecond(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		c := NewCaps(some())
+		type record struct {
+			at    time.Duration
+			node  string
+			bytes uint32
+		}
+		var let []record
+		now := time.Duration(0)
+		for range 20_000 {
+			gap := time.Duration(rng.ExpFloat64() * float64(20*time.Millisecond))
+			if rng.IntN(500) == 0 { // traffic times a hundred, or a rest
+				gap *= 50
+			} else if now/(3*time.Second)%2 == 1 {
+				gap /= 100
+			}
+			now += gap
+			r := record{now, fmt.Sprintf("n%d", rng.IntN(3)), uint32(20 + rng.IntN(300))}
+			if c.Let(r.at, r.node, r.bytes) {
+				let = append(let, r)
+			}
+		}
+		first, bytes, nodes := 0, uint32(0), map[string]int{}
+		for last, r := range let {
+			bytes += r.bytes
+			nodes[r.node]++
+			for ; r.at-let[first].at >= time.Second; first++ {
+				bytes -= let[first].bytes
+				nodes[let[first].node]--
+			}
+			if last-first+1 > 100 || bytes > 10_000 || nodes[r.node] > 40 {
+				t.Fatalf("seed %d: in the second up to %v %d records, %d bytes, %d of %s", seed, r.at, last-first+1, bytes, nodes[r.node], r.node)
+			}
+		}
+		if len(let) < 1000 {
+			t.Errorf("seed %d: only %d let through", seed, len(let))
+		}
+	}
+}
+
+// The brake comes on while something is left out and back without swinging once traffic falls.
+func TestBrakeComesBackWithoutSwinging(t *testing.T) {
+	c := NewCaps(some())
+	rng := rand.New(rand.NewPCG(3, 3))
+	now, brake, changes := time.Duration(0), Brake(0), 0
+	epoch := func(rate float64) {
+		for end := now + time.Second; now < end; now += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
+			if rng.IntN(1<<brake) == 0 {
+				c.Let(now, "", 50)
+			}
+		}
+		next := c.Wants(brake)
+		if next != brake {
+			changes++
+		}
+		brake = next
+	}
+	for range 20 {
+		epoch(1500) // 15 times the cap
+	}
+	if brake < 4 || brake > 5 || changes > 6 {
+		t.Errorf("brake %d after %d changes", brake, changes)
+	}
+	changes = 0
+	for range 20 {
+		epoch(1500)
+	}
+	if changes > 2 {
+		t.Errorf("%d changes under steady traffic", changes)
+	}
+	for range 20 {
+		epoch(20)
+	}
+	if brake != 0 {
+		t.Errorf("brake %d once traffic is a fifth of the cap", brake)
+	}
+	c.over = 1
+	if got := c.Wants(MostBrake); got != MostBrake {
+		t.Errorf("brake %d: there is a floor", got)
+	}
+}
+
+// Rules change while many threads decide: each decision is by one edition, whole.
+func TestDecisionsAreWhole(t *testing.T) {
+	var p Path
+	all, none := some(), some()
+	all.Rate, all.Classes, all.Tenants = rules.PerWhole, nil, nil
+	none.Rate, none.Classes, none.Tenants = 0, nil, nil
+	p.Set(1, none, 0)
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if d := p.Decide(strconv.Itoa(i), "order", "novak"); d.Captured != (d.Edition%2 == 0) {
+					t.Errorf("half of two editions: %+v", d)
+					return
+				}
+			}
+		})
+	}
+	for e := range uint64(20_000) {
+		s := none
+		if e%2 == 0 {
+			s = all
+		}
+		p.Set(e, s, 0)
+	}
+	close(stop)
+	wg.Wait()
+	if n := testing.AllocsPerRun(1000, func() { p.Decide("9b1f03aa5c7e2d41", "order", "") }); n != 0 {
+		t.Errorf("%v allocations a decision", n)
+	}
+}
+
+// locked is the same behind a mutex, to compare.
+type locked struct {
+	mu             sync.Mutex
+	s              *snapshot
+	seen, captured uint64
+}
+
+func (l *locked) decide(id, class, tenant string) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := Decision{Edition: l.s.edition, Rate: l.s.of(class, tenant)}
+	d.Captured = rules.Captures(rules.TraceHash(l.s.salt, id), d.Rate)
+	if l.seen++; d.Captured {
+		l.captured++
+	}
+	return d
+}
+
+// go test -bench Decide -cpu 1,2,4,6 -benchmem ./internal/sampling
+func BenchmarkDecide(b *testing.B) {
+	var p Path
+	p.Set(1, some(), 0)
+	l := &locked{s: p.now.Load()}
+	var ids [1024]string
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", rand.Uint64())
+	}
+	for name, decide := range map[string]func(id, class, tenant string) Decision{"snapshot": p.Decide, "mutex": l.decide} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for i := rand.Uint32(); pb.Next(); i++ {
+					decide(ids[i%1024], "order", "")
+				}
+			})
+		})
+	}
+}
