Keep the first draft that a new leader hears of, and catch the last two mutations

Seen while writing the tests for an answer of an earlier process and for an earlier view: the offer did not begin. Where a draft was the first thing that a member heard after it had become leader, lead() noticed the new role after the event and dropped the draft with the queue (machine.go); its pusher sent it again four paces later. The role is looked at before the event now.

An answer of an earlier process counted, and an earlier edition gone back to, are noticed each.

--- a/internal/skew/check_test.go
+++ b/internal/skew/check_test.go
@@ -221,3 +221,58 @@
 		}
 	}
 }
+
+// do lets an event of a name happen, if it can.
+func (w *three) do(names ...string) {
+	for _, name := range names {
+		for i, n := range w.Events() {
+			if n == name {
+				w.Do(i)
+				break
+			}
+		}
+	}
+}
+
+// An answer of an earlier process does not count for the one that was started after it, which may be of another version.
+func TestAnswerOfAnEarlierProcess(t *testing.T) {
+	for name, mutate := range map[string]Mutation{"as it is": NoMutation, "any answer of the name": AnyBoot} {
+		w := newThree(nil, mutate)
+		w.do("b>a", "a>c", "c>a") // pushed, offered, read by the third
+		w.odd = func(c *rules.Compiled, q rules.Case) string { q.Failed = false; return c.Decide(q) }
+		w.start(2, true)
+		w.links[[2]int{2, 0}] = nil
+		for range 6 {
+			w.do("a>b", "b>a", "three paces")
+		}
+		if noticed := w.broken != nil; noticed != (mutate == AnyBoot) {
+			t.Errorf("%s: %v", name, w.broken)
+		}
+	}
+}
+
+// A view of an earlier time, which is not held, takes nobody back to an earlier edition.
+func TestEarlierViewTakesNobodyBack(t *testing.T) {
+	for name, mutate := range map[string]Mutation{"as it is": NoMutation, "back": OverwritesNew} {
+		w := newThree(nil, mutate)
+		first := w.adopted[2]
+		for n := uint64(1); n <= 2; n++ {
+			e := numbered(int(n))
+			e.Number = n
+			w.machines[2].hold(e)
+			w.digests[n] = digest(e)
+			w.decided.ID.Number++
+			w.decided.Rules = view.Rules{Number: n, Digest: digest(e)}
+			w.adopted[2] = w.decided
+			w.step(2, Tick{})
+			if n == 1 {
+				first = w.decided
+			}
+		}
+		w.adopted[2] = first
+		w.step(2, Tick{})
+		if got := w.machines[2].Edition().Edition.Number; (got == 1) != (mutate == OverwritesNew) || (w.machines[2].Behind() == "") != (mutate == OverwritesNew) {
+			t.Errorf("%s: goes by edition %d, behind %q", name, got, w.machines[2].Behind())
+		}
+	}
+}
--- a/internal/skew/machine.go
+++ b/internal/skew/machine.go
@@ -36,7 +36,6 @@
 
 	// Of the leader.
 	leads   bool
-	since   time.Duration // it leads
 	changed time.Duration // the agreed edition last changed, as seen here
 	last    view.Rules    // agreed, as seen here
 	queue   []rules.Edition
@@ -98,6 +97,10 @@
 // Step takes an event at a time that is never before that of the last call.
 func (m *Machine) Step(now time.Duration, e Event) []Action {
 	m.out, m.now = nil, max(now, m.now)
+	if leads := m.cfg.Leader() == m.cfg.Name; leads != m.leads { // before the event: a draft may be the first that a leader hears of it
+		m.leads, m.changed = leads, m.now
+		m.offer, m.queue = nil, nil // who pushes says so to the next one
+	}
 	switch e := e.(type) {
 	case Heard:
 		m.heard(e.From.Name, e.From.Boot, e.Message)
@@ -314,7 +317,7 @@
 
 // drafted takes in an edition that somebody pushes, where this member leads, and tells how far it has come.
 func (m *Machine) drafted(from string, e rules.Edition) {
-	if m.cfg.Leader() != m.cfg.Name {
+	if !m.leads {
 		return
 	}
 	d := digest(e)
@@ -337,12 +340,7 @@
 
 // lead is what the leader does.
 func (m *Machine) lead() {
-	leads := m.cfg.Leader() == m.cfg.Name
-	if leads != m.leads {
-		m.leads, m.since, m.changed = leads, m.now, m.now
-		m.offer, m.queue = nil, nil // who pushes says so to the next one
-	}
-	if !leads {
+	if !m.leads {
 		return
 	}
 	v, ok := m.cfg.Decided()
