Fill a store in one place in its contract, and search text with the library

Found on reading the change again: three clauses each opened, filled and closed a store; a test searched text by hand.

--- a/internal/contract/store.go
+++ b/internal/contract/store.go
@@ -61,6 +61,15 @@
 	return s, err
 }
 
+// filled opens a store, puts pairs into it and closes it.
+func filled(p StorePlace, pairs ...string) error {
+	s, err := open(p)
+	if err != nil {
+		return err
+	}
+	return errors.Join(put(s, pairs...), s.Close())
+}
+
 func put(s store.Store, pairs ...string) error {
 	var b store.Batch
 	for i := 0; i < len(pairs); i += 2 {
@@ -275,11 +284,7 @@
 	if p.Later == nil {
 		return nil
 	}
-	s, err := open(p)
-	if err != nil {
-		return err
-	}
-	if err := errors.Join(put(s, "a", "1"), s.Close()); err != nil {
+	if err := filled(p, "a", "1"); err != nil {
 		return err
 	}
 	p.Later()
@@ -291,17 +296,13 @@
 	if p.Bytes == nil {
 		return nil
 	}
-	s, err := open(p)
-	if err != nil {
-		return err
-	}
-	if err := errors.Join(put(s, "a", "1"), s.Close()); err != nil {
+	if err := filled(p, "a", "1"); err != nil {
 		return err
 	}
 	if err := refused(p, "fleet/s2", store.ErrOwner); err != nil {
 		return err
 	}
-	s, err = open(p)
+	s, err := open(p)
 	if err != nil {
 		return err
 	}
@@ -317,18 +318,11 @@
 	if !p.KnowsOldCopies {
 		return nil
 	}
-	s, err := open(p)
-	if err != nil {
-		return err
-	}
-	if err := errors.Join(put(s, "a", "1"), s.Close()); err != nil {
+	if err := filled(p, "a", "1"); err != nil {
 		return err
 	}
 	copied := p.Bytes()
-	if s, err = open(p); err != nil {
-		return err
-	}
-	if err := errors.Join(put(s, "a", "2"), put(s, "a", "3"), s.Close()); err != nil {
+	if err := errors.Join(filled(p, "a", "2"), filled(p, "a", "3")); err != nil {
 		return err
 	}
 	p.Spoil(func([]byte) []byte { return copied })
--- a/internal/fleetsim/comeback_test.go
+++ b/internal/fleetsim/comeback_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,7 +108,7 @@
 		if took >= 0 {
 			t.Errorf("%s: one view again", name)
 		}
-		if !slices.ContainsFunc(notices, func(n string) bool { return contains(n, c.want) }) {
+		if !slices.ContainsFunc(notices, func(n string) bool { return strings.Contains(n, c.want) }) {
 			t.Errorf("%s: not told: %q", name, notices)
 		}
 		for _, b := range k.Broken {
@@ -116,15 +117,6 @@
 	}
 }
 
-func contains(text, part string) bool {
-	for i := 0; i+len(part) <= len(text); i++ {
-		if text[i:i+len(part)] == part {
-			return true
-		}
-	}
-	return false
-}
-
 // refoundStorm kills members with and without their state, stops and splits them.
 func refoundStorm(seed uint64, mutate view.Mutation) (*Watch, int, bool) {
 	w := New(Options{Members: 6, Seed: seed, Lease: 5 * time.Second, Delay: 2 * time.Millisecond, Jitter: 20 * time.Millisecond, Loss: 0.02, Drift: 0.002, Keep: true, Refound: true, MutateView: mutate})
@@ -132,7 +124,7 @@
 	founded := 0
 	heard := w.Heard
 	w.Heard = func(n *Node, at time.Duration, a fleet.Action) {
-		if x, ok := a.(fleet.Notice); ok && contains(x.Text, "can decide again") {
+		if x, ok := a.(fleet.Notice); ok && strings.Contains(x.Text, "can decide again") {
 			founded++
 		}
 		heard(n, at, a)
@@ -206,7 +198,7 @@
 		founded := false
 		w.Heard = func(_ *Node, _ time.Duration, a fleet.Action) {
 			x, ok := a.(fleet.Notice)
-			founded = founded || ok && contains(x.Text, "can decide again")
+			founded = founded || ok && strings.Contains(x.Text, "can decide again")
 		}
 		k := w.Watch()
 		w.StartAll(time.Second)
