--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,41 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// When most of a fleet is started at once all ask the few addresses to join by: whoever asks after many others in a pace is
+// named some members in place of all.
+func TestWholeTablesAreToldToFewInAPace(t *testing.T) {
+	const pace = time.Second
+	m := New(Config{Name: "a", Addr: "a:1", Boot: 1, Pace: pace, Seed: 1}, 0)
+	var all []Record
+	for i := range 50 {
+		all = append(all, Record{Name: fmt.Sprintf("m%d", i), Addr: fmt.Sprintf("m%d:1", i), Boot: 1, Inc: 1})
+	}
+	m.Step(0, Received{From: all[0], Message: Message{Kind: TableTold, News: all}})
+	ask := func(now time.Duration) (whole, part int) {
+		for i := range 20 {
+			for _, a := range m.Step(now, Received{From: all[i], Message: Message{Kind: Table, Seq: uint64(i + 1)}}) {
+				s, ok := a.(Send)
+				switch {
+				case !ok || s.Message.Kind != TableTold:
+				case s.Message.Part:
+					if part++; len(s.Message.News) > named+1 || len(s.Message.News) < 2 {
+						t.Errorf("%d named", len(s.Message.News))
+					}
+				default:
+					whole++
+				}
+			}
+		}
+		return whole, part
+	}
+	for i := range 2 {
+		if whole, part := ask(time.Duration(1+2*i) * pace); whole != mostTables || part != 20-mostTables {
+			t.Errorf("pace %d: %d whole tables, %d parts for 20 that ask", i+1, whole, part)
+		}
+	}
+}
--- a/internal/skew/machine.go
+++ b/internal/skew/machine.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"fieldrelay/internal/member"
 	"fieldrelay/internal/rules"
 	"fieldrelay/internal/view"
 )
@@ -280,7 +281,9 @@
 		}
 	case Reading:
 		if o := m.offer; o != nil && msg.Round == o.round && msg.Digest == o.digest && len(msg.Misread) <= 300 && len(msg.Trial) <= len(rules.Trial{}) {
-			o.readings[from] = reading{boot, msg.Trial, msg.Misread}
+			if _, known := o.readings[from]; known || len(o.readings) < member.MostMembers { // made-up names fill no more
+				o.readings[from] = reading{boot, msg.Trial, msg.Misread}
+			}
 		}
 	case Want:
 		if h := m.held[msg.Digest]; h != nil && from != m.cfg.Name {
