Count a change as told 6 s after any failed call, and leave the next call its time

Only silence told the module when a miss counts; after a refused, reset, hung-in-dial or malformed call `logic.listLost` had no such time and waited up to the larger of a quarter of ask_every_ms and twice that (2.5 to 5 s at 10 s, 30 s at 120 s), on top of up to 3.5 s that the call itself had hung: 8.5 s at ask_every_ms 10000. At fault: `stream.silent` and the condition on it in `Actor.follow`.

Every loss tells now: 6 s from the last line or, where none came, from when the call began. The worst case is a sum: dial 1 s, silence 2.5 s, a wait of at most half of the 2.5 s left, and 1.25 s for the next call. An earlier loss's or a move's time counts until it is over. Within an object empty lines are no sign of life any more: half an object followed by them kept a dead watch open for good.

The events of TestWatch read "lost, told within 6s" where they read "lost": stricter, since a time goes with each loss. Without the change they fail, TestTheCallAfterAFailureHasTimeLeft with them; TestEmptyLinesWithinAnObjectAreNoSign fails with "no event came; want lost, told within 4s".

--- a/internal/source/endpoints/list.go
+++ b/internal/source/endpoints/list.go
@@ -84,8 +84,9 @@
 
 // bounded gives no more than left bytes.
 type bounded struct {
-	from io.Reader
-	left int
+	from  io.Reader
+	left  int
+	begun bool // something of the present object has been given
 }
 
 func (b *bounded) Read(p []byte) (int, error) {
@@ -96,14 +97,20 @@
 	// White space alone, between two objects, may go on for good.
 	if len(bytes.TrimSpace(p[:n])) > 0 {
 		b.left -= n
+		b.begun = true
 	}
 	return n, err
 }
 
+// Within tells whether an object has begun and not ended. It is asked while Next reads.
+func (d *Decoder) Within() bool { return d.in.begun }
+
 // Next reads an object. At the end of all it returns io.EOF; any other error ends the decoder's use and names the key
 // at fault.
 func (d *Decoder) Next() (List, error) {
 	d.in.left = d.most
+	rest, _ := io.ReadAll(d.json.Buffered())
+	d.in.begun = len(bytes.TrimSpace(rest)) > 0
 	t, err := d.json.Token()
 	if err != nil {
 		return List{}, err
--- a/internal/source/platform/nodelist.go
+++ b/internal/source/platform/nodelist.go
@@ -21,12 +21,14 @@
 // Sink is told what discovery says. No call may block.
 type Sink interface {
 	Members(relay.Members)
-	ListLost(told time.Time) // told: when what is missed counts as told; zero: not soon
+	ListLost(told time.Time) // told: when what is missed counts as told
 }
 
 // Discovery writes an empty line every two seconds when nothing changes: a watch silent for longer is lost. What it missed
 // counts as told six seconds after it fell silent, which was after its last line; what a move to another address
-// leaves out, after four (PROTOCOL, LATER).
+// leaves out, after four (PROTOCOL, LATER). A call that fails proves no more than that discovery could not be reached when
+// it began: from then on, too, a change counts as told after six seconds. Until a call that hangs is given up, dialing and
+// silence of those are over; of what is left then, the module and the kept watch take less than half for their wait.
 const (
 	silence  = 2500 * time.Millisecond
 	toldMiss = 6 * time.Second
@@ -59,7 +61,7 @@
 	ids        map[string]uint64 // of every instance that is listed
 	taken      map[uint64]bool
 	watch      *stream        // the present one, or nil
-	told       time.Time      // what is missed since the last watch counts as told then; zero: not soon
+	told       time.Time      // what is missed since the last watch counts as told then
 	kept       *budget.Charge // for the instances
 	keep       bool           // a watch is kept open without being asked for
 	again      time.Duration  // the longest wait before the next try of that
@@ -175,7 +177,8 @@
 	a.box.Put(func() {
 		if a.watch == s {
 			a.watch = nil
-			if s.silent(err) {
+			// What an earlier loss or a move has told counts until then, and this one's from then on.
+			if !a.told.After(time.Now()) {
 				a.told = s.heard.Add(toldMiss)
 			}
 			a.log.Warn().Err(err).Dur("lasted", time.Since(asked)).Msg("watch lost")
--- a/internal/source/platform/nodelist_test.go
+++ b/internal/source/platform/nodelist_test.go
@@ -20,9 +20,9 @@
 
 func (s told) ListLost(told time.Time) {
 	switch left := time.Until(told); {
-	case told.IsZero():
-		s.Event("lost")
-	case left > 0:
+	case left <= 0:
+		s.Event("lost, told already")
+	default:
 		s.Event(fmt.Sprintf("lost, told within %ds", int(left.Seconds())+1))
 	}
 }
@@ -50,14 +50,14 @@
 		"changes are told, and the next watch asks for what came after": begin + head + chunk(change) + `
 			wait complete=false stored=false h:1/1/7ms
 			d close
-			wait lost
+			wait lost, told within 6s
 			watch send now
 			e expect after=5 HTTP`,
 		"an empty line is no change":     begin + head + chunk(`\n`) + chunk(change) + "\n wait complete=false stored=false h:1/1/7ms",
-		"a refusal is a loss":            begin + `d send HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n` + "\n wait lost",
-		"a malformed line is a loss":     begin + head + chunk(`{"generation":x}\n`) + "\n wait lost\n d wait",
-		"an unknown lifecycle is a loss": begin + head + chunk(strings.Replace(change, "Terminating", "Odd", 1)) + "\n wait lost\n d wait",
-		"a long line is a loss":          begin + head + `200000\r\n{"generation":4,"note":"` + strings.Repeat("x", mostLine) + "\n wait lost\n d wait",
+		"a refusal is a loss":            begin + `d send HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n` + "\n wait lost, told within 6s",
+		"a malformed line is a loss":     begin + head + chunk(`{"generation":x}\n`) + "\n wait lost, told within 6s\n d wait",
+		"an unknown lifecycle is a loss": begin + head + chunk(strings.Replace(change, "Terminating", "Odd", 1)) + "\n wait lost, told within 6s\n d wait",
+		"a long line is a loss":          begin + head + `200000\r\n{"generation":4,"note":"` + strings.Repeat("x", mostLine) + "\n wait lost, told within 6s\n d wait",
 		// Discovery writes every 2 s: a watch that says nothing is lost, although its connection stays open.
 		"a call that is not answered is a loss": begin + "wait lost, told within 4s\n d wait",
 		"a watch that tells nothing is a loss":  begin + head + "\n wait lost, told within 4s\n d wait",
@@ -76,7 +76,7 @@
 			f ` + strings.TrimPrefix(head, "d ") + chunk(strings.Replace(change, "5", "6", 1)) + `
 			wait complete=false stored=false h:1/1/7ms
 			f close
-			wait lost`,
+			wait lost, told within 6s`,
 		// Where lists are pushed nobody asks: the watch is opened at once, and again after each loss.
 		"a kept watch": `keep send now
 			d expect GET /v1/endpoints?watch=1&after=4 HTTP/1.1\r\n
@@ -84,10 +84,10 @@
 			` + head + chunk(change) + `
 			wait complete=false stored=false h:1/1/7ms
 			d close
-			wait lost
+			wait lost, told within 6s
 			e expect after=5 HTTP
 			e send HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n
-			wait lost
+			wait lost, told within 6s
 			f expect after=5 HTTP`,
 		"a move that fails leaves little time": begin + head + `
 			move send away
@@ -137,6 +137,75 @@
 	}
 }
 
+// Half an object is none, and empty lines behind it are no sign that the rest will come: the watch is lost as if it had
+// fallen silent. Between two objects they are signs.
+func TestEmptyLinesWithinAnObjectAreNoSign(t *testing.T) {
+	half, _, _ := strings.Cut(change, `{"instanceId"`)
+	for name, c := range map[string]struct{ object, want string }{
+		"between objects":     {change, "complete=false stored=false h:1/1/7ms"},
+		"within an object":    {half, "lost, told within 4s"},
+		"within the next one": {change + half, "complete=false stored=false h:1/1/7ms"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln := scenario.Listen(t)
+			stage := scenario.NewStage(scenario.Accepter(ln))
+			a := New(ln.Addr().String(), told{stage}, nil, zerolog.Nop())
+			a.Start(endpoints.List{})
+			t.Cleanup(a.Close)
+			a.Watch()
+			nc, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			text := strings.NewReplacer(`\r`, "\r", `\n`, "\n")
+			fmt.Fprint(nc, text.Replace(strings.TrimPrefix(head, "d send ")))
+			fmt.Fprint(nc, text.Replace(chunk(c.object)))
+			beats := time.NewTicker(silence / 5)
+			defer beats.Stop()
+			begun := time.Now()
+			stage.Play(t, "wait complete=true stored=true")
+			ended := make(chan struct{})
+			go func() { // until the sidecar gives the watch up or, where it must not, twice the silence is over
+				defer close(ended)
+				for range beats.C {
+					_, err := fmt.Fprint(nc, text.Replace(chunk(`\n`)))
+					if err != nil || !strings.HasSuffix(c.object, half) && time.Since(begun) > 2*silence {
+						return
+					}
+				}
+			}()
+			stage.Play(t, "wait "+c.want)
+			if name == "within the next one" {
+				stage.Play(t, "wait lost, told within 4s")
+			}
+			<-ended
+			stage.Play(t, "") // and nothing else was told
+		})
+	}
+}
+
+// Whatever a failed call was (refused, answered with an error, cut, or hung in its dial or after it), the next one has at least
+// half of the time that was left, and that is enough for a call: the schedule's worst case as a sum.
+func TestTheCallAfterAFailureHasTimeLeft(t *testing.T) {
+	left := toldMiss - dialing - silence // of a call that hung to its end, from when it began
+	if call := left - left/2; call < time.Second {
+		t.Errorf("the next call has %s of the %s after which a change counts as told", call, toldMiss)
+	}
+	ln := scenario.Listen(t)
+	ln.Close() // nobody is there: refused
+	for name, addr := range map[string]string{"refused": ln.Addr().String(), "hung": scenario.Listen(t).Addr().String()} {
+		stage := scenario.NewStage(nil)
+		a := New(addr, told{stage}, nil, zerolog.Nop())
+		a.Start(endpoints.List{})
+		a.Watch()
+		want := map[string]string{"refused": "lost, told within 6s", "hung": "lost, told within 4s"}[name]
+		stage.Play(t, "wait complete=true stored=true\n wait "+want)
+		a.Close()
+	}
+}
+
 // The module knows a node by a number that is the same after a restart, and no two nodes share one.
 func TestIDsAreStable(t *testing.T) {
 	a, b := New("", nil, nil, zerolog.Nop()), New("", nil, nil, zerolog.Nop())
--- a/internal/source/platform/stream.go
+++ b/internal/source/platform/stream.go
@@ -20,36 +20,31 @@
 	addr   string
 	after  uint64
 	entry  func()    // called before an entry is held
-	heard  time.Time // when the last line came, or the call was made; of run's goroutine, until it has returned
+	heard  time.Time // when the last line came, or the call began; of run's goroutine, until it has returned
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 func newStream(addr string, after uint64) *stream {
-	s := &stream{addr: addr, after: after}
+	s := &stream{addr: addr, after: after, heard: time.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
 
 func (s *stream) close() { s.cancel() }
 
-// silent tells whether the end that run gave is that nothing came for too long. A connection that did not come up is none
-// that fell silent.
-func (s *stream) silent(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return !s.heard.IsZero() && (errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout())
-}
-
-// lines reads for as long as a line comes to its end now and then.
+// lines reads for as long as a line comes to its end now and then. Within an object an empty one is no sign of life: the
+// rest of that object would never come.
 type lines struct {
 	io.Reader
-	conn  net.Conn
-	heard *time.Time
+	conn    net.Conn
+	heard   *time.Time
+	objects **endpoints.Decoder
 }
 
 func (l lines) Read(p []byte) (int, error) {
 	n, err := l.Reader.Read(p)
-	if bytes.IndexByte(p[:n], '\n') >= 0 {
+	if bytes.IndexByte(p[:n], '\n') >= 0 && (len(bytes.TrimSpace(p[:n])) > 0 || !(*l.objects).Within()) {
 		*l.heard = time.Now()
 		l.conn.SetDeadline(l.heard.Add(silence))
 	}
@@ -67,8 +62,7 @@
 	defer conn.Close()
 	defer context.AfterFunc(s.ctx, func() { conn.Close() })()
 
-	s.heard = time.Now()
-	conn.SetDeadline(s.heard.Add(silence))
+	conn.SetDeadline(time.Now().Add(silence))
 	target := "/v1/endpoints?watch=1"
 	if s.after > 0 {
 		target += fmt.Sprintf("&after=%d", s.after)
@@ -85,7 +79,8 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return fmt.Errorf("discovery answered %d", resp.StatusCode())
 	}
-	objects := endpoints.NewDecoder(lines{resp.BodyStream(), conn, &s.heard}, mostLine)
+	var objects *endpoints.Decoder
+	objects = endpoints.NewDecoder(lines{resp.BodyStream(), conn, &s.heard, &objects}, mostLine)
 	objects.Entry = s.entry
 	for {
 		l, err := objects.Next()
