Look at client, window, drain and connection just before an attempt's first byte

Seen by going through the way from choice to write, event by event. A claim waits in a mailbox, for a dial, for a goroutine; of what can happen meanwhile only the drain and the deadline were looked at, on the node's actor.

- `conn.send` asks all of it in one place before the first byte: deadline, window (`Claim.Begin`, from the module's `repeatBy`), drain, `Request.Wanted`, connection.
`socket.Departed` sees a client's end behind bytes that nobody has read.
- A second copy of an answer was taken for the next one where it came between the choice of a connection and the write, since the reader took bytes before it looked whether anything was asked.
The reader waits now without taking (`socket.Readable`), and writer and reader agree under a lock.
One that comes later still is known by being, within 50 ms, the answer before byte for byte; then and for a minute after anything unasked a connection rests 50 ms before it is used again.
- Nothing sent on a connection that ended meanwhile costs no attempt; a claim in a slow dial is carried by a connection that comes to rest first; a connection chosen and not written on idles on from its last answer.

Ruled out: resting always.

Each test was seen to fail with its mend taken out: TestANodeSpeaksBetweenChoiceAndWrite ("b expect body: i/o timeout"), TestNothingBeginsTooLate ("no event came; want 1 skipped"), TestALateSecondCopyIsNoAnswer, TestASlowDialHoldsNothingUp, TestAClaimNotSentIsNoUse, TestAnEndedRequestIsNotWanted ("wanted before true, after true"), TestKeyedIsNotResentAfterItsWindow ("sent again until 0s"). TestConnectionsRestBetweenClaims has a fourth case, for the rest that is kept.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -76,7 +76,7 @@
 	figures.List(classNames(cfg.Logic.Classes)...)
 
 	nodes := nodehttp.NewNodes(nodehttp.Options{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle,
-		DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound, Gate: gate,
+		Settle: nodehttp.Settle, DrainGrace: cfg.DrainGrace, GoneAdvice: cfg.Logic.Contract.GoneIsAdvice, MaxConns: cfg.Outbound, Gate: gate,
 		Figures: figures}, hub.Part("node"))
 	core, err := relay.New(cfg.Logic, cfg.Seed, nodes, hub.Part("relay"))
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,11 +28,19 @@
 	ContentType    string
 	CallID         string
 	IdempotencyKey string
+	// Departed tells whether its client has gone, as the system knows it at that moment: also where no goroutine has
+	// come to see it. nil: only Withdraw tells. It must not block and may be called from any goroutine.
+	Departed func() bool
+	ended    atomic.Bool // it has its final answer, or its client has withdrawn it
 	// Held is the charge for all of it. Who writes the request out holds it for as long; the relay gives back its own
 	// hold once the job has ended and each of its claims is reported.
 	Held *budget.Charge
 }
 
+// Wanted tells whether an attempt of the request may still begin: nobody has answered it, and its client waits for it. Who
+// writes an attempt asks just before its first byte.
+func (r *Request) Wanted() bool { return !r.ended.Load() && (r.Departed == nil || !r.Departed()) }
+
 // Job is a request as a front took it from a submitter.
 type Job struct {
 	Class   string
@@ -76,6 +84,7 @@
 	ID       ClaimID
 	Request  *Request
 	Deadline time.Time // when the claim is given up
+	Begin    time.Time // its first byte may leave before this; zero: at any time before the deadline
 }
 
 // Result is how a claim ended.
@@ -163,6 +172,13 @@
 	out      map[int]claim // not yet reported
 }
 
+// end marks a job as concluded, on this actor and for those who hold its request: a claim of it that waits for a connection
+// begins no more, whether or not the module may call it off.
+func (j *job) end() {
+	j.ended = true
+	j.Request.ended.Store(true)
+}
+
 type claim struct {
 	node   uint64
 	issued time.Time
@@ -238,7 +254,7 @@
 func (r *Relay) Withdraw(id uint64) {
 	r.box.Put(func() {
 		if j := r.jobs[id]; j != nil && !j.ended {
-			j.ended = true
+			j.end()
 			r.step(&logic.Event{Kind: logic.EvWithdrawn, Request: id})
 			r.forget(id)
 		}
@@ -347,7 +363,11 @@
 		r.box.Put(func() { r.outcome(id, Result{Outcome: logic.Skipped, At: time.Now()}) })
 		return
 	}
-	n.Claim(Claim{ID: id, Request: j.Request, Deadline: deadline})
+	c := Claim{ID: id, Request: j.Request, Deadline: deadline}
+	if a.At > 0 {
+		c.Begin = r.epoch.Add(a.At - r.unix)
+	}
+	n.Claim(c)
 }
 
 // report is called by an execute node, once for each claim.
@@ -394,7 +414,7 @@
 // answer gives a job its final answer, unless it has had one or its submitter has gone.
 func (r *Relay) answer(id uint64, a Answer) {
 	if j := r.jobs[id]; j != nil && !j.ended {
-		j.ended = true
+		j.end()
 		j.Answer(a)
 		r.forget(id)
 		return
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -214,3 +214,32 @@
 		}
 	})
 }
+
+// A request is wanted until its final answer or its client's leaving, and that is told to whoever still holds a claim of it,
+// also where the module may not call claims off.
+func TestAnEndedRequestIsNotWanted(t *testing.T) {
+	for name, end := range map[string]func(b *bench, job uint64){
+		"withdrawn": func(b *bench, job uint64) { b.Withdraw(job) },
+		"served":    func(b *bench, job uint64) { b.outcome(job, logic.Done, "x") },
+		"expired":   func(*bench, uint64) { time.Sleep(time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, logic.Config{Classes: []logic.Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}}, 1, nil)
+				b.Members(Members{Complete: true, Members: []Member{{Server: logic.Server{ID: 1}, Addr: "h:1", Told: time.Now()}}})
+				job := b.submit("c")
+				request := b.claims[job].Request
+				before := request.Wanted()
+				end(b, job)
+				synctest.Wait()
+				if after := request.Wanted(); !before || after {
+					t.Errorf("wanted before %t, after %t", before, after)
+				}
+				gone := Request{Departed: func() bool { return true }}
+				if gone.Wanted() {
+					t.Error("wanted though its client has gone")
+				}
+			})
+		})
+	}
+}
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -23,6 +23,23 @@
 	return quiet
 }
 
+// Readable waits until something can be read on a connection (a byte, its end or an error), and reads nothing. It fails at
+// the connection's read deadline and when it is closed on this side.
+func Readable(nc net.Conn) error {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+}
+
 // Unread tells whether something has come on a connection that is not read: a byte, its end or an error.
 func Unread(nc net.Conn) bool {
 	unread := false
@@ -33,6 +50,22 @@
 	return unread
 }
 
+// Departed tells whether the other side has ended a connection, also where bytes that are not read stand before its end: it
+// has ended its sending, reset the connection, or this side has closed it. Nothing is read.
+func Departed(nc net.Conn) bool {
+	departed := true // of a closed connection no descriptor is asked
+	known := control(nc, func(fd int) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(polled, 0)
+		departed = err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		if !departed { // the end alone is told in this way too
+			n, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			departed = err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+		}
+	})
+	return known && departed
+}
+
 // Pending tells whether a connection waits to be accepted.
 func Pending(ln net.Listener) bool {
 	pending := false
@@ -44,11 +77,14 @@
 	return pending
 }
 
-// control calls ask with the descriptor of a connection or listener that has one.
-func control(of any, ask func(fd int)) {
-	if sc, ok := of.(syscall.Conn); ok {
+// control calls ask with the descriptor of a connection or listener, unless it is closed. It tells whether it is of a kind
+// that has one.
+func control(of any, ask func(fd int)) bool {
+	sc, ok := of.(syscall.Conn)
+	if ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			raw.Control(func(fd uintptr) { ask(int(fd)) }) // it fails on a closed connection: nothing is told then
 		}
 	}
+	return ok
 }
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -12,8 +12,14 @@
 // Quiet is known on Linux only.
 func Quiet(net.Conn) time.Duration { return 0 }
 
+// Readable waits on Linux only. Where it does not, the read that follows waits.
+func Readable(net.Conn) error { return nil }
+
 // Unread is known on Linux only.
 func Unread(net.Conn) bool { return false }
 
+// Departed is known on Linux only. Where it is not, a read tells of the end.
+func Departed(net.Conn) bool { return false }
+
 // Pending is known on Linux only. Where it is not, one may always wait.
 func Pending(net.Listener) bool { return true }
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -47,6 +47,37 @@
 	}
 }
 
+// The end of the other side is seen behind bytes that nobody has read, and nothing is taken by looking.
+func TestDeparted(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("known on Linux only")
+	}
+	for name, end := range map[string]func(far *net.TCPConn){
+		"half closed":      func(far *net.TCPConn) { far.CloseWrite() },
+		"closed":           func(far *net.TCPConn) { far.Close() },
+		"reset":            func(far *net.TCPConn) { far.SetLinger(0); far.Close() },
+		"closed in unread": func(far *net.TCPConn) { far.Write([]byte("more")); far.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			before := Departed(near)
+			far.Write([]byte("xy"))
+			scenario.Await(t, "the bytes have come", func() bool { return Unread(near) })
+			unread := Departed(near)
+			end(far.(*net.TCPConn))
+			scenario.Await(t, "the end is seen", func() bool { return Departed(near) })
+			if diff := cmp.Diff([]bool{false, false}, []bool{before, unread}); diff != "" {
+				t.Errorf("departed while it was there (-want +got):\n%s", diff)
+			}
+		})
+	}
+	near, _ := pair(t)
+	near.Close()
+	if !Departed(near) {
+		t.Error("a connection closed on this side passes for one whose other side is there")
+	}
+}
+
 // A connection that waits to be accepted is seen without being taken.
 func TestPending(t *testing.T) {
 	if runtime.GOOS != "linux" {
--- a/internal/transport/http/conn.go
+++ b/internal/transport/http/conn.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http/httputil"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"fieldrelay/internal/budget"
@@ -26,18 +28,25 @@
 	gone   chan struct{}  // closed with the connection
 	cost   *budget.Charge // for the connection and its reader
 	broken atomic.Bool    // nothing more can be read, or what came belongs to no claim
-	asked  atomic.Bool    // a claim has been put on it and is not answered
 
-	begun time.Time // when the present answer began to come, while it is read; the reader's
-	late  bool      // a bound stands on that; the reader's
+	// A claim is being or has been written on it and is not answered. Whoever writes sets it while nothing is unread, and
+	// the reader takes nothing from the system before it has looked: so what came before a claim is never its answer.
+	turn  sync.Mutex
+	asked bool
+
+	last   uint64    // digest of the last answer,
+	lastAt time.Time // and when it was there; the reader's, as the next two
+	begun  time.Time // when the present answer began to come, while it is read; the reader's
+	late   bool      // a bound stands on that; the reader's
 
 	// What follows belongs to the node's actor.
-	claim   *claim // nil: none
-	writing bool
-	early   *answer // came while the request was being written
-	over    bool    // nothing more comes
-	retire  *time.Timer
-	rested  time.Time // since when it is idle
+	claim    *claim // nil: none
+	writing  bool
+	early    *answer // came while the request was being written
+	over     bool    // nothing more comes
+	retire   *time.Timer
+	rested   time.Time // since when it is idle, or was last; zero: it never was
+	answered bool      // it has brought an answer
 }
 
 // An answer that has begun to come and does not end is as bad as none, and costs the job the time for another claim.
@@ -80,11 +89,50 @@
 	c.retire = nil
 }
 
-// take makes the connection a claim's, unless something has come on it since the last answer: a second copy of
-// that, say, which would be taken for the answer to this claim.
-func (c *conn) take() bool {
-	c.asked.Store(true)
-	return !c.broken.Load() && !socket.Unread(c.nc)
+// usable tells whether the connection can carry a claim: its end has not come, nor anything since the last answer, such as
+// a second copy of that, which would be taken for the answer to this claim.
+func (c *conn) usable() bool { return !c.broken.Load() && !socket.Unread(c.nc) }
+
+// Why a claim was not written. Nothing of it has left.
+var (
+	errOver  = errors.New("it may no longer be sent")
+	errStale = errors.New("its connection has ended or brings what nobody asked for")
+)
+
+// send writes a claim out, unless by now it may not be sent. All that can speak against it is looked at here, just before
+// its first byte, since anything may have happened while it waited: its deadline, the end of its window or of a drain's
+// grace (together until), its client, its final answer, its connection.
+func (c *conn) send(parts net.Buffers, of *claim, until time.Time) error {
+	switch {
+	case !time.Now().Before(until) || !of.Request.Wanted():
+		return errOver
+	case !c.ask():
+		return errStale
+	}
+	c.nc.SetWriteDeadline(of.Deadline)
+	_, err := parts.WriteTo(c.nc)
+	return err
+}
+
+// ask makes the connection a claim's, if it is usable.
+func (c *conn) ask() bool {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	c.asked = c.usable()
+	return c.asked
+}
+
+func (c *conn) isAsked() bool {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	return c.asked
+}
+
+// answeredWhole ends what ask has begun.
+func (c *conn) answeredWhole() {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	c.asked = false
 }
 
 // read hands on each answer until the connection ends or cannot be used again. It always reads, so that the end
@@ -94,7 +142,18 @@
 	defer c.cost.Release()
 	br := bufio.NewReader(c)
 	for last := false; !last; {
-		if _, err := br.Peek(1); err != nil || !c.asked.Load() {
+		err := socket.Readable(c.nc)
+		asked := err == nil && c.isAsked()
+		if !asked {
+			c.broken.Store(true) // before anything is taken: whoever looks sees the one or the other
+		}
+		if err == nil {
+			_, err = br.Peek(1)
+		}
+		if err == nil && !asked {
+			c.node.nodes.strayed()
+		}
+		if err != nil || !asked {
 			break
 		}
 		c.begun = time.Now()
@@ -102,14 +161,22 @@
 		if err != nil {
 			break
 		}
+		if c.repeats(a) {
+			c.node.nodes.strayed()
+			a.held.Release()
+			break
+		}
 		if c.begun = (time.Time{}); c.late {
 			c.late = false
 			c.nc.SetReadDeadline(time.Time{})
 		}
 		// Bytes behind an answer belong to nothing that was asked.
-		a.last = a.last || br.Buffered() > 0
+		if br.Buffered() > 0 {
+			c.node.nodes.strayed()
+			a.last = true
+		}
 		a.at, last = time.Now(), a.last
-		c.asked.Store(false)
+		c.answeredWhole()
 		if !c.node.box.Put(func() { c.node.answered(c, a) }) {
 			a.held.Release()
 		}
@@ -118,6 +185,18 @@
 	c.node.box.Put(func() { c.node.ended(c) })
 }
 
+// repeats tells whether an answer is, byte for byte and within the time that a connection rests, the one before: a second
+// copy of that, come late, as far as anybody can tell.
+func (c *conn) repeats(a answer) bool {
+	digest := xxhash.New()
+	digest.Write([]byte{byte(a.outcome)})
+	digest.WriteString(a.contentType)
+	digest.Write(a.body)
+	before, at := c.last, c.lastAt
+	c.last, c.lastAt = digest.Sum64(), time.Now()
+	return !at.IsZero() && c.last == before && c.begun.Sub(at) < c.node.nodes.opts.Settle
+}
+
 // Read reads for the reader. An answer mostly comes at once: only one that does not is timed.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.begun.IsZero() && !c.late {
--- /dev/null
+++ b/internal/transport/http/crossing_test.go
@@ -0,0 +1,270 @@
+package http
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/relay"
+	"fieldrelay/internal/scenario"
+	"fieldrelay/internal/socket"
+)
+
+// crossing is a node whose claims can be held up at each point where another event may come first: in their dial, and just
+// before their first byte, where the request is asked whether its client is still there.
+type crossing struct {
+	*scenario.Stage
+	ln      net.Listener
+	node    *node
+	release chan struct{}      // closed at the end
+	dials   chan chan struct{} // of each dial: closed to let it go on; dials go on at once while this is nil
+}
+
+// slowReader is a connection whose reads, once that is set, take what has come from the system and hand it on at the end of
+// the test only: as where the goroutine that reads gets no turn for a while.
+type slowReader struct {
+	*net.TCPConn
+	slow, took atomic.Bool
+	release    chan struct{}
+}
+
+func (c *slowReader) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.slow.Load() {
+		c.took.Store(true)
+		<-c.release
+	}
+	return n, err
+}
+
+func newCrossing(t *testing.T, opts Options, held bool) *crossing {
+	x := &crossing{ln: scenario.Listen(t), release: make(chan struct{})}
+	x.Stage = scenario.NewStage(scenario.Accepter(x.ln))
+	opts.DialTimeout, opts.ConnIdle, opts.DrainGrace, opts.MaxConns = time.Minute, time.Minute, time.Minute, 9
+	if held {
+		x.dials = make(chan chan struct{}, 9)
+	}
+	opts.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if x.dials != nil {
+			gate := make(chan struct{})
+			x.dials <- gate
+			<-gate
+		}
+		nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &slowReader{TCPConn: nc.(*net.TCPConn), release: x.release}, nil
+	}
+	t.Cleanup(func() { close(x.release) })
+	x.node = NewNodes(opts, zerolog.Nop()).Open(relay.Member{Addr: x.ln.Addr().String()}, tell(x.Stage)).(*node)
+	t.Cleanup(x.node.Close)
+	x.Calls["claim"] = func(id string) { x.node.Claim(aClaim(id, time.Minute)) }
+	return x
+}
+
+// in does something on the node's actor.
+func (x *crossing) in(do func()) {
+	done := make(chan struct{})
+	x.node.box.Put(func() {
+		defer close(done)
+		do()
+	})
+	<-done
+}
+
+// A second copy of an answer that comes late is taken for no other answer: on a connection that was asked again it ends the
+// attempt, since nothing tells whose it is; and from then on connections rest after an answer, and another is dialled.
+func TestALateSecondCopyIsNoAnswer(t *testing.T) {
+	x := newCrossing(t, Options{Settle: time.Minute}, false)
+	x.Play(t, `
+		claim send 1
+		a expect body
+		a send `+ok+`
+		wait 1 done hi
+		claim send 2
+		a expect body
+		a send `+ok+`
+		wait 2 reset
+		a wait
+		claim send 3
+		b expect body
+		b send `+ok+`
+		wait 3 done hi
+		claim send 4
+		c expect body
+		b send `+ok+`
+		b wait
+		c send `+ok+`
+		wait 4 done hi`)
+}
+
+// Without such a node a connection that is needed is used at once, and answers that differ, or come after a while, are taken.
+func TestAnswersAlikeAreAnswers(t *testing.T) {
+	for name, settle := range map[string]time.Duration{"one that differs": time.Minute, "one alike after the rest": time.Nanosecond} {
+		t.Run(name, func(t *testing.T) {
+			second := `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nho`
+			want := "ho"
+			if settle < time.Minute {
+				second, want = ok, "hi"
+			}
+			newCrossing(t, Options{Settle: settle}, false).Play(t, `
+				claim send 1
+				a expect body
+				a send `+ok+`
+				wait 1 done hi
+				claim send 2
+				a expect body
+				a send `+second+`
+				wait 2 done `+want)
+		})
+	}
+}
+
+// What a node sends between the choice of its connection and the first byte of a claim is no answer to that claim, and its
+// end then costs no attempt: nothing has left, so another connection carries the claim.
+func TestANodeSpeaksBetweenChoiceAndWrite(t *testing.T) {
+	for name, cross := range map[string]func(server net.Conn){
+		"a second copy": func(server net.Conn) { io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong") },
+		"half a line":   func(server net.Conn) { io.WriteString(server, "HTTP/1.1 2") },
+		"its end":       func(server net.Conn) { server.Close() },
+		"a reset":       func(server net.Conn) { server.(*net.TCPConn).SetLinger(0); server.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newCrossing(t, Options{}, false)
+			var server net.Conn
+			open := x.Open
+			x.Open = func(peer string) (nc net.Conn, err error) {
+				if nc, err = open(peer); peer == "a" {
+					server = nc
+				}
+				return nc, err
+			}
+			x.Calls["crossed"] = func(id string) {
+				c := aClaim(id, time.Minute)
+				asked := false
+				c.Request.Departed = func() bool { // the last question before the first byte
+					if asked {
+						return false
+					}
+					asked = true
+					chosen := make(chan *conn, 1)
+					x.in(func() {
+						for conn := range x.node.conns {
+							chosen <- conn
+						}
+					})
+					conn := <-chosen
+					slow := conn.nc.(*slowReader)
+					slow.slow.Store(true)
+					cross(server)
+					scenario.Await(t, "it has come", func() bool {
+						return conn.broken.Load() || socket.Unread(conn.nc) || slow.took.Load()
+					})
+					return false
+				}
+				x.node.Claim(c)
+			}
+			x.Play(t, `
+				claim send 1
+				a expect body
+				a send `+ok+`
+				wait 1 done hi
+				crossed send 2
+				b expect body
+				b send `+ok+`
+				wait 2 done hi`)
+		})
+	}
+}
+
+// A claim whose dial hangs is carried by the connection that comes to rest first.
+func TestASlowDialHoldsNothingUp(t *testing.T) {
+	x := newCrossing(t, Options{}, true)
+	x.Calls["dial"] = func(string) { close(<-x.dials) }
+	var hung chan struct{}
+	x.Calls["hung"] = func(string) { hung = <-x.dials }
+	x.Play(t, `
+		claim send 1
+		dial send on
+		a expect body
+		claim send 2
+		hung send its dial
+		a send `+ok+`
+		wait 1 done hi
+		a expect body
+		a send `+ok+`
+		wait 2 done hi`)
+	close(hung)
+	scenario.Await(t, "the late connection is kept", func() (kept bool) {
+		x.in(func() { kept = x.node.dials == 0 && len(x.node.idle) == 1 }) // the other one has ended with the scenario
+		return kept
+	})
+}
+
+// Nothing of a claim leaves once its client has gone, its request has its answer, or its window or its grace is over, however
+// late its connection comes up; the connection is kept for others.
+func TestNothingBeginsTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		before func(c *relay.Claim) // it is made
+		during func(x *crossing)    // its dial
+	}{
+		"the client has gone": {before: func(c *relay.Claim) { c.Request.Departed = func() bool { return true } }},
+		"its window is over":  {before: func(c *relay.Claim) { c.Begin = time.Now() }},
+		"its node drains": {during: func(x *crossing) {
+			x.node.Update(relay.Member{Told: time.Now().Add(-time.Hour), Server: drains})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newCrossing(t, Options{}, true)
+			x.Calls["claim"] = func(id string) {
+				claim := aClaim(id, time.Minute)
+				if c.before != nil {
+					c.before(&claim)
+				}
+				x.node.Claim(claim)
+			}
+			x.Calls["dial"] = func(string) {
+				gate := <-x.dials
+				if c.during != nil {
+					c.during(x)
+				}
+				close(gate)
+			}
+			x.Calls["leave"] = func(string) { x.node.Close() }
+			x.Play(t, `
+				claim send 1
+				dial send on
+				wait 1 skipped
+				leave send now
+				a wait nothing`)
+		})
+	}
+}
+
+// A connection that was chosen for a claim and carried nothing goes on idling from its last answer: the node closes it by that.
+func TestAClaimNotSentIsNoUse(t *testing.T) {
+	x := newCrossing(t, Options{}, false)
+	x.Calls["aged"] = func(string) {
+		x.in(func() { x.node.idle[0].rested = time.Now().Add(-time.Minute) })
+	}
+	x.Calls["gone"] = func(id string) {
+		c := aClaim(id, time.Minute)
+		c.Request.Departed = func() bool { return true }
+		x.node.Claim(c)
+	}
+	x.Play(t, `
+		claim send 1
+		a expect body
+		a send `+ok+`
+		wait 1 done hi
+		aged send a minute
+		gone send 2
+		wait 2 skipped
+		a wait nothing`)
+}
--- a/internal/transport/http/executenode.go
+++ b/internal/transport/http/executenode.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -23,12 +24,14 @@
 // Options are what all execute nodes share.
 type Options struct {
 	DialTimeout time.Duration
-	ConnIdle    time.Duration     // the node's machine closes a connection idle for this long
-	DrainGrace  time.Duration     // sends to a node told to drain or gone must have stopped after this
-	GoneAdvice  bool              // one called gone may still be sent to
-	MaxConns    int               // to all nodes together
-	Gate        *budget.Gate      // nil: nothing is counted
-	Figures     *metrics.Registry // nil: no figures are kept; else BackendCalls counts claims written whole
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the system's
+	ConnIdle    time.Duration                                                     // the node's machine closes a connection idle for this long
+	DrainGrace  time.Duration                                                     // sends to a node told to drain or gone must have stopped after this
+	GoneAdvice  bool                                                              // one called gone may still be sent to
+	Settle      time.Duration                                                     // a connection rests so long after an answer
+	MaxConns    int                                                               // to all nodes together
+	Gate        *budget.Gate                                                      // nil: nothing is counted
+	Figures     *metrics.Registry                                                 // nil: no figures are kept; else BackendCalls counts claims written whole
 }
 
 // Before the limits of the rules, time for what lies between the last check and the wire.
@@ -37,9 +40,15 @@
 	drainMargin = 0.2 // of DrainGrace
 )
 
-// settle is how long a connection rests before it is used again, if there is another: what follows its answer, most
-// often its end, mostly comes within that.
-const settle = 50 * time.Millisecond
+// Settle is how long a connection rests after an answer before it is used again. What a node sends behind an answer (its
+// end, or a second copy of the answer) comes some milliseconds later and carries no sign of whose it is: on a connection
+// that was asked again by then it would be taken for the next answer. A connection that has not rested is used where there
+// is no other, since one more costs the node a handshake, unless some node has lately sent what nobody asked for.
+const Settle = 50 * time.Millisecond
+
+// strayKept is for how long that counts as lately: a node that does so once a minute is caught by its first copy each time,
+// which costs one attempt.
+const strayKept = time.Minute
 
 // trimmed is how long a connection must have been idle to be closed because bytes are short: one that the next claim is
 // likely to need would only have to be opened again, at the node's cost.
@@ -50,10 +59,26 @@
 	opts  Options
 	log   zerolog.Logger
 	conns atomic.Int64
+	stray atomic.Pointer[time.Time] // when a node last sent what nobody asked for; nil: never
+}
+
+// strayed takes in that a node has sent what nobody asked for.
+func (s *Nodes) strayed() {
+	now := time.Now()
+	s.stray.Store(&now)
+}
+
+// strays tells whether one has lately.
+func (s *Nodes) strays() bool {
+	last := s.stray.Load()
+	return last != nil && time.Since(*last) < strayKept
 }
 
 // NewNodes makes a set that has no node yet.
 func NewNodes(opts Options, log zerolog.Logger) *Nodes {
+	if opts.Dial == nil {
+		opts.Dial = new(net.Dialer).DialContext
+	}
 	return &Nodes{opts: opts, log: log}
 }
 
@@ -73,20 +98,22 @@
 	report func(relay.ClaimID, relay.Result)
 	box    *mailbox.Mailbox
 
-	member relay.Member
-	barred time.Time // when the list said that nothing more may be sent; zero: it may
-	claims map[relay.ClaimID]*claim
-	conns  map[*conn]bool
-	idle   []*conn // in the order of their last use
-	dials  int     // under way
-	closed bool
+	member  relay.Member
+	barred  time.Time // when the list said that nothing more may be sent; zero: it may
+	claims  map[relay.ClaimID]*claim
+	waiting []*claim // of those, the ones without a connection, the oldest first
+	conns   map[*conn]bool
+	idle    []*conn // in the order of their last use
+	settled *time.Timer
+	dials   int // under way
+	closed  bool
 }
 
 // claim is one that has not been reported.
 type claim struct {
 	relay.Claim
-	conn    *conn              // nil while it is dialled
-	abandon context.CancelFunc // ends the dial
+	conn    *conn              // nil while it waits for one
+	abandon context.CancelFunc // ends the dial that was begun for it
 	timer   *time.Timer        // its deadline
 }
 
@@ -142,30 +169,65 @@
 	}
 }
 
-// start puts a claim on an idle connection, or dials one for it.
+// start takes a claim.
 func (n *node) start(rc relay.Claim) {
 	c := &claim{Claim: rc}
 	n.claims[c.ID] = c
 	c.timer = time.AfterFunc(time.Until(c.Deadline), func() {
 		n.box.Put(func() { n.giveUp(c.ID, logic.TimedOut) })
 	})
-	for len(n.idle) > 0 {
+	n.begin(c)
+}
+
+// begin puts a claim on a connection that has rested or, where there is none, dials one for it. It waits for whichever is
+// there first: that one, or one that comes to rest meanwhile. So no claim waits for a slow dial alone.
+func (n *node) begin(c *claim) {
+	n.waiting = append(n.waiting, c)
+	n.serve()
+	if slices.Contains(n.waiting, c) {
+		n.dial(c)
+	}
+}
+
+// serve gives the connections that have rested to the claims that wait, the oldest first.
+func (n *node) serve() {
+	for len(n.waiting) > 0 {
 		conn := n.rouse()
-		// Its end may be on its way in the mailbox: a request written now would be lost for nothing.
-		if conn.take() {
-			n.write(c, conn)
+		if conn == nil {
+			n.serveLater()
 			return
 		}
-		n.drop(conn)
+		// Its end may be on its way in the mailbox: a request written now would be lost for nothing.
+		if !conn.usable() {
+			n.drop(conn)
+			continue
+		}
+		n.write(n.waiting[0], conn)
 	}
-	n.dial(c)
 }
 
-// rouse takes an idle connection: of those that have rested for a moment the one used last, so that the others
-// are retired. What a node sends behind an answer, and its end, can still be on their way when the answer is there.
+// serveLater looks again when the next connection has rested.
+func (n *node) serveLater() {
+	if len(n.idle) == 0 || n.settled != nil {
+		return
+	}
+	n.settled = time.AfterFunc(time.Until(n.idle[0].rested.Add(n.nodes.opts.Settle)), func() {
+		n.box.Put(func() {
+			n.settled = nil
+			n.serve()
+		})
+	})
+}
+
+// rouse takes an idle connection: of those that have rested the one used last, so that the others are retired; if none
+// has, the one that has rested for longest, or none.
 func (n *node) rouse() *conn {
-	i := len(n.idle) - 1
-	for now := time.Now(); i > 0 && now.Sub(n.idle[i].rested) < settle; i-- {
+	i, now := len(n.idle)-1, time.Now()
+	resting := func(i int) bool { return n.idle[i].answered && now.Sub(n.idle[i].rested) < n.nodes.opts.Settle }
+	for ; i > 0 && resting(i); i-- {
+	}
+	if i < 0 || resting(i) && n.nodes.strays() {
+		return nil
 	}
 	conn := n.idle[i]
 	n.idle = slices.Delete(n.idle, i, i+1)
@@ -174,6 +236,9 @@
 }
 
 func (n *node) dial(c *claim) {
+	if len(n.idle) > 0 && n.nodes.conns.Load() >= int64(n.nodes.opts.MaxConns) { // it has not rested: another takes its place
+		n.drop(n.idle[0])
+	}
 	if n.nodes.conns.Add(1) > int64(n.nodes.opts.MaxConns) {
 		n.nodes.conns.Add(-1)
 		n.log.Warn().Int("limit", n.nodes.opts.MaxConns).Msg("no socket left for a claim")
@@ -186,19 +251,17 @@
 	addr := n.member.Addr
 	go func() {
 		defer abandon()
-		var dialer net.Dialer
-		nc, err := dialer.DialContext(ctx, "tcp", addr)
+		nc, err := n.nodes.opts.Dial(ctx, "tcp", addr)
 		n.box.Put(func() { n.dialled(c, addr, nc, err) })
 	}()
 }
 
 func (n *node) dialled(c *claim, addr string, nc net.Conn, err error) {
-	waiting := n.claims[c.ID] == c
 	n.dials--
 	if err != nil {
 		n.nodes.conns.Add(-1)
 		defer n.finish()
-		if waiting {
+		if slices.Contains(n.waiting, c) {
 			n.log.Debug().Err(err).Msg("not connected")
 			n.end(c, logic.Refused, relay.Result{})
 		}
@@ -207,10 +270,16 @@
 	conn := newConn(n, nc, addr)
 	n.conns[conn] = true
 	go conn.read()
+	if !slices.Contains(n.waiting, c) && len(n.waiting) > 0 {
+		c = n.waiting[0]
+	}
 	switch {
-	case !waiting:
-		n.rest(conn)
-	case conn.take():
+	case !slices.Contains(n.waiting, c) || conn.addr != n.member.Addr:
+		n.rest(conn, time.Now())
+		if slices.Contains(n.waiting, c) { // its node has moved meanwhile
+			n.dial(c)
+		}
+	case conn.usable():
 		n.write(c, conn)
 	default: // a node that speaks before it is asked
 		n.drop(conn)
@@ -220,24 +289,21 @@
 
 // write sends a claim, unless it may no longer be sent.
 func (n *node) write(c *claim, conn *conn) {
-	now := time.Now()
-	// A claim that waited for its connection must not reach a node that has been told to drain meanwhile, nor
-	// be sent when nobody waits for it.
-	late := !n.barred.IsZero() && now.Sub(n.barred) > time.Duration((1-drainMargin)*float64(n.nodes.opts.DrainGrace))
-	if late || !now.Before(c.Deadline) {
-		conn.asked.Store(false)
-		n.rest(conn)
-		n.end(c, logic.Skipped, relay.Result{})
-		return
-	}
+	n.waiting = slices.DeleteFunc(n.waiting, func(o *claim) bool { return o == c })
 	c.conn, conn.claim, conn.writing = conn, c, true
+	now, until := time.Now(), c.Deadline
+	if !c.Begin.IsZero() && c.Begin.Before(until) {
+		until = c.Begin
+	}
+	if grace := n.barred.Add(time.Duration((1 - drainMargin) * float64(n.nodes.opts.DrainGrace))); !n.barred.IsZero() && grace.Before(until) {
+		until = grace
+	}
 	parts := net.Buffers{encode(c, n.member.Addr, now), c.Request.Body}
 	// A claim given up meanwhile, and with it the job, may be forgotten before this has let go of its bytes.
 	held := c.Request.Held
 	held.Hold()
 	go func() {
-		conn.nc.SetWriteDeadline(c.Deadline)
-		_, err := parts.WriteTo(conn.nc)
+		err := conn.send(parts, c, until)
 		held.Release()
 		if fig := n.nodes.opts.Figures; err == nil && fig != nil {
 			fig.BackendCalls.Add(1)
@@ -256,7 +322,17 @@
 		n.answered(conn, a)
 		return
 	}
+	c := conn.claim
 	switch {
+	case errors.Is(err, errOver):
+		if c != nil {
+			n.end(c, logic.Skipped, relay.Result{})
+		}
+		n.rest(conn, conn.rested)
+	case errors.Is(err, errStale) && c != nil && !conn.rested.IsZero():
+		n.drop(conn)
+		conn.claim, c.conn = nil, nil
+		n.begin(c)
 	case err != nil:
 		n.drop(conn)
 		n.broke(conn, logic.Refused)
@@ -297,7 +373,8 @@
 	case a.last:
 		n.drop(conn)
 	default:
-		n.rest(conn)
+		conn.answered, conn.claim, c.conn = true, nil, nil // at rest it may carry another claim at once
+		n.rest(conn, time.Now())
 	}
 	n.end(c, a.outcome, relay.Result{At: a.at, Body: a.body, ContentType: a.contentType, Held: a.held})
 }
@@ -331,6 +408,7 @@
 		c.conn.claim = nil
 	}
 	delete(n.claims, c.ID)
+	n.waiting = slices.DeleteFunc(n.waiting, func(o *claim) bool { return o == c })
 	res.Outcome = outcome
 	if res.At.IsZero() {
 		res.At = time.Now()
@@ -338,8 +416,9 @@
 	n.report(c.ID, res)
 }
 
-// rest keeps a connection for the next claim, for a time that ends safely before the node closes it.
-func (n *node) rest(conn *conn) {
+// rest keeps a connection for the next claim, for a time that ends safely before the node closes it: it counts from the last
+// answer on it, also where a claim was put on it meanwhile and not sent.
+func (n *node) rest(conn *conn, since time.Time) {
 	if !n.conns[conn] {
 		return
 	}
@@ -347,11 +426,18 @@
 		n.drop(conn)
 		return
 	}
-	n.idle = append(n.idle, conn)
-	conn.rested = time.Now()
+	if since.IsZero() {
+		since = time.Now()
+	}
+	i := slices.IndexFunc(n.idle, later(since))
+	if i < 0 {
+		i = len(n.idle)
+	}
+	n.idle = slices.Insert(n.idle, i, conn)
+	conn.rested = since
 	idle := time.Duration((1 - idleMargin) * float64(n.nodes.opts.ConnIdle))
 	var timer *time.Timer
-	timer = time.AfterFunc(idle, func() {
+	timer = time.AfterFunc(time.Until(since.Add(idle)), func() {
 		n.box.Put(func() {
 			if conn.retire == timer { // it has not been used since
 				n.drop(conn)
@@ -359,6 +445,12 @@
 		})
 	})
 	conn.retire = timer
+	n.serve()
+}
+
+// later picks connections that came to rest after a time.
+func later(than time.Time) func(*conn) bool {
+	return func(c *conn) bool { return c.rested.After(than) }
 }
 
 func (n *node) closeIdle() {
--- a/internal/transport/http/executenode_test.go
+++ b/internal/transport/http/executenode_test.go
@@ -19,6 +19,8 @@
 	"fieldrelay/logic"
 )
 
+var drains = logic.Server{State: logic.Draining}
+
 var outcomes = []string{"done", "errored", "busy", "timed out", "refused", "reset", "canceled", "skipped"}
 
 const (
@@ -296,24 +298,34 @@
 	}
 }
 
-// What a node sends behind an answer may still be on its way: a connection that has just answered rests if another
-// can serve, and of those that have rested the one used last serves, so that the others are retired.
+// What a node sends behind an answer may still be on its way: a connection that has just answered rests, and of those that
+// have rested the one used last serves, so that the others are retired. Where none has, the one that rests longest serves, or
+// none if nodes have lately sent what nobody asked for.
 func TestConnectionsRestBetweenClaims(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
 		rested []time.Duration // ago, in the order of use
 		want   int
+		strays bool
 	}{
-		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2},
-		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1},
-		"none has":         {[]time.Duration{0, 0, 0}, 0},
+		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2, true},
+		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1, true},
+		"none has":         {[]time.Duration{0, 0, 0}, 0, false},
+		"none, and strays": {[]time.Duration{0, 0, 0}, -1, true},
 	} {
-		n := &node{}
+		n := &node{nodes: NewNodes(Options{Settle: Settle}, zerolog.Nop())}
+		if c.strays {
+			n.nodes.strayed()
+		}
 		for _, ago := range c.rested {
-			n.idle = append(n.idle, &conn{rested: now.Add(time.Second / 2).Add(-ago), retire: time.NewTimer(time.Minute)})
+			n.idle = append(n.idle, &conn{answered: true, rested: now.Add(time.Second / 2).Add(-ago), retire: time.NewTimer(time.Minute)})
 		}
 		idle := slices.Clone(n.idle)
-		if got := slices.Index(idle, n.rouse()); got != c.want || len(n.idle) != 2 {
+		left := 2
+		if c.want < 0 {
+			left = 3
+		}
+		if got := slices.Index(idle, n.rouse()); got != c.want || len(n.idle) != left {
 			t.Errorf("%s: connection %d, want %d", name, got, c.want)
 		}
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -193,7 +193,7 @@
 
 // The actions.
 const (
-	ActSend    ActionKind = iota // start an attempt of Request at Server with time-out After
+	ActSend    ActionKind = iota // start an attempt of Request at Server with time-out After, and not from At on (0: at any time)
 	ActCancel                    // stop waiting for Attempt of Request
 	ActRefuse                    // final answer: a retry does no harm; retry no sooner than After
 	ActFail                      // final answer: failed, effect unknown
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -434,21 +434,24 @@
 
 // mayRepeat tells whether the rules let a further attempt of r go to s now.
 func (b *Balancer) mayRepeat(r *request, s *server) bool {
-	for _, a := range r.attempts {
-		if !a.out && !a.mayRun {
-			continue
-		}
-		if r.class.Effect == Unsafe || (a.out && !b.cfg.Limits.Parallel) {
-			return false
-		}
-		window := time.Duration(windowSafety * float64(r.class.Window))
-		if r.class.Effect == Keyed && (b.now-a.sent >= window || !sameGroup(r.class.Group, a.srv, s)) {
-			return false
-		}
+	by := b.repeatBy(r)
+	return (by == 0 || b.now < by) && !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+		return a.counts() && (r.class.Effect == Unsafe || (a.out && !b.cfg.Limits.Parallel) ||
+			(r.class.Effect == Keyed && !sameGroup(r.class.Group, a.srv, s)))
+	})
+}
+
+// repeatBy is when the window for repeats of r ends, or 0: a connection that comes up later sends nothing.
+func (b *Balancer) repeatBy(r *request) time.Duration {
+	if i := slices.IndexFunc(r.attempts, (*attempt).counts); i >= 0 && r.class.Effect == Keyed {
+		return r.attempts[i].sent + time.Duration(windowSafety*float64(r.class.Window))
 	}
-	return true
+	return 0
 }
 
+// counts tells whether a is not proved never to have run.
+func (a *attempt) counts() bool { return a.out || a.mayRun }
+
 func sameGroup(g Group, a, s *server) bool {
 	return g == GroupAll || (g == GroupZone && a.Zone == s.Zone) || (g == GroupCell && a.Cell == s.Cell)
 }
@@ -791,7 +794,7 @@
 	if b.candidates(r); len(b.set) == 0 {
 		return false
 	}
-	s := b.pick(r, b.set)
+	s, by := b.pick(r, b.set), b.repeatBy(r)
 	a := &attempt{req: r, no: len(r.attempts), srv: s, sent: b.now, out: true}
 	a.crowded = float64(len(s.out)+1) >= crowded*s.limit
 	r.attempts = append(r.attempts, a)
@@ -800,7 +803,7 @@
 	if b.coldFraction(s) < 1 {
 		s.credit--
 	}
-	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, After: r.expires - b.now})
+	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, After: r.expires - b.now, At: by})
 	if c := r.class; a.no == 0 && !c.Stream && c.LateWorth == 0 && r.aim < r.expires {
 		b.at(r.aim-b.cfg.Tick, TimerAim, r.id)
 	}
@@ -852,10 +855,7 @@
 	return r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Group == GroupAll) || !r.mayHaveRun()
 }
 
-// mayHaveRun tells whether any attempt is not proved never to have run.
-func (r *request) mayHaveRun() bool {
-	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.out || a.mayRun })
-}
+func (r *request) mayHaveRun() bool { return slices.ContainsFunc(r.attempts, (*attempt).counts) }
 
 // settle gives the final answer without a server's.
 func (b *Balancer) settle(r *request) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -414,9 +414,14 @@
 		r.request(1)
 		r.now += at
 		r.outcome(1, 0, at, Errored)
-		if _, sent := r.find(ActSend); sent != (at < cfg.Classes[0].Window) {
+		again, sent := r.find(ActSend)
+		if sent != (at < cfg.Classes[0].Window) {
 			t.Errorf("failed after %v, window %v: sent again %t", at, cfg.Classes[0].Window, sent)
 		}
+		// Its connection may come up late: the window goes with it.
+		if ends := r.now - at + cfg.Classes[0].Window; sent && (again.At <= r.now || again.At > ends) {
+			t.Errorf("sent again until %v, window to %v, now %v", again.At, ends, r.now)
+		}
 	}
 }
 
