Serve the backlog at a shutdown, end connections without a reset, see clients leave

Seen by reading the front's connections line by line: - The listener was closed while connections stood in the system's queue: those were reset with their requests. The goroutine that accepts closes it now, once the queue is empty (200 ms at the most), so that a connection is either taken or refused. - A connection was closed over bytes that nobody had read: the reset took the end of the answer with it (36,864 of 65,536 bytes came in the test). After an answer the sending ends first, and what comes is passed over, for 250 ms and 1 MiB at the most. - accept failing for want of descriptors (EMFILE and the like) counted as permanent in fasthttp: Serve returned and the process exited. It waits for a freed connection or 50 ms, and idle connections give way. - `watch` stopped at the first byte of a next request, or did not begin: a client that sends ahead and leaves was not seen to leave. Its end is now looked for behind those bytes every 50 ms, with nothing held.

Each test fails with its mend taken out: TestShutdownServesTheBacklog ("no event came; want job look GET /look/2"), TestShutdownDeliversTheAnswerPastUnreadBytes ("connection reset by peer"), TestNoDescriptorLeftEndsNoService, TestDepartedIsToldAtOnce and three cases of TestFront ("no event came; want withdrawn 7").

--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"fieldrelay/internal/budget"
@@ -38,6 +40,24 @@
 // has one to make sends it in one go.
 const stalled = 500 * time.Millisecond
 
+// What stands between an answer and the close of its connection. A close over bytes that are not read resets the
+// connection, and the answer that the client has not read goes with it: so the sending ends first, and what still comes is
+// passed over until the client has ended too, for so long and so many bytes at the most.
+const (
+	lingerTime  = 250 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// departedPace is how often a client whose next request has begun to come is looked at: its end stands behind bytes that
+// nobody reads yet. What must not follow its leaving looks for itself.
+const departedPace = 50 * time.Millisecond
+
+// What the system refuses for want of descriptors or memory is tried again after so long, or when a connection has ended.
+const acceptAgain = 50 * time.Millisecond
+
+// backlogTime bounds how long a listener that shuts down goes on taking connections that the system has accepted already.
+const backlogTime = 200 * time.Millisecond
+
 // spareSlots is the part of the slots that is kept free while connections idle: one in so many.
 const spareSlots = 8
 
@@ -54,7 +74,8 @@
 	conns    map[*watchedConn]bool
 	leaving  int // of them have been told to end
 	draining bool
-	taking   bool          // a connection may be on its way from the system's queue to conns
+	until    time.Time     // it takes what waits in the system's queue; set before closed is closed
+	shut     bool          // no connection is on its way from the system's queue to conns any more
 	empty    chan struct{} // closed when it drains and no connection is left
 	once     sync.Once
 }
@@ -64,14 +85,75 @@
 		conns: map[*watchedConn]bool{}, empty: make(chan struct{})}
 }
 
+// passing tells whether an error of accept may end by itself: no descriptor or memory is left, or the client has gone.
+func passing(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Accept leaves a connection beyond the limit in the system's queue, since its request would be lost if it were
-// taken and closed, and makes room for it.
+// taken and closed, and makes room for it. An error that may pass ends no service: idle connections give way, and it is
+// tried again when one has ended or after a while.
 func (l *listener) Accept() (net.Conn, error) {
-	if err := l.room(); err != nil {
-		return nil, err
+	for {
+		if err := l.room(); err != nil {
+			return l.backlog()
+		}
+		nc, err := l.accept()
+		switch {
+		case err == nil:
+			return nc, nil
+		case l.isDraining():
+			return l.backlog()
+		case !passing(err):
+			l.end()
+			return nil, err
+		}
+		l.Trim()
+		select {
+		case <-l.freed:
+		case <-time.After(acceptAgain):
+		case <-l.closed:
+		}
 	}
-	l.take(true)
-	defer l.take(false)
+}
+
+// backlog takes what the system had accepted when the listener was told to drain, and then closes it: closed first, it
+// would reset those connections, with the requests that they carry.
+func (l *listener) backlog() (net.Conn, error) {
+	for time.Now().Before(l.until) && socket.Pending(l.Listener) {
+		if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+			bounded.SetDeadline(l.until)
+		}
+		if nc, err := l.accept(); err == nil {
+			return nc, nil
+		}
+	}
+	l.end()
+	return nil, net.ErrClosed
+}
+
+// end closes the listener, on the goroutine that accepts.
+func (l *listener) end() {
+	l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shut = true
+	l.checkEmpty()
+}
+
+func (l *listener) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
+}
+
+// accept takes one connection.
+func (l *listener) accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -89,13 +171,6 @@
 	return c, nil
 }
 
-func (l *listener) take(begins bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.taking = begins
-	l.checkEmpty()
-}
-
 // room waits for a free slot.
 func (l *listener) room() error {
 	for {
@@ -160,12 +235,12 @@
 	case wait > 0:
 		return wait, full
 	}
-	l.end(idle)
+	l.expel(idle)
 	return 0, full
 }
 
-// end tells a connection to end.
-func (l *listener) end(c *watchedConn) {
+// expel tells a connection to end.
+func (l *listener) expel(c *watchedConn) {
 	c.leaving, c.expelled = true, c.busy
 	l.leaving++
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
@@ -180,7 +255,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if !c.busy && !c.leaving && time.Since(c.idleSince) >= least {
-			l.end(c)
+			l.expel(c)
 		}
 	}
 }
@@ -200,31 +275,41 @@
 	}
 }
 
-// drain closes the listener and wakes the idle connections, and waits until every connection has ended.
+// drain has the listener closed once what waits in the system's queue is taken, wakes the idle connections, and waits until
+// every connection has ended. The goroutine that accepts is the one that closes: a connection is either taken by it or
+// refused by the system.
 func (l *listener) drain(ctx context.Context) error {
-	l.Listener.Close()
+	l.shutDown()
+	select {
+	case <-l.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *listener) shutDown() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if !l.draining {
+		l.draining, l.until = true, time.Now().Add(backlogTime)
 		close(l.closed)
+		if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+			bounded.SetDeadline(time.Unix(1, 0)) // wakes the one that accepts
+		} else {
+			l.Listener.Close()
+		}
 	}
-	l.draining = true
 	for c := range l.conns {
 		if !c.busy {
 			c.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
 	l.checkEmpty()
-	l.mu.Unlock()
-	select {
-	case <-l.empty:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
 }
 
 func (l *listener) checkEmpty() {
-	if l.draining && !l.taking && len(l.conns) == 0 {
+	if l.draining && l.shut && len(l.conns) == 0 {
 		l.once.Do(func() { close(l.empty) })
 	}
 }
@@ -236,8 +321,9 @@
 	listener *listener
 	first    time.Time      // when its first request must be there
 	early    []byte         // read during a job; used by one goroutine at a time
-	answered bool           // its first request is; the server's goroutine's, as the next three
+	answered bool           // its first request is; the server's goroutine's, as the next four
 	expires  time.Time      // when the submitter of its request stops waiting
+	wrote    time.Time      // when something was last written
 	held     *budget.Charge // for the answer that is being written; it goes back with the next read or the end
 	cost     *budget.Charge // for the connection itself
 
@@ -329,6 +415,7 @@
 		c.answered = true
 		c.setBusy(false)
 	}
+	c.wrote = time.Now()
 	return c.Conn.Write(p)
 }
 
@@ -371,7 +458,9 @@
 	c.listener.free()
 }
 
+// Close ends the connection, after an answer in a way that leaves the client time to read it.
 func (c *watchedConn) Close() error {
+	c.linger()
 	err := c.Conn.Close() // before its slot is free: the next one needs the descriptor
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -387,36 +476,70 @@
 	return err
 }
 
+// linger ends the sending and passes over what still comes, until the client has ended too. Nothing of it is served: a
+// client that meets the end of a connection knows that a request on its way was not read. A connection on which nothing
+// was written lately has nothing to lose, and one that is closed to make room is needed at once.
+func (c *watchedConn) linger() {
+	c.listener.mu.Lock()
+	expelled := c.expelled
+	c.listener.mu.Unlock()
+	if expelled || c.wrote.IsZero() || time.Since(c.wrote) > takeTime {
+		return
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+}
+
 // watch is a read that goes on during a job.
 type watch struct {
-	conn *watchedConn
-	gone chan struct{} // closed when the submitter has ended the connection
-	done chan struct{}
+	conn  *watchedConn
+	gone  chan struct{} // closed when the submitter has ended the connection
+	ended chan struct{} // closed to end the watch
+	done  chan struct{}
 }
 
 func (c *watchedConn) watch() *watch {
-	w := &watch{conn: c, gone: make(chan struct{}), done: make(chan struct{})}
-	if len(c.early) > 0 { // the next request has begun: nothing can be told of its end
-		close(w.done)
-		return w
-	}
+	w := &watch{conn: c, gone: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{})}
 	c.Conn.SetReadDeadline(time.Time{})
 	go w.run()
 	return w
 }
 
+// run reads one byte ahead. From then on, and where one is there already, the client's end stands behind bytes of its next
+// request, which stay in the system.
 func (w *watch) run() {
 	defer close(w.done)
-	buf := make([]byte, 1)
-	n, err := w.conn.Conn.Read(buf)
-	w.conn.early = buf[:n]
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		close(w.gone)
+	if len(w.conn.early) == 0 {
+		buf := make([]byte, 1)
+		n, err := w.conn.Conn.Read(buf)
+		w.conn.early = buf[:n]
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if err != nil {
+			close(w.gone)
+			return
+		}
+	}
+	tick := time.NewTicker(departedPace)
+	defer tick.Stop()
+	for !socket.Departed(w.conn.Conn) {
+		select {
+		case <-tick.C:
+		case <-w.ended:
+			return
+		}
 	}
+	close(w.gone)
 }
 
 // stop ends the read. Nothing of it touches the connection afterwards.
 func (w *watch) stop() {
+	close(w.ended)
 	w.conn.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-w.done
 	w.conn.Conn.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/internal/front/http/crossing_test.go
@@ -0,0 +1,151 @@
+package http
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fieldrelay/internal/budget"
+	"fieldrelay/internal/relay"
+	"fieldrelay/internal/scenario"
+	"fieldrelay/logic"
+)
+
+// play serves a front with so many connections at ln and plays a scenario against it.
+func play(t *testing.T, ln net.Listener, conns int, steps string) {
+	stage := scenario.NewStage(scenario.Dialer(ln.Addr().String()))
+	gate := budget.NewGate(8<<20, 9)
+	r := &script{stage, gate, make(chan relay.Job, 9)}
+	f := New(r, Options{Gate: gate, Classes: []logic.Class{{Name: "look"}}}, zerolog.Nop())
+	f.Limit(conns)
+	go f.Serve(ln)
+	stage.Calls["relay"] = r.answer
+	stage.Calls["shutdown"] = func(string) {
+		go func() { stage.Event(fmt.Sprint("shut down ", f.Shutdown(context.Background()))) }()
+	}
+	stage.Play(t, steps)
+	scenario.Await(t, "every byte has come back", func() bool { return gate.State().Sum() == 0 })
+}
+
+// What the system has accepted when the sidecar shuts down is served: a connection in the queue of a listener that closes
+// would be reset with the request on it. Here the one slot is taken, so that b surely stands in the queue.
+func TestShutdownServesTheBacklog(t *testing.T) {
+	play(t, scenario.Listen(t), 1, `
+		a send GET /look`+head+`\r\n
+		wait job look GET /look hint=0s
+		b send GET /look/2`+head+`\r\n
+		shutdown send now
+		wait job look GET /look/2 hint=0s
+		relay send served one
+		a expect Connection: close
+		a expect one
+		relay send served two
+		b expect Connection: close
+		b expect two
+		a wait
+		b wait
+		wait shut down <nil>`)
+}
+
+// An answer reaches a client that has sent ahead what nobody is going to read: its connection does not end by a reset.
+func TestShutdownDeliversTheAnswerPastUnreadBytes(t *testing.T) {
+	ln := scenario.Listen(t)
+	gate := budget.NewGate(8<<20, 9)
+	r := &script{scenario.NewStage(nil), gate, make(chan relay.Job, 9)}
+	f := New(r, Options{Gate: gate, Classes: []logic.Class{{Name: "look"}}}, zerolog.Nop())
+	f.Limit(9)
+	go f.Serve(ln)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.(*net.TCPConn).SetReadBuffer(4 << 10)
+	request := strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace("GET /look" + head + `\r\n`)
+	io.WriteString(nc, strings.Repeat(request, 500)) // more than the server's buffer takes
+	body := strings.Repeat("x", relay.MostBody)
+	j := <-r.jobs
+	ended := make(chan error, 1)
+	go func() { ended <- f.Shutdown(context.Background()) }()
+	scenario.Await(t, "the shutdown has begun", f.closing.Load)
+	j.Answer(relay.Answer{Body: []byte(body)})
+	j.Request.Held.Release()
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	got, err := io.ReadAll(nc)
+	if err != nil || !strings.HasSuffix(string(got), body) || strings.Count(string(got), "200 OK") != 1 {
+		t.Errorf("of an answer of %d bytes %d came, then %v", len(body), len(got), err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// scarce is a listener for which the system has no descriptor left, as long as that is set.
+type scarce struct {
+	net.Listener
+	none  atomic.Bool
+	calls atomic.Int64
+}
+
+func (l *scarce) Accept() (net.Conn, error) {
+	l.calls.Add(1)
+	if l.none.Load() {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Where no descriptor is left the sidecar goes on serving, does not spin, and takes connections once there is one again.
+func TestNoDescriptorLeftEndsNoService(t *testing.T) {
+	ln := &scarce{Listener: scenario.Listen(t)}
+	ln.none.Store(true)
+	stage := scenario.NewStage(scenario.Dialer(ln.Addr().String()))
+	f := New(&script{stage: stage}, Options{}, zerolog.Nop())
+	f.Limit(9)
+	begun := time.Now()
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(ln) }()
+	scenario.Await(t, "it is tried again", func() bool { return ln.calls.Load() >= 4 })
+	// One more at first, and one for the limit that was set, which may have made room.
+	if most := int64(time.Since(begun)/acceptAgain) + 2; ln.calls.Load() > most {
+		t.Errorf("accept was called %d times, %d at the most", ln.calls.Load(), most)
+	}
+	ln.none.Store(false)
+	stage.Play(t, `
+		a send GET /ready HTTP/1.1\r\nHost: o\r\n\r\n
+		a expect 200`)
+	f.Shutdown(context.Background())
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
+
+// The front tells that a client has gone as soon as the system knows, whoever has read of it, and that it is there while it is.
+func TestDepartedIsToldAtOnce(t *testing.T) {
+	ln := scenario.Listen(t)
+	r := &script{scenario.NewStage(nil), budget.NewGate(8<<20, 9), make(chan relay.Job, 9)}
+	f := New(r, Options{Classes: []logic.Class{{Name: "look"}}}, zerolog.Nop())
+	f.Limit(9)
+	go f.Serve(ln)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(nc, strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace("GET /look"+head+`\r\nGET /look`))
+	j := <-r.jobs
+	if !j.Request.Wanted() {
+		t.Error("not wanted though its client waits")
+	}
+	nc.Close()
+	scenario.Await(t, "the client's leaving is told", func() bool { return !j.Request.Wanted() })
+	r.jobs <- j // for the withdrawal, which takes it from there
+}
--- a/internal/front/http/submit.go
+++ b/internal/front/http/submit.go
@@ -177,7 +177,7 @@
 	f.listener.Store(l)
 	l.limit(int(f.conns.Load())) // it may have been changed meanwhile
 	if f.closing.Load() {
-		l.drain(context.Background())
+		l.shutDown()
 	}
 	return f.server.Serve(l)
 }
@@ -296,6 +296,7 @@
 	conn.expires = job.Expires
 	waiting := &reply{answers: make(chan relay.Answer, 1)}
 	job.Answer = waiting.answer
+	job.Request.Departed = func() bool { return socket.Departed(conn.Conn) }
 	watch := conn.watch()
 	id := f.relay.Submit(job)
 	select {
--- a/internal/front/http/submit_test.go
+++ b/internal/front/http/submit_test.go
@@ -87,6 +87,25 @@
 			wait job look GET /look hint=0s
 			a close
 			wait withdrawn 7`,
+		// Its end stands behind the bytes of a next request, which nobody reads yet.
+		"a submitter that sends ahead and leaves withdraws its job": `
+			a send GET /look` + head + `\r\n
+			wait job look GET /look hint=0s
+			a send GET /look/2` + head + `\r\n
+			a close
+			wait withdrawn 7`,
+		"a submitter that sends much at once and leaves withdraws its job": `
+			a send ` + strings.Repeat(`GET /look`+head+`\r\n`, 200) + `
+			wait job look GET /look hint=0s
+			a close
+			wait withdrawn 7`,
+		"a submitter that sends ahead and ends its sending gets no answer that no node made": `
+			a send GET /look` + head + `\r\n
+			wait job look GET /look hint=0s
+			a send GET /look/2` + head + `\r\n
+			a half-close
+			wait withdrawn 7
+			a wait nothing`,
 		"a submitter that only ends its sending gets no answer that no node made": `
 			a send GET /look` + head + `\r\n
 			wait job look GET /look hint=0s
