Know a late second copy only from a node whose answers differ

The stand-in node answers all requests alike, so an answer like the one before, 50 ms or less after it, passed for a second copy: one attempt more in each process.

At fault: `conn.repeats`, which took it for granted that answers differ.

--- a/internal/transport/http/conn.go
+++ b/internal/transport/http/conn.go
@@ -34,6 +34,8 @@
 	turn  sync.Mutex
 	asked bool
 
+	hurried atomic.Bool // its claim was put on it before it had rested
+
 	last   uint64    // digest of the last answer,
 	lastAt time.Time // and when it was there; the reader's, as the next two
 	begun  time.Time // when the present answer began to come, while it is read; the reader's
@@ -185,16 +187,20 @@
 	c.node.box.Put(func() { c.node.ended(c) })
 }
 
-// repeats tells whether an answer is, byte for byte and within the time that a connection rests, the one before: a second
-// copy of that, come late, as far as anybody can tell.
+// repeats tells whether an answer is, byte for byte, the one before on this connection, which had not rested since: a second
+// copy of that, come late, since the answers of this node differ.
 func (c *conn) repeats(a answer) bool {
 	digest := xxhash.New()
 	digest.Write([]byte{byte(a.outcome)})
 	digest.WriteString(a.contentType)
 	digest.Write(a.body)
-	before, at := c.last, c.lastAt
+	before, at, quick := c.last, c.lastAt, c.hurried.Load()
 	c.last, c.lastAt = digest.Sum64(), time.Now()
-	return !at.IsZero() && c.last == before && c.begun.Sub(at) < c.node.nodes.opts.Settle
+	if quick && c.last == before && !at.IsZero() {
+		return true
+	}
+	c.node.answers.add(c.last)
+	return false
 }
 
 // Read reads for the reader. An answer mostly comes at once: only one that does not is timed.
--- a/internal/transport/http/crossing_test.go
+++ b/internal/transport/http/crossing_test.go
@@ -78,10 +78,13 @@
 	<-done
 }
 
-// A second copy of an answer that comes late is taken for no other answer: on a connection that was asked again it ends the
-// attempt, since nothing tells whose it is; and from then on connections rest after an answer, and another is dialled.
+// A second copy of an answer that comes late is taken for no other answer. From a node whose answers differ it is known, and
+// ends the attempt; from then on connections rest after an answer, and another is dialled.
 func TestALateSecondCopyIsNoAnswer(t *testing.T) {
 	x := newCrossing(t, Options{Settle: time.Minute}, false)
+	for digest := range uint64(apart) {
+		x.node.answers.add(digest)
+	}
 	x.Play(t, `
 		claim send 1
 		a expect body
@@ -104,26 +107,46 @@
 		wait 4 done hi`)
 }
 
-// Without such a node a connection that is needed is used at once, and answers that differ, or come after a while, are taken.
+// Where nothing tells a copy (answers may be alike, or not enough of them are known) a connection rests after each, so that a
+// late copy comes on one that nobody has asked; and an answer like the one before is one.
 func TestAnswersAlikeAreAnswers(t *testing.T) {
-	for name, settle := range map[string]time.Duration{"one that differs": time.Minute, "one alike after the rest": time.Nanosecond} {
-		t.Run(name, func(t *testing.T) {
-			second := `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nho`
-			want := "ho"
-			if settle < time.Minute {
-				second, want = ok, "hi"
-			}
-			newCrossing(t, Options{Settle: settle}, false).Play(t, `
-				claim send 1
-				a expect body
-				a send `+ok+`
-				wait 1 done hi
-				claim send 2
-				a expect body
-				a send `+second+`
-				wait 2 done `+want)
-		})
+	newCrossing(t, Options{Settle: time.Minute}, false).Play(t, `
+		claim send 1
+		a expect body
+		a send `+ok+`
+		wait 1 done hi
+		claim send 2
+		b expect body
+		a send `+ok+`
+		a wait
+		b send `+ok+`
+		wait 2 done hi`)
+	newCrossing(t, Options{Settle: time.Nanosecond}, false).Play(t, `
+		claim send 1
+		a expect body
+		a send `+ok+`
+		wait 1 done hi
+		claim send 2
+		a expect body
+		a send `+ok+`
+		wait 2 done hi`)
+}
+
+// An answer that differs from the one before is one, however soon its connection was asked again.
+func TestAnswersThatDifferNeedNoRest(t *testing.T) {
+	x := newCrossing(t, Options{Settle: time.Minute}, false)
+	for digest := range uint64(apart) {
+		x.node.answers.add(digest)
 	}
+	x.Play(t, `
+		claim send 1
+		a expect body
+		a send `+ok+`
+		wait 1 done hi
+		claim send 2
+		a expect body
+		a send HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nho
+		wait 2 done ho`)
 }
 
 // What a node sends between the choice of its connection and the first byte of a claim is no answer to that claim, and its
--- a/internal/transport/http/executenode.go
+++ b/internal/transport/http/executenode.go
@@ -46,8 +46,7 @@
 // is no other, since one more costs the node a handshake, unless some node has lately sent what nobody asked for.
 const Settle = 50 * time.Millisecond
 
-// strayKept is for how long that counts as lately: a node that does so once a minute is caught by its first copy each time,
-// which costs one attempt.
+// strayKept is for how long that counts as lately.
 const strayKept = time.Minute
 
 // trimmed is how long a connection must have been idle to be closed because bytes are short: one that the next claim is
@@ -91,12 +90,13 @@
 	return n
 }
 
-// node is the actor of one execute node. All but the first four fields belong to it.
+// node is the actor of one execute node. All but the first five fields belong to it.
 type node struct {
-	nodes  *Nodes
-	log    zerolog.Logger
-	report func(relay.ClaimID, relay.Result)
-	box    *mailbox.Mailbox
+	nodes   *Nodes
+	log     zerolog.Logger
+	report  func(relay.ClaimID, relay.Result)
+	box     *mailbox.Mailbox
+	answers answers
 
 	member  relay.Member
 	barred  time.Time // when the list said that nothing more may be sent; zero: it may
@@ -226,10 +226,11 @@
 	resting := func(i int) bool { return n.idle[i].answered && now.Sub(n.idle[i].rested) < n.nodes.opts.Settle }
 	for ; i > 0 && resting(i); i-- {
 	}
-	if i < 0 || resting(i) && n.nodes.strays() {
+	if i < 0 || resting(i) && (n.nodes.strays() || !n.answers.differ()) {
 		return nil
 	}
 	conn := n.idle[i]
+	conn.hurried.Store(resting(i))
 	n.idle = slices.Delete(n.idle, i, i+1)
 	conn.wake()
 	return conn
--- a/internal/transport/http/executenode_test.go
+++ b/internal/transport/http/executenode_test.go
@@ -307,16 +307,24 @@
 		rested []time.Duration // ago, in the order of use
 		want   int
 		strays bool
+		alike  bool
 	}{
-		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2, true},
-		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1, true},
-		"none has":         {[]time.Duration{0, 0, 0}, 0, false},
-		"none, and strays": {[]time.Duration{0, 0, 0}, -1, true},
+		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2, true, true},
+		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1, true, true},
+		"none has":         {[]time.Duration{0, 0, 0}, 0, false, false},
+		"none, and strays": {[]time.Duration{0, 0, 0}, -1, true, false},
+		"none, alike":      {[]time.Duration{0, 0, 0}, -1, false, true},
 	} {
 		n := &node{nodes: NewNodes(Options{Settle: Settle}, zerolog.Nop())}
 		if c.strays {
 			n.nodes.strayed()
 		}
+		for digest := range uint64(apart) {
+			n.answers.add(digest)
+		}
+		if c.alike {
+			n.answers.add(0)
+		}
 		for _, ago := range c.rested {
 			n.idle = append(n.idle, &conn{answered: true, rested: now.Add(time.Second / 2).Add(-ago), retire: time.NewTimer(time.Minute)})
 		}
