Let cold servers earn by the requests that are let in, not by all that come

`earn` counted every request that came, also those refused, so that under overload cold servers were sent what the fleet could not do.

--- a/internal/emulate/node.go
+++ b/internal/emulate/node.go
@@ -106,6 +106,9 @@
 
 // arrive takes an attempt that has come in whole.
 func (n *node) arrive(a *attempt) {
+	if n.w.arrived != nil {
+		n.w.arrived(n)
+	}
 	switch {
 	case !n.up:
 		n.w.answer(a, logic.Refused)
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -32,11 +32,12 @@
 	lastJob  uint64
 	attempts uint64
 	result   Result
-	lat      []recorder // by class
-	spread   *rand.Rand // of the list
-	shares   []float64  // of the classes, cumulative
-	coming   int        // tries that are to come after a pause
-	circle   *circle    // nil: the sidecars are no fleet
+	lat      []recorder  // by class
+	spread   *rand.Rand  // of the list
+	shares   []float64   // of the classes, cumulative
+	coming   int         // tries that are to come after a pause
+	circle   *circle     // nil: the sidecars are no fleet
+	arrived  func(*node) // told of each attempt that a node gets; nil: nobody is
 }
 
 // sidecar is a policy with its own list, connections and submitters.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -657,12 +657,14 @@
 	b.at(r.expires-b.cfg.Tick, TimerExpire, r.id)
 	c.demand(b.now, r.cost)
 	b.door.Arrive(b.now, ev.Tenant)
-	b.earn()
 	// Servers that answer late to all spend their whole capacity on it, a jam that holds itself up. Letting
 	// in less than is answered in time drains it.
 	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c, ev.Tenant) {
 		b.settle(r)
-	} else if c.tried = b.now; !b.send(r) {
+		return
+	}
+	b.earn()
+	if c.tried = b.now; !b.send(r) {
 		b.hold(r)
 	}
 }
@@ -810,7 +812,7 @@
 	return true
 }
 
-// earn gives the cold servers of the subset, and no others, their parts of a request that came in. The sum
+// earn gives the cold servers of the subset, and no others, their parts of a request that is let in. The sum
 // over all sidecars keeps the rule: each server is in as many subsets as any other. Sends would not do as a
 // measure: with most of a fleet cold, each would allow less than one.
 func (b *Balancer) earn() {
