--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -225,6 +225,27 @@
 	}
 }
 
+// What is refused as it comes earns a cold server nothing: under overload all together would be sent more than they can do.
+func TestRefusedRequestsEarnNothing(t *testing.T) {
+	list := fleet(4)
+	r := newRig(t, settings(Safe), list...)
+	list[0].Since = r.now
+	r.step(Event{Kind: EvMembers, Servers: list[:1]})
+	cold := r.b.byID[list[0].ID]
+	before := cold.credit
+	for id := range uint64(50) {
+		r.step(Event{Kind: EvRequest, Request: id, Class: "c", Expires: r.now}) // its client waits no longer
+		if _, refused := r.find(ActRefuse); !refused {
+			t.Fatal("not refused")
+		}
+	}
+	refused := cold.credit
+	r.request(100)
+	if let := cold.credit; refused != before || let == before {
+		t.Errorf("credit %.2f, after 50 refused %.2f, after one let in %.2f", before, refused, let)
+	}
+}
+
 // Earned by sends, the parts of a fleet that was all cold shrank with each, and three requests in four were refused.
 // With six in ten replaced, the new servers must get about their part of what the subset can do.
 func TestColdServersTakeTheirPart(t *testing.T) {
