Do not wait for a replacement once told to end

Seen on going through SIGTERM against each other event: with a new process under way, run waited for it for its patience (10 s by default) before it began to shut down, while the platform kills from the longest deadline and 0.7 s on: what was taken would be lost. At fault: the wait for `d.replaced` after the loop in run.go.

The start is given up at once; how it ended still tells whether the new process had taken over at that moment, so no state lies between. TestGivenUp and TestTheEndWaitsForNoReplacement fail without it ("it waits on"). It concerns sites whose operator's file enables replacement; off otherwise.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -60,6 +61,36 @@
 	}
 }
 
+// Told to end while a new process starts, the daemon does not wait for that one's patience; whether it has taken over is told
+// by how its start ended.
+func TestTheEndWaitsForNoReplacement(t *testing.T) {
+	for name, taken := range map[string]bool{"it has not taken over": false, "it has, at that moment": true} {
+		d, log := idle(t, "version = 1\n[replace]\nenabled = true\n# end\n")
+		if d.endReplacement() {
+			t.Error("nothing was started, and it has taken over")
+		}
+		d.replacing = true
+		d.reload()
+		d.giveUp = func() {
+			if taken {
+				d.replaced <- replacement{pid: 1}
+			} else {
+				d.replaced <- replacement{err: handover.ErrGivenUp}
+			}
+		}
+		ended := make(chan bool, 1)
+		go func() { ended <- d.endReplacement() }()
+		select {
+		case over := <-ended:
+			if over != taken || len(*log) != 0 {
+				t.Errorf("%s: told %t, and %v", name, over, *log)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%s: it waits on", name)
+		}
+	}
+}
+
 func TestReplacementIsOffUnlessNamed(t *testing.T) {
 	d, _ := idle(t, "version = 1\n# end\n")
 	if d.replace(nil); d.replacing {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -220,9 +220,7 @@
 			ops.stopping.Store(true)
 		}
 	}
-	if d.replacing { // it may still take over; if not, it ends
-		handedOver = d.replacedBy(<-d.replaced)
-	}
+	handedOver = d.endReplacement() || handedOver
 	log.Info().Bool("handed over", handedOver).Msg("terminating")
 	if handedOver && managed != nil {
 		managed.Close() // the new process answers there now
@@ -280,7 +278,8 @@
 	log        zerolog.Logger
 
 	replacing bool
-	reloads   bool // one was asked for meanwhile
+	giveUp    context.CancelFunc // ends the start of the new process
+	reloads   bool               // one was asked for meanwhile
 	replaced  chan replacement
 }
 
@@ -327,12 +326,26 @@
 	d.replacing = true
 	wait := d.running.Operator.Replace.Wait()
 	d.log.Info().Str("binary", binary).Dur("patience", wait).Msg("replacement started")
+	ctx, giveUp := context.WithCancel(context.Background())
+	d.giveUp = giveUp
 	go func() {
-		pid, err := handover.Start(binary, nil, listeners, wait)
+		defer giveUp()
+		pid, err := handover.Start(ctx, binary, nil, listeners, wait)
 		d.replaced <- replacement{pid, err}
 	}()
 }
 
+// endReplacement ends the start of a new process that is under way, since this one has been told to end and has no time to wait
+// for it: what it has taken must be answered before it is killed. It tells whether the new one has taken over all the same.
+func (d *daemon) endReplacement() bool {
+	if !d.replacing {
+		return false
+	}
+	d.giveUp()
+	d.reloads = false
+	return d.replacedBy(<-d.replaced)
+}
+
 // replacedBy takes in how that ended. It tells whether the new process has taken over.
 func (d *daemon) replacedBy(r replacement) bool {
 	d.replacing = false
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -5,6 +5,7 @@
 package handover
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -49,12 +50,13 @@
 var (
 	ErrEnded   = errors.New("handover: the new process ended before it was ready")
 	ErrTooLate = errors.New("handover: the new process was not ready in time")
+	ErrGivenUp = errors.New("handover: given up before the new process was ready")
 )
 
 // Start starts binary with args and gives it the listeners, by address. It waits until the new process is ready, for
-// patience at the most. With an error the new process has ended and the caller goes on as before; without one the
+// patience at the most and no longer than ctx is. With an error the new process has ended and the caller goes on as before; without one the
 // caller closes its listeners and drains.
-func Start(binary string, args []string, listeners map[string]net.Listener, patience time.Duration) (pid int, err error) {
+func Start(ctx context.Context, binary string, args []string, listeners map[string]net.Listener, patience time.Duration) (pid int, err error) {
 	ready, said, err := os.Pipe()
 	if err != nil {
 		return 0, err
@@ -91,9 +93,13 @@
 	}
 	said.Close() // so that the pipe ends with the new process
 	ready.SetReadDeadline(time.Now().Add(patience))
+	defer context.AfterFunc(ctx, func() { ready.SetReadDeadline(time.Unix(1, 0)) })()
 	if _, err := ready.Read(make([]byte, 1)); err != nil {
 		proc.Kill()
 		proc.Wait()
+		if ctx.Err() != nil {
+			return 0, ErrGivenUp
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, ErrTooLate
 		}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -88,7 +89,7 @@
 		defer nc.Close()
 		conns[address] = nc
 	}
-	if pid, err := Start(os.Args[0], nil, lns, 10*time.Second); err != nil || pid == 0 {
+	if pid, err := Start(t.Context(), os.Args[0], nil, lns, 10*time.Second); err != nil || pid == 0 {
 		t.Fatal(pid, err)
 	}
 	for _, ln := range lns {
@@ -115,7 +116,7 @@
 	} {
 		t.Setenv(role, c.role)
 		lns := listeners(t)
-		if _, err := Start(c.binary, nil, lns, c.patience); !errors.Is(err, c.want) {
+		if _, err := Start(t.Context(), c.binary, nil, lns, c.patience); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v", name, err)
 		}
 		for address, ln := range lns {
@@ -165,3 +166,24 @@
 		t.Error(faults)
 	}
 }
+
+// Who gives a replacement up while the new process starts does not wait for its patience to run out, and has ended it then.
+func TestGivenUp(t *testing.T) {
+	t.Setenv(role, "hangs")
+	ln := scenario.Listen(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := Start(ctx, os.Args[0], nil, map[string]net.Listener{"a": ln}, time.Hour)
+		ended <- err
+	}()
+	cancel()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, ErrGivenUp) {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it waits on")
+	}
+}
