--- a/internal/source/platform/nodelist_test.go
+++ b/internal/source/platform/nodelist_test.go
@@ -165,7 +165,6 @@
 			beats := time.NewTicker(silence / 5)
 			defer beats.Stop()
 			begun := time.Now()
-			stage.Play(t, "wait complete=true stored=true")
 			ended := make(chan struct{})
 			go func() { // until the sidecar gives the watch up or, where it must not, twice the silence is over
 				defer close(ended)
@@ -176,10 +175,11 @@
 					}
 				}
 			}()
-			stage.Play(t, "wait "+c.want)
+			steps := "wait complete=true stored=true\n wait " + c.want
 			if name == "within the next one" {
-				stage.Play(t, "wait lost, told within 4s")
+				steps += "\n wait lost, told within 4s"
 			}
+			stage.Play(t, steps)
 			<-ended
 			stage.Play(t, "") // and nothing else was told
 		})
