--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -41,10 +41,11 @@
 const stalled = 500 * time.Millisecond
 
 // What stands between an answer and the close of its connection. A close over bytes that are not read resets the
-// connection, and the answer that the client has not read goes with it: so the sending ends first, and what still comes is
-// passed over until the client has ended too, for so long and so many bytes at the most.
+// connection, and what of the answer has not reached the client goes with it: so the sending ends first, and what still comes
+// is passed over until the client has all or has ended too, for so long at the most and so many bytes at a look.
 const (
 	lingerTime  = 250 * time.Millisecond
+	lingerPace  = 2 * time.Millisecond
 	lingerBytes = 1 << 20
 )
 
@@ -476,7 +477,7 @@
 	return err
 }
 
-// linger ends the sending and passes over what still comes, until the client has ended too. Nothing of it is served: a
+// linger ends the sending and passes over what still comes, until the client has it all or has ended too. Nothing of it is served: a
 // client that meets the end of a connection knows that a request on its way was not read. A connection on which nothing
 // was written lately has nothing to lose, and one that is closed to make room is needed at once.
 func (c *watchedConn) linger() {
@@ -490,8 +491,15 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+	for end := time.Now().Add(lingerTime); ; {
+		look := time.Now().Add(lingerPace)
+		c.Conn.SetReadDeadline(look)
+		n, err := io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+		ended := err == nil && n < lingerBytes || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+		if ended || look.After(end) || socket.Unsent(c.Conn) == 0 && !socket.Unread(c.Conn) {
+			return
+		}
+	}
 }
 
 // watch is a read that goes on during a job.
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -66,6 +66,17 @@
 	return known && departed
 }
 
+// Unsent is how many bytes written to a connection the other machine has not acknowledged; 0 where the system does not know.
+func Unsent(nc net.Conn) int {
+	unsent := 0
+	control(nc, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			unsent = n
+		}
+	})
+	return unsent
+}
+
 // Pending tells whether a connection waits to be accepted.
 func Pending(ln net.Listener) bool {
 	pending := false
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -21,5 +21,8 @@
 // Departed is known on Linux only. Where it is not, a read tells of the end.
 func Departed(net.Conn) bool { return false }
 
+// Unsent is known on Linux only.
+func Unsent(net.Conn) int { return 0 }
+
 // Pending is known on Linux only. Where it is not, one may always wait.
 func Pending(net.Listener) bool { return true }
--- a/internal/transport/http/answers.go
+++ b/internal/transport/http/answers.go
@@ -5,10 +5,11 @@
 	"sync"
 )
 
-// apart is how many answers of a node have to differ before that is relied on.
-const apart = 8
+// apart is how many answers in a row have to differ before that is relied on.
+const apart = 16
 
-// answers are the digests of the last answers of a node. Any goroutine may use them.
+// answers are the digests of the last answers of requests served, of all nodes: they are of one kind. Any goroutine may use
+// them.
 type answers struct {
 	mu    sync.Mutex
 	last  []uint64
@@ -31,7 +32,7 @@
 	a.last = append(a.last, digest)
 }
 
-// differ tells whether no two answers of the node are alike, as far as it has been heard.
+// differ tells whether no two answers are alike, as far as any have been heard.
 func (a *answers) differ() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/transport/http/conn.go
+++ b/internal/transport/http/conn.go
@@ -36,10 +36,9 @@
 
 	hurried atomic.Bool // its claim was put on it before it had rested
 
-	last   uint64    // digest of the last answer,
-	lastAt time.Time // and when it was there; the reader's, as the next two
-	begun  time.Time // when the present answer began to come, while it is read; the reader's
-	late   bool      // a bound stands on that; the reader's
+	last  uint64    // digest of the last answer; the reader's, as the next two
+	begun time.Time // when the present answer began to come, while it is read; the reader's
+	late  bool      // a bound stands on that; the reader's
 
 	// What follows belongs to the node's actor.
 	claim    *claim // nil: none
@@ -145,17 +144,10 @@
 	br := bufio.NewReader(c)
 	for last := false; !last; {
 		err := socket.Readable(c.nc)
-		asked := err == nil && c.isAsked()
-		if !asked {
-			c.broken.Store(true) // before anything is taken: whoever looks sees the one or the other
+		if err != nil || !c.isAsked() {
+			break // nothing is taken: whoever looks sees that it is there
 		}
-		if err == nil {
-			_, err = br.Peek(1)
-		}
-		if err == nil && !asked {
-			c.node.nodes.strayed()
-		}
-		if err != nil || !asked {
+		if _, err = br.Peek(1); err != nil {
 			break
 		}
 		c.begun = time.Now()
@@ -163,8 +155,7 @@
 		if err != nil {
 			break
 		}
-		if c.repeats(a) {
-			c.node.nodes.strayed()
+		if c.repeats(&a) {
 			a.held.Release()
 			break
 		}
@@ -173,10 +164,7 @@
 			c.nc.SetReadDeadline(time.Time{})
 		}
 		// Bytes behind an answer belong to nothing that was asked.
-		if br.Buffered() > 0 {
-			c.node.nodes.strayed()
-			a.last = true
-		}
+		a.last = a.last || br.Buffered() > 0
 		a.at, last = time.Now(), a.last
 		c.answeredWhole()
 		if !c.node.box.Put(func() { c.node.answered(c, a) }) {
@@ -187,20 +175,27 @@
 	c.node.box.Put(func() { c.node.ended(c) })
 }
 
-// repeats tells whether an answer is, byte for byte, the one before on this connection, which had not rested since: a second
-// copy of that, come late, since the answers of this node differ.
-func (c *conn) repeats(a answer) bool {
+// repeats tells whether a served answer is, byte for byte, the one before on this connection, which had not rested since: a
+// second copy of that, come late, since answers differ. Rejections are alike as a rule: the second of two proves nothing then,
+// in case it is a copy of the first.
+func (c *conn) repeats(a *answer) bool {
 	digest := xxhash.New()
 	digest.Write([]byte{byte(a.outcome)})
 	digest.WriteString(a.contentType)
 	digest.Write(a.body)
-	before, at, quick := c.last, c.lastAt, c.hurried.Load()
-	c.last, c.lastAt = digest.Sum64(), time.Now()
-	if quick && c.last == before && !at.IsZero() {
-		return true
+	before := c.last
+	c.last = digest.Sum64()
+	alike := c.hurried.Load() && c.last == before
+	if a.outcome != logic.Done {
+		if alike && a.outcome == logic.Busy {
+			a.outcome = logic.Errored
+		}
+		return false
+	}
+	if !alike {
+		c.node.nodes.answers.add(c.last)
 	}
-	c.node.answers.add(c.last)
-	return false
+	return alike
 }
 
 // Read reads for the reader. An answer mostly comes at once: only one that does not is timed.
--- a/internal/transport/http/crossing_test.go
+++ b/internal/transport/http/crossing_test.go
@@ -78,12 +78,12 @@
 	<-done
 }
 
-// A second copy of an answer that comes late is taken for no other answer. From a node whose answers differ it is known, and
-// ends the attempt; from then on connections rest after an answer, and another is dialled.
+// A second copy of an answer that comes late is taken for no other answer: where answers differ it is known, and ends the
+// attempt on its connection.
 func TestALateSecondCopyIsNoAnswer(t *testing.T) {
 	x := newCrossing(t, Options{Settle: time.Minute}, false)
 	for digest := range uint64(apart) {
-		x.node.answers.add(digest)
+		x.node.nodes.answers.add(digest)
 	}
 	x.Play(t, `
 		claim send 1
@@ -94,17 +94,7 @@
 		a expect body
 		a send `+ok+`
 		wait 2 reset
-		a wait
-		claim send 3
-		b expect body
-		b send `+ok+`
-		wait 3 done hi
-		claim send 4
-		c expect body
-		b send `+ok+`
-		b wait
-		c send `+ok+`
-		wait 4 done hi`)
+		a wait`)
 }
 
 // Where nothing tells a copy (answers may be alike, or not enough of them are known) a connection rests after each, so that a
@@ -132,11 +122,39 @@
 		wait 2 done hi`)
 }
 
+// The second of two rejections alike, on a connection that had not rested, may be a copy of the first: it does not prove that
+// its request never ran.
+func TestALateSecondRejectionProvesNothing(t *testing.T) {
+	const busy = "HTTP/1.1 503 E\\r\\nX-Rejected: 1\\r\\nContent-Length: 0\\r\\n\\r\\n"
+	x := newCrossing(t, Options{Settle: time.Minute}, false)
+	for digest := range uint64(apart) {
+		x.node.nodes.answers.add(digest)
+	}
+	x.Play(t, `
+		claim send 1
+		a expect body
+		a send `+busy+`
+		wait 1 busy
+		claim send 2
+		a expect body
+		a send `+busy+`
+		wait 2 errored`)
+	newCrossing(t, Options{Settle: time.Nanosecond}, false).Play(t, `
+		claim send 1
+		a expect body
+		a send `+busy+`
+		wait 1 busy
+		claim send 2
+		a expect body
+		a send `+busy+`
+		wait 2 busy`)
+}
+
 // An answer that differs from the one before is one, however soon its connection was asked again.
 func TestAnswersThatDifferNeedNoRest(t *testing.T) {
 	x := newCrossing(t, Options{Settle: time.Minute}, false)
 	for digest := range uint64(apart) {
-		x.node.answers.add(digest)
+		x.node.nodes.answers.add(digest)
 	}
 	x.Play(t, `
 		claim send 1
--- a/internal/transport/http/executenode.go
+++ b/internal/transport/http/executenode.go
@@ -43,34 +43,19 @@
 // Settle is how long a connection rests after an answer before it is used again. What a node sends behind an answer (its
 // end, or a second copy of the answer) comes some milliseconds later and carries no sign of whose it is: on a connection
 // that was asked again by then it would be taken for the next answer. A connection that has not rested is used where there
-// is no other, since one more costs the node a handshake, unless some node has lately sent what nobody asked for.
+// is no other, since one more costs the node a handshake, but only if a copy would be known: answers all differ.
 const Settle = 50 * time.Millisecond
 
-// strayKept is for how long that counts as lately.
-const strayKept = time.Minute
-
 // trimmed is how long a connection must have been idle to be closed because bytes are short: one that the next claim is
 // likely to need would only have to be opened again, at the node's cost.
 const trimmed = time.Second
 
 // Nodes opens execute nodes and counts their connections.
 type Nodes struct {
-	opts  Options
-	log   zerolog.Logger
-	conns atomic.Int64
-	stray atomic.Pointer[time.Time] // when a node last sent what nobody asked for; nil: never
-}
-
-// strayed takes in that a node has sent what nobody asked for.
-func (s *Nodes) strayed() {
-	now := time.Now()
-	s.stray.Store(&now)
-}
-
-// strays tells whether one has lately.
-func (s *Nodes) strays() bool {
-	last := s.stray.Load()
-	return last != nil && time.Since(*last) < strayKept
+	opts    Options
+	log     zerolog.Logger
+	conns   atomic.Int64
+	answers answers
 }
 
 // NewNodes makes a set that has no node yet.
@@ -90,13 +75,12 @@
 	return n
 }
 
-// node is the actor of one execute node. All but the first five fields belong to it.
+// node is the actor of one execute node. All but the first four fields belong to it.
 type node struct {
-	nodes   *Nodes
-	log     zerolog.Logger
-	report  func(relay.ClaimID, relay.Result)
-	box     *mailbox.Mailbox
-	answers answers
+	nodes  *Nodes
+	log    zerolog.Logger
+	report func(relay.ClaimID, relay.Result)
+	box    *mailbox.Mailbox
 
 	member  relay.Member
 	barred  time.Time // when the list said that nothing more may be sent; zero: it may
@@ -226,7 +210,7 @@
 	resting := func(i int) bool { return n.idle[i].answered && now.Sub(n.idle[i].rested) < n.nodes.opts.Settle }
 	for ; i > 0 && resting(i); i-- {
 	}
-	if i < 0 || resting(i) && (n.nodes.strays() || !n.answers.differ()) {
+	if i < 0 || resting(i) && !n.nodes.answers.differ() {
 		return nil
 	}
 	conn := n.idle[i]
--- a/internal/transport/http/executenode_test.go
+++ b/internal/transport/http/executenode_test.go
@@ -300,30 +300,25 @@
 
 // What a node sends behind an answer may still be on its way: a connection that has just answered rests, and of those that
 // have rested the one used last serves, so that the others are retired. Where none has, the one that rests longest serves, or
-// none if nodes have lately sent what nobody asked for.
+// none if answers may be alike.
 func TestConnectionsRestBetweenClaims(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
 		rested []time.Duration // ago, in the order of use
 		want   int
-		strays bool
 		alike  bool
 	}{
-		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2, true, true},
-		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1, true, true},
-		"none has":         {[]time.Duration{0, 0, 0}, 0, false, false},
-		"none, and strays": {[]time.Duration{0, 0, 0}, -1, true, false},
-		"none, alike":      {[]time.Duration{0, 0, 0}, -1, false, true},
+		"all have rested":  {[]time.Duration{3 * time.Minute, 2 * time.Minute, time.Minute}, 2, true},
+		"the last has not": {[]time.Duration{3 * time.Minute, 2 * time.Minute, 0}, 1, true},
+		"none has":         {[]time.Duration{0, 0, 0}, 0, false},
+		"none, alike":      {[]time.Duration{0, 0, 0}, -1, true},
 	} {
 		n := &node{nodes: NewNodes(Options{Settle: Settle}, zerolog.Nop())}
-		if c.strays {
-			n.nodes.strayed()
-		}
 		for digest := range uint64(apart) {
-			n.answers.add(digest)
+			n.nodes.answers.add(digest)
 		}
 		if c.alike {
-			n.answers.add(0)
+			n.nodes.answers.add(0)
 		}
 		for _, ago := range c.rested {
 			n.idle = append(n.idle, &conn{answered: true, rested: now.Add(time.Second / 2).Add(-ago), retire: time.NewTimer(time.Minute)})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -449,8 +449,7 @@
 	return 0
 }
 
-// counts tells whether a is not proved never to have run.
-func (a *attempt) counts() bool { return a.out || a.mayRun }
+func (a *attempt) counts() bool { return a.out || a.mayRun } // it is not proved never to have run
 
 func sameGroup(g Group, a, s *server) bool {
 	return g == GroupAll || (g == GroupZone && a.Zone == s.Zone) || (g == GroupCell && a.Cell == s.Cell)
@@ -659,12 +658,13 @@
 	b.door.Arrive(b.now, ev.Tenant)
 	// Servers that answer late to all spend their whole capacity on it, a jam that holds itself up. Letting
 	// in less than is answered in time drains it.
-	if b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c, ev.Tenant) {
-		b.settle(r)
-		return
+	refused := b.impatient(r) || b.drags(c) || b.rng.Float64() > b.admits(c, ev.Tenant)
+	if !refused || b.cfg.Balancers < limitsHold { // many would earn together what cold servers cannot do
+		b.earn()
 	}
-	b.earn()
-	if c.tried = b.now; !b.send(r) {
+	if refused {
+		b.settle(r)
+	} else if c.tried = b.now; !b.send(r) {
 		b.hold(r)
 	}
 }
@@ -812,7 +812,7 @@
 	return true
 }
 
-// earn gives the cold servers of the subset, and no others, their parts of a request that is let in. The sum
+// earn gives the cold servers of the subset, and no others, their parts of a request that came in. The sum
 // over all sidecars keeps the rule: each server is in as many subsets as any other. Sends would not do as a
 // measure: with most of a fleet cold, each would allow less than one.
 func (b *Balancer) earn() {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -225,10 +225,12 @@
 	}
 }
 
-// What is refused as it comes earns a cold server nothing: under overload all together would be sent more than they can do.
+// In a large fleet what is refused as it comes earns a cold server nothing: under overload it would be sent more than it can do.
 func TestRefusedRequestsEarnNothing(t *testing.T) {
 	list := fleet(4)
-	r := newRig(t, settings(Safe), list...)
+	cfg := settings(Safe)
+	cfg.Balancers = limitsHold
+	r := newRig(t, cfg, list...)
 	list[0].Since = r.now
 	r.step(Event{Kind: EvMembers, Servers: list[:1]})
 	cold := r.b.byID[list[0].ID]
