Test a request begun at the shutdown, signals after SIGTERM, and goroutines left

TestShutdownReadsARequestThatHasBegun: the shutdown finds the first byte alone, surely read; the request is read to its end and answered. TestSignalsAfterTheFirst: a second SIGTERM and a SIGHUP while an answer is awaited.

--- a/internal/daemon/run_test.go
+++ b/internal/daemon/run_test.go
@@ -105,6 +105,50 @@
 		wait ended <nil>`))
 }
 
+// Told to end, the program ends once, whatever it is told further: a second SIGTERM and a SIGHUP change nothing for what it has
+// taken.
+func TestSignalsAfterTheFirst(t *testing.T) {
+	node, discovery := scenario.Listen(t), scenario.Listen(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"1","known":{"generation":1,"instances":[
+		{"instanceId":"n","hostPort":%q,"lifecycle":"Ready"}]},"settings":%s}`, discovery.Addr(), node.Addr(), sidecarSettings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("LB_CONFIG", path)
+	log := logLines{make(chan string, 1), make(chan struct{}, 9)}
+	var front string
+	stage := scenario.NewStage(nil)
+	stage.Open = func(peer string) (net.Conn, error) {
+		switch peer {
+		case "node":
+			return scenario.Accepter(node)(peer)
+		case "discovery":
+			return scenario.Accepter(discovery)(peer)
+		}
+		return net.Dial("tcp", front)
+	}
+	stage.Calls["program"] = func(string) {
+		go func() { stage.Event(fmt.Sprint("ended ", run(os.Getenv, log, nil))) }()
+		front = <-log.listen
+	}
+	stage.Calls["signal"] = func(name string) {
+		syscall.Kill(os.Getpid(), map[string]syscall.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[name])
+	}
+	stage.Play(t, `
+		program send start
+		discovery expect GET /v1/endpoints?watch=1&after=1 HTTP/1.1
+		a send GET /look HTTP/1.1\r\nHost: o\r\nX-Call-Id: c1\r\nX-Budget: 5\r\n\r\n
+		node expect X-Call-Id: c1
+		signal send TERM
+		signal send TERM
+		signal send HUP
+		node send HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi
+		a expect \r\n\r\nhi
+		a wait
+		wait ended <nil>`)
+}
+
 // logLines is a log that passes on the address at which the program serves, and that it has tried to reload.
 type logLines struct {
 	listen  chan string
--- a/internal/front/http/crossing_test.go
+++ b/internal/front/http/crossing_test.go
@@ -56,6 +56,46 @@
 		wait shut down <nil>`)
 }
 
+// A request of which the shutdown finds the first byte alone is read to its end and answered.
+func TestShutdownReadsARequestThatHasBegun(t *testing.T) {
+	ln := scenario.Listen(t)
+	stage := scenario.NewStage(scenario.Dialer(ln.Addr().String()))
+	gate := budget.NewGate(8<<20, 9)
+	r := &script{stage, gate, make(chan relay.Job, 9)}
+	f := New(r, Options{Gate: gate, Classes: []logic.Class{{Name: "look"}}}, zerolog.Nop())
+	f.Limit(9)
+	go f.Serve(ln)
+	stage.Calls["relay"] = r.answer
+	stage.Calls["read"] = func(string) {
+		scenario.Await(t, "the first byte is read", func() bool {
+			l := f.listener.Load()
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			for c := range l.conns {
+				if c.busy {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	stage.Calls["shutdown"] = func(string) {
+		go func() { stage.Event(fmt.Sprint("shut down ", f.Shutdown(context.Background()))) }()
+		scenario.Await(t, "the listener drains", func() bool { return f.listener.Load().isDraining() })
+	}
+	stage.Play(t, `
+		a send G
+		read send it
+		shutdown send now
+		a send ET /look`+head+`\r\n
+		wait job look GET /look hint=0s
+		relay send served one
+		a expect Connection: close
+		a expect one
+		a wait
+		wait shut down <nil>`)
+}
+
 // An answer reaches a client that has sent ahead what nobody is going to read: its connection does not end by a reset.
 func TestShutdownDeliversTheAnswerPastUnreadBytes(t *testing.T) {
 	ln := scenario.Listen(t)
--- a/internal/source/platform/contract_test.go
+++ b/internal/source/platform/contract_test.go
@@ -99,7 +99,10 @@
 		1: wrap(nil, func(lost func()) func() { return func() { lost(); lost() } }, nil),
 		3: wrap(nil, func(func()) func() { return func() {} }, nil),
 		4: wrap(nil, nil, func(s contract.Source) contract.Source { return deafened{s, &sync.Once{}} }),
-		5: wrap(nil, nil, func(s contract.Source) contract.Source { return open{s} }),
+		5: wrap(nil, nil, func(s contract.Source) contract.Source {
+			t.Cleanup(s.Close)
+			return open{s}
+		}),
 	} {
 		clause, m := contract.SourceClauses[clause], m
 		t.Run(clause.Name, func(t *testing.T) {
--- a/internal/transport/http/contract_test.go
+++ b/internal/transport/http/contract_test.go
@@ -34,6 +34,7 @@
 type bent struct {
 	relay.Nodes
 	wrong string
+	t     *testing.T // at whose end a node left open is closed
 }
 
 type bentNode struct {
@@ -56,6 +57,7 @@
 		}
 	}
 	n.Node = b.Nodes.Open(m, report)
+	b.t.Cleanup(n.Node.Close)
 	return n
 }
 
@@ -87,7 +89,7 @@
 func TestBrokenTransportsAreNamed(t *testing.T) {
 	for i, wrong := range []string{"twice", "again", "stray", "waits", "gone", "open"} {
 		m := transports
-		m.New = func(t contract.T) relay.Nodes { return bent{transports.New(t), wrong} }
+		m.New = func(inner contract.T) relay.Nodes { return bent{transports.New(inner), wrong, t} }
 		if clause := contract.NodesClauses[i]; clause.Check(t, m) == nil {
 			t.Errorf("%s: not named for a transport that is wrong by %q", clause.Name, wrong)
 		}
--- a/internal/transport/http/executenode_test.go
+++ b/internal/transport/http/executenode_test.go
@@ -216,7 +216,7 @@
 			stage := scenario.NewStage(scenario.Accepter(ln))
 			gate := budget.NewGate(1<<20, 9)
 			full := gate.Must(budget.Lists, 1<<20)
-			n := openMember(stage, relay.Member{Addr: ln.Addr().String()}, gate)
+			n := openMember(t, stage, relay.Member{Addr: ln.Addr().String()}, gate)
 			stage.Calls["claim"] = func(id string) { n.Claim(aClaim(id, time.Minute)) }
 			stage.Calls["cancel"] = func(id string) { n.Cancel(aClaim(id, 0).ID) }
 			stage.Calls["leave"] = func(string) { n.Close() }
@@ -237,7 +237,7 @@
 	ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
 	stage := scenario.NewStage(nil)
 	gate := budget.NewGate(64<<20, 9)
-	n := openMember(stage, relay.Member{Addr: ln.Addr().String()}, gate)
+	n := openMember(t, stage, relay.Member{Addr: ln.Addr().String()}, gate)
 	c := aClaim("1", time.Minute)
 	c.Request.Body = make([]byte, 32<<20) // more than the system takes for a peer that does not read
 	c.Request.Held = gate.Must(budget.Jobs, int64(len(c.Request.Body)))
@@ -265,7 +265,7 @@
 	ln := scenario.Listen(t)
 	ln.Close()
 	stage := scenario.NewStage(nil)
-	n := open(stage, ln.Addr())
+	n := open(t, stage, ln.Addr())
 	stage.Calls["claim"] = func(id string) { n.Claim(aClaim(id, time.Minute)) }
 	stage.Play(t, "claim send 1\n wait 1 refused")
 }
@@ -274,7 +274,7 @@
 func TestDrainingFromTheStart(t *testing.T) {
 	ln := scenario.Listen(t)
 	stage := scenario.NewStage(scenario.Accepter(ln))
-	n := openMember(stage, relay.Member{Server: logic.Server{State: logic.Draining}, Addr: ln.Addr().String(),
+	n := openMember(t, stage, relay.Member{Server: logic.Server{State: logic.Draining}, Addr: ln.Addr().String(),
 		Told: time.Now().Add(-time.Second)}, nil)
 	stage.Calls["claim"] = func(id string) { n.Claim(aClaim(id, time.Minute)) }
 	stage.Play(t, "claim send 1\n wait 1 skipped\n a wait nothing")
@@ -334,12 +334,14 @@
 	}
 }
 
-func open(stage *scenario.Stage, addr net.Addr) relay.Node {
-	return openMember(stage, relay.Member{Addr: addr.String()}, nil)
+func open(t *testing.T, stage *scenario.Stage, addr net.Addr) relay.Node {
+	return openMember(t, stage, relay.Member{Addr: addr.String()}, nil)
 }
 
-func openMember(stage *scenario.Stage, m relay.Member, gate *budget.Gate) relay.Node {
-	return openNodes(gate).Open(m, tell(stage))
+func openMember(t *testing.T, stage *scenario.Stage, m relay.Member, gate *budget.Gate) relay.Node {
+	n := openNodes(gate).Open(m, tell(stage))
+	t.Cleanup(n.Close)
+	return n
 }
 
 func openNodes(gate *budget.Gate) *Nodes {
