Bound what is passed over behind an answer in all, and do not spin on a full backlog

Read again: a client that goes on sending was read for 250 ms at full speed, a MiB at each look, where a MiB in all was meant; and with no descriptor left at a shutdown the accept was asked again without a pause, for 200 ms.

--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -42,7 +42,7 @@
 
 // What stands between an answer and the close of its connection. A close over bytes that are not read resets the
 // connection, and what of the answer has not reached the client goes with it: so the sending ends first, and what still comes
-// is passed over until the client has all or has ended too, for so long at the most and so many bytes at a look.
+// is passed over until the client has all or has ended too, for so long and so many bytes at the most.
 const (
 	lingerTime  = 250 * time.Millisecond
 	lingerPace  = 2 * time.Millisecond
@@ -57,7 +57,10 @@
 const acceptAgain = 50 * time.Millisecond
 
 // backlogTime bounds how long a listener that shuts down goes on taking connections that the system has accepted already.
-const backlogTime = 200 * time.Millisecond
+const (
+	backlogTime = 200 * time.Millisecond
+	backlogPace = 5 * time.Millisecond
+)
 
 // spareSlots is the part of the slots that is kept free while connections idle: one in so many.
 const spareSlots = 8
@@ -133,6 +136,7 @@
 		if nc, err := l.accept(); err == nil {
 			return nc, nil
 		}
+		<-time.After(backlogPace) // no descriptor is left: one may come back
 	}
 	l.end()
 	return nil, net.ErrClosed
@@ -491,11 +495,12 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
+	rest := io.LimitReader(c.Conn, lingerBytes)
 	for end := time.Now().Add(lingerTime); ; {
 		look := time.Now().Add(lingerPace)
 		c.Conn.SetReadDeadline(look)
-		n, err := io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
-		ended := err == nil && n < lingerBytes || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+		_, err := io.Copy(io.Discard, rest)
+		ended := !errors.Is(err, os.ErrDeadlineExceeded) // or as many bytes have come as are passed over
 		if ended || look.After(end) || socket.Unsent(c.Conn) == 0 && !socket.Unread(c.Conn) {
 			return
 		}
