See that a new process is ready though the look for it comes too late

Found on reading the change again. `handover.Start` looks by a read with a deadline; where that is over when the read begins (the start is given up, or its patience runs out at that moment) nothing is read, though the new process may have said that it is ready and serve already: it was killed with what it had taken. The pipe itself is asked now before the new process is ended.

TestReadyIsSeenAfterItsTime shows that a read sees nothing then and the pipe does; that Start asks it is one line without a test of its own.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -94,7 +94,7 @@
 	said.Close() // so that the pipe ends with the new process
 	ready.SetReadDeadline(time.Now().Add(patience))
 	defer context.AfterFunc(ctx, func() { ready.SetReadDeadline(time.Unix(1, 0)) })()
-	if _, err := ready.Read(make([]byte, 1)); err != nil {
+	if _, err := ready.Read(make([]byte, 1)); err != nil && !hasSaid(ready) {
 		proc.Kill()
 		proc.Wait()
 		if ctx.Err() != nil {
@@ -109,6 +109,19 @@
 	return proc.Pid, nil
 }
 
+// hasSaid tells whether the new process has said that it is ready. A read whose deadline is over does not look, and a process
+// that has said so may serve already.
+func hasSaid(ready *os.File) bool {
+	said := false
+	if raw, err := ready.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			n, err := unix.Read(int(fd), make([]byte, 1)) // the pipe does not block
+			said = err == nil && n == 1
+		})
+	}
+	return said
+}
+
 // duplicate gives a listener's descriptor a second time. os.File would make the socket a blocking one, for both
 // processes: the old one could then be caught in an accept that closing does not end.
 func duplicate(ln net.Listener) (uintptr, error) {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -187,3 +187,32 @@
 		t.Error("it waits on")
 	}
 }
+
+// A process that has said that it is ready has taken over, though the time for it is over by the look: a read alone sees
+// nothing then. One that says nothing, or has ended, has not.
+func TestReadyIsSeenAfterItsTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		say  func(w *os.File)
+		want bool
+	}{
+		"it has said so":              {func(w *os.File) { w.Write([]byte{1}) }, true},
+		"it has said so and ended":    {func(w *os.File) { w.Write([]byte{1}); w.Close() }, true},
+		"it has said nothing":         {func(*os.File) {}, false},
+		"it has ended without a word": {func(w *os.File) { w.Close() }, false},
+	} {
+		r, w, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.say(w)
+		r.SetReadDeadline(time.Unix(1, 0))
+		if _, err := r.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("%s: the read gave %v", name, err)
+		}
+		if got := hasSaid(r); got != c.want {
+			t.Errorf("%s: seen %t", name, got)
+		}
+		r.Close()
+		w.Close()
+	}
+}
