--- a/api/generate.go
+++ b/api/generate.go
@@ -4,3 +4,5 @@
 package api
 
 //go:generate go run ../internal/tools/protogen . fieldrelay/v1/system.proto
+//go:generate go tool oapi-codegen -config operator-types.yaml operator.yaml
+//go:generate go tool oapi-codegen -config operator-server.yaml operator.yaml
--- /dev/null
+++ b/cmd/fieldrelay-region/check.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/settings"
+)
+
+// FaultyFileError tells that a checked file has faults, which were printed.
+type FaultyFileError struct {
+	Path   string
+	Faults int
+}
+
+func (e *FaultyFileError) Error() string { return fmt.Sprintf("%s: %d faults", e.Path, e.Faults) }
+
+// checkCommand checks a file.
+type checkCommand struct {
+	File string `arg:"" type:"existingfile" help:"Settings file (TOML) or configuration (JSON)."`
+}
+
+// Run prints every fault of the file.
+func (c checkCommand) Run() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read the file")
+	}
+	return check(os.Stdout, c.File, data)
+}
+
+// check prints every fault of a file's content, one a line, and returns a *FaultyFileError if there are any.
+func check(output io.Writer, path string, data []byte) error {
+	faults, err := faultsOf(data)
+	if err != nil {
+		return err
+	}
+	for _, fault := range faults {
+		fmt.Fprintf(output, "%s: %s\n", path, fault)
+	}
+	if len(faults) > 0 {
+		return &FaultyFileError{Path: path, Faults: len(faults)}
+	}
+	fmt.Fprintf(output, "%s: no faults\n", path)
+	return nil
+}
+
+// faultsOf returns the faults of a configuration, which is JSON, or of settings, which are not.
+func faultsOf(data []byte) ([]string, error) {
+	if bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
+		return configurationFaults(data)
+	}
+	return settingsFaults(data)
+}
+
+func settingsFaults(data []byte) ([]string, error) {
+	_, err := settings.Parse(data)
+	var found *settings.FaultsError
+	if err == nil || !errors.As(err, &found) {
+		return nil, err
+	}
+	faults := make([]string, len(found.Faults))
+	for index, fault := range found.Faults {
+		faults[index] = fault.Error()
+	}
+	return faults, nil
+}
+
+// configurationFaults checks a configuration as if it were the first one.
+func configurationFaults(data []byte) ([]string, error) {
+	_, err := catalog.PrepareReplace(catalog.Empty(), 0, data)
+	var found *catalog.InvalidError
+	if err == nil || !errors.As(err, &found) {
+		return nil, err
+	}
+	faults := make([]string, 0, len(found.Faults)+1)
+	for _, fault := range found.Faults {
+		faults = append(faults, fault.String())
+	}
+	if found.Omitted > 0 {
+		faults = append(faults, fmt.Sprintf("%d more faults", found.Omitted))
+	}
+	return faults, nil
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,152 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/gossip"
+)
+
+func TestAgentFeedsItsProxyFromControl(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	control.commit(change(1), change(2))
+	control.alter(func() { control.held.OfferList(time.Second, serverList(1, "i-1")) })
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("state, list and confirmation", func() bool {
+		return proxy.held.Sequence() == 2 && proxy.held.ListVersion() != nil && proxy.confirmed
+	})
+	control.commit(change(3))
+	proxy.await("a change", func() bool { return proxy.held.Sequence() == 3 })
+	control.alter(func() { control.held.OfferList(2*time.Second, serverList(2, "i-1", "i-2")) })
+	proxy.await("a list", func() bool { return proxy.held.ListVersion().GetRevision() == 2 })
+	control.awaitRequest(t, "with the proxy's sequence", func(request *pb.WatchRequest) bool {
+		return request.GetAgent().GetSequence() == 3
+	})
+}
+
+func TestProxyThatStartsAnewIsFedAndConfirmedAnew(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	control.commit(change(1))
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("confirmation", func() bool { return proxy.held.Sequence() == 1 && proxy.confirmed })
+	proxy.restart()
+	proxy.await("confirmation again", func() bool { return proxy.held.Sequence() == 1 && proxy.confirmed })
+}
+
+func TestReadinessIsToldWithoutDelay(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("confirmation", func() bool { return proxy.confirmed })
+	proxy.mu.Lock()
+	proxy.ready = true
+	proxy.mu.Unlock()
+	control.awaitRequest(t, "in a call that is not held", func(request *pb.WatchRequest) bool {
+		record := request.GetAgent()
+		return record.GetReady() && record.GetEdgeAddress() == "10.0.0.1:8144" && request.GetHoldMs() == 0
+	})
+}
+
+func TestProxyIsNeverConfirmedByAMachineWithoutTheAgreedState(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	control.authoritative = false
+	control.commit(change(1))
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("committed state is committed state", func() bool { return proxy.held.Sequence() == 1 })
+	for range 4 {
+		control.awaitRequest(t, "again", func(*pb.WatchRequest) bool { return true })
+	}
+	require.False(t, proxy.confirmed)
+	control.alter(func() { control.authoritative = true })
+	proxy.await("confirmation", func() bool { return proxy.confirmed })
+}
+
+func TestAgentThatLagsFarIsRepairedByDigests(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	control.alter(func() {
+		older := gossip.NewCopy()
+		older.ApplyChanges([]*pb.Change{change(1), change(2)})
+		_, err := control.held.Restore(nil, older.Snapshot().RepairFor(nil))
+		require.NoError(t, err)
+	})
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("the repaired state", func() bool { return proxy.held.Sequence() == 2 })
+	_, kept := proxy.held.Snapshot().Get(catalog.KindRoutes, "route")
+	require.True(t, kept)
+}
+
+func TestProxyThatCannotUseChangesIsRepaired(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	control.commit(change(1))
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("state", func() bool { return proxy.held.Sequence() == 1 })
+	proxy.mu.Lock()
+	proxy.needs = true
+	proxy.repairs = 0
+	proxy.mu.Unlock()
+	control.commit(change(2))
+	proxy.await("a repair", func() bool { return proxy.held.Sequence() == 2 && proxy.repairs == 1 })
+}
+
+func TestAgentMovesToAnotherControlMachine(t *testing.T) {
+	live, proxy := newFakeControl(t), newFakeProxy(t)
+	live.commit(change(1))
+	startAgent(t, "edge-1", proxy.address, "127.0.0.1:1", live.address)
+	proxy.await("state", func() bool { return proxy.held.Sequence() == 1 && proxy.confirmed })
+}
+
+func TestAgentPrefersVotersOfItsZone(t *testing.T) {
+	far, near, proxy := newFakeControl(t), newFakeControl(t), newFakeProxy(t)
+	far.view = &pb.View{Number: 1, Voters: []*pb.Replica{
+		{Host: "core-1", Address: far.address, Zone: "zone-b", Region: "region-b"},
+		{Host: "core-2", Address: near.address, Zone: "zone-a", Region: "region-a"},
+	}}
+	startAgent(t, "edge-1", proxy.address, far.address)
+	near.awaitRequest(t, "by an agent of its zone", func(request *pb.WatchRequest) bool {
+		return request.GetViewNumber() == 1 && request.GetHoldMs() > 0
+	})
+}
+
+func TestSharesCountMembersAndTheAgentItself(t *testing.T) {
+	control, proxy := newFakeControl(t), newFakeProxy(t)
+	control.members = &pb.Members{Version: 7, Agents: []*pb.AgentRecord{
+		{Host: "edge-2", AgeMs: 100},
+		{Host: "edge-3", AgeMs: 59_000},
+		{Host: "edge-4", AgeMs: 61_000},
+	}}
+	startAgent(t, "edge-1", proxy.address, control.address)
+	proxy.await("shares", func() bool { return proxy.shares.GetProxies() == 3 })
+	require.Len(t, proxy.shares.GetMembers(), 3)
+}
+
+func TestAgentsPassNewsOnToThoseWithoutControl(t *testing.T) {
+	control, first, second := newFakeControl(t), newFakeProxy(t), newFakeProxy(t)
+	control.commit(change(1))
+	cutOff := startAgent(t, "edge-2", second.address, "127.0.0.1:1")
+	control.members = &pb.Members{Version: 1, Agents: []*pb.AgentRecord{
+		{Host: "edge-2", AgentAddress: cutOff.address, Zone: "zone-a", Region: "region-a"},
+	}}
+	startAgent(t, "edge-1", first.address, control.address)
+	first.await("from control", func() bool { return first.held.Sequence() == 1 })
+	control.commit(change(2))
+	second.await("by gossip", func() bool { return second.held.Sequence() == 2 })
+	require.False(t, second.confirmed)
+}
+
+func TestAgentTellsThatItEndsAndServesItsProxyToTheEnd(t *testing.T) {
+	control, other, proxy := newFakeControl(t), newFakeControl(t), newFakeProxy(t)
+	running := startWithGrace(t, 3*time.Second, "edge-1", proxy.address, control.address, other.address)
+	proxy.await("confirmation", func() bool { return proxy.confirmed })
+	running.end()
+	for _, machine := range []*fakeControl{control, other} {
+		machine.awaitRequest(t, "that the agent ends", func(request *pb.WatchRequest) bool {
+			return request.GetAgent().GetDraining() && request.GetHoldMs() == 0
+		})
+		machine.commit(change(1))
+	}
+	proxy.await("a change while it ends", func() bool { return proxy.held.Sequence() == 1 })
+	running.requireEnded(t)
+}
--- /dev/null
+++ b/internal/agent/calls.go
@@ -0,0 +1,191 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/shuffle"
+)
+
+const (
+	// peerTimeout ends a call to another agent.
+	peerTimeout = 1500 * time.Millisecond
+	// maxPeerCalls bounds the calls to other agents that run at once.
+	maxPeerCalls = 16
+	// connectTimeout ends the opening of a connection.
+	connectTimeout = time.Second
+	// maxMessage is the size in bytes of the largest message that is read.
+	maxMessage = 16 << 20
+	// bufferSize is the size in bytes of a connection's buffer in each direction.
+	bufferSize = 2 << 10
+	// maxIdleConnections bounds the open connections that carry no call.
+	maxIdleConnections = 24
+	// idleTimeout closes a connection that carried no call for so long.
+	idleTimeout = 90 * time.Second
+)
+
+// caller makes the calls that the core wants and posts their ends.
+type caller struct {
+	self   shuffle.Neighbour
+	client *http.Client
+	feed   fieldrelayv1connect.ProxyFeedClient
+	peers  chan struct{} // a place for each call to another agent
+	post   func(event)
+	ctx    context.Context // of all calls
+	calls  sync.WaitGroup
+
+	linkAddress string // of link
+	link        fieldrelayv1connect.ControlLinkClient
+}
+
+// newCaller makes a caller whose calls end with ctx.
+func newCaller(ctx context.Context, self shuffle.Neighbour, proxy string, post func(event)) *caller {
+	client := &http.Client{Transport: newTransport()}
+	return &caller{
+		self:   self,
+		client: client,
+		feed:   fieldrelayv1connect.NewProxyFeedClient(client, baseURL(proxy), plain()...),
+		peers:  make(chan struct{}, maxPeerCalls),
+		post:   post,
+		ctx:    ctx,
+	}
+}
+
+// newTransport keeps few connections open for long, with small buffers.
+func newTransport() *http.Transport {
+	dialer := net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: keepAlive,
+		Control:         controlSocket,
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      bufferSize,
+		WriteBufferSize:     bufferSize,
+	}
+}
+
+// plain are the options of calls whose answers aren't worth the work of compressing.
+func plain() []connect.ClientOption {
+	return []connect.ClientOption{
+		connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxMessage),
+	}
+}
+
+func baseURL(address string) string { return "http://" + address }
+
+// do begins a call and tells whether there was room for it. It is used by one goroutine only.
+func (c *caller) do(wanted action) bool {
+	switch wanted := wanted.(type) {
+	case watchCall:
+		c.watch(wanted)
+	case feedCall:
+		c.run(feedTimeout, func(ctx context.Context) event { return c.exchange(ctx, wanted) })
+	case shuffleCall:
+		return c.runPeer(func(ctx context.Context) event { return c.shuffle(ctx, wanted) })
+	case pushCall:
+		return c.runPeer(func(ctx context.Context) event { return c.push(ctx, wanted) })
+	case compareCall:
+		return c.runPeer(func(ctx context.Context) event { return c.compare(ctx, wanted) })
+	}
+	return true
+}
+
+// run makes a call in a goroutine of its own.
+func (c *caller) run(timeout time.Duration, call func(ctx context.Context) event) {
+	c.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		defer cancel()
+		c.post(call(ctx))
+	})
+}
+
+// runPeer makes a call to another agent if there is room for it.
+func (c *caller) runPeer(call func(ctx context.Context) event) bool {
+	select {
+	case c.peers <- struct{}{}:
+	default:
+		return false
+	}
+	c.run(peerTimeout, func(ctx context.Context) event {
+		defer func() { <-c.peers }()
+		return call(ctx)
+	})
+	return true
+}
+
+func (c *caller) watch(call watchCall) {
+	client := c.linkClient(call.address)
+	c.run(call.timeout, func(ctx context.Context) event {
+		response, err := client.Watch(ctx, connect.NewRequest(call.request))
+		return watchDone{call: call, response: message(response), err: err}
+	})
+}
+
+// linkClient is the client of a control machine; the last one is kept.
+func (c *caller) linkClient(address string) fieldrelayv1connect.ControlLinkClient {
+	if address != c.linkAddress {
+		c.linkAddress = address
+		c.link = fieldrelayv1connect.NewControlLinkClient(c.client, baseURL(address), connect.WithReadMaxBytes(maxMessage))
+	}
+	return c.link
+}
+
+func (c *caller) exchange(ctx context.Context, call feedCall) event {
+	var response *connect.Response[pb.ProxyStatus]
+	var err error
+	if call.apply != nil {
+		response, err = c.feed.Apply(ctx, connect.NewRequest(call.apply))
+	} else {
+		response, err = c.feed.Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
+	}
+	return feedDone{call: call, status: message(response), err: err}
+}
+
+func (c *caller) shuffle(ctx context.Context, call shuffleCall) event {
+	request := &pb.ShuffleRequest{From: toMessage(call.From), Sample: toMessages(call.Sample)}
+	response, err := c.peer(call.To).Shuffle(ctx, connect.NewRequest(request))
+	return shuffleDone{call: call, response: message(response), err: err}
+}
+
+func (c *caller) push(ctx context.Context, call pushCall) event {
+	request := &pb.PushRequest{From: toMessage(c.self), Changes: call.Changes, List: call.List}
+	response, err := c.peer(call.To).Push(ctx, connect.NewRequest(request))
+	return pushDone{call: call, response: message(response), err: err}
+}
+
+func (c *caller) compare(ctx context.Context, call compareCall) event {
+	request := &pb.CompareRequest{From: toMessage(c.self), Digests: call.Digests, List: call.List}
+	response, err := c.peer(call.To).Compare(ctx, connect.NewRequest(request))
+	return compareDone{call: call, response: message(response), err: err}
+}
+
+func (c *caller) peer(neighbour shuffle.Neighbour) fieldrelayv1connect.AgentPeerClient {
+	return fieldrelayv1connect.NewAgentPeerClient(c.client, baseURL(neighbour.Address), plain()...)
+}
+
+// wait returns when all calls have ended.
+func (c *caller) wait() {
+	c.calls.Wait()
+	c.client.CloseIdleConnections()
+}
+
+// message is the message of a response, nil if there is none.
+func message[T any](response *connect.Response[T]) *T {
+	if response == nil {
+		return nil
+	}
+	return response.Msg
+}
--- /dev/null
+++ b/internal/agent/core.go
@@ -0,0 +1,299 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/gossip"
+	"fieldrelay/internal/shuffle"
+)
+
+// identity is who an agent is.
+type identity struct {
+	neighbour   shuffle.Neighbour
+	incarnation uint64
+}
+
+// core owns the agent's state. It does no I/O apart from the log: step is told events and returns the calls to
+// make. One goroutine alone uses it.
+type core struct {
+	identity identity
+	logger   *zap.Logger
+	grace    time.Duration
+	held     *gossip.Copy
+	view     *shuffle.View
+	gossip   *gossip.Machine
+	members  membership
+	link     link
+	feed     feed
+	ending   ending
+	counters counters
+	passDue  time.Duration
+	linkedTo string // as last logged
+}
+
+const (
+	// passPeriod is the shortest time between two looks at what the gossip and the view have due.
+	passPeriod = 200 * time.Millisecond
+	// longestSleep is the longest time between two steps.
+	longestSleep = time.Second
+)
+
+// newCore makes the state of an agent that knows only the addresses of some control machines.
+func newCore(who identity, seeds []string, grace time.Duration, random *rand.Rand, logger *zap.Logger) *core {
+	held := gossip.NewCopy()
+	view := shuffle.New(who.neighbour, random)
+	known := newTargets(who.neighbour.Zone, who.neighbour.Region, seeds, random)
+	return &core{
+		identity: who,
+		logger:   logger,
+		grace:    grace,
+		held:     held,
+		view:     view,
+		gossip:   gossip.New(held, view, random),
+		members:  newMembership(who.neighbour),
+		link:     newLink(known, random),
+	}
+}
+
+// step handles one event at the time now of a steady clock.
+func (c *core) step(now time.Duration, happened event) []action {
+	sequence := c.held.Sequence()
+	actions := c.handle(now, happened)
+	if c.held.Sequence() < sequence {
+		panic("agent: the sequence of the copy fell")
+	}
+	actions = append(actions, c.pass(now)...)
+	return append(actions, c.advance(now)...)
+}
+
+func (c *core) handle(now time.Duration, happened event) []action {
+	switch happened := happened.(type) {
+	case watchDone:
+		return c.watchDone(now, happened)
+	case feedDone:
+		c.feedDone(now, happened)
+	case shuffleDone, pushDone, compareDone:
+		return c.peerDone(now, happened)
+	case shuffleAsked, pushAsked, compareAsked:
+		return c.peerAsked(now, happened)
+	case seedsRead:
+		c.link.targets.seeds = happened.addresses
+		c.logger.Info("settings read again", zap.Strings("seeds", happened.addresses))
+	case endRequested:
+		return c.endRequested(now)
+	}
+	return nil
+}
+
+// pass lets the gossip and the view do what is due.
+func (c *core) pass(now time.Duration) []action {
+	if now < c.passDue {
+		return nil
+	}
+	c.passDue = now + passPeriod
+	actions := c.gossipActions(c.gossip.Step(now, gossip.Tick{}))
+	for _, wanted := range c.view.Step(now, shuffle.Tick{}) {
+		if exchange, ok := wanted.(shuffle.Exchange); ok {
+			c.counters.shuffles++
+			actions = append(actions, shuffleCall{exchange})
+		}
+	}
+	return actions
+}
+
+// advance begins the calls to the proxy and to control that are due.
+func (c *core) advance(now time.Duration) []action {
+	var actions []action
+	if call := c.feed.next(now, c.held, &c.members); call != nil {
+		c.counters.exchanges++
+		if call.apply != nil {
+			c.counters.applies++
+		}
+		actions = append(actions, *call)
+	}
+	feeding := c.feed.lacksChanges(c.held)
+	if call := c.link.next(now, c.record(), c.held.Snapshot(), feeding); call != nil {
+		actions = append(actions, c.watch(*call))
+	}
+	if c.noticeDue() {
+		notice := c.link.notice(now, c.link.long.address, c.record(), c.held.Snapshot())
+		actions = append(actions, c.notice(notice))
+	}
+	if c.counters.due(now) {
+		c.logCounters(now)
+	}
+	return actions
+}
+
+// over tells whether the process may end.
+func (c *core) over(now time.Duration) bool {
+	return c.ending.over(now, &c.feed, c.link.notices)
+}
+
+// wake is when the core wants its next tick at the latest.
+func (c *core) wake(now time.Duration) time.Duration {
+	at := now + longestSleep
+	if !c.feed.inFlight {
+		at = min(at, c.feed.due)
+	}
+	if due, waiting := c.link.wake(c.feed.lacksChanges(c.held)); waiting {
+		at = min(at, due)
+	}
+	if c.ending.requested {
+		at = min(at, c.ending.deadline)
+	}
+	return at
+}
+
+// record is what control is told of this machine.
+func (c *core) record() *pb.AgentRecord {
+	return &pb.AgentRecord{
+		Host:         c.identity.neighbour.Host,
+		Incarnation:  c.identity.incarnation,
+		Zone:         c.identity.neighbour.Zone,
+		Region:       c.identity.neighbour.Region,
+		AgentAddress: c.identity.neighbour.Address,
+		EdgeAddress:  c.feed.status.GetEdgeAddress(),
+		Ready:        c.feed.ready() && !c.ending.requested,
+		Draining:     c.ending.requested || c.feed.status.GetDraining(),
+		Sequence:     c.feed.status.GetSequence(),
+	}
+}
+
+// watch completes a call to control.
+func (c *core) watch(call watchCall) watchCall {
+	c.counters.watches++
+	call.request.List = c.held.ListVersion()
+	call.request.MembersVersion = c.members.version
+	call.request.MembersSource = c.members.source
+	return call
+}
+
+func (c *core) notice(call watchCall) watchCall {
+	c.counters.notices++
+	return c.watch(call)
+}
+
+// noticeDue tells whether control must not wait for the next long poll to hear something: that the proxy became
+// ready or ceased to be, or that it is new and its state wants to be confirmed.
+func (c *core) noticeDue() bool {
+	if !c.link.inFlight || c.link.notices > 0 {
+		return false
+	}
+	told := c.link.long
+	if c.link.lastNotice.address == told.address && c.link.lastNotice.started >= told.started {
+		told = c.link.lastNotice
+	}
+	record := c.record()
+	heard := told.request.GetAgent()
+	if record.GetReady() != heard.GetReady() || record.GetDraining() != heard.GetDraining() {
+		return true
+	}
+	return c.feed.awaitsConfirmation() && told.started < c.feed.seenAt
+}
+
+func (c *core) watchDone(now time.Duration, done watchDone) []action {
+	if done.err != nil {
+		c.counters.watchFailures++
+		c.link.failed(now, done.call)
+		c.logLink(done.err)
+		return nil
+	}
+	actions, outcome := c.learn(now, done)
+	c.link.answered(now, done.call, done.response, outcome)
+	if done.response.GetAuthoritative() && !outcome.behind {
+		c.feed.confirm(done.call.started)
+	}
+	c.logLink(nil)
+	return actions
+}
+
+// learn takes what a control machine told. Any control machine tells committed changes only, whether it holds the
+// agreed state or not.
+func (c *core) learn(now time.Duration, done watchDone) ([]action, watchOutcome) {
+	response := done.response
+	sequence, list := c.held.Sequence(), c.held.ListVersion()
+	wanted := c.gossip.Step(now, gossip.Learned{
+		Changes: response.GetChanges(),
+		Base:    done.call.base,
+		Repair:  response.GetRepair(),
+		List:    response.GetList(),
+	})
+	viewChanged := c.link.takeView(response.GetView())
+	membersChanged := c.members.take(now, response.GetMembersSource(), response.GetMembers())
+	c.members.heard(now)
+	if membersChanged {
+		c.view.Step(now, shuffle.Known{Members: c.members.neighbours()})
+	}
+	outcome := watchOutcome{
+		news: viewChanged ||
+			membersChanged ||
+			c.held.Sequence() > sequence ||
+			gossip.CompareVersions(c.held.ListVersion(), list) > 0,
+		behind: response.GetSequence() > c.held.Sequence(),
+	}
+	return c.gossipActions(wanted), outcome
+}
+
+func (c *core) feedDone(now time.Duration, done feedDone) {
+	reachable, ready := c.feed.reachable, c.feed.ready()
+	found := c.feed.done(now, done)
+	if done.err != nil {
+		c.counters.feedFailures++
+	}
+	switch {
+	case found:
+		c.logger.Info("proxy found",
+			zap.Uint64("incarnation", c.feed.status.GetIncarnation()),
+			zap.Uint64("sequence", c.feed.status.GetSequence()))
+	case reachable && !c.feed.reachable:
+		c.logger.Warn("proxy gone", zap.Error(done.err))
+	case !reachable && c.feed.reachable:
+		c.logger.Info("proxy back")
+	}
+	if ready != c.feed.ready() {
+		c.logger.Info("proxy readiness", zap.Bool("ready", c.feed.ready()))
+	}
+}
+
+// endRequested tells two control machines that this machine is ending.
+func (c *core) endRequested(now time.Duration) []action {
+	c.ending.request(now, c.grace, &c.feed)
+	c.logger.Info("asked to end", zap.Duration("grace", c.grace))
+	first := c.link.current
+	if first == "" {
+		return nil
+	}
+	actions := []action{c.notice(c.link.notice(now, first, c.record(), c.held.Snapshot()))}
+	if second := c.link.targets.choose(now, first); second != "" && second != first {
+		actions = append(actions, c.notice(c.link.notice(now, second, c.record(), c.held.Snapshot())))
+	}
+	return actions
+}
+
+// logLink logs that the link goes to another control machine.
+func (c *core) logLink(err error) {
+	if c.link.current == c.linkedTo {
+		return
+	}
+	c.linkedTo = c.link.current
+	c.logger.Info("link to control", append(c.link.fields(), zap.Error(err))...)
+}
+
+func (c *core) logCounters(now time.Duration) {
+	fields := append(c.counters.fields(),
+		zap.Uint64("sequence", c.held.Sequence()),
+		zap.Uint64("generation", c.held.Snapshot().Generation()),
+		zap.Uint64("malformed_repairs", c.gossip.Malformed()),
+		zap.Int("neighbours", len(c.view.Neighbours())),
+		zap.Uint32("members", c.members.shares.GetProxies()),
+		zap.Bool("proxy_ready", c.feed.ready()))
+	if c.held.ListVersion() != nil {
+		fields = append(fields, zap.Duration("list_age", now-c.held.ListNewsAt()))
+	}
+	c.logger.Info("counters", append(fields, c.link.fields()...)...)
+}
--- /dev/null
+++ b/internal/agent/counters.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// countersPeriod is the time between two lines of counters.
+const countersPeriod = 60 * time.Second
+
+// counters count what the agent did since it started.
+type counters struct {
+	watches        uint64
+	watchFailures  uint64
+	notices        uint64
+	exchanges      uint64 // with the proxy
+	applies        uint64 // those of them that brought something
+	feedFailures   uint64
+	shuffles       uint64
+	pushes         uint64
+	compares       uint64
+	peerFailures   uint64
+	pushesTaken    uint64
+	comparesTaken  uint64
+	shufflesTaken  uint64
+	lastPrintedAt  time.Duration
+	droppedActions uint64
+}
+
+// due tells whether a line is due, and counts the next period from now if so.
+func (c *counters) due(now time.Duration) bool {
+	if now-c.lastPrintedAt < countersPeriod {
+		return false
+	}
+	c.lastPrintedAt = now
+	return true
+}
+
+func (c *counters) fields() []zap.Field {
+	return []zap.Field{
+		zap.Uint64("watches", c.watches),
+		zap.Uint64("watch_failures", c.watchFailures),
+		zap.Uint64("notices", c.notices),
+		zap.Uint64("proxy_exchanges", c.exchanges),
+		zap.Uint64("proxy_applies", c.applies),
+		zap.Uint64("proxy_failures", c.feedFailures),
+		zap.Uint64("shuffles", c.shuffles),
+		zap.Uint64("pushes", c.pushes),
+		zap.Uint64("compares", c.compares),
+		zap.Uint64("peer_failures", c.peerFailures),
+		zap.Uint64("pushes_taken", c.pushesTaken),
+		zap.Uint64("compares_taken", c.comparesTaken),
+		zap.Uint64("shuffles_taken", c.shufflesTaken),
+		zap.Uint64("dropped_calls", c.droppedActions),
+	}
+}
--- /dev/null
+++ b/internal/agent/fakes_test.go
@@ -0,0 +1,332 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/gossip"
+	"fieldrelay/internal/settings"
+)
+
+// patience ends a test that waits in vain.
+const patience = 8 * time.Second
+
+func change(sequence uint64) *pb.Change {
+	item := &pb.Item{Kind: catalog.KindRoutes, Name: "route", Order: 1, Sequence: sequence, Body: []byte(`{}`)}
+	return &pb.Change{Sequence: sequence, Generation: sequence, Upserts: []*pb.Item{item}}
+}
+
+func serverList(revision uint64, ids ...string) *pb.ServerList {
+	list := &pb.ServerList{Version: &pb.ListVersion{Epoch: 1, Holder: "core-1", Revision: revision}}
+	for _, id := range ids {
+		list.Servers = append(list.Servers, &pb.Server{Id: id, Service: "s", Address: "10.9.0.1:80"})
+	}
+	return list
+}
+
+// fakeControl is a control machine that holds whatever a test commits.
+type fakeControl struct {
+	fieldrelayv1connect.UnimplementedControlLinkHandler
+	address string
+
+	mu            sync.Mutex
+	held          *gossip.Copy
+	members       *pb.Members
+	view          *pb.View
+	authoritative bool
+	changed       chan struct{} // closed when something changes
+	requests      chan *pb.WatchRequest
+}
+
+func newFakeControl(t *testing.T) *fakeControl {
+	control := &fakeControl{
+		held:          gossip.NewCopy(),
+		authoritative: true,
+		changed:       make(chan struct{}),
+		requests:      make(chan *pb.WatchRequest, 1000),
+	}
+	control.address = serve(t, func(mux *http.ServeMux) {
+		mux.Handle(fieldrelayv1connect.NewControlLinkHandler(control))
+	})
+	return control
+}
+
+// serve serves on loopback until the test ends and returns the address.
+func serve(t *testing.T, handle func(mux *http.ServeMux)) string {
+	mux := http.NewServeMux()
+	handle(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// alter changes what the control machine holds and wakes those that wait.
+func (f *fakeControl) alter(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeControl) commit(changes ...*pb.Change) {
+	f.alter(func() { f.held.ApplyChanges(changes) })
+}
+
+func (f *fakeControl) Watch(ctx context.Context, request *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error) {
+	asked := request.Msg
+	select {
+	case f.requests <- asked:
+	default:
+	}
+	hold := time.NewTimer(time.Duration(asked.GetHoldMs()) * time.Millisecond)
+	defer hold.Stop()
+	for {
+		response, news, changed := f.answer(asked)
+		if news || asked.GetHoldMs() == 0 {
+			return connect.NewResponse(response), nil
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			return connect.NewResponse(response), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (f *fakeControl) answer(asked *pb.WatchRequest) (response *pb.WatchResponse, news bool, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	response = &pb.WatchResponse{
+		Authoritative: f.authoritative,
+		Sequence:      f.held.Sequence(),
+		Generation:    f.held.Snapshot().Generation(),
+		MembersSource: f.address,
+	}
+	if asked.GetSequence() < f.held.Sequence() {
+		news = true
+		changes, kept := f.held.Since(asked.GetSequence())
+		switch {
+		case kept:
+			response.Changes = changes
+		case asked.GetDigests() != nil:
+			response.Repair = f.held.Snapshot().RepairFor(asked.GetDigests())
+		default:
+			response.NeedDigests = true
+		}
+	}
+	if gossip.CompareVersions(f.held.ListVersion(), asked.GetList()) > 0 {
+		response.List = f.held.List(time.Second)
+		news = true
+	}
+	known := asked.GetMembersSource() == f.address && asked.GetMembersVersion() == f.members.GetVersion()
+	if f.members != nil && !known {
+		response.Members = f.members
+		news = true
+	}
+	if f.view.GetNumber() > asked.GetViewNumber() {
+		response.View = f.view
+		news = true
+	}
+	return response, news, f.changed
+}
+
+// fakeProxy keeps what it is fed, and checks that it never gets older state.
+type fakeProxy struct {
+	fieldrelayv1connect.UnimplementedProxyFeedHandler
+	t       *testing.T
+	address string
+
+	mu          sync.Mutex
+	held        *gossip.Copy
+	incarnation uint64
+	ready       bool
+	needs       bool // it can't use changes, and tells its digests
+	shares      *pb.Shares
+	confirmed   bool
+	repairs     int
+	events      chan struct{} // one for each exchange, as far as there is room
+}
+
+func newFakeProxy(t *testing.T) *fakeProxy {
+	proxy := &fakeProxy{t: t, held: gossip.NewCopy(), incarnation: 1, events: make(chan struct{}, 1)}
+	proxy.address = serve(t, func(mux *http.ServeMux) {
+		mux.Handle(fieldrelayv1connect.NewProxyFeedHandler(proxy))
+	})
+	return proxy
+}
+
+// restart makes it a new process that holds nothing.
+func (f *fakeProxy) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = gossip.NewCopy()
+	f.incarnation++
+	f.shares = nil
+	f.confirmed = false
+	f.ready = false
+}
+
+func (f *fakeProxy) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.ProxyStatus], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status(), nil
+}
+
+func (f *fakeProxy) Apply(_ context.Context, request *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ProxyStatus], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	base := f.held.Snapshot()
+	for _, change := range request.Msg.GetChanges() {
+		if change.GetSequence() <= base.Sequence() {
+			f.t.Errorf("change %d for a proxy at %d", change.GetSequence(), base.Sequence())
+		}
+	}
+	if !f.needs {
+		f.held.ApplyChanges(request.Msg.GetChanges())
+	}
+	if repair := request.Msg.GetRepair(); repair != nil {
+		if moved, err := f.held.Restore(base, repair); err != nil || !moved {
+			f.t.Errorf("repair to %d for a proxy at %d: %v", repair.GetSequence(), base.Sequence(), err)
+		}
+		f.repairs++
+		f.needs = false
+	}
+	if list := request.Msg.GetList(); list != nil && f.held.OfferList(time.Minute, list) == gossip.ListRefused {
+		f.t.Errorf("an old list: %v", list.GetVersion())
+	}
+	if shares := request.Msg.GetShares(); shares != nil {
+		f.shares = shares
+	}
+	f.confirmed = f.confirmed || request.Msg.GetConfirmed()
+	return f.status(), nil
+}
+
+func (f *fakeProxy) status() *connect.Response[pb.ProxyStatus] {
+	select {
+	case f.events <- struct{}{}:
+	default:
+	}
+	status := &pb.ProxyStatus{
+		Host:        "edge-1",
+		Incarnation: f.incarnation,
+		Sequence:    f.held.Sequence(),
+		Generation:  f.held.Snapshot().Generation(),
+		List:        f.held.ListVersion(),
+		Ready:       f.ready,
+		EdgeAddress: "10.0.0.1:8144",
+	}
+	if f.needs {
+		status.Digests = f.held.Snapshot().Digests()
+	}
+	return connect.NewResponse(status)
+}
+
+// await waits until the proxy meets a condition.
+func (f *fakeProxy) await(what string, condition func() bool) {
+	f.t.Helper()
+	end := time.NewTimer(patience)
+	defer end.Stop()
+	for {
+		f.mu.Lock()
+		met := condition()
+		f.mu.Unlock()
+		if met {
+			return
+		}
+		select {
+		case <-f.events:
+		case <-end.C:
+			require.Fail(f.t, "the proxy waits in vain", what)
+		}
+	}
+}
+
+// awaitRequest waits until the control machine is asked something that meets a condition.
+func (f *fakeControl) awaitRequest(t *testing.T, what string, condition func(request *pb.WatchRequest) bool) {
+	t.Helper()
+	end := time.NewTimer(patience)
+	defer end.Stop()
+	for {
+		select {
+		case request := <-f.requests:
+			if condition(request) {
+				return
+			}
+		case <-end.C:
+			require.Fail(t, "control is not asked", what)
+		}
+	}
+}
+
+// runningAgent is an agent on loopback.
+type runningAgent struct {
+	address string
+	end     context.CancelFunc
+	ended   chan error
+}
+
+// startAgent runs an agent until the test ends. It gets no time of grace.
+func startAgent(t *testing.T, host, proxy string, controls ...string) *runningAgent {
+	return startWithGrace(t, 0, host, proxy, controls...)
+}
+
+// startWithGrace runs an agent that has so long to end.
+func startWithGrace(t *testing.T, grace time.Duration, host, proxy string, controls ...string) *runningAgent {
+	from := &settings.Settings{
+		Hostname:  host,
+		Address:   "127.0.0.1",
+		Zone:      "zone-a",
+		Region:    "region-a",
+		PortRange: []int{7000, 7010},
+		Seeds:     controls,
+		Bounds:    settings.Bounds{GraceS: grace.Seconds()},
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	options := Options{
+		Proxy:       proxy,
+		Listener:    listener,
+		LinkAddress: func(seed string) (string, error) { return seed, nil },
+	}
+	ctx, end := context.WithCancel(context.Background())
+	running := &runningAgent{address: listener.Addr().String(), end: end, ended: make(chan error, 1)}
+	logger := zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel)).Named(host)
+	go func() { running.ended <- RunWith(ctx, from, logger, options) }()
+	t.Cleanup(func() {
+		end()
+		running.requireEnded(t)
+	})
+	return running
+}
+
+// requireEnded waits until the agent has ended.
+func (r *runningAgent) requireEnded(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-r.ended:
+		require.NoError(t, err)
+		r.ended <- nil // for whoever asks next
+	case <-time.After(patience):
+		require.Fail(t, "the agent doesn't end")
+	}
+}
--- /dev/null
+++ b/internal/agent/feed_test.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/gossip"
+	"fieldrelay/internal/shuffle"
+)
+
+// feeding is a feed with all that it looks at.
+type feeding struct {
+	t       *testing.T
+	now     time.Duration
+	feed    feed
+	held    *gossip.Copy
+	members membership
+}
+
+func newFeeding(t *testing.T) *feeding {
+	return &feeding{
+		t:       t,
+		now:     time.Second,
+		held:    gossip.NewCopy(),
+		members: newMembership(shuffle.Neighbour{Host: "self"}),
+	}
+}
+
+func (f *feeding) next() *feedCall { return f.feed.next(f.now, f.held, &f.members) }
+
+// exchange answers the call that is due with a status.
+func (f *feeding) exchange(status *pb.ProxyStatus) *pb.ApplyRequest {
+	f.t.Helper()
+	call := f.next()
+	require.NotNil(f.t, call)
+	f.feed.done(f.now, feedDone{call: *call, status: status})
+	return call.apply
+}
+
+func (f *feeding) fail() {
+	f.t.Helper()
+	call := f.next()
+	require.NotNil(f.t, call)
+	f.feed.done(f.now, feedDone{call: *call, err: errors.New("refused")})
+}
+
+func TestFirstIsAStatus(t *testing.T) {
+	f := newFeeding(t)
+	f.held.ApplyChanges([]*pb.Change{change(1), change(2)})
+	require.Nil(t, f.exchange(&pb.ProxyStatus{Incarnation: 7, Sequence: 1}))
+	apply := f.exchange(&pb.ProxyStatus{Incarnation: 7, Sequence: 2})
+	require.Len(t, apply.GetChanges(), 1)
+	require.EqualValues(t, 2, apply.GetChanges()[0].GetSequence())
+}
+
+func TestProxyThatIsAheadGetsNothing(t *testing.T) {
+	f := newFeeding(t)
+	f.held.ApplyChanges([]*pb.Change{change(1)})
+	f.held.OfferList(0, serverList(1, "i-1"))
+	f.feed.confirmed = true
+	ahead := &pb.ProxyStatus{Incarnation: 7, Sequence: 5, List: &pb.ListVersion{Epoch: 9}}
+	f.exchange(ahead)
+	f.feed.confirm(f.now)
+	require.Nil(t, f.next(), "neither state, nor list, nor confirmation")
+	f.now += feedPeriod
+	require.Nil(t, f.exchange(ahead))
+}
+
+func TestProxyWithDigestsGetsARepair(t *testing.T) {
+	f := newFeeding(t)
+	f.held.ApplyChanges([]*pb.Change{change(1)})
+	f.exchange(&pb.ProxyStatus{Incarnation: 7, Digests: &pb.RangeDigests{}})
+	apply := f.exchange(&pb.ProxyStatus{Incarnation: 7, Sequence: 1})
+	require.Empty(t, apply.GetChanges())
+	require.Len(t, apply.GetRepair().GetRanges(), catalog.RangeCount)
+}
+
+func TestWhatIsSentInVainIsNotSentAgainAtOnce(t *testing.T) {
+	f := newFeeding(t)
+	f.held.ApplyChanges([]*pb.Change{change(1)})
+	stuck := &pb.ProxyStatus{Incarnation: 7}
+	f.exchange(stuck)
+	require.NotNil(t, f.exchange(stuck))
+	require.Nil(t, f.next())
+	f.now += feedPeriod
+	require.NotNil(t, f.exchange(stuck))
+	f.held.ApplyChanges([]*pb.Change{change(2)})
+	require.Len(t, f.exchange(stuck).GetChanges(), 2, "news goes at once")
+}
+
+func TestGoneProxyIsAskedForItsStatusFirst(t *testing.T) {
+	f := newFeeding(t)
+	f.exchange(&pb.ProxyStatus{Incarnation: 7, Ready: true})
+	require.True(t, f.feed.ready())
+	f.held.ApplyChanges([]*pb.Change{change(1)})
+	f.fail()
+	require.False(t, f.feed.ready())
+	require.Nil(t, f.next())
+	f.now += feedRetry
+	require.Nil(t, f.exchange(&pb.ProxyStatus{Incarnation: 8}), "a status")
+	require.NotNil(t, f.exchange(&pb.ProxyStatus{Incarnation: 8, Sequence: 1}))
+}
+
+func TestConfirmationIsForOneIncarnation(t *testing.T) {
+	f := newFeeding(t)
+	f.feed.confirm(f.now)
+	require.False(t, f.feed.confirmed, "no proxy is known")
+	f.exchange(&pb.ProxyStatus{Incarnation: 7})
+	f.feed.confirm(f.now - 1)
+	require.False(t, f.feed.confirmed, "asked before the proxy was known")
+	f.feed.confirm(f.now)
+	require.True(t, f.exchange(&pb.ProxyStatus{Incarnation: 7}).GetConfirmed())
+	require.Nil(t, f.next(), "told once")
+	f.now += feedPeriod
+	f.exchange(&pb.ProxyStatus{Incarnation: 8})
+	require.True(t, f.feed.awaitsConfirmation())
+	require.Nil(t, f.next())
+}
+
+func TestSharesAreSentWhenKnownAndNotTooOften(t *testing.T) {
+	f := newFeeding(t)
+	status := &pb.ProxyStatus{Incarnation: 7}
+	f.exchange(status)
+	require.Nil(t, f.next(), "none are known")
+	f.members.take(f.now, "core-1", members(1, "a"))
+	require.EqualValues(t, 2, f.exchange(status).GetShares().GetProxies())
+	f.members.take(f.now, "core-1", members(2, "a", "b"))
+	require.Nil(t, f.next())
+	f.now += sharesPeriod
+	require.EqualValues(t, 3, f.exchange(status).GetShares().GetProxies())
+}
+
+func TestEndingWaitsForTheProxyWithinItsGrace(t *testing.T) {
+	const grace = 8 * time.Second
+	f := newFeeding(t)
+	f.exchange(&pb.ProxyStatus{Incarnation: 7})
+	var e ending
+	require.False(t, e.over(f.now, &f.feed, 0))
+	e.request(f.now, grace, &f.feed)
+	require.False(t, e.over(f.now, &f.feed, 0))
+	require.True(t, e.over(f.now+grace-graceMargin, &f.feed, 1), "the grace ends")
+
+	f.now += feedPeriod
+	f.fail()
+	require.False(t, e.over(f.now, &f.feed, 0), "it may be back")
+	require.False(t, e.over(f.now+goneFor, &f.feed, 1), "control isn't told yet")
+	require.True(t, e.over(f.now+goneFor, &f.feed, 0))
+
+	f.now += feedRetry
+	f.exchange(&pb.ProxyStatus{Incarnation: 8})
+	require.True(t, e.over(f.now, &f.feed, 0), "another life of the proxy")
+}
--- /dev/null
+++ b/internal/agent/membership_test.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/shuffle"
+)
+
+func members(version uint64, hosts ...string) *pb.Members {
+	list := &pb.Members{Version: version}
+	for _, host := range hosts {
+		list.Agents = append(list.Agents, &pb.AgentRecord{Host: host, AgentAddress: host + ":1"})
+	}
+	return list
+}
+
+func sending(m *membership) []string {
+	var hosts []string
+	for _, member := range m.shares.GetMembers() {
+		hosts = append(hosts, member.GetHost())
+	}
+	return hosts
+}
+
+func TestLostMembersCountForAWhile(t *testing.T) {
+	m := newMembership(shuffle.Neighbour{Host: "self"})
+	require.True(t, m.take(0, "core-1", members(1, "a", "b", "self")))
+	require.True(t, m.take(time.Second, "core-2", members(1, "a")), "another machine counts for itself")
+	require.Equal(t, []string{"a", "b", "self"}, sending(&m))
+	require.EqualValues(t, 3, m.shares.GetProxies())
+	require.EqualValues(t, 1, m.revision, "the same proxies")
+
+	m.heard(time.Second + lingerFor - 1)
+	require.Len(t, sending(&m), 3)
+	m.heard(time.Second + lingerFor)
+	require.Equal(t, []string{"a", "self"}, sending(&m))
+	require.EqualValues(t, 2, m.revision)
+}
+
+func TestMemberThatComesBackLingersNoMore(t *testing.T) {
+	m := newMembership(shuffle.Neighbour{Host: "self"})
+	m.take(0, "core-1", members(1, "a", "b"))
+	m.take(time.Second, "core-1", members(2, "a"))
+	m.take(2*time.Second, "core-1", members(3, "a", "b"))
+	m.heard(10 * time.Minute)
+	require.Equal(t, []string{"a", "b", "self"}, sending(&m))
+}
+
+func TestSameListIsNoNews(t *testing.T) {
+	m := newMembership(shuffle.Neighbour{Host: "self"})
+	require.False(t, m.take(0, "core-1", nil))
+	require.Nil(t, m.shares)
+	require.True(t, m.take(0, "core-1", members(0)), "the first list, whatever its version")
+	require.Equal(t, []string{"self"}, sending(&m))
+	require.False(t, m.take(0, "core-1", members(0)))
+}
--- /dev/null
+++ b/internal/agent/reload.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"fieldrelay/internal/settings"
+)
+
+// reloadPeriod is the time between two looks at the settings file.
+const reloadPeriod = time.Second
+
+// reloader reads the settings file again when it changes.
+type reloader struct {
+	path     string // empty: there is no file
+	logger   *zap.Logger
+	resolve  func(seed string) (string, error)
+	seeds    []string
+	modified time.Time
+	size     int64
+	lookedAt time.Duration
+}
+
+// newReloader follows the file at path, of which seeds were read.
+func newReloader(path string, seeds []string, resolve func(string) (string, error), logger *zap.Logger) *reloader {
+	r := &reloader{path: path, logger: logger, resolve: resolve, seeds: seeds}
+	if information, err := os.Stat(path); err == nil {
+		r.modified = information.ModTime()
+		r.size = information.Size()
+	}
+	return r
+}
+
+// look reads the file if it has changed since, at most once in reloadPeriod. It returns the new addresses of the
+// seeds, and whether they are others than before.
+func (r *reloader) look(now time.Duration) ([]string, bool) {
+	if r.path == "" || now-r.lookedAt < reloadPeriod {
+		return nil, false
+	}
+	r.lookedAt = now
+	information, err := os.Stat(r.path)
+	if err != nil || information.ModTime().Equal(r.modified) && information.Size() == r.size {
+		return nil, false
+	}
+	r.modified = information.ModTime()
+	r.size = information.Size()
+	return r.read()
+}
+
+// read reads the file whether it has changed or not.
+func (r *reloader) read() ([]string, bool) {
+	if r.path == "" {
+		return nil, false
+	}
+	read, err := settings.Load(r.path)
+	if err != nil {
+		r.logger.Warn("settings can't be read again", zap.Error(err))
+		return nil, false
+	}
+	seeds := resolveSeeds(read.Seeds, r.resolve, r.logger)
+	if slices.Equal(seeds, r.seeds) {
+		return nil, false
+	}
+	r.seeds = seeds
+	return seeds, true
+}
+
+// resolveSeeds turns addresses of the operator's API into those of the link service. Seeds that aren't addresses
+// are left out.
+func resolveSeeds(seeds []string, resolve func(string) (string, error), logger *zap.Logger) []string {
+	addresses := make([]string, 0, len(seeds))
+	for _, seed := range seeds {
+		address, err := resolve(seed)
+		if err != nil {
+			logger.Warn("seed left out", zap.Error(err))
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// linkAddress finds the link service of a seed: at the seed's IP address and the first of the ports for own
+// messages, which are the same on all machines.
+func linkAddress(firstPort int) func(seed string) (string, error) {
+	port := strconv.Itoa(firstPort)
+	return func(seed string) (string, error) {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			return "", errors.Wrapf(err, "seed %q", seed)
+		}
+		return net.JoinHostPort(host, port), nil
+	}
+}
--- /dev/null
+++ b/internal/agent/targets_test.go
@@ -0,0 +1,82 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+func testTargets(seeds ...string) targets {
+	return newTargets("zone-a", "region-a", seeds, rand.New(rand.NewPCG(1, 1)))
+}
+
+func voter(address, zone, region string) *pb.Replica {
+	return &pb.Replica{Address: address, Zone: zone, Region: region}
+}
+
+func TestChooseTakesTheNearestThatWorks(t *testing.T) {
+	known := testTargets("seed:1", "near:1")
+	known.voters = []*pb.Replica{
+		voter("far:1", "zone-c", "region-b"),
+		voter("near:1", "zone-a", "region-a"),
+		voter("region:1", "zone-b", "region-a"),
+	}
+	now := time.Minute
+	for _, want := range []string{"near:1", "region:1", "far:1", "seed:1"} {
+		require.Equal(t, want, known.choose(now, ""))
+		known.fail(now, want)
+		now += time.Millisecond
+	}
+	require.Equal(t, "near:1", known.choose(now, ""), "its failure is longest ago")
+	require.Equal(t, "region:1", known.choose(now, "near:1"))
+	require.Equal(t, "near:1", known.choose(now+avoidFor, ""))
+}
+
+func TestChooseSpreadsOverEquals(t *testing.T) {
+	known := testTargets("a:1", "b:1", "c:1")
+	chosen := make(map[string]int)
+	for range 300 {
+		chosen[known.choose(0, "")]++
+	}
+	require.Len(t, chosen, 3)
+	for address, count := range chosen {
+		require.Greater(t, count, 60, address)
+	}
+}
+
+func TestChooseWithOneOrNone(t *testing.T) {
+	known := testTargets()
+	require.Empty(t, known.choose(0, ""))
+	known.seeds = []string{"a:1"}
+	require.Equal(t, "a:1", known.choose(0, "a:1"), "there is no other")
+	known.fail(0, "a:1")
+	require.Equal(t, "a:1", known.choose(0, "a:1"))
+	require.Empty(t, testTargetsChoice("gone:1"), "one that is known no more")
+}
+
+func testTargetsChoice(except string) string {
+	known := testTargets()
+	return known.choose(0, except)
+}
+
+func TestNearerComesBackOnlyAfterAWhile(t *testing.T) {
+	known := testTargets()
+	known.voters = []*pb.Replica{voter("far:1", "zone-c", "region-b"), voter("near:1", "zone-a", "region-a")}
+	require.Equal(t, "near:1", known.nearer(0, "far:1"))
+	require.Empty(t, known.nearer(0, "near:1"))
+	known.fail(0, "near:1")
+	require.Empty(t, known.nearer(returnAfter-1, "far:1"))
+	require.Equal(t, "near:1", known.nearer(returnAfter, "far:1"))
+}
+
+func TestFailuresAreBounded(t *testing.T) {
+	known := testTargets()
+	for i := range 10 * maxFailures {
+		known.fail(0, string(rune(i)))
+		require.LessOrEqual(t, len(known.failures), maxFailures)
+	}
+}
--- /dev/null
+++ b/internal/catalog/document.go
@@ -0,0 +1,211 @@
+package catalog
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strconv"
+)
+
+// Names of members that have a meaning of their own in an order.
+const (
+	memberGeneration = "gen"
+	memberUpsert     = "upsert"
+	memberRemove     = "remove"
+)
+
+// emptyList is the body of the setting that stands for a collection.
+var emptyList = []byte("[]")
+
+// entry is one named part of a document: a member of a collection or a setting.
+type entry struct {
+	name string
+	body []byte // a part of the order's body
+}
+
+// section is one member of a configuration.
+type section struct {
+	name       string
+	collection bool
+	entries    []entry // of a collection
+	body       []byte  // of a setting
+}
+
+// document is a configuration, or the upserts of an amendment, taken apart.
+type document struct {
+	sections []section
+}
+
+// parseObject checks that data is one JSON object and returns it without space around it.
+func parseObject(data []byte) ([]byte, error) {
+	if !json.Valid(data) {
+		return nil, invalid("", "", "the body is not JSON")
+	}
+	object := trimJSON(data)
+	if !isObject(object) {
+		return nil, invalid("", "", "the body is not a JSON object")
+	}
+	return object, nil
+}
+
+// parseDocument takes the members of an object apart. Where a name comes twice, the last one counts.
+func parseDocument(object []byte, faults *InvalidError) document {
+	var parsed document
+	places := make(map[string]int)
+	for key, value := range members(object) {
+		name := textOf(key)
+		if name == memberGeneration {
+			continue
+		}
+		next := parseSection(name, value, faults)
+		if place, twice := places[name]; twice {
+			parsed.sections[place] = next
+			continue
+		}
+		places[name] = len(parsed.sections)
+		parsed.sections = append(parsed.sections, next)
+	}
+	return parsed
+}
+
+func parseSection(name string, value []byte, faults *InvalidError) section {
+	whole := section{name: name, body: value}
+	if !isCollection(name) {
+		return whole
+	}
+	required := name == KindRoutes || name == KindBackends
+	if required && isNull(value) {
+		return section{name: name, collection: true}
+	}
+	if !isArray(value) {
+		if required {
+			faults.add("", name, "is not a list")
+		}
+		return whole
+	}
+	entries, problem := namedEntries(value)
+	if problem != "" {
+		if required {
+			faults.add("", name, "%s", problem)
+		}
+		return whole
+	}
+	return section{name: name, collection: true, entries: entries}
+}
+
+// namedEntries reads a list of objects with different names. It tells what is wrong if the list is not one.
+func namedEntries(array []byte) (entries []entry, problem string) {
+	seen := make(map[string]bool)
+	for element := range elements(array) {
+		place := strconv.Itoa(len(entries))
+		if !isObject(element) {
+			return nil, "element " + place + " is not an object"
+		}
+		quoted := member(element, "name")
+		if !isString(quoted) {
+			return nil, "element " + place + " has no name"
+		}
+		name := text(quoted)
+		if seen[name] {
+			return nil, "the name " + strconv.Quote(name) + " comes twice"
+		}
+		seen[name] = true
+		entries = append(entries, entry{name: name, body: element})
+	}
+	return entries, ""
+}
+
+// parseRemovals reads the lists of names that an amendment removes, by collection.
+func parseRemovals(value []byte, faults *InvalidError) map[string][]string {
+	if value == nil {
+		return nil
+	}
+	if !isObject(value) {
+		faults.add("", memberRemove, "is not an object")
+		return nil
+	}
+	removals := make(map[string][]string)
+	for key, list := range members(value) {
+		kind := textOf(key)
+		if isNull(list) {
+			continue
+		}
+		names, ok := nameList(list)
+		if !ok {
+			faults.add("", memberRemove+"."+kind, "is not a list of names")
+			continue
+		}
+		if isCollection(kind) {
+			removals[kind] = names
+		}
+	}
+	return removals
+}
+
+func nameList(value []byte) ([]string, bool) {
+	if !isArray(value) {
+		return nil, false
+	}
+	var names []string
+	for element := range elements(value) {
+		if !isString(element) {
+			return nil, false
+		}
+		names = append(names, text(element))
+	}
+	return names, true
+}
+
+// largestExactFloat is the end of the whole numbers that a float64 holds exactly.
+const largestExactFloat = 1 << 53
+
+// wholeNumber reads a number that is not negative and has no fraction, however it is written (7, 7.0, 7e0).
+func wholeNumber(value []byte) (uint64, bool) {
+	if number, err := strconv.ParseUint(string(value), 10, 64); err == nil {
+		return number, true
+	}
+	number, ok := floatNumber(value)
+	if !ok || number < 0 || number > largestExactFloat || number != math.Trunc(number) {
+		return 0, false
+	}
+	return uint64(number), true
+}
+
+func floatNumber(value []byte) (float64, bool) {
+	if len(value) == 0 || isString(value) {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(string(value), 64)
+	return number, err == nil
+}
+
+// generationOf reads the gen of an order and checks that it is above the current one.
+func generationOf(object []byte, current uint64, faults *InvalidError) uint64 {
+	value := member(object, memberGeneration)
+	if value == nil {
+		faults.add("", memberGeneration, "is missing")
+		return 0
+	}
+	generation, ok := wholeNumber(value)
+	if !ok {
+		faults.add("", memberGeneration, "is not a whole number")
+		return 0
+	}
+	if generation <= current {
+		faults.add("", memberGeneration, "%d is not above the current one, %d", generation, current)
+	}
+	return generation
+}
+
+// writeMember appends one member to an object that is being written.
+func writeMember(buffer *bytes.Buffer, name string, body []byte) error {
+	quoted, err := json.Marshal(name)
+	if err != nil {
+		return err
+	}
+	buffer.WriteByte(',')
+	buffer.Write(quoted)
+	buffer.WriteByte(':')
+	buffer.Write(body)
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/repair.go
@@ -0,0 +1,90 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Digests summarises the state: two snapshots with the same digests hold the same items.
+func (s *Snapshot) Digests() *pb.RangeDigests {
+	digests := make([]uint64, RangeCount)
+	for index, itemRange := range s.ranges {
+		digests[index] = itemRange.digest
+	}
+	return &pb.RangeDigests{Sequence: s.sequence, Generation: s.generation, Digests: digests}
+}
+
+// RepairFor returns the ranges in which the copy that the digests describe differs from this snapshot, or all
+// of them if digests is nil or of another number of ranges. It says nothing about which of the two is newer.
+func (s *Snapshot) RepairFor(digests *pb.RangeDigests) *pb.Repair {
+	repair := &pb.Repair{Sequence: s.sequence, Generation: s.generation}
+	theirs := digests.GetDigests()
+	whole := len(theirs) != RangeCount
+	for index, itemRange := range s.ranges {
+		if !whole && theirs[index] == itemRange.digest {
+			continue
+		}
+		repair.Ranges = append(repair.Ranges, &pb.Range{Index: uint32(index), Items: slices.Clip(itemRange.items)})
+	}
+	return repair
+}
+
+// Restore returns the state that a repair brings. It must be called on the very snapshot whose Digests the
+// repair answers: on another one, ranges that the repair leaves out might differ. Whether the repair is newer
+// is the caller's to check. A *RepairError is returned when the repair is not well formed.
+func (s *Snapshot) Restore(repair *pb.Repair) (*Snapshot, error) {
+	next := *s
+	next.sequence = repair.GetSequence()
+	next.generation = repair.GetGeneration()
+	var seen [RangeCount]bool
+	for _, part := range repair.GetRanges() {
+		index := part.GetIndex()
+		if index >= RangeCount {
+			return nil, &RepairError{Reason: fmt.Sprintf("range %d of %d", index, RangeCount)}
+		}
+		if seen[index] {
+			return nil, &RepairError{Reason: fmt.Sprintf("range %d comes twice", index)}
+		}
+		seen[index] = true
+		restored, err := restoreRange(int(index), part.GetItems())
+		if err != nil {
+			return nil, err
+		}
+		next.ranges[index] = restored
+	}
+	return &next, nil
+}
+
+func restoreRange(index int, items []*pb.Item) (*itemRange, error) {
+	restored := &itemRange{items: make([]*pb.Item, 0, len(items))}
+	for _, item := range items {
+		if rangeIndex(item.GetKind(), item.GetName()) != index {
+			return nil, &RepairError{Reason: fmt.Sprintf("%s/%s is not of range %d", item.GetKind(), item.GetName(), index)}
+		}
+		if _, found := restored.find(item.GetKind(), item.GetName()); found {
+			return nil, &RepairError{Reason: fmt.Sprintf("%s/%s comes twice", item.GetKind(), item.GetName())}
+		}
+		restored.upsert(item)
+	}
+	return restored, nil
+}
+
+// Marshal returns the whole state in its stored form, a pb.Repair.
+func (s *Snapshot) Marshal() ([]byte, error) {
+	data, err := proto.Marshal(s.RepairFor(nil))
+	return data, errors.Wrap(err, "marshal the control state")
+}
+
+// Unmarshal reads the stored form of a state. A *RepairError is returned when it is not well formed.
+func Unmarshal(data []byte) (*Snapshot, error) {
+	repair := &pb.Repair{}
+	if err := proto.Unmarshal(data, repair); err != nil {
+		return nil, &RepairError{Reason: err.Error()}
+	}
+	return Empty().Restore(repair)
+}
--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,116 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Snapshot is the control state after one change. It never changes; the zero value is not usable, see Empty.
+type Snapshot struct {
+	sequence   uint64
+	generation uint64
+	ranges     [RangeCount]*itemRange
+}
+
+var emptySnapshot = newEmptySnapshot()
+
+func newEmptySnapshot() *Snapshot {
+	snapshot := &Snapshot{}
+	for index := range snapshot.ranges {
+		snapshot.ranges[index] = &itemRange{}
+	}
+	return snapshot
+}
+
+// Empty returns the state before the first change: sequence and generation 0, no items.
+func Empty() *Snapshot { return emptySnapshot }
+
+// Sequence is the number of the last change, configuration or evacuation.
+func (s *Snapshot) Sequence() uint64 { return s.sequence }
+
+// Generation is the operator's number of the configuration in force; 0 before the first.
+func (s *Snapshot) Generation() uint64 { return s.generation }
+
+// Get finds an item.
+func (s *Snapshot) Get(kind, name string) (*pb.Item, bool) {
+	return s.ranges[rangeIndex(kind, name)].get(kind, name)
+}
+
+// Items returns the items of a kind in their order. The slice is the caller's own.
+func (s *Snapshot) Items(kind string) []*pb.Item {
+	var items []*pb.Item
+	for _, itemRange := range s.ranges {
+		items = append(items, itemRange.ofKind(kind)...)
+	}
+	slices.SortFunc(items, compareOrder)
+	return items
+}
+
+func compareOrder(a, b *pb.Item) int {
+	if order := cmp.Compare(a.GetOrder(), b.GetOrder()); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.GetName(), b.GetName())
+}
+
+// Kinds returns the kinds of the items that the snapshot holds, sorted.
+func (s *Snapshot) Kinds() []string {
+	seen := make(map[string]bool)
+	for _, itemRange := range s.ranges {
+		for _, item := range itemRange.items {
+			seen[item.GetKind()] = true
+		}
+	}
+	kinds := make([]string, 0, len(seen))
+	for kind := range seen {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+// Len is the number of items of all kinds.
+func (s *Snapshot) Len() int {
+	count := 0
+	for _, itemRange := range s.ranges {
+		count += len(itemRange.items)
+	}
+	return count
+}
+
+// Evacuated reports whether nothing more may be sent to the servers of a zone.
+func (s *Snapshot) Evacuated(zone string) bool {
+	_, evacuated := s.Get(KindEvacuation, zone)
+	return evacuated
+}
+
+// EvacuatedZones returns the zones that are evacuated, in the order of their evacuation.
+func (s *Snapshot) EvacuatedZones() []string {
+	items := s.Items(KindEvacuation)
+	zones := make([]string, len(items))
+	for index, item := range items {
+		zones[index] = item.GetName()
+	}
+	return zones
+}
+
+// Apply returns the state after a change, which must be the next one: a *SequenceError is returned if the
+// change's sequence is not Sequence()+1. The change's items are kept, not copied.
+func (s *Snapshot) Apply(change *pb.Change) (*Snapshot, error) {
+	if change.GetSequence() != s.sequence+1 {
+		return nil, &SequenceError{Have: s.sequence, Got: change.GetSequence()}
+	}
+	editor := newEditor(s)
+	if change.GetReplacesAll() {
+		editor.removeOperatorItems()
+	}
+	for _, key := range change.GetRemovals() {
+		editor.remove(key.GetKind(), key.GetName())
+	}
+	for _, item := range change.GetUpserts() {
+		editor.upsert(item)
+	}
+	return editor.snapshot(change.GetSequence(), change.GetGeneration()), nil
+}
--- /dev/null
+++ b/internal/chain/append.go
@@ -0,0 +1,161 @@
+package chain
+
+import (
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/quorum"
+)
+
+// Append takes changes from the upstream.
+func (r *Replica) Append(from *pb.Replica, message *pb.Append) Output {
+	var output Output
+	if !r.isCurrent(message.GetViewNumber()) || !r.isUpstream(from) {
+		return output
+	}
+	if r.unsaved > 0 || !r.synchronised {
+		return output
+	}
+	for _, change := range message.GetChanges() {
+		if change.GetSequence() <= r.state.Newest.Sequence() {
+			continue
+		}
+		if err := r.apply(&output, change); err != nil {
+			r.askOnce(&output)
+			break
+		}
+	}
+	if len(output.Writes) == 0 {
+		r.answerRepeat(&output)
+	}
+	return output
+}
+
+// answerRepeat answers an Append that brought nothing new: the acknowledgement was lost, or a replica that
+// restarted wants to know what is committed.
+func (r *Replica) answerRepeat(output *Output) {
+	switch {
+	case r.isLearner():
+		r.commit(output, r.state.Newest)
+	case r.commitKnown:
+		r.acknowledge(output)
+	}
+}
+
+// Acknowledged takes the successor's word that everything up to a sequence number is on disk from there to
+// the tail.
+func (r *Replica) Acknowledged(from *pb.Replica, message *pb.Acknowledge) Output {
+	var output Output
+	if !r.isCurrent(message.GetViewNumber()) || !r.isSuccessor(from) || !r.synchronised {
+		return output
+	}
+	sequence := message.GetSequence()
+	if sequence > r.state.Newest.Sequence() {
+		return output
+	}
+	r.acknowledged = max(r.acknowledged, sequence)
+	snapshot := r.snapshotAt(sequence)
+	if snapshot == nil {
+		return output
+	}
+	r.commit(&output, snapshot)
+	r.acknowledge(&output)
+	return output
+}
+
+// snapshotAt returns a state that is kept, or nil.
+func (r *Replica) snapshotAt(sequence uint64) *catalog.Snapshot {
+	if r.state.Newest.Sequence() == sequence {
+		return r.state.Newest
+	}
+	if r.previous != nil && r.previous.Sequence() == sequence {
+		return r.previous
+	}
+	return nil
+}
+
+// isCurrent reports whether a message belongs to the view in force.
+func (r *Replica) isCurrent(number uint64) bool {
+	return r.state.View != nil && number == r.state.View.GetNumber()
+}
+
+func (r *Replica) awaitsSuccessor() bool {
+	if r.successor() == nil || !r.synchronised {
+		return false
+	}
+	return !r.commitKnown || r.acknowledged < r.state.Newest.Sequence()
+}
+
+// passOn sends the successor what it has not acknowledged, as far as that is kept; if it is not kept, the
+// message still asks for the successor's acknowledgement.
+func (r *Replica) passOn(output *Output) {
+	changes, found := r.history.Since(r.acknowledged)
+	if !found {
+		changes, _ = r.history.Since(r.state.Newest.Sequence() - min(1, r.state.Newest.Sequence()))
+	}
+	r.send(output, r.successor(), &pb.Message{Body: &pb.Message_Append{Append: &pb.Append{
+		ViewNumber: r.state.View.GetNumber(),
+		Changes:    changes,
+		Committed:  sequenceOf(r.committed),
+	}}})
+}
+
+// commitTail commits all that the tail has on disk, and tells the predecessor and the learners.
+func (r *Replica) commitTail(output *Output) {
+	before := r.committed
+	r.commit(output, r.state.Newest)
+	r.acknowledge(output)
+	if output.Committed {
+		r.tellLearners(output, before)
+	}
+}
+
+// commit notes that a state is committed. An older one than is known already changes nothing.
+func (r *Replica) commit(output *Output, snapshot *catalog.Snapshot) {
+	r.commitKnown = true
+	if r.committed != nil && snapshot.Sequence() <= r.committed.Sequence() {
+		return
+	}
+	r.committed = snapshot
+	output.Committed = true
+}
+
+// acknowledge tells the predecessor what is committed.
+func (r *Replica) acknowledge(output *Output) {
+	if r.upstream() == nil || r.isLearner() || !r.commitKnown {
+		return
+	}
+	r.send(output, r.upstream(), &pb.Message{Body: &pb.Message_Acknowledge{Acknowledge: &pb.Acknowledge{
+		ViewNumber: r.state.View.GetNumber(),
+		Sequence:   r.committed.Sequence(),
+	}}})
+}
+
+// tellLearners sends the new committed changes to the voters outside of the chain. Those that miss one see it
+// by the tail's heartbeats and ask.
+func (r *Replica) tellLearners(output *Output, before *catalog.Snapshot) {
+	changes, found := r.history.Since(sequenceOf(before))
+	if !found {
+		return
+	}
+	for _, voter := range r.state.View.GetVoters() {
+		if quorum.IndexOf(r.state.View.GetChain(), voter.GetIdentity()) != quorum.NotFound {
+			continue
+		}
+		r.send(output, voter, &pb.Message{Body: &pb.Message_Append{Append: &pb.Append{
+			ViewNumber: r.state.View.GetNumber(),
+			Changes:    changes,
+			Committed:  r.committed.Sequence(),
+		}}})
+	}
+}
+
+func sequenceOf(snapshot *catalog.Snapshot) uint64 {
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Sequence()
+}
+
+func (r *Replica) send(output *Output, to *pb.Replica, message *pb.Message) {
+	output.Messages = append(output.Messages, Outgoing{To: to, Message: message})
+}
--- /dev/null
+++ b/internal/chain/replica.go
@@ -0,0 +1,249 @@
+package chain
+
+import (
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/quorum"
+)
+
+// Outgoing is a message for another control machine.
+type Outgoing struct {
+	To      *pb.Replica
+	Message *pb.Message
+}
+
+// Output is what an event leads to.
+type Output struct {
+	// Writes must reach the disk together and in the order of the outputs; then Saved must be called once. No
+	// message in any output tells of a write that is not on disk.
+	Writes   []Write
+	Messages []Outgoing
+	// Committed: the committed state is a newer one.
+	Committed bool
+}
+
+// Published is what other machines may be told about a replica: it is on disk.
+type Published struct {
+	ViewNumber uint64
+	Sequence   uint64
+	// Holds: a member of the chain is a source for the next view; a learner follows the tail.
+	Holds bool
+}
+
+// Replica is one machine's part in the chain.
+type Replica struct {
+	self    string // identity
+	state   State  // after all writes that were handed out
+	unsaved int    // outputs with writes that are not on disk yet
+	shown   Published
+
+	// of the view in force
+	synchronised bool   // holds the state of the view
+	commitKnown  bool   // something is known to be committed in this view
+	acknowledged uint64 // by the successor
+	lag          int    // heartbeats in a row that told of an upstream that is ahead
+	request      *syncRequest
+	waiting      map[string]*pb.Message // SyncRequests that came too early, by identity
+
+	previous  *catalog.Snapshot // before the last change; nil after a repair
+	committed *catalog.Snapshot // newest known; nil before the first
+	history   *catalog.History  // of Newest
+	ticket    uint64
+}
+
+// maxWaiting bounds the early requests that a replica remembers.
+const maxWaiting = 2 * quorum.MaxVoters
+
+// NewReplica resumes from what is on disk. The ticket tells the sync requests of this life from those of
+// earlier ones and must be another one after each start.
+func NewReplica(identity string, state State, ticket uint64) *Replica {
+	replica := &Replica{
+		self:    identity,
+		state:   state,
+		history: catalog.NewHistory(state.Newest.Sequence()),
+		ticket:  ticket,
+	}
+	replica.enterView()
+	replica.publish()
+	return replica
+}
+
+// State is the state after all writes that were handed out.
+func (r *Replica) State() State { return r.state }
+
+// Published is what other machines may be told.
+func (r *Replica) Published() Published { return r.shown }
+
+// Committed is the newest state known to be committed; nil before the first is known.
+func (r *Replica) Committed() *catalog.Snapshot { return r.committed }
+
+// ChangesSince returns the changes after sequence up to the committed state, oldest first; false when they
+// are not kept.
+func (r *Replica) ChangesSince(sequence uint64) ([]*pb.Change, bool) {
+	changes, found := r.history.Since(sequence)
+	if !found {
+		return nil, false
+	}
+	for len(changes) > 0 && changes[len(changes)-1].GetSequence() > r.committed.Sequence() {
+		changes = changes[:len(changes)-1]
+	}
+	return changes, true
+}
+
+// Adopt moves to a later view that was decided. From now on messages of earlier views are refused.
+func (r *Replica) Adopt(view *pb.View) Output {
+	var output Output
+	if view.GetNumber() <= r.state.View.GetNumber() {
+		return output
+	}
+	r.leaveView()
+	r.state.View = view
+	r.enterView()
+	r.write(&output, Write{View: view, Basis: r.state.Basis})
+	return output
+}
+
+// leaveView counts the view as covered if nothing can have been committed in it.
+func (r *Replica) leaveView() {
+	if r.state.isSource(r.self) {
+		r.state.Basis = max(r.state.Basis, r.state.View.GetNumber())
+	}
+}
+
+// enterView sets what belongs to a view. The head's state is that of the view by definition.
+func (r *Replica) enterView() {
+	number := r.state.View.GetNumber()
+	position := r.state.position(r.self)
+	if position == 0 && r.state.Basis+1 == number {
+		r.state.Basis = number
+	}
+	r.synchronised = position != quorum.NotFound && r.state.Basis == number
+	r.commitKnown = false
+	r.acknowledged = 0
+	r.lag = 0
+	r.request = nil
+	r.waiting = nil
+}
+
+// IsOpen reports whether the replica is the head and takes another change: the one before is committed.
+func (r *Replica) IsOpen() bool {
+	return r.isHead() && r.Settled()
+}
+
+// Settled reports whether the replica holds the state of its view and knows all of it to be committed.
+func (r *Replica) Settled() bool {
+	if r.unsaved > 0 || !r.synchronised || !r.commitKnown {
+		return false
+	}
+	return r.committed.Sequence() == r.state.Newest.Sequence()
+}
+
+// Follows reports whether the replica knows what is committed in its view.
+func (r *Replica) Follows() bool { return r.synchronised && r.commitKnown }
+
+// Newest is the state that the next change builds on.
+func (r *Replica) Newest() *catalog.Snapshot { return r.state.Newest }
+
+// Propose appends a change at the head; it must be open and the change must follow Newest.
+func (r *Replica) Propose(change *pb.Change) (Output, error) {
+	var output Output
+	if err := r.apply(&output, change); err != nil {
+		return Output{}, err
+	}
+	return output, nil
+}
+
+// Saved tells that the writes of the oldest output that had some are on disk.
+func (r *Replica) Saved() Output {
+	var output Output
+	r.unsaved--
+	if r.unsaved == 0 {
+		r.publish()
+		r.proceed(&output)
+	}
+	return output
+}
+
+// Tick repeats what got no answer. It is meant to be called every 100 to 200 ms.
+func (r *Replica) Tick() Output {
+	var output Output
+	if r.unsaved > 0 || r.state.View == nil {
+		return output
+	}
+	switch {
+	case !r.synchronised || r.request != nil:
+		r.repeatRequest(&output)
+	case r.awaitsSuccessor():
+		r.passOn(&output)
+	case r.isTail() && !r.commitKnown:
+		r.commitTail(&output)
+	}
+	return output
+}
+
+// Heard notes how far another machine's copy reaches. If the upstream stays ahead, its state is asked for.
+func (r *Replica) Heard(from *pb.Replica, heartbeat *pb.Heartbeat) Output {
+	var output Output
+	if !r.isUpstream(from) || heartbeat.GetViewNumber() != r.state.View.GetNumber() {
+		return output
+	}
+	if heartbeat.GetSequence() <= r.state.Newest.Sequence() || r.unsaved > 0 || !r.synchronised {
+		r.lag = 0
+		return output
+	}
+	r.lag++
+	if r.lag > 1 && r.request == nil {
+		r.ask(&output)
+	}
+	return output
+}
+
+func (r *Replica) publish() {
+	r.shown = Published{
+		ViewNumber: r.state.View.GetNumber(),
+		Sequence:   r.state.Newest.Sequence(),
+		Holds:      r.state.isSource(r.self) || (r.isLearner() && r.synchronised),
+	}
+}
+
+// proceed does what was waiting for the disk.
+func (r *Replica) proceed(output *Output) {
+	if r.state.View == nil {
+		return
+	}
+	if !r.synchronised {
+		r.ask(output)
+		return
+	}
+	if r.isLearner() {
+		r.commit(output, r.state.Newest)
+		return
+	}
+	r.answerWaiting(output)
+	if r.isTail() {
+		r.commitTail(output)
+		return
+	}
+	if r.awaitsSuccessor() {
+		r.passOn(output)
+	}
+}
+
+func (r *Replica) write(output *Output, write Write) {
+	if len(output.Writes) == 0 {
+		r.unsaved++
+	}
+	output.Writes = append(output.Writes, write)
+}
+
+func (r *Replica) apply(output *Output, change *pb.Change) error {
+	next, err := r.state.Newest.Apply(change)
+	if err != nil {
+		return err
+	}
+	r.previous = r.state.Newest
+	r.state.Newest = next
+	r.history.Add(change)
+	r.write(output, Write{Change: change, Basis: r.state.Basis})
+	return nil
+}
--- /dev/null
+++ b/internal/chain/sync.go
@@ -0,0 +1,176 @@
+package chain
+
+import (
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// Repeats of a sync request, in ticks: the first wait, and the longest.
+const (
+	firstRequestWait = 4
+	maxRequestWait   = 16
+)
+
+// syncRequest is a request for the upstream's state that was not answered yet.
+type syncRequest struct {
+	ticket uint64
+	base   *catalog.Snapshot // whose digests were sent
+	age    int               // ticks since it was sent
+	wait   int               // ticks until it is sent again
+}
+
+// A repair says what differs from the very digests that were sent, so each answer must be matched with its
+// request. The request's ticket travels as a further digest after those of the ranges, and comes back as a
+// further range, with one item that has the ticket as its sequence.
+const ticketRange = catalog.RangeCount
+
+func (r *Replica) askOnce(output *Output) {
+	if r.request == nil {
+		r.ask(output)
+	}
+}
+
+// ask sends a request for the upstream's state.
+func (r *Replica) ask(output *Output) {
+	wait := firstRequestWait
+	if r.request != nil {
+		wait = min(2*r.request.wait, maxRequestWait)
+	}
+	r.ticket++
+	r.request = &syncRequest{ticket: r.ticket, base: r.state.Newest, wait: wait}
+	upstream := r.upstream()
+	if upstream == nil {
+		return
+	}
+	digests := r.state.Newest.Digests()
+	digests.Digests = append(digests.Digests, r.ticket)
+	r.send(output, upstream, &pb.Message{Body: &pb.Message_SyncRequest{SyncRequest: &pb.SyncRequest{
+		ViewNumber: r.state.View.GetNumber(),
+		Digests:    digests,
+	}}})
+}
+
+func (r *Replica) repeatRequest(output *Output) {
+	if r.request == nil {
+		r.ask(output)
+		return
+	}
+	r.request.age++
+	if r.request.age >= r.request.wait {
+		r.ask(output)
+	}
+}
+
+// SyncRequest answers a machine that takes its state from this replica, at once or when the replica holds the
+// state of the view.
+func (r *Replica) SyncRequest(message *pb.Message) Output {
+	var output Output
+	request := message.GetSyncRequest()
+	if !r.isCurrent(request.GetViewNumber()) || !r.serves(message.GetFrom()) {
+		return output
+	}
+	if r.synchronised && r.unsaved == 0 {
+		r.answer(&output, message)
+		return output
+	}
+	if r.waiting == nil {
+		r.waiting = make(map[string]*pb.Message)
+	}
+	if len(r.waiting) < maxWaiting {
+		r.waiting[message.GetFrom().GetIdentity()] = message
+	}
+	return output
+}
+
+func (r *Replica) answerWaiting(output *Output) {
+	for _, voter := range r.state.View.GetVoters() {
+		if message, found := r.waiting[voter.GetIdentity()]; found {
+			r.answer(output, message)
+		}
+	}
+	r.waiting = nil
+}
+
+func (r *Replica) answer(output *Output, message *pb.Message) {
+	digests := message.GetSyncRequest().GetDigests()
+	if len(digests.GetDigests()) != catalog.RangeCount+1 {
+		return
+	}
+	ticket := digests.GetDigests()[ticketRange]
+	repair := r.state.Newest.RepairFor(&pb.RangeDigests{
+		Sequence:   digests.GetSequence(),
+		Generation: digests.GetGeneration(),
+		Digests:    digests.GetDigests()[:catalog.RangeCount],
+	})
+	repair.Ranges = append(repair.Ranges, &pb.Range{
+		Index: ticketRange,
+		Items: []*pb.Item{{Sequence: ticket}},
+	})
+	r.send(output, message.GetFrom(), &pb.Message{Body: &pb.Message_SyncResponse{SyncResponse: &pb.SyncResponse{
+		ViewNumber: r.state.View.GetNumber(),
+		Repair:     repair,
+	}}})
+}
+
+// takeTicket removes the ticket from a repair and returns it; 0 if there is none.
+func takeTicket(repair *pb.Repair) (*pb.Repair, uint64) {
+	last := len(repair.GetRanges()) - 1
+	if last < 0 || repair.GetRanges()[last].GetIndex() != ticketRange {
+		return repair, 0
+	}
+	items := repair.GetRanges()[last].GetItems()
+	if len(items) != 1 {
+		return repair, 0
+	}
+	plain := &pb.Repair{
+		Sequence:   repair.GetSequence(),
+		Generation: repair.GetGeneration(),
+		Ranges:     repair.GetRanges()[:last],
+	}
+	return plain, items[0].GetSequence()
+}
+
+// SyncResponse takes the upstream's state.
+func (r *Replica) SyncResponse(from *pb.Replica, message *pb.SyncResponse) Output {
+	var output Output
+	if !r.isCurrent(message.GetViewNumber()) || !r.isUpstream(from) || r.request == nil || r.unsaved > 0 {
+		return output
+	}
+	repair, ticket := takeTicket(message.GetRepair())
+	if ticket != r.request.ticket || r.request.base != r.state.Newest {
+		return output
+	}
+	if r.synchronised && repair.GetSequence() <= r.state.Newest.Sequence() {
+		r.request = nil
+		return output
+	}
+	r.adoptState(&output, repair)
+	return output
+}
+
+func (r *Replica) adoptState(output *Output, repair *pb.Repair) {
+	next, err := r.state.Newest.Restore(repair)
+	if err != nil {
+		return
+	}
+	r.request = nil
+	r.lag = 0
+	if !r.isLearner() {
+		r.state.Basis = r.state.View.GetNumber()
+	}
+	same := len(repair.GetRanges()) == 0 && next.Sequence() == r.state.Newest.Sequence()
+	r.synchronised = true
+	if same && r.isLearner() {
+		r.publish()
+		r.commit(output, r.state.Newest)
+		return
+	}
+	if same {
+		r.write(output, Write{Basis: r.state.Basis})
+		return
+	}
+	r.previous = nil
+	r.state.Newest = next
+	r.history.Reset(next.Sequence())
+	r.write(output, Write{Repair: repair, Basis: r.state.Basis})
+}
--- /dev/null
+++ b/internal/control/event.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/ring"
+)
+
+// Event is something that a Machine is told by its Step.
+type Event interface{ isEvent() }
+
+// Started must be the first event.
+type Started struct{}
+
+// Tick tells that time has passed; it is meant to come every TickPeriod.
+type Tick struct{}
+
+// Received is a message of another control machine. The machine keeps it.
+type Received struct{ Message *pb.Message }
+
+// Persisted tells that a Persist action is on disk. Tokens come back in their order.
+type Persisted struct{ Token uint64 }
+
+// WriteFailed tells that the oldest Persist failed; it is tried again until it succeeds.
+type WriteFailed struct{}
+
+// Submitted is an order of the operator that arrived at this machine. The order's id is set by the machine.
+type Submitted struct {
+	Request uint64 // comes back in the Reply
+	Order   *pb.Order
+}
+
+// Broadcast asks for a server list to be sent to the other control machines.
+type Broadcast struct{ List *pb.ServerList }
+
+func (Started) isEvent()     {}
+func (Tick) isEvent()        {}
+func (Received) isEvent()    {}
+func (Persisted) isEvent()   {}
+func (WriteFailed) isEvent() {}
+func (Submitted) isEvent()   {}
+func (Broadcast) isEvent()   {}
+
+// Action is something that a Machine asks for.
+type Action interface{ isAction() }
+
+// Send asks for a message to be sent; it may be lost.
+type Send struct {
+	Address string // ip:port of the receiver's peer service
+	Message *pb.Message
+}
+
+// Persist asks for records to be put on disk, after those of all earlier Persist actions. If Snapshot is set,
+// it stands for everything so far, Records included.
+type Persist struct {
+	Token    uint64
+	Records  []ring.Record
+	Snapshot []byte
+}
+
+// Reply answers a Submitted order. Each is answered exactly once.
+type Reply struct {
+	Request uint64
+	Result  *pb.OrderResult
+}
+
+// Committed tells of a newer committed state.
+type Committed struct {
+	Snapshot *catalog.Snapshot
+	// Changes lead from the state told before to this one; nil when they are not kept.
+	Changes []*pb.Change
+}
+
+// ViewChanged tells of the view now in force.
+type ViewChanged struct{ View *pb.View }
+
+// HeartbeatHeard passes on the soft state of another machine.
+type HeartbeatHeard struct {
+	From      *pb.Replica
+	Heartbeat *pb.Heartbeat
+}
+
+// ListHeard passes on a server list from another machine.
+type ListHeard struct{ List *pb.ServerList }
+
+func (Send) isAction()           {}
+func (Persist) isAction()        {}
+func (Reply) isAction()          {}
+func (Committed) isAction()      {}
+func (ViewChanged) isAction()    {}
+func (HeartbeatHeard) isAction() {}
+func (ListHeard) isAction()      {}
--- /dev/null
+++ b/internal/control/founding.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/quorum"
+)
+
+// Times of founding, after a machine's start.
+const (
+	// gatherFor is the time for machines other than the seeds to be heard, so that they vote from the start.
+	gatherFor = 450 * time.Millisecond
+	// foundWithout is when a majority of the seeds founds without the others.
+	foundWithout = 1500 * time.Millisecond
+)
+
+// founders are the machines that start for the first time, with this one, in the order of their hosts.
+func (m *Machine) founders() []*pb.Replica {
+	var founders []*pb.Replica
+	if m.bootstrap {
+		founders = append(founders, m.self)
+	}
+	for identity, found := range m.peers.known {
+		if m.isLive(identity) && found.heartbeat.GetBootstrap() {
+			founders = append(founders, found.replica)
+		}
+	}
+	slices.SortFunc(founders, func(a, b *pb.Replica) int {
+		return cmp.Or(cmp.Compare(a.GetHost(), b.GetHost()), cmp.Compare(a.GetIdentity(), b.GetIdentity()))
+	})
+	return founders
+}
+
+// founderAt returns the founder that serves an operator's address; nil if none was heard.
+func (m *Machine) founderAt(controlAddress string) *pb.Replica {
+	for _, founder := range m.founders() {
+		if founder.GetControlAddress() == controlAddress {
+			return founder
+		}
+	}
+	return nil
+}
+
+// seesFounders reports whether enough seeds were heard to found the system.
+func (m *Machine) seesFounders() bool {
+	heard := 0
+	for _, seed := range m.config.Seeds {
+		if m.founderAt(seed) != nil {
+			heard++
+		}
+	}
+	age := m.now - m.started
+	if heard == len(m.config.Seeds) {
+		return age >= gatherFor
+	}
+	return heard >= quorum.Majority(m.base()) && age >= foundWithout
+}
+
+// foundingView is the first view: all founders vote, seeds first if there are too many.
+func (m *Machine) foundingView() *pb.View {
+	voters := m.founders()
+	slices.SortStableFunc(voters, func(a, b *pb.Replica) int {
+		return cmp.Compare(m.seedOrder(a), m.seedOrder(b))
+	})
+	voters = voters[:min(len(voters), quorum.MaxVoters)]
+	return &pb.View{
+		Number:  1,
+		Cluster: strconv.FormatUint(m.random.Uint64(), 36),
+		Voters:  voters,
+		Chain:   chain.First(voters),
+	}
+}
+
+// seedOrder is the place of a machine among the seeds; all others come after them.
+func (m *Machine) seedOrder(replica *pb.Replica) int {
+	place := slices.Index(m.config.Seeds, replica.GetControlAddress())
+	if place < 0 {
+		return len(m.config.Seeds)
+	}
+	return place
+}
--- /dev/null
+++ b/internal/control/head.go
@@ -0,0 +1,196 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// orderAge is how long the head keeps an order that waits for the one before.
+const orderAge = orderLimit
+
+// headOrders are the orders that arrived at this machine as the head of the chain.
+type headOrders struct {
+	queue  []*headOrder
+	active *headOrder // its change is on its way through the chain; nil if there is none
+}
+
+type headOrder struct {
+	from     *pb.Replica // origin
+	order    *pb.Order
+	expires  time.Duration
+	sequence uint64 // of its change
+}
+
+func (o *headOrder) is(from *pb.Replica, id uint64) bool {
+	return o != nil && o.from.GetIdentity() == from.GetIdentity() && o.order.GetId() == id
+}
+
+// order takes an order that was forwarded to this machine.
+func (m *Machine) order(from *pb.Replica, order *pb.Order) {
+	if order.GetKind() == pb.Order_KIND_READ {
+		m.read(from, order)
+		return
+	}
+	if m.isKnownOrder(from, order.GetId()) {
+		return
+	}
+	if !m.takesOrders() || len(m.head.queue) >= maxOrders {
+		m.result(from, unavailable(order.GetId()))
+		return
+	}
+	m.head.queue = append(m.head.queue, &headOrder{from: from, order: order, expires: m.now + orderAge})
+}
+
+// takesOrders reports whether this machine is the head of a chain that is long and wide enough.
+func (m *Machine) takesOrders() bool {
+	view := m.View()
+	if view == nil || m.replica.Head().GetIdentity() != m.self.GetIdentity() {
+		return false
+	}
+	return m.config.Requirement.MetBy(view.GetChain(), view.GetVoters())
+}
+
+func (m *Machine) isKnownOrder(from *pb.Replica, id uint64) bool {
+	if m.head.active.is(from, id) || m.isChecked(from, id) {
+		return true
+	}
+	for _, queued := range m.head.queue {
+		if queued.is(from, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// pump gives the chain its next change while it takes one.
+func (m *Machine) pump() {
+	for m.head.active == nil && len(m.head.queue) > 0 && m.replica.IsOpen() {
+		next := m.head.queue[0]
+		m.head.queue = m.head.queue[1:]
+		if m.now < next.expires {
+			m.execute(next)
+		}
+	}
+}
+
+// execute validates an order on the newest state, which is committed, and appends its change.
+func (m *Machine) execute(next *headOrder) {
+	change, err := prepareChange(m.replica.Newest(), next.order)
+	if err != nil {
+		m.refuse(next, err)
+		return
+	}
+	if change == nil {
+		m.check(next.from, &pb.OrderResult{Id: next.order.GetId(), Status: http.StatusOK}, nil)
+		return
+	}
+	output, err := m.replica.Propose(change)
+	if err != nil {
+		m.result(next.from, unavailable(next.order.GetId()))
+		return
+	}
+	next.sequence = change.GetSequence()
+	m.head.active = next
+	m.perform(output)
+}
+
+// prepareChange returns the change that an order makes; nil if it makes none.
+func prepareChange(snapshot *catalog.Snapshot, order *pb.Order) (*pb.Change, error) {
+	switch order.GetKind() {
+	case pb.Order_KIND_REPLACE:
+		return catalog.PrepareReplace(snapshot, order.GetBase(), order.GetBody())
+	case pb.Order_KIND_AMEND:
+		return catalog.PrepareAmend(snapshot, order.GetBase(), order.GetBody())
+	case pb.Order_KIND_EVACUATE_BEGIN:
+		return catalog.PrepareEvacuation(snapshot, order.GetZone(), true)
+	case pb.Order_KIND_EVACUATE_FINISH:
+		return catalog.PrepareEvacuation(snapshot, order.GetZone(), false)
+	default:
+		return nil, errors.Newf("order of unknown kind %d", order.GetKind())
+	}
+}
+
+// refuse answers an order that leads to no change, once it is certain that this machine is still the head. An
+// order on a later generation than the current one is not refused for good: a copy of it that is still on its
+// way could be taken when that generation comes.
+func (m *Machine) refuse(next *headOrder, cause error) {
+	var refusal catalog.OrderError
+	early := next.order.GetBase() > m.replica.Newest().Generation()
+	if !errors.As(cause, &refusal) || (early && refusal.Status() != http.StatusOK) {
+		m.result(next.from, unavailable(next.order.GetId()))
+		return
+	}
+	m.check(next.from, &pb.OrderResult{
+		Id:     next.order.GetId(),
+		Status: uint32(refusal.Status()),
+		Body:   reasonBody(refusal),
+	}, nil)
+}
+
+func reasonBody(refusal catalog.OrderError) []byte {
+	if refusal.Status() == http.StatusOK {
+		return nil
+	}
+	body, err := json.Marshal(struct {
+		Error string `json:"error"`
+	}{refusal.Error()})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// settleOrders answers the active order once its change is committed.
+func (m *Machine) settleOrders() {
+	active := m.head.active
+	if active == nil || !m.replica.Follows() || m.replica.Committed().Sequence() < active.sequence {
+		return
+	}
+	m.head.active = nil
+	m.result(active.from, &pb.OrderResult{Id: active.order.GetId(), Status: http.StatusOK})
+}
+
+// dropHeadOrders forgets the orders of a view that was replaced; their origins send them to the new head.
+func (m *Machine) dropHeadOrders() {
+	m.head = headOrders{}
+	m.checks.pending = nil
+}
+
+func (m *Machine) tickHead() {
+	kept := m.head.queue[:0]
+	for _, queued := range m.head.queue {
+		if m.now < queued.expires {
+			kept = append(kept, queued)
+		}
+	}
+	m.head.queue = kept
+}
+
+// result tells an order's origin the outcome.
+func (m *Machine) result(to *pb.Replica, result *pb.OrderResult) {
+	m.send(to, &pb.Message{Body: &pb.Message_OrderResult{OrderResult: result}})
+}
+
+// read takes a read that was forwarded to this machine as the tail.
+func (m *Machine) read(from *pb.Replica, order *pb.Order) {
+	if m.isChecked(from, order.GetId()) {
+		return
+	}
+	isTail := m.replica.Tail().GetIdentity() == m.self.GetIdentity()
+	if m.View() == nil || !isTail || !m.replica.Follows() {
+		m.result(from, unavailable(order.GetId()))
+		return
+	}
+	committed := m.replica.Committed()
+	if committed.Generation() == 0 {
+		m.result(from, unavailable(order.GetId()))
+		return
+	}
+	m.check(from, &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK}, committed)
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/ring"
+	"fieldrelay/internal/settings"
+)
+
+// Bounds of a Node.
+const (
+	eventQueue = 256
+	// submitLimit ends the wait for a machine that does not answer at all.
+	submitLimit = 2 * time.Second
+	// openPause is the wait before a disk that refuses is opened again.
+	openPause = 200 * time.Millisecond
+	// deliverWait is how long a delivery waits for a machine that is behind.
+	deliverWait = 300 * time.Millisecond
+	// ringFolder is the folder of the ring under the state folder.
+	ringFolder = "control"
+	ringFiles  = 2
+	ringBytes  = 512 << 10
+)
+
+// Options configures a Node.
+type Options struct {
+	Settings *settings.Settings
+	Logger   *zap.Logger
+	// ControlAddress is the ip:port of this machine's operator's API.
+	ControlAddress string
+	// Soft is asked for what each heartbeat carries besides the agreed state; nil: nothing. It must not block.
+	Soft func() ([]*pb.AgentRecord, *pb.ListVersion)
+	// OnHeartbeat is told of each heartbeat of another control machine; nil: nothing. It must not block.
+	OnHeartbeat func(from *pb.Replica, heartbeat *pb.Heartbeat)
+	// OnServerList is told of each server list from another control machine; nil: nothing. It must not block.
+	OnServerList func(list *pb.ServerList)
+	// PeerAddress gives the peer service, ip:port, of a seed; nil: the seed's ip and the first port of the
+	// settings' port range.
+	PeerAddress func(seed string) string
+	// Storage holds the ring; nil: a folder under the settings' state folder.
+	Storage ring.Files
+}
+
+// Status is an immutable picture of what a Node holds.
+type Status struct {
+	View      *pb.View          // agreed view; nil before founding or joining
+	Self      *pb.Replica       // this machine
+	Committed *catalog.Snapshot // newest committed state known here; nil before the first confirmation
+	// Authoritative: this machine holds the state of the agreed view and has heard from a majority of the
+	// voters within the last second or so.
+	Authoritative bool
+	Live          []string // hosts of the live voters, this one included, in the order of the view
+	Founded       bool     // a view is known
+}
+
+// Node runs a Machine: it owns the ring, the connections to other control machines and the clock.
+type Node struct {
+	options  Options
+	logger   *zap.Logger
+	began    time.Time
+	events   chan Event
+	outboxes *outboxes
+	writer   *writer
+	counters counters
+
+	// owned by the loop
+	machine *Machine
+
+	status atomic.Pointer[Status]
+
+	mutex   sync.Mutex // guards what follows
+	changed chan struct{}
+	history *catalog.History
+	waiting map[uint64]chan *pb.OrderResult // by request
+	request uint64
+}
+
+// Start opens the ring, again and again while the disk refuses, and starts the goroutines of the node; they
+// end with ctx. The error tells that ctx ended, that there is no state folder, or that what is on disk cannot
+// be read.
+func Start(ctx context.Context, options Options) (*Node, error) {
+	opened, recovered, err := openRing(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	machine, err := NewMachine(machineConfig(options), recovered)
+	if err != nil {
+		return nil, errors.Wrap(err, "recover the control state")
+	}
+	node := &Node{
+		options: options,
+		logger:  options.Logger.Named("control"),
+		began:   time.Now(),
+		events:  make(chan Event, eventQueue),
+		machine: machine,
+		changed: make(chan struct{}),
+		history: catalog.NewHistory(0),
+		waiting: make(map[uint64]chan *pb.OrderResult),
+	}
+	node.outboxes = newOutboxes(ctx, &node.counters)
+	node.writer = newWriter(opened, node.post, &node.counters)
+	node.publish()
+	go node.writer.run(ctx)
+	go node.loop(ctx)
+	return node, nil
+}
+
+func openRing(ctx context.Context, options Options) (*ring.Ring, *ring.Recovered, error) {
+	if options.Storage == nil && options.Settings.StateDir == "" {
+		return nil, nil, errors.New("a control machine needs a state-dir")
+	}
+	folder := filepath.Join(options.Settings.StateDir, ringFolder)
+	ringOptions := ring.Options{Files: ringFiles, FileBytes: ringBytes, Storage: options.Storage}
+	for {
+		opened, recovered, err := ring.Open(folder, ringOptions)
+		var corrupt *ring.CorruptError
+		if err == nil || errors.As(err, &corrupt) {
+			return opened, recovered, errors.Wrap(err, "open the ring")
+		}
+		options.Logger.Warn("the disk refuses", zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return nil, nil, errors.Wrap(err, "open the ring")
+		case <-time.After(openPause):
+		}
+	}
+}
+
+func machineConfig(options Options) Config {
+	own := options.Settings
+	peerAddress := options.PeerAddress
+	if peerAddress == nil {
+		peerAddress = peerAddressOf(own)
+	}
+	return Config{
+		Self: &pb.Replica{
+			Host:           own.Hostname,
+			Address:        own.Port(0),
+			Zone:           own.Zone,
+			Region:         own.RegionOf(own.Zone),
+			ControlAddress: options.ControlAddress,
+		},
+		Seeds:     own.Seeds,
+		Bootstrap: own.Bootstrap,
+		Requirement: chain.Requirement{
+			Replicas: own.FaultBudget.Hosts + 1,
+			Zones:    own.FaultBudget.Zones + 1,
+		},
+		PeerAddress: peerAddress,
+		Random:      newRandom(),
+	}
+}
+
+func newRandom() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:]) // it never fails
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// Submit hands an order of the operator to the system and waits for its result: status 503 when it is not
+// known within a second. It never returns nil.
+func (node *Node) Submit(ctx context.Context, order *pb.Order) *pb.OrderResult {
+	node.counters.orders.Add(1)
+	answer := make(chan *pb.OrderResult, 1)
+	request := node.expect(answer)
+	defer node.unexpect(request)
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	select {
+	case node.events <- Submitted{Request: request, Order: order}:
+	case <-ctx.Done():
+		return unavailable(0)
+	}
+	select {
+	case result := <-answer:
+		return result
+	case <-ctx.Done():
+		return unavailable(0)
+	}
+}
+
+func (node *Node) expect(answer chan *pb.OrderResult) uint64 {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	node.request++
+	node.waiting[node.request] = answer
+	return node.request
+}
+
+func (node *Node) unexpect(request uint64) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	delete(node.waiting, request)
+}
+
+// Status tells what the node holds now.
+func (node *Node) Status() Status { return *node.status.Load() }
+
+// Changed returns a channel that is closed at the next change of the committed state, the view, Authoritative
+// or Live.
+func (node *Node) Changed() <-chan struct{} {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.changed
+}
+
+// Since returns the committed changes after sequence, oldest first; false when they are not kept any more.
+func (node *Node) Since(sequence uint64) ([]*pb.Change, bool) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.history.Since(sequence)
+}
+
+// Deliver implements fieldrelayv1connect.ControlPeerHandler.
+func (node *Node) Deliver(ctx context.Context, request *connect.Request[pb.DeliverRequest]) (*connect.Response[pb.DeliverResponse], error) {
+	messages := request.Msg.GetMessages()
+	node.counters.received.Add(uint64(len(messages)))
+	ctx, cancel := context.WithTimeout(ctx, deliverWait)
+	defer cancel()
+	for _, message := range messages {
+		select {
+		case node.events <- Received{Message: message}:
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("the machine is behind"))
+		}
+	}
+	return connect.NewResponse(&pb.DeliverResponse{}), nil
+}
+
+// Broadcast sends a server list to the other control machines, as far as they can be reached.
+func (node *Node) Broadcast(list *pb.ServerList) {
+	select {
+	case node.events <- Broadcast{List: list}:
+	default: // the next list follows soon
+	}
+}
--- /dev/null
+++ b/internal/control/origin.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"net/http"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Times and bounds of orders.
+const (
+	// orderLimit is how long an order may take before it is answered 503.
+	orderLimit = 900 * time.Millisecond
+	// resendOrder is the wait before an unanswered order is sent again.
+	resendOrder = 300 * time.Millisecond
+	// maxOrders bounds the orders on their way at one machine, as their origin and as the head each.
+	maxOrders = 64
+)
+
+// originOrders are the orders that arrived at this machine, the oldest first.
+type originOrders struct {
+	pending []*pendingOrder
+	next    uint64 // id
+}
+
+type pendingOrder struct {
+	request  uint64
+	order    *pb.Order
+	deadline time.Duration
+	sent     time.Duration
+}
+
+func unavailable(id uint64) *pb.OrderResult {
+	return &pb.OrderResult{Id: id, Status: http.StatusServiceUnavailable}
+}
+
+// submit takes an order of the operator and forwards it.
+func (m *Machine) submit(event Submitted) {
+	if m.View() == nil || !m.hearsMajority() || len(m.origin.pending) >= maxOrders {
+		m.actions = append(m.actions, Reply{Request: event.Request, Result: unavailable(0)})
+		return
+	}
+	m.origin.next++
+	order := event.Order
+	pending := &pendingOrder{
+		request: event.Request,
+		order: &pb.Order{
+			Id:   m.origin.next,
+			Kind: order.GetKind(),
+			Base: order.GetBase(),
+			Zone: order.GetZone(),
+			Body: order.GetBody(),
+		},
+		deadline: m.now + orderLimit,
+	}
+	m.origin.pending = append(m.origin.pending, pending)
+	m.forward(pending)
+}
+
+// forward sends an order to the head, or to the tail if it is a read.
+func (m *Machine) forward(pending *pendingOrder) {
+	pending.sent = m.now
+	target := m.replica.Head()
+	if pending.order.GetKind() == pb.Order_KIND_READ {
+		target = m.replica.Tail()
+	}
+	if target != nil {
+		m.send(target, &pb.Message{Body: &pb.Message_Order{Order: pending.order}})
+	}
+}
+
+// forwardAgain sends all pending orders to the chain of a new view.
+func (m *Machine) forwardAgain() {
+	for _, pending := range append([]*pendingOrder(nil), m.origin.pending...) {
+		m.forward(pending)
+	}
+}
+
+func (m *Machine) tickOrigin() {
+	for _, pending := range append([]*pendingOrder(nil), m.origin.pending...) {
+		switch {
+		case m.now >= pending.deadline:
+			m.orderResult(unavailable(pending.order.GetId()))
+		case m.now-pending.sent >= resendOrder:
+			m.forward(pending)
+		}
+	}
+}
+
+// orderResult answers the operator. A result that comes twice, or too late, is dropped.
+func (m *Machine) orderResult(result *pb.OrderResult) {
+	for index, pending := range m.origin.pending {
+		if pending.order.GetId() != result.GetId() {
+			continue
+		}
+		m.origin.pending = append(m.origin.pending[:index], m.origin.pending[index+1:]...)
+		m.actions = append(m.actions, Reply{Request: pending.request, Result: result})
+		return
+	}
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/quorum"
+)
+
+const (
+	// forgetAfter is how long a silent machine that does not vote is remembered.
+	forgetAfter = 30 * time.Second
+	// maxPeers bounds the table of other machines.
+	maxPeers = 64
+	// steadyFor is how long a machine must have been live before it is added to the chain without need.
+	steadyFor = time.Second
+)
+
+// peer is what is known of another control machine.
+type peer struct {
+	replica   *pb.Replica
+	heard     time.Duration // last time
+	liveSince time.Duration
+	heartbeat *pb.Heartbeat // nil before the first
+}
+
+type peerTable struct {
+	known map[string]*peer // by identity
+}
+
+func newPeerTable() peerTable { return peerTable{known: make(map[string]*peer)} }
+
+// note remembers that a machine was heard.
+func (t *peerTable) note(replica *pb.Replica, now time.Duration) *peer {
+	found, known := t.known[replica.GetIdentity()]
+	if !known {
+		if len(t.known) >= maxPeers {
+			return &peer{replica: replica, heard: now}
+		}
+		found = &peer{liveSince: now}
+		t.known[replica.GetIdentity()] = found
+	} else if now-found.heard > SilenceLimit {
+		found.liveSince = now
+	}
+	found.replica = replica
+	found.heard = now
+	return found
+}
+
+// excuse moves the time at which others were heard by what this machine has missed itself.
+func (t *peerTable) excuse(gap, now time.Duration) {
+	for _, found := range t.known {
+		found.heard = min(found.heard+gap, now)
+	}
+}
+
+// forget drops machines that do not vote and are silent.
+func (t *peerTable) forget(now time.Duration, view *pb.View) {
+	for identity, found := range t.known {
+		votes := quorum.IndexOf(view.GetVoters(), identity) != quorum.NotFound
+		if !votes && now-found.heard > forgetAfter {
+			delete(t.known, identity)
+		}
+	}
+}
+
+func (m *Machine) isLive(identity string) bool {
+	if identity == m.self.GetIdentity() {
+		return true
+	}
+	found, known := m.peers.known[identity]
+	return known && m.now-found.heard <= SilenceLimit
+}
+
+func (m *Machine) liveVoters() int {
+	live := 0
+	for _, voter := range m.View().GetVoters() {
+		if m.isLive(voter.GetIdentity()) {
+			live++
+		}
+	}
+	return live
+}
+
+// hearsMajority reports whether a majority of the voters is live.
+func (m *Machine) hearsMajority() bool {
+	view := m.View()
+	return view != nil && m.liveVoters() >= quorum.Majority(view)
+}
+
+// isFit reports whether this machine can serve in the chain: its disk works and it is not cut off. One that
+// has just started, or knows no view, has had no time to hear the others.
+func (m *Machine) isFit() bool {
+	hasHeard := m.View() == nil || m.now-m.started < SilenceLimit || m.hearsMajority()
+	return m.diskHealthy() && hasHeard
+}
+
+// silence is how long a machine was not heard; since the start at least.
+func (m *Machine) silence(identity string) time.Duration {
+	if identity == m.self.GetIdentity() {
+		return 0
+	}
+	found, known := m.peers.known[identity]
+	if !known {
+		return m.now - m.started
+	}
+	return m.now - found.heard
+}
+
+// electorate describes all known machines for the choice of voters.
+func (m *Machine) electorate() map[string]quorum.Peer {
+	peers := make(map[string]quorum.Peer, len(m.peers.known)+1)
+	for _, voter := range m.View().GetVoters() {
+		identity := voter.GetIdentity()
+		peers[identity] = quorum.Peer{Replica: voter, Silence: m.silence(identity), Live: m.isLive(identity)}
+	}
+	for identity, found := range m.peers.known {
+		peers[identity] = quorum.Peer{
+			Replica:   found.replica,
+			Silence:   m.silence(identity),
+			Live:      m.isLive(identity),
+			HoldsView: found.heartbeat.GetViewNumber() == m.View().GetNumber(),
+		}
+	}
+	return peers
+}
+
+// candidates describes the voters for the choice of a chain.
+func (m *Machine) candidates(voters []*pb.Replica) map[string]chain.Candidate {
+	candidates := make(map[string]chain.Candidate, len(voters))
+	for _, voter := range voters {
+		identity := voter.GetIdentity()
+		if identity == m.self.GetIdentity() {
+			candidates[identity] = m.ownCandidate()
+			continue
+		}
+		if found, known := m.peers.known[identity]; known {
+			candidates[identity] = m.peerCandidate(identity, found)
+		}
+	}
+	return candidates
+}
+
+func (m *Machine) ownCandidate() chain.Candidate {
+	published := m.replica.Published()
+	return chain.Candidate{
+		Fit:    m.isFit(),
+		Holds:  published.Holds && published.ViewNumber == m.View().GetNumber(),
+		Steady: m.now-m.started >= steadyFor && m.mayReturn(m.self.GetIdentity()),
+	}
+}
+
+func (m *Machine) peerCandidate(identity string, found *peer) chain.Candidate {
+	heartbeat := found.heartbeat
+	return chain.Candidate{
+		Fit:    m.isLive(identity) && heartbeat.GetStorageHealthy(),
+		Holds:  heartbeat.GetSynchronised() && heartbeat.GetViewNumber() == m.View().GetNumber(),
+		Steady: m.now-found.liveSince >= steadyFor && m.mayReturn(identity),
+	}
+}
--- /dev/null
+++ b/internal/controlserver/fake_test.go
@@ -0,0 +1,217 @@
+package controlserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/settings"
+)
+
+// fakeNode is the replicated control state of a single machine, in memory.
+type fakeNode struct {
+	mutex     sync.Mutex
+	status    control.Status
+	history   *catalog.History
+	changed   chan struct{}
+	broadcast []*pb.ServerList
+	delivered int
+	block     chan struct{} // orders wait for it, if set
+	waiting   atomic.Int64  // orders that do
+}
+
+func newFakeNode() *fakeNode {
+	return &fakeNode{
+		status: control.Status{
+			View:          &pb.View{Number: 1},
+			Committed:     catalog.Empty(),
+			Authoritative: true,
+			Live:          []string{"control-1"},
+			Founded:       true,
+		},
+		history: catalog.NewHistory(0),
+		changed: make(chan struct{}),
+	}
+}
+
+func (n *fakeNode) Submit(_ context.Context, order *pb.Order) *pb.OrderResult {
+	if n.block != nil {
+		n.waiting.Add(1)
+		<-n.block
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if order.Kind == pb.Order_KIND_READ {
+		body, err := n.status.Committed.Configuration()
+		if err != nil {
+			return &pb.OrderResult{Status: 503}
+		}
+		return &pb.OrderResult{Status: 200, Body: body}
+	}
+	change, err := prepare(n.status.Committed, order)
+	if refusal, refused := errors.AsType[catalog.OrderError](err); refused {
+		return &pb.OrderResult{Status: uint32(refusal.Status())}
+	}
+	if err == nil && change != nil {
+		n.commit(change)
+	}
+	return &pb.OrderResult{Status: 200}
+}
+
+func prepare(snapshot *catalog.Snapshot, order *pb.Order) (*pb.Change, error) {
+	switch order.Kind {
+	case pb.Order_KIND_REPLACE:
+		return catalog.PrepareReplace(snapshot, order.Base, order.Body)
+	case pb.Order_KIND_AMEND:
+		return catalog.PrepareAmend(snapshot, order.Base, order.Body)
+	default:
+		return catalog.PrepareEvacuation(snapshot, order.Zone, order.Kind == pb.Order_KIND_EVACUATE_BEGIN)
+	}
+}
+
+// commit applies a change. The lock is held.
+func (n *fakeNode) commit(change *pb.Change) {
+	next, err := n.status.Committed.Apply(change)
+	if err != nil {
+		panic(err)
+	}
+	n.status.Committed = next
+	n.history.Add(change)
+	n.announce()
+}
+
+// announce tells the waiting that the status changed. The lock is held.
+func (n *fakeNode) announce() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// alter changes the status.
+func (n *fakeNode) alter(change func(*control.Status)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	change(&n.status)
+	n.announce()
+}
+
+func (n *fakeNode) forgetHistory() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.history.Reset(n.status.Committed.Sequence())
+}
+
+func (n *fakeNode) Status() control.Status {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.status
+}
+
+func (n *fakeNode) Changed() <-chan struct{} {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.changed
+}
+
+func (n *fakeNode) Since(sequence uint64) ([]*pb.Change, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.history.Since(sequence)
+}
+
+func (n *fakeNode) Deliver(_ context.Context, request *connect.Request[pb.DeliverRequest]) (*connect.Response[pb.DeliverResponse], error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.delivered += len(request.Msg.Messages)
+	return connect.NewResponse(&pb.DeliverResponse{}), nil
+}
+
+func (n *fakeNode) Broadcast(list *pb.ServerList) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.broadcast = append(n.broadcast, list)
+}
+
+// testSettings are those of a control machine that serves on loopback.
+func testSettings() *settings.Settings {
+	return &settings.Settings{
+		Hostname:  "control-1",
+		Address:   "127.0.0.1",
+		Zone:      "brno-hala",
+		Region:    "cz-morava",
+		PortRange: []int{0, 2},
+		Zones:     map[string]string{"brno-hala": "cz-morava"},
+		Bounds:    settings.Bounds{TTLMaxS: 5},
+		CloudAPI:  settings.CloudAPI{Rate: 42},
+	}
+}
+
+// newTestProcess returns a process with a fake node that reads no settings file.
+func newTestProcess(t *testing.T) (*process, *fakeNode) {
+	t.Helper()
+	p := newProcess(newSettingsWatch("", testSettings(), zap.NewNop()), zap.NewNop(), 1)
+	node := newFakeNode()
+	p.attach(node)
+	t.Cleanup(p.stopPolls)
+	return p, node
+}
+
+// pass lets time go by for a process, with its ticks but without waiting.
+func pass(p *process, duration time.Duration) {
+	const step = 500 * time.Millisecond
+	for ; duration > 0; duration -= step {
+		p.started = p.started.Add(-min(step, duration))
+		p.tick()
+		p.polls.Wait()
+	}
+}
+
+// linkClient serves the process's peer port and returns a client of it.
+func linkClient(t *testing.T, p *process) fieldrelayv1connect.ControlLinkClient {
+	t.Helper()
+	server := httptest.NewServer(p.peerHandler("control-1"))
+	t.Cleanup(server.Close)
+	return fieldrelayv1connect.NewControlLinkClient(server.Client(), server.URL)
+}
+
+// configuration is a valid one of a generation with a number of routes.
+func configuration(generation, routes int) string {
+	text := fmt.Sprintf(`{"gen":%d,"backends":[{"name":"s"}],"routes":[`, generation)
+	for index := range routes {
+		if index > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf(`{"name":"r-%d","vhost":"h.example","path-prefix":"/%d/","backend":"s","deadline-ms":%d}`,
+			index, index, 1000+generation)
+	}
+	return text + `]}`
+}
+
+// replace puts a configuration in force.
+func replace(t *testing.T, node Node, base, generation int) {
+	t.Helper()
+	order := &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: uint64(base), Body: []byte(configuration(generation, 3))}
+	result := node.Submit(t.Context(), order)
+	require.Equal(t, uint32(200), result.Status)
+}
+
+func testAgent(host string) *pb.AgentRecord {
+	return &pb.AgentRecord{
+		Host: host, Incarnation: 1, Zone: "brno-hala", Region: "cz-morava",
+		EdgeAddress: "10.0.0.1:8144", Ready: true,
+	}
+}
+
+var _ Node = (*control.Node)(nil)
--- /dev/null
+++ b/internal/controlserver/found_test.go
@@ -0,0 +1,80 @@
+package controlserver
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"fieldrelay/internal/settings"
+)
+
+// loneMachine returns the settings of a control machine that is the only seed.
+func loneMachine(folder string) *settings.Settings {
+	own := testSettings()
+	own.Binds = settings.Binds{Control: "127.0.0.2:0", Directory: "127.0.0.3:0"}
+	own.Seeds = []string{own.Binds.Control}
+	own.Bootstrap = true
+	own.QuorumMember = true
+	own.StateDir = folder
+	return own
+}
+
+// start serves a control process with a real node and returns the address of its operator's API. The process
+// ends with the function returned.
+func start(t *testing.T, own *settings.Settings) (address string, end func()) {
+	t.Helper()
+	p := newProcess(newSettingsWatch("", own, zap.NewNop()), zap.NewNop(), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	node, err := p.startNode(ctx)
+	require.NoError(t, err)
+	p.attach(node)
+	servers, err := p.listenAll(ctx)
+	require.NoError(t, err)
+	for _, one := range servers {
+		go func() { _ = one.Serve() }()
+		if opened := one.listener.Addr().String(); strings.HasPrefix(opened, "127.0.0.2:") {
+			address = opened
+		}
+	}
+	return address, func() {
+		p.shutDown(servers)
+		cancel()
+	}
+}
+
+// until sends a request again until it gets 200, as the operator does.
+func until(t *testing.T, method, url, base, body string) string {
+	t.Helper()
+	var answer string
+	require.Eventually(t, func() bool {
+		status, got := request(t, method, url, base, body)
+		answer = got
+		return status == http.StatusOK
+	}, 10*time.Second, 20*time.Millisecond, "%s %s", method, url)
+	return answer
+}
+
+func TestAMachineFoundsAloneAndKeepsAConfiguration(t *testing.T) {
+	folder := t.TempDir()
+	address, end := start(t, loneMachine(folder))
+	sent := configuration(7, 5)
+	until(t, "POST", "http://"+address+"/api/conf/replace", "0", sent)
+	until(t, "POST", "http://"+address+"/api/conf/replace", "0", sent)
+	require.JSONEq(t, sent, until(t, "GET", "http://"+address+"/api/conf/read", "", ""))
+	status, body := request(t, "POST", "http://"+address+"/api/conf/replace", "0", configuration(9, 1))
+	require.Equal(t, http.StatusPreconditionFailed, status)
+	require.Contains(t, body, `"wrong_base"`)
+	until(t, "POST", "http://"+address+"/api/drain/brno-hala/begin", "", "")
+	end()
+
+	again := loneMachine(folder)
+	again.Bootstrap = false
+	address, end = start(t, again)
+	defer end()
+	require.JSONEq(t, sent, until(t, "GET", "http://"+address+"/api/conf/read", "", ""))
+}
--- /dev/null
+++ b/internal/controlserver/link.go
@@ -0,0 +1,184 @@
+package controlserver
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/registry"
+)
+
+const (
+	// longestHold bounds the time for which an agent's call is held without news.
+	longestHold = time.Second
+
+	// maxWatches bounds the agents that wait at this machine.
+	maxWatches = 1024
+)
+
+// EndingError refuses a call because this process is ending.
+type EndingError struct{}
+
+func (*EndingError) Error() string { return "this control machine is ending" }
+
+// TooManyWatchesError refuses a call because as many agents as allowed wait already.
+type TooManyWatchesError struct{}
+
+func (*TooManyWatchesError) Error() string { return "too many agents wait at this control machine" }
+
+// NoAgentError refuses a call that does not name its agent.
+type NoAgentError struct{}
+
+func (*NoAgentError) Error() string { return "the call names no agent" }
+
+// link serves the agents.
+type link struct {
+	node    Node
+	soft    *softState
+	host    string // of this machine
+	ending  <-chan struct{}
+	watches chan struct{} // one token for each call under way
+}
+
+func newLink(node Node, soft *softState, host string, ending <-chan struct{}) *link {
+	return &link{node: node, soft: soft, host: host, ending: ending, watches: make(chan struct{}, maxWatches)}
+}
+
+// Watch registers the agent and answers when something is newer than what it holds, at the latest after the
+// hold that it asks for.
+func (l *link) Watch(ctx context.Context, request *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error) {
+	select {
+	case l.watches <- struct{}{}:
+		defer func() { <-l.watches }()
+	default:
+		return nil, connect.NewError(connect.CodeResourceExhausted, &TooManyWatchesError{})
+	}
+	held := request.Msg
+	if held.GetAgent().GetHost() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, &NoAgentError{})
+	}
+	if l.isEnding() {
+		return nil, connect.NewError(connect.CodeUnavailable, &EndingError{})
+	}
+	l.soft.Heard(held.GetAgent(), held.GetList())
+	answer, err := l.await(ctx, held)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// await composes answers until one holds news or the hold is over.
+func (l *link) await(ctx context.Context, held *pb.WatchRequest) (*pb.WatchResponse, error) {
+	hold := time.NewTimer(min(time.Duration(held.GetHoldMs())*time.Millisecond, longestHold))
+	defer hold.Stop()
+	authoritative := l.node.Status().Authoritative
+	for {
+		// The channels come first: a change after them is not missed.
+		stateChanged, softChanged := l.node.Changed(), l.soft.Changed()
+		answer, news := l.compose(held)
+		if news || answer.Authoritative != authoritative {
+			return answer, nil
+		}
+		select {
+		case <-stateChanged:
+		case <-softChanged:
+		case <-hold.C:
+			return l.final(held), nil
+		case <-l.ending:
+			return l.final(held), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// final is the answer at the end of the hold, with the ages of now.
+func (l *link) final(held *pb.WatchRequest) *pb.WatchResponse {
+	answer, _ := l.compose(held)
+	return answer
+}
+
+func (l *link) isEnding() bool {
+	select {
+	case <-l.ending:
+		return true
+	default:
+		return false
+	}
+}
+
+// compose returns the answer as of now and whether it holds something that the agent does not.
+func (l *link) compose(held *pb.WatchRequest) (*pb.WatchResponse, bool) {
+	status := l.node.Status()
+	answer := &pb.WatchResponse{Authoritative: status.Authoritative, MembersSource: l.host}
+	news := l.addState(answer, held, status.Committed)
+	if status.View.GetNumber() > held.GetViewNumber() {
+		answer.View = status.View
+		news = true
+	}
+	picture := l.soft.Picture()
+	news = l.addList(answer, held, picture.list) || news
+	news = l.addMembers(answer, held, picture) || news
+	return answer, news
+}
+
+// addState adds what the agent's copy of the control state lacks.
+func (l *link) addState(answer *pb.WatchResponse, held *pb.WatchRequest, committed *catalog.Snapshot) bool {
+	if committed == nil {
+		return false
+	}
+	answer.Sequence = committed.Sequence()
+	answer.Generation = committed.Generation()
+	if committed.Sequence() <= held.GetSequence() {
+		return false
+	}
+	if held.GetSequence() == 0 {
+		answer.Repair = committed.RepairFor(nil)
+		return true
+	}
+	if changes, kept := l.node.Since(held.GetSequence()); kept && len(changes) > 0 {
+		answer.Changes = changes
+		last := changes[len(changes)-1]
+		answer.Sequence = last.GetSequence()
+		answer.Generation = last.GetGeneration()
+		return true
+	}
+	if digests := held.GetDigests(); digests != nil && digests.GetSequence() == held.GetSequence() {
+		answer.Repair = committed.RepairFor(digests)
+		return true
+	}
+	answer.NeedDigests = true
+	return true
+}
+
+// addList adds the list of servers if it is newer than the agent's, else only how old its news is.
+func (l *link) addList(answer *pb.WatchResponse, held *pb.WatchRequest, list *registry.List) bool {
+	if list == nil {
+		return false
+	}
+	difference := registry.CompareVersions(list.Version(), held.GetList())
+	if difference > 0 {
+		answer.List = list.Message(l.soft.now())
+		return true
+	}
+	if difference == 0 {
+		answer.List = list.Confirmation(l.soft.now())
+	}
+	return false
+}
+
+// addMembers adds the members if the agent holds another version of them.
+func (l *link) addMembers(answer *pb.WatchResponse, held *pb.WatchRequest, picture *softPicture) bool {
+	if !picture.settled {
+		return false
+	}
+	if held.GetMembersSource() == l.host && held.GetMembersVersion() == picture.members.Version() {
+		return false
+	}
+	answer.Members = picture.members.Message(l.soft.now())
+	return true
+}
--- /dev/null
+++ b/internal/controlserver/link_test.go
@@ -0,0 +1,250 @@
+package controlserver
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/control"
+)
+
+// watched is the outcome of a Watch in a bubble of synctest.
+type watched struct {
+	answer *pb.WatchResponse
+	err    error
+	took   time.Duration
+}
+
+// watch calls Watch directly.
+func watch(p *process, request *pb.WatchRequest) watched {
+	return watchWith(context.Background(), newLink(p.node, p.soft, "control-1", p.ending), request)
+}
+
+func watchWith(ctx context.Context, link *link, request *pb.WatchRequest) watched {
+	began := time.Now()
+	response, err := link.Watch(ctx, connect.NewRequest(request))
+	result := watched{err: err, took: time.Since(began)}
+	if err == nil {
+		result.answer = response.Msg
+	}
+	return result
+}
+
+// current is a request of an agent that holds all that the process can tell.
+func current(p *process) *pb.WatchRequest {
+	status := p.node.Status()
+	return &pb.WatchRequest{
+		Agent:          testAgent("edge-1"),
+		Sequence:       status.Committed.Sequence(),
+		ViewNumber:     status.View.GetNumber(),
+		MembersVersion: p.soft.Picture().members.Version(),
+		MembersSource:  "control-1",
+		List:           p.soft.Picture().list.Version(),
+		HoldMs:         800,
+	}
+}
+
+func TestWatchHoldsWithoutNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		replace(t, node, 0, 7)
+		got := watch(p, current(p))
+		require.NoError(t, got.err)
+		require.Equal(t, 800*time.Millisecond, got.took)
+		require.True(t, got.answer.Authoritative)
+		require.Equal(t, uint64(7), got.answer.Generation)
+		require.Empty(t, got.answer.Changes)
+
+		long := current(p)
+		long.HoldMs = 60000
+		require.Equal(t, longestHold, watch(p, long).took)
+		none := current(p)
+		none.HoldMs = 0
+		require.Zero(t, watch(p, none).took)
+	})
+}
+
+func TestWatchTellsChangesAsTheyCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		replace(t, node, 0, 7)
+		request := current(p)
+		time.AfterFunc(300*time.Millisecond, func() { replace(t, node, 7, 9) })
+		got := watch(p, request)
+		require.Equal(t, 300*time.Millisecond, got.took)
+		require.Len(t, got.answer.Changes, 1)
+		require.Equal(t, uint64(9), got.answer.Generation)
+		require.Equal(t, got.answer.Changes[0].Sequence, got.answer.Sequence)
+	})
+}
+
+func TestWatchAtOnceWhenBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		replace(t, node, 0, 7)
+		replace(t, node, 7, 9)
+		request := current(p)
+		request.Sequence = 1
+		got := watch(p, request)
+		require.Zero(t, got.took)
+		require.Len(t, got.answer.Changes, 1)
+	})
+}
+
+func TestWatchBringsAnEmptyCopyTheWholeState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		replace(t, node, 0, 7)
+		request := current(p)
+		request.Sequence = 0
+		got := watch(p, request)
+		restored, err := catalog.Empty().Restore(got.answer.Repair)
+		require.NoError(t, err)
+		require.Equal(t, uint64(7), restored.Generation())
+	})
+}
+
+func TestWatchRepairsAnOldCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		replace(t, node, 0, 7)
+		old := node.Status().Committed
+		replace(t, node, 7, 9)
+		node.forgetHistory()
+
+		request := current(p)
+		request.Sequence = old.Sequence()
+		got := watch(p, request)
+		require.Zero(t, got.took)
+		require.True(t, got.answer.NeedDigests)
+		require.Nil(t, got.answer.Repair)
+
+		request.Digests = old.Digests()
+		got = watch(p, request)
+		require.False(t, got.answer.NeedDigests)
+		restored, err := old.Restore(got.answer.Repair)
+		require.NoError(t, err)
+		require.Equal(t, node.Status().Committed.Digests().String(), restored.Digests().String())
+	})
+}
+
+func TestWatchEndsWhenAuthorityChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		time.AfterFunc(100*time.Millisecond, func() {
+			node.alter(func(status *control.Status) { status.Authoritative = false })
+		})
+		got := watch(p, current(p))
+		require.Equal(t, 100*time.Millisecond, got.took)
+		require.False(t, got.answer.Authoritative)
+	})
+}
+
+func TestWatchTellsAView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		request := current(p)
+		require.Nil(t, watch(p, request).answer.View)
+		node.alter(func(status *control.Status) { status.View = &pb.View{Number: 2} })
+		got := watch(p, request)
+		require.Zero(t, got.took)
+		require.Equal(t, uint64(2), got.answer.View.Number)
+	})
+}
+
+func TestWatchTellsMembersOnceSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newTestProcess(t)
+		request := current(p)
+		request.MembersSource = "control-9"
+		require.Nil(t, watch(p, request).answer.Members, "a list that may be short is not told")
+
+		pass(p, membersSettling)
+		p.soft.Heard(testAgent("edge-2"), nil)
+		p.tick()
+		got := watch(p, request)
+		require.Zero(t, got.took)
+		require.Len(t, got.answer.Members.Agents, 2)
+		require.Equal(t, "control-1", got.answer.MembersSource)
+
+		request = current(p)
+		time.AfterFunc(100*time.Millisecond, func() {
+			gone := testAgent("edge-2")
+			gone.Draining = true
+			p.soft.Heard(gone, nil)
+		})
+		time.AfterFunc(250*time.Millisecond, p.tick)
+		got = watch(p, request)
+		require.Equal(t, 250*time.Millisecond, got.took, "members are told at the next tick")
+		require.True(t, got.answer.Members.Agents[1].Draining)
+	})
+}
+
+func TestWatchTellsTheServerList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newTestProcess(t)
+		request := current(p)
+		version := &pb.ListVersion{Epoch: 3, Holder: "control-2", Revision: 1}
+		list := &pb.ServerList{Version: version, AgeMs: 50, Servers: []*pb.Server{{Id: "i-1"}}}
+		time.AfterFunc(100*time.Millisecond, func() { p.serverList(list) })
+		got := watch(p, request)
+		require.Equal(t, 100*time.Millisecond, got.took)
+		require.Len(t, got.answer.List.Servers, 1)
+		require.Equal(t, uint32(50), got.answer.List.AgeMs)
+
+		got = watch(p, current(p))
+		require.Equal(t, 800*time.Millisecond, got.took)
+		require.Empty(t, got.answer.List.Servers, "the version held is only confirmed")
+		require.Equal(t, uint32(850), got.answer.List.AgeMs)
+	})
+}
+
+func TestWatchEndsWithTheProcessAndTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newTestProcess(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		got := watchWith(ctx, newLink(p.node, p.soft, "control-1", p.ending), current(p))
+		require.Equal(t, connect.CodeCanceled, connect.CodeOf(got.err))
+		require.Equal(t, 100*time.Millisecond, got.took)
+
+		time.AfterFunc(200*time.Millisecond, func() { close(p.ending) })
+		got = watch(p, current(p))
+		require.NoError(t, got.err)
+		require.Equal(t, 200*time.Millisecond, got.took)
+		require.Equal(t, connect.CodeUnavailable, connect.CodeOf(watch(p, current(p)).err))
+	})
+}
+
+func TestWatchRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newTestProcess(t)
+		require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(watch(p, &pb.WatchRequest{}).err))
+
+		link := newLink(p.node, p.soft, "control-1", p.ending)
+		for range maxWatches {
+			go watchWith(context.Background(), link, current(p))
+		}
+		synctest.Wait()
+		got := watchWith(context.Background(), link, current(p))
+		require.Equal(t, connect.CodeResourceExhausted, connect.CodeOf(got.err))
+		close(p.ending)
+		synctest.Wait()
+	})
+}
+
+func TestWatchOverTheWire(t *testing.T) {
+	p, node := newTestProcess(t)
+	replace(t, node, 0, 7)
+	response, err := linkClient(t, p).Watch(t.Context(), connect.NewRequest(&pb.WatchRequest{Agent: testAgent("edge-1")}))
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), response.Msg.Generation)
+	require.NotNil(t, response.Msg.Repair)
+	require.Equal(t, 1, p.soft.Picture().members.Live())
+}
--- /dev/null
+++ b/internal/controlserver/platform.go
@@ -0,0 +1,162 @@
+package controlserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/operator"
+)
+
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = time.Second
+
+	// maxPages bounds one reading of the list.
+	maxPages = 200
+
+	// maxPageBytes bounds one page of the list.
+	maxPageBytes = 4 << 20
+)
+
+// PlatformStatusError tells that the platform answered a call with something else than 200.
+type PlatformStatusError struct{ Status int }
+
+func (e *PlatformStatusError) Error() string {
+	return fmt.Sprintf("the platform answered %d", e.Status)
+}
+
+// PlatformListError tells that the platform's list cannot be used.
+type PlatformListError struct{ Reason string }
+
+func (e *PlatformListError) Error() string { return "the platform's list is unusable: " + e.Reason }
+
+// platformClient reads the platform's list of servers.
+type platformClient struct {
+	client *http.Client
+}
+
+func newPlatformClient() *platformClient {
+	dialer := &net.Dialer{Timeout: platformTimeout, Control: setUserTimeout}
+	return &platformClient{client: &http.Client{
+		Timeout: platformTimeout,
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 1,
+			MaxConnsPerHost:     1,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+			ReadBufferSize:      4 << 10,
+			WriteBufferSize:     1 << 10,
+		},
+	}}
+}
+
+// Read reads the whole list, page by page, from the platform's address (ip:port). It also returns the number
+// of calls made, failed ones included.
+func (p *platformClient) Read(ctx context.Context, address string) ([]*pb.Server, int, error) {
+	var servers []*pb.Server
+	token := ""
+	for pages := 1; pages <= maxPages; pages++ {
+		page, err := p.readPage(ctx, address, token)
+		if err != nil {
+			return nil, pages, err
+		}
+		for _, entry := range page.Servers {
+			if server, usable := serverFrom(entry); usable {
+				servers = append(servers, server)
+			}
+		}
+		if page.NextToken == nil || *page.NextToken == "" {
+			return servers, pages, nil
+		}
+		token = *page.NextToken
+	}
+	return nil, maxPages, &PlatformListError{Reason: fmt.Sprintf("it has more than %d pages", maxPages)}
+}
+
+func (p *platformClient) readPage(ctx context.Context, address, token string) (*operator.ServerPage, error) {
+	target := url.URL{Scheme: "http", Host: address, Path: "/servers"}
+	if token != "" {
+		target.RawQuery = url.Values{"page-token": {token}}.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "form a call to the platform")
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "call the platform")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read the platform's answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, &PlatformStatusError{Status: response.StatusCode}
+	}
+	if len(body) > maxPageBytes {
+		return nil, &PlatformListError{Reason: "a page is too long"}
+	}
+	page := &operator.ServerPage{}
+	if err := json.Unmarshal(body, page); err != nil {
+		return nil, &PlatformListError{Reason: err.Error()}
+	}
+	return page, nil
+}
+
+// serverFrom turns an entry of the list into a message. An entry that names no incarnation, service or usable
+// address is left out: nothing could be sent there.
+func serverFrom(entry operator.ServerEntry) (*pb.Server, bool) {
+	if entry.InstID == "" || entry.Backend == "" {
+		return nil, false
+	}
+	if _, err := netip.ParseAddrPort(entry.Address); err != nil {
+		return nil, false
+	}
+	server := &pb.Server{
+		Id:         entry.InstID,
+		Service:    entry.Backend,
+		Address:    entry.Address,
+		Zone:       entry.Az,
+		Capacity:   wholeNumber(entry.Capacity),
+		Draining:   entry.Phase != operator.Up,
+		WarmLeftMs: wholeNumber(pointed(entry.WarmLeftMs)),
+		Software:   pointed(entry.Gen),
+	}
+	if entry.ExpiresMs != nil {
+		server.ExpiresMs = max(1, wholeNumber(*entry.ExpiresMs))
+	}
+	for _, model := range pointed(entry.Models) {
+		server.Models = append(server.Models, model.Name)
+	}
+	return server, true
+}
+
+// pointed is the value of an optional member, the zero value if it is missing.
+func pointed[T any](value *T) T {
+	if value == nil {
+		var zero T
+		return zero
+	}
+	return *value
+}
+
+// wholeNumber rounds a figure up and bounds it.
+func wholeNumber(figure float64) uint32 {
+	if math.IsNaN(figure) {
+		return 0
+	}
+	return uint32(min(max(math.Ceil(figure), 0), math.MaxUint32))
+}
--- /dev/null
+++ b/internal/controlserver/process.go
@@ -0,0 +1,170 @@
+package controlserver
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/operatorapi"
+	"fieldrelay/internal/registry"
+	"fieldrelay/internal/settings"
+)
+
+const (
+	// endpointsLifetime is how long clients may use the directory's addresses.
+	endpointsLifetime = time.Second
+
+	// pollTimeout bounds one reading of the platform's list, all pages together.
+	pollTimeout = registry.SlowestAnswer
+
+	// countersEvery is the time between two lines of counters.
+	countersEvery = 30 * time.Second
+)
+
+// process is one control process without its sockets.
+type process struct {
+	logger   *zap.Logger
+	settings *settingsWatch
+	node     Node // set by attach
+	soft     *softState
+	platform *platformClient
+	calls    operatorapi.Counters
+	rotation atomic.Uint64
+	ending   chan struct{}
+	started  time.Time
+
+	polls       sync.WaitGroup
+	pollContext context.Context
+	stopPolls   context.CancelFunc
+	pollsGood   atomic.Int64
+	pollsFailed atomic.Int64
+
+	wasHolder        bool
+	wasAuthoritative bool
+}
+
+// newProcess returns a process that knows nothing yet. seed draws its epochs, its waits and the first version
+// of its members, and has to differ from start to start.
+func newProcess(watch *settingsWatch, logger *zap.Logger, seed uint64) *process {
+	initial := watch.Current()
+	random := rand.New(rand.NewPCG(seed, 0))
+	p := &process{
+		logger:   logger,
+		settings: watch,
+		platform: newPlatformClient(),
+		ending:   make(chan struct{}),
+		started:  time.Now(),
+	}
+	p.pollContext, p.stopPolls = context.WithCancel(context.Background())
+	agents := registry.NewAgents(random.Uint64N(1 << 62))
+	inventory := registry.NewInventory(initial.Hostname, initial.CloudAPI.Rate, random)
+	p.soft = newSoftState(p.now, agents, inventory, p.act)
+	return p
+}
+
+// now is the steady time since the start.
+func (p *process) now() time.Duration { return time.Since(p.started) }
+
+// attach gives the process its node. It comes before every other call but those that the node itself makes.
+func (p *process) attach(node Node) { p.node = node }
+
+// operatorOptions configures the operator's API and the directory.
+func (p *process) operatorOptions() operatorapi.Options {
+	return operatorapi.Options{
+		Orders:    p.node,
+		Ready:     func() bool { return p.node.Status().Founded },
+		ZoneKnown: func(zone string) bool { return p.settings.Current().KnowsZone(zone) },
+		Endpoints: func(region, zone string) []string {
+			return p.soft.Endpoints(region, zone, p.rotation.Add(1))
+		},
+		EndpointsLifetime: func() time.Duration {
+			return lifetimeOfEndpoints(p.settings.Current())
+		},
+		Counters: &p.calls,
+	}
+}
+
+func lifetimeOfEndpoints(current *settings.Settings) time.Duration {
+	longest := current.Bounds.TTLMax()
+	if longest <= 0 {
+		return endpointsLifetime
+	}
+	return min(endpointsLifetime, longest)
+}
+
+// act does what the inventory asks for.
+func (p *process) act(action registry.Action) {
+	switch action := action.(type) {
+	case registry.StartPoll:
+		p.polls.Go(p.poll)
+	case registry.SendList:
+		p.node.Broadcast(action.List)
+	}
+}
+
+// poll reads the platform's list once.
+func (p *process) poll() {
+	ctx, cancel := context.WithTimeout(p.pollContext, pollTimeout)
+	defer cancel()
+	sentAt := p.now()
+	servers, pages, err := p.platform.Read(ctx, p.settings.Current().CloudAPI.Address)
+	if err != nil {
+		p.pollsFailed.Add(1)
+	} else {
+		p.pollsGood.Add(1)
+	}
+	p.soft.PollDone(registry.PollDone{SentAt: sentAt, Pages: pages, Servers: servers, Failed: err != nil})
+}
+
+// tick does what time alone brings about.
+func (p *process) tick() {
+	status := p.node.Status()
+	var order []string
+	if status.Founded && p.settings.Current().CloudAPI.Address != "" {
+		order = status.Live
+	}
+	p.soft.Tick(order)
+	p.logChanges(status.Authoritative)
+}
+
+// logChanges writes a line when this machine's part changed.
+func (p *process) logChanges(authoritative bool) {
+	if authoritative != p.wasAuthoritative {
+		p.wasAuthoritative = authoritative
+		p.logger.Info("holds the agreed state", zap.Bool("authoritative", authoritative))
+	}
+	if holder := p.soft.Holder(); holder != p.wasHolder {
+		p.wasHolder = holder
+		p.logger.Info("duty of the platform's list", zap.Bool("holder", holder))
+	}
+}
+
+// logCounters writes the periodic line.
+func (p *process) logCounters() {
+	picture := p.soft.Picture()
+	p.logger.Info("counters",
+		zap.Int64("acknowledged", p.calls.Acknowledged.Load()),
+		zap.Int64("refused", p.calls.Refused.Load()),
+		zap.Int64("unavailable", p.calls.Unavailable.Load()),
+		zap.Int64("lookups", p.calls.Lookups.Load()),
+		zap.Int64("polls", p.pollsGood.Load()),
+		zap.Int64("polls_failed", p.pollsFailed.Load()),
+		zap.Int("agents_live", picture.members.Live()),
+		zap.Int("servers", picture.list.Len()),
+	)
+}
+
+// settingsChanged follows new settings.
+func (p *process) settingsChanged(fresh *settings.Settings) {
+	p.soft.SetRate(fresh.CloudAPI.Rate)
+}
+
+// heartbeat and serverList are what the node tells.
+func (p *process) heartbeat(_ *pb.Replica, heartbeat *pb.Heartbeat) { p.soft.Heartbeat(heartbeat) }
+
+func (p *process) serverList(list *pb.ServerList) { p.soft.ServerList(list) }
--- /dev/null
+++ b/internal/controlserver/run.go
@@ -0,0 +1,197 @@
+package controlserver
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/operatorapi"
+	"fieldrelay/internal/settings"
+)
+
+const (
+	// shutdownLimit bounds the time in which calls under way are answered after SIGTERM.
+	shutdownLimit = 2 * time.Second
+
+	// peerPort is the number of the port for messages of control machines and agents.
+	peerPort = 0
+
+	// maxMessageBytes bounds one message from a control machine or an agent.
+	maxMessageBytes = 32 << 20
+)
+
+// Run is the control process: it serves until ctx ends and returns when every call that was taken has been
+// answered. The settings file named by the environment is followed while it runs, also upon SIGHUP.
+func Run(ctx context.Context, initial *settings.Settings, logger *zap.Logger) error {
+	path, err := settings.Path()
+	if err != nil {
+		path = ""
+	}
+	p := newProcess(newSettingsWatch(path, initial, logger), logger, rand.Uint64())
+
+	nodeContext, stopNode := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopNode()
+	// A disk that refuses may hold the start up; later the node ends after the calls that it has to answer.
+	endsEarly := context.AfterFunc(ctx, stopNode)
+	node, err := p.startNode(nodeContext)
+	if err != nil {
+		return err
+	}
+	if !endsEarly() {
+		return nil
+	}
+	p.attach(node)
+	return p.serve(ctx)
+}
+
+// startNode starts the replicated state; it ends with ctx.
+func (p *process) startNode(ctx context.Context) (*control.Node, error) {
+	initial := p.settings.Current()
+	node, err := control.Start(ctx, control.Options{
+		Settings:       initial,
+		Logger:         p.logger,
+		ControlAddress: initial.Binds.Control,
+		Soft:           p.soft.Report,
+		OnHeartbeat:    p.heartbeat,
+		OnServerList:   p.serverList,
+	})
+	return node, errors.Wrap(err, "start the replicated state")
+}
+
+// serve listens and works until ctx ends.
+func (p *process) serve(ctx context.Context) error {
+	servers, err := p.listenAll(ctx)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() { failed <- server.Serve() }()
+	}
+	p.logger.Info("control process serves", zap.String("host", p.settings.Current().Hostname))
+	err = p.work(ctx, failed)
+	p.shutDown(servers)
+	p.logCounters()
+	return err
+}
+
+// work follows time, signals and the settings file until ctx ends or a listener fails.
+func (p *process) work(ctx context.Context, failed <-chan error) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	files := time.NewTicker(settingsCheckEvery)
+	defer files.Stop()
+	counters := time.NewTicker(countersEvery)
+	defer counters.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return errors.Wrap(err, "serve")
+		case <-ticks.C:
+			p.tick()
+		case <-files.C:
+			p.checkSettings(false)
+		case <-hangups:
+			p.checkSettings(true)
+		case <-counters.C:
+			p.logCounters()
+		}
+	}
+}
+
+func (p *process) checkSettings(forced bool) {
+	if p.settings.Check(forced) {
+		p.settingsChanged(p.settings.Current())
+	}
+}
+
+// listeningServer is an HTTP server with its listener.
+type listeningServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// Serve serves until the server is shut down.
+func (s *listeningServer) Serve() error { return s.server.Serve(s.listener) }
+
+// listenAll opens all listeners, or none.
+func (p *process) listenAll(ctx context.Context) ([]*listeningServer, error) {
+	var servers []*listeningServer
+	for address, handler := range p.handlers() {
+		listener, err := listen(ctx, address)
+		if err != nil {
+			for _, opened := range servers {
+				opened.listener.Close()
+			}
+			return nil, err
+		}
+		servers = append(servers, &listeningServer{server: newHTTPServer(handler), listener: listener})
+	}
+	return servers, nil
+}
+
+// handlers returns what is served, by address.
+func (p *process) handlers() map[string]http.Handler {
+	current := p.settings.Current()
+	services := make(map[string]operatorapi.Services)
+	if address := current.Binds.Control; address != "" {
+		services[address] = operatorapi.Services{Operator: true}
+	}
+	if address := current.Binds.Directory; address != "" {
+		services[address] = operatorapi.Services{Operator: services[address].Operator, Directory: true}
+	}
+	handlers := map[string]http.Handler{current.Port(peerPort): p.peerHandler(current.Hostname)}
+	calls := operatorapi.New(p.operatorOptions())
+	for address, chosen := range services {
+		handlers[address] = calls.Handler(chosen)
+	}
+	return handlers
+}
+
+// peerHandler serves the other control machines and the agents. Messages are not compressed: a compressor
+// takes more memory than everything else here.
+func (p *process) peerHandler(host string) http.Handler {
+	options := []connect.HandlerOption{
+		connect.WithCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxMessageBytes),
+	}
+	mux := http.NewServeMux()
+	mux.Handle(fieldrelayv1connect.NewControlPeerHandler(p.node, options...))
+	mux.Handle(fieldrelayv1connect.NewControlLinkHandler(newLink(p.node, p.soft, host, p.ending), options...))
+	return mux
+}
+
+// shutDown lets the agents go, answers what was taken and closes everything.
+func (p *process) shutDown(servers []*listeningServer) {
+	close(p.ending)
+	p.stopPolls()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, one := range servers {
+		group.Go(func() {
+			if one.server.Shutdown(ctx) != nil {
+				one.server.Close()
+			}
+		})
+	}
+	group.Wait()
+	p.polls.Wait()
+}
--- /dev/null
+++ b/internal/controlserver/serve_test.go
@@ -0,0 +1,151 @@
+package controlserver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"fieldrelay/internal/settings"
+)
+
+// operatorServer serves what the control address serves.
+func operatorServer(t *testing.T, p *process) *httptest.Server {
+	t.Helper()
+	current := *testSettings()
+	current.Binds = settings.Binds{Control: "127.0.0.2:0", Directory: "127.0.0.2:0"}
+	p.settings.current.Store(&current)
+	handlers := p.handlers()
+	require.Len(t, handlers, 2, "both services share an address")
+	server := httptest.NewServer(handlers["127.0.0.2:0"])
+	t.Cleanup(server.Close)
+	return server
+}
+
+func request(t *testing.T, method, url, base, body string) (int, string) {
+	t.Helper()
+	message, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	if base != "" {
+		message.Header.Set("X-Fieldrelay-Base-Rev", base)
+	}
+	response, err := http.DefaultClient.Do(message)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(answer)
+}
+
+func TestAConfigurationIsTakenAndReadBack(t *testing.T) {
+	p, _ := newTestProcess(t)
+	server := operatorServer(t, p)
+	sent := configuration(7, 5)
+	status, _ := request(t, "POST", server.URL+"/api/conf/replace", "0", sent)
+	require.Equal(t, 200, status)
+	status, _ = request(t, "POST", server.URL+"/api/conf/replace", "0", configuration(8, 1))
+	require.Equal(t, 412, status)
+	status, _ = request(t, "POST", server.URL+"/api/conf/replace", "7", `{"gen":`)
+	require.Equal(t, 400, status)
+	status, _ = request(t, "POST", server.URL+"/api/drain/brno-hala/begin", "", "")
+	require.Equal(t, 200, status)
+	status, _ = request(t, "POST", server.URL+"/api/drain/elsewhere/begin", "", "")
+	require.Equal(t, 404, status)
+	status, body := request(t, "GET", server.URL+"/api/conf/read", "", "")
+	require.Equal(t, 200, status)
+	require.JSONEq(t, sent, body)
+}
+
+func TestTheDirectoryWaitsUntilItKnowsEnough(t *testing.T) {
+	p, _ := newTestProcess(t)
+	p.soft.Heard(testAgent("edge-1"), nil)
+	require.Empty(t, p.soft.Endpoints("cz-morava", "brno-hala", 0))
+	p.started = p.started.Add(-directorySettling)
+	require.Equal(t, []string{"10.0.0.1:8144"}, p.soft.Endpoints("cz-morava", "brno-hala", 0))
+}
+
+// TestServeAnswersWhatItTook starts all listeners and ends the process while an order is under way.
+func TestServeAnswersWhatItTook(t *testing.T) {
+	p, node := newTestProcess(t)
+	node.block = make(chan struct{})
+	current := *testSettings()
+	current.Binds = settings.Binds{Control: "127.0.0.2:0", Directory: "127.0.0.3:0"}
+	p.settings.current.Store(&current)
+	servers, err := p.listenAll(t.Context())
+	require.NoError(t, err)
+	require.Len(t, servers, 3)
+
+	answers := make(chan int, len(servers))
+	for _, one := range servers {
+		go func() { _ = one.Serve() }()
+		address := one.listener.Addr().String()
+		if !strings.HasPrefix(address, "127.0.0.2:") {
+			continue
+		}
+		go func() {
+			status, _ := request(t, "GET", "http://"+address+"/api/conf/read", "", "")
+			answers <- status
+		}()
+		require.Eventually(t, func() bool { return node.waiting.Load() > 0 }, 5*time.Second, time.Millisecond)
+	}
+	ended := make(chan struct{})
+	go func() {
+		p.shutDown(servers)
+		close(ended)
+	}()
+	<-p.ending
+	close(node.block)
+	require.Equal(t, 200, <-answers)
+	<-ended
+}
+
+func TestWorkEndsWithItsContext(t *testing.T) {
+	p, _ := newTestProcess(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, p.work(ctx, nil))
+	failed := make(chan error, 1)
+	failed <- http.ErrServerClosed
+	require.ErrorIs(t, p.work(t.Context(), failed), http.ErrServerClosed)
+}
+
+const settingsText = `
+hostname = "control-1"
+machine-class = "core"
+ip-addr = "127.0.0.1"
+az = "brno-hala"
+port-range = [7660, 7675]
+`
+
+func TestSettingsAreFollowed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(settingsText)
+	initial, err := settings.Load(path)
+	require.NoError(t, err)
+	core, lines := observer.New(zap.InfoLevel)
+	watch := newSettingsWatch(path, initial, zap.New(core))
+
+	require.False(t, watch.Check(false), "the file is as it was")
+	require.True(t, watch.Check(true), "upon a signal it is read anyway")
+
+	write(settingsText + "[zones]\nolomouc-hala = \"cz-morava\"\n")
+	require.True(t, watch.Check(false))
+	require.True(t, watch.Current().KnowsZone("olomouc-hala"))
+
+	lines.TakeAll()
+	write("hostname = 3")
+	require.False(t, watch.Check(false))
+	require.False(t, watch.Check(true))
+	require.Equal(t, 1, lines.Len(), "a fault is told once")
+	require.True(t, watch.Current().KnowsZone("olomouc-hala"))
+}
--- /dev/null
+++ b/internal/controlserver/softstate.go
@@ -0,0 +1,205 @@
+package controlserver
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/registry"
+)
+
+const (
+	// tickEvery is the time between two looks at what time alone changes.
+	tickEvery = 250 * time.Millisecond
+
+	// directorySettling is the time after a start, or after a standstill, in which clients get no addresses:
+	// a few early ones would draw all of them.
+	directorySettling = 1500 * time.Millisecond
+
+	// membersSettling is the time after a start, or after a standstill, in which agents are not told the
+	// members: a list that is too short would make their shares of common bounds too large.
+	membersSettling = 3 * time.Second
+
+	// standstill is a time between two ticks that shows that this process was frozen or starved.
+	standstill = 2 * time.Second
+)
+
+// softPicture is what the soft state shows to readers. It never changes.
+type softPicture struct {
+	members *registry.Members
+	list    *registry.List // nil before the first
+	settled bool           // the members may be told to agents
+}
+
+// softState guards the registry's machines. Readers take the picture; it is swapped whole.
+type softState struct {
+	now     func() time.Duration // steady clock
+	act     func(registry.Action)
+	picture atomic.Pointer[softPicture]
+
+	mutex        sync.Mutex
+	agents       *registry.Agents
+	inventory    *registry.Inventory
+	settlingFrom time.Duration
+	lastTick     time.Duration
+	notified     *softPicture // that the last closing of changed told of
+	changed      chan struct{}
+}
+
+// newSoftState returns an empty state. act is called for every action of the inventory, never under a lock.
+func newSoftState(now func() time.Duration, agents *registry.Agents, inventory *registry.Inventory, act func(registry.Action)) *softState {
+	state := &softState{
+		now:          now,
+		act:          act,
+		agents:       agents,
+		inventory:    inventory,
+		settlingFrom: now(),
+		lastTick:     now(),
+		changed:      make(chan struct{}),
+	}
+	state.picture.Store(&softPicture{members: agents.Refresh(now())})
+	state.notified = state.picture.Load()
+	return state
+}
+
+// Picture is the newest picture.
+func (s *softState) Picture() *softPicture { return s.picture.Load() }
+
+// Changed returns a channel that is closed when there is news for agents. Changes of members are told at the
+// next tick, so that many of them at once wake the agents only once.
+func (s *softState) Changed() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.changed
+}
+
+// Heard takes what an agent says of itself and of the list that it holds.
+func (s *softState) Heard(record *pb.AgentRecord, held *pb.ListVersion) {
+	s.update(func(now time.Duration) []registry.Action {
+		if s.agents.Heard(now, record) {
+			s.refresh(now)
+		}
+		return s.inventory.Step(now, registry.VersionSeen{Version: held})
+	})
+}
+
+// Heartbeat takes the soft part of another control machine's heartbeat.
+func (s *softState) Heartbeat(heartbeat *pb.Heartbeat) {
+	s.update(func(now time.Duration) []registry.Action {
+		if s.agents.Merge(now, heartbeat.GetAgents()) {
+			s.refresh(now)
+		}
+		return s.inventory.Step(now, registry.VersionSeen{Version: heartbeat.GetList(), Peer: true})
+	})
+}
+
+// ServerList takes a list of another control machine.
+func (s *softState) ServerList(list *pb.ServerList) {
+	s.update(func(now time.Duration) []registry.Action {
+		return s.inventory.Step(now, registry.ListReceived{List: list})
+	})
+}
+
+// PollDone takes the result of a reading of the platform's list.
+func (s *softState) PollDone(done registry.PollDone) {
+	s.update(func(now time.Duration) []registry.Action {
+		return s.inventory.Step(now, done)
+	})
+}
+
+// SetRate changes the number of calls a second that the platform accepts.
+func (s *softState) SetRate(rate float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.inventory.SetRate(rate)
+}
+
+// Tick looks at what time changes. order names the live control machines in the order of the view.
+func (s *softState) Tick(order []string) {
+	s.update(func(now time.Duration) []registry.Action {
+		if now-s.lastTick >= standstill {
+			s.settlingFrom = now
+		}
+		s.lastTick = now
+		s.refresh(now)
+		actions := s.inventory.Step(now, registry.Tick{Order: order})
+		s.notify()
+		return actions
+	})
+}
+
+// Report is what heartbeats to the other control machines carry.
+func (s *softState) Report() ([]*pb.AgentRecord, *pb.ListVersion) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.agents.Report(s.now()), s.inventory.Told()
+}
+
+// Endpoints returns the edge addresses for a client, none while too little is known.
+func (s *softState) Endpoints(region, zone string, rotation uint64) []string {
+	now := s.now()
+	s.mutex.Lock()
+	settling := now < s.settlingFrom+directorySettling
+	s.mutex.Unlock()
+	if settling {
+		return nil
+	}
+	return s.Picture().members.Endpoints(now, region, zone, rotation)
+}
+
+// Holder reports whether this machine reads the platform's list.
+func (s *softState) Holder() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.inventory.Holder()
+}
+
+// update runs one step under the lock and then acts on what it asks for.
+func (s *softState) update(step func(now time.Duration) []registry.Action) {
+	s.mutex.Lock()
+	actions := step(s.now())
+	if list := s.inventory.Current(); list != s.Picture().list {
+		s.swap(func(picture *softPicture) { picture.list = list })
+	}
+	for _, action := range actions {
+		if _, news := action.(registry.ListChanged); news {
+			s.notify()
+		}
+	}
+	s.mutex.Unlock()
+	for _, action := range actions {
+		s.act(action)
+	}
+}
+
+// refresh brings the members in the picture up to date. The lock is held.
+func (s *softState) refresh(now time.Duration) {
+	members := s.agents.Refresh(now)
+	settled := now >= s.settlingFrom+membersSettling
+	s.swap(func(picture *softPicture) {
+		picture.members = members
+		picture.settled = settled
+	})
+}
+
+// swap replaces the picture by a changed copy. The lock is held.
+func (s *softState) swap(change func(*softPicture)) {
+	copied := *s.Picture()
+	change(&copied)
+	s.picture.Store(&copied)
+}
+
+// notify wakes the agents if there is something new for them. The lock is held.
+func (s *softState) notify() {
+	picture := s.Picture()
+	same := picture.settled == s.notified.settled &&
+		picture.members.Version() == s.notified.members.Version() &&
+		registry.CompareVersions(picture.list.Version(), s.notified.list.Version()) == 0
+	if same {
+		return
+	}
+	s.notified = picture
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/controlsim/checker_test.go
@@ -0,0 +1,233 @@
+package controlsim
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/quorum"
+)
+
+// checker looks at all actions of all machines and keeps what the rules need to be checked.
+type checker struct {
+	world    *world
+	failures []string
+
+	views     map[uint64]string            // content by number
+	committed map[uint64]*catalog.Snapshot // by sequence
+	last      uint64                       // highest sequence committed anywhere
+	ofHost    map[*host]uint64             // committed sequence in the host's present life
+	votes     map[voteKey]*vote
+
+	inForce       map[string]bool   // keys of configurations that were committed
+	refused       map[string]uint32 // keys of those refused, with the status
+	newestAcked   uint64            // highest acknowledged generation
+	ackedByBase   map[uint64]string // key by base
+	acknowledged  int
+	refusals      int
+	reads         int
+	evacuations   map[string]*evacuation
+	finalSequence uint64
+}
+
+type voteKey struct {
+	identity string
+	number   uint64
+}
+
+// vote is what a voter has told about one view number.
+type vote struct {
+	promised *pb.Ballot
+	accepted *pb.Ballot
+}
+
+func newChecker(w *world) *checker {
+	return &checker{
+		world:       w,
+		views:       make(map[uint64]string),
+		committed:   make(map[uint64]*catalog.Snapshot),
+		ofHost:      make(map[*host]uint64),
+		votes:       make(map[voteKey]*vote),
+		inForce:     make(map[string]bool),
+		refused:     make(map[string]uint32),
+		ackedByBase: make(map[uint64]string),
+		evacuations: make(map[string]*evacuation),
+	}
+}
+
+func (c *checker) fail(format string, arguments ...any) {
+	line := fmt.Sprintf(format, arguments...)
+	c.world.note("BROKEN %s", line)
+	c.failures = append(c.failures, line)
+}
+
+func (c *checker) lifeBegins(host *host) { delete(c.ofHost, host) }
+
+func (c *checker) action(host *host, action control.Action) {
+	switch action := action.(type) {
+	case control.ViewChanged:
+		c.view(host, action.View)
+	case control.Committed:
+		c.commit(host, action)
+	case control.Send:
+		c.sent(action.Message)
+	}
+}
+
+// view: at most one view a number.
+func (c *checker) view(host *host, view *pb.View) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(view)
+	if err != nil {
+		c.fail("view %d cannot be encoded: %v", view.GetNumber(), err)
+		return
+	}
+	known, found := c.views[view.GetNumber()]
+	if found && known != string(data) {
+		c.fail("%s: a second view %d", host.name, view.GetNumber())
+	}
+	if !found {
+		c.views[view.GetNumber()] = string(data)
+		c.world.note("view %d voters %s chain %s", view.GetNumber(), hosts(view.GetVoters()), hosts(view.GetChain()))
+	}
+}
+
+func hosts(replicas []*pb.Replica) string {
+	line := ""
+	for _, replica := range replicas {
+		line += replica.GetHost()[len("core-"):] + " "
+	}
+	return line
+}
+
+// commit: one state a sequence number, versions never fall within a life, and changes lead from one to the next.
+func (c *checker) commit(host *host, action control.Committed) {
+	snapshot := action.Snapshot
+	sequence := snapshot.Sequence()
+	if before, found := c.ofHost[host]; found && sequence <= before {
+		c.fail("%s: committed sequence falls from %d to %d", host.name, before, sequence)
+	}
+	if before, found := c.ofHost[host]; found && action.Changes != nil {
+		c.checkChanges(host, before, action)
+	}
+	c.ofHost[host] = sequence
+	known, found := c.committed[sequence]
+	if !found {
+		c.committed[sequence] = snapshot
+		c.last = max(c.last, sequence)
+		for _, key := range keysOf(snapshot) {
+			c.inForce[key] = true
+		}
+		c.world.note("%s commits %d generation %d %v", host.name, sequence, snapshot.Generation(), keysOf(snapshot))
+		return
+	}
+	if !sameState(known, snapshot) {
+		c.fail("%s: two states of sequence %d", host.name, sequence)
+	}
+}
+
+func (c *checker) checkChanges(host *host, before uint64, action control.Committed) {
+	state := c.committed[before]
+	for _, change := range action.Changes {
+		next, err := state.Apply(change)
+		if err != nil {
+			c.fail("%s: changes do not follow %d: %v", host.name, before, err)
+			return
+		}
+		state = next
+	}
+	if !sameState(state, action.Snapshot) {
+		c.fail("%s: changes lead to another state than %d", host.name, action.Snapshot.Sequence())
+	}
+}
+
+func sameState(a, b *catalog.Snapshot) bool {
+	return a.Sequence() == b.Sequence() && proto.Equal(a.Digests(), b.Digests())
+}
+
+// sent: a voter keeps its promises, whatever happens to it in between.
+func (c *checker) sent(message *pb.Message) {
+	identity := message.GetFrom().GetIdentity()
+	if promise := message.GetPromise(); promise.GetGranted() {
+		known := c.vote(identity, promise.GetViewNumber())
+		if quorum.Compare(promise.GetBallot(), known.promised) < 0 {
+			c.fail("%s promises a lower ballot for view %d", message.GetFrom().GetHost(), promise.GetViewNumber())
+		}
+		if quorum.Compare(promise.GetAcceptedBallot(), known.accepted) < 0 {
+			c.fail("%s forgets what it accepted for view %d", message.GetFrom().GetHost(), promise.GetViewNumber())
+		}
+		known.promised = promise.GetBallot()
+	}
+	if accepted := message.GetAccepted(); accepted.GetGranted() {
+		known := c.vote(identity, accepted.GetViewNumber())
+		if quorum.Compare(accepted.GetBallot(), known.promised) < 0 {
+			c.fail("%s breaks its promise for view %d", message.GetFrom().GetHost(), accepted.GetViewNumber())
+		}
+		known.promised = accepted.GetBallot()
+		known.accepted = accepted.GetBallot()
+	}
+}
+
+func (c *checker) vote(identity string, number uint64) *vote {
+	key := voteKey{identity: identity, number: number}
+	if c.votes[key] == nil {
+		c.votes[key] = &vote{}
+	}
+	return c.votes[key]
+}
+
+// acknowledge notes a configuration answered 200.
+func (c *checker) acknowledge(order *configuration) {
+	c.acknowledged++
+	c.newestAcked = max(c.newestAcked, order.generation)
+	if !c.inForce[order.key] {
+		c.fail("%s is acknowledged but was never committed", order.key)
+	}
+	if other, found := c.ackedByBase[order.base]; found && other != order.key {
+		c.fail("%s and %s on base %d are both acknowledged", other, order.key, order.base)
+	}
+	c.ackedByBase[order.base] = order.key
+}
+
+func (c *checker) refuse(order *configuration, status uint32) {
+	c.refusals++
+	c.refused[order.key] = status
+}
+
+// read notes a read's answer; least is the newest generation acknowledged before the read began.
+func (c *checker) read(least, generation uint64) {
+	c.reads++
+	if generation < least {
+		c.fail("a read gives generation %d, %d was acknowledged before it", generation, least)
+	}
+}
+
+// finish checks what is known only at the end.
+func (c *checker) finish() {
+	for key, status := range c.refused {
+		if c.inForce[key] {
+			c.fail("%s was refused (%d) but came in force", key, status)
+		}
+	}
+	newest := c.committed[c.last]
+	if newest == nil {
+		return
+	}
+	if newest.Generation() < c.newestAcked {
+		c.fail("generation %d is in force, %d was acknowledged", newest.Generation(), c.newestAcked)
+	}
+	for _, host := range c.world.living() {
+		if host.machine == nil || host.machine.Committed() == nil {
+			c.fail("%s holds no committed state at the end", host.name)
+			continue
+		}
+		if !sameState(host.machine.Committed(), newest) {
+			c.fail("%s holds %d at the end, not %d", host.name, host.machine.Committed().Sequence(), c.last)
+		}
+	}
+	for zone, known := range c.evacuations {
+		known.check(c, zone, newest.Evacuated(zone))
+	}
+}
--- /dev/null
+++ b/internal/controlsim/doc.go
@@ -0,0 +1,8 @@
+// Package controlsim tests control machines in a simulated world: the clock, the network, the disks and the
+// operators are made of slices and a seeded source of chance, so that a run can be repeated by its seed.
+//
+// Messages are lost, delayed, doubled and reordered; machines are killed, frozen, cut off one way or both ways,
+// lose power with torn and missing writes, lose their disks, or are replaced; disks fill up and stall. While
+// this goes on, and after it, the checker looks at every action of every machine. The package holds tests
+// only. The environment variable CONTROLSIM_SEEDS sets the number of runs, CONTROLSIM_FIRST the first seed.
+package controlsim
--- /dev/null
+++ b/internal/controlsim/host_test.go
@@ -0,0 +1,247 @@
+package controlsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/ring"
+	"fieldrelay/internal/ring/ringtest"
+)
+
+// host is a machine of the world: its disk, and the process that runs on it.
+type host struct {
+	world   *world
+	index   int
+	name    string
+	control string // address of the operator's API
+	peer    string // address of the peer service
+	zone    string
+	disk    *ringtest.Disk
+	boot    bool // the settings say bootstrap
+
+	machine *control.Machine // nil while the process is dead
+	life    int              // counts starts
+	ring    *ring.Ring
+	writes  []control.Persist
+	writing bool
+	stalled bool // the disk hangs
+	full    bool // the disk refuses
+	frozen  bool
+	missed  []control.Event // arrived while frozen
+	gone    bool            // taken away for good
+}
+
+func newHost(w *world, index int, bootstrap bool) *host {
+	name := fmt.Sprintf("core-%d", index)
+	return &host{
+		world:   w,
+		index:   index,
+		name:    name,
+		control: name + ":8146",
+		peer:    name + ":7660",
+		zone:    "zone-" + strconv.Itoa(index%w.plan.zones),
+		disk:    ringtest.NewDisk(rand.New(rand.NewPCG(w.plan.seed, uint64(index)))),
+		boot:    bootstrap,
+	}
+}
+
+func (h *host) start() {
+	if h.gone || h.machine != nil {
+		return
+	}
+	h.life++
+	opened, recovered, err := ring.Open("", ring.Options{
+		Files:     2,
+		FileBytes: 8 << 10,
+		Storage:   h.disk,
+		Nonce:     h.world.random.Uint64,
+	})
+	if err != nil {
+		h.world.after(200*time.Millisecond, h.start)
+		return
+	}
+	h.world.plan.mutation.onRecover(recovered)
+	machine, err := control.NewMachine(control.Config{
+		Self: &pb.Replica{
+			Host:           h.name,
+			Address:        h.peer,
+			Zone:           h.zone,
+			Region:         "region",
+			ControlAddress: h.control,
+		},
+		Seeds:           h.world.seeds,
+		Bootstrap:       h.boot,
+		Requirement:     h.world.plan.required,
+		PeerAddress:     h.world.peerOf,
+		Random:          rand.New(rand.NewPCG(h.world.random.Uint64(), h.world.random.Uint64())),
+		SnapshotRecords: 40,
+	}, recovered)
+	if err != nil {
+		h.world.checker.fail("%s cannot recover: %v", h.name, err)
+		return
+	}
+	h.machine = machine
+	h.ring = opened
+	h.world.checker.lifeBegins(h)
+	h.deliver(control.Started{})
+	h.scheduleTick(h.life)
+}
+
+func (w *world) peerOf(controlAddress string) string {
+	for _, host := range w.hosts {
+		if host.control == controlAddress {
+			return host.peer
+		}
+	}
+	return ""
+}
+
+func (h *host) scheduleTick(life int) {
+	late := h.world.upTo(10 * time.Millisecond)
+	h.world.after(control.TickPeriod+late, func() {
+		if h.life != life || h.machine == nil {
+			return
+		}
+		if !h.frozen {
+			h.deliver(control.Tick{})
+		}
+		h.scheduleTick(life)
+	})
+}
+
+// deliver hands an event to the machine and carries out the actions.
+func (h *host) deliver(next control.Event) {
+	if h.machine == nil {
+		return
+	}
+	if h.frozen {
+		if _, tick := next.(control.Tick); !tick && len(h.missed) < 1000 {
+			h.missed = append(h.missed, next)
+		}
+		return
+	}
+	for _, action := range h.machine.Step(h.world.now, next) {
+		h.world.checker.action(h, action)
+		switch action := action.(type) {
+		case control.Send:
+			h.world.network.send(h, action)
+		case control.Persist:
+			h.writes = append(h.writes, action)
+			h.writeNext()
+		case control.Reply:
+			h.world.answer(action)
+		}
+	}
+}
+
+func (w *world) answer(reply control.Reply) {
+	done := w.requests[reply.Request]
+	delete(w.requests, reply.Request)
+	if done != nil {
+		done(w.plan.mutation.onReply(reply.Result))
+	}
+}
+
+// writeNext lets the disk work on the oldest write.
+func (h *host) writeNext() {
+	if h.writing || len(h.writes) == 0 || h.stalled {
+		return
+	}
+	h.writing = true
+	life := h.life
+	h.world.after(h.world.between(time.Millisecond, 6*time.Millisecond), func() {
+		if h.life != life || h.machine == nil {
+			return
+		}
+		h.writing = false
+		if !h.stalled {
+			h.finishWrite()
+		}
+	})
+}
+
+func (h *host) finishWrite() {
+	life := h.life
+	if err := h.put(h.writes[0]); err != nil {
+		h.writing = true
+		h.world.after(200*time.Millisecond, func() {
+			if h.life == life {
+				h.writing = false
+				h.writeNext()
+			}
+		})
+		h.deliver(control.WriteFailed{})
+		return
+	}
+	done := h.writes[0]
+	h.writes = h.writes[1:]
+	h.deliver(control.Persisted{Token: done.Token})
+	h.writeNext()
+}
+
+func (h *host) put(write control.Persist) error {
+	if h.world.plan.mutation.loseWrites {
+		return nil
+	}
+	if write.Snapshot != nil {
+		return h.ring.Snapshot(write.Snapshot)
+	}
+	return h.ring.Append(h.world.plan.mutation.onRecords(write.Records)...)
+}
+
+// die ends the process.
+func (h *host) die() {
+	h.machine = nil
+	h.life++
+	h.ring = nil
+	h.writes = nil
+	h.writing = false
+	h.frozen = false
+	h.missed = nil
+}
+
+func (h *host) kill() {
+	h.disk.Kill()
+	h.die()
+}
+
+// losePower ends the process, perhaps in the middle of a write.
+func (h *host) losePower() {
+	if h.machine != nil && len(h.writes) > 0 && h.world.chance(0.7) {
+		h.disk.SetFaults(ringtest.Faults{Sync: 1})
+		_ = h.put(h.writes[0])
+		h.disk.SetFaults(ringtest.Faults{})
+	}
+	h.disk.PowerLoss()
+	h.die()
+}
+
+// wipe ends the process and empties the disk.
+func (h *host) wipe() {
+	h.die()
+	h.disk.Wipe()
+	h.boot = false
+}
+
+func (h *host) thaw() {
+	h.frozen = false
+	missed := h.missed
+	h.missed = nil
+	for _, next := range missed {
+		h.deliver(next)
+	}
+}
+
+func (h *host) setStalled(stalled bool) {
+	h.stalled = stalled
+	h.writeNext()
+}
+
+func (h *host) setFull(full bool) {
+	h.full = full
+	h.disk.Fill(full)
+}
--- /dev/null
+++ b/internal/controlsim/mutation_test.go
@@ -0,0 +1,43 @@
+package controlsim
+
+import (
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/ring"
+)
+
+// mutation plants a fault, to show that the checker finds it. The zero value plants none.
+type mutation struct {
+	message    func(*pb.Message) *pb.Message
+	records    func([]ring.Record) []ring.Record
+	reply      func(*pb.OrderResult) *pb.OrderResult
+	recover    func(*ring.Recovered)
+	loseWrites bool // writes are told to be on disk but are not
+	wipeTwo    bool // more disks are lost at once than the budget allows
+}
+
+func (m *mutation) onMessage(message *pb.Message) *pb.Message {
+	if m.message == nil {
+		return message
+	}
+	return m.message(message)
+}
+
+func (m *mutation) onRecords(records []ring.Record) []ring.Record {
+	if m.records == nil {
+		return records
+	}
+	return m.records(records)
+}
+
+func (m *mutation) onReply(result *pb.OrderResult) *pb.OrderResult {
+	if m.reply == nil {
+		return result
+	}
+	return m.reply(result)
+}
+
+func (m *mutation) onRecover(recovered *ring.Recovered) {
+	if m.recover != nil {
+		m.recover(recovered)
+	}
+}
--- /dev/null
+++ b/internal/controlsim/network_test.go
@@ -0,0 +1,68 @@
+package controlsim
+
+import (
+	"time"
+
+	"fieldrelay/internal/control"
+)
+
+// network carries messages, badly.
+type network struct {
+	world   *world
+	lose    float64
+	double  float64
+	linger  float64 // chance of a delay of seconds
+	slow    time.Duration
+	blocked map[[2]int]bool // from, to
+}
+
+func newNetwork(w *world) network {
+	n := network{world: w, blocked: make(map[[2]int]bool), slow: 5 * time.Millisecond}
+	if w.plan.calm {
+		return n
+	}
+	n.lose = []float64{0, 0, 0.01, 0.05}[w.random.IntN(4)]
+	n.double = []float64{0, 0.02}[w.random.IntN(2)]
+	n.linger = []float64{0, 0.01}[w.random.IntN(2)]
+	n.slow = []time.Duration{2, 25, 60}[w.random.IntN(3)] * time.Millisecond
+	return n
+}
+
+func (n *network) send(from *host, action control.Send) {
+	to := n.world.byPeer[action.Address]
+	if to == nil {
+		return
+	}
+	message := n.world.plan.mutation.onMessage(action.Message)
+	if message == nil || n.world.chance(n.lose) {
+		return
+	}
+	action.Message = message
+	n.carry(from, to, action)
+	if n.world.chance(n.double) {
+		n.carry(from, to, action)
+	}
+}
+
+func (n *network) carry(from, to *host, action control.Send) {
+	delay := n.world.between(time.Millisecond/2, time.Millisecond+n.slow)
+	if n.world.chance(n.linger) {
+		delay = n.world.upTo(3 * time.Second)
+	}
+	life := to.life
+	n.world.after(delay, func() {
+		// a message does not reach a process that was started after it was sent, mostly
+		if n.blocked[[2]int{from.index, to.index}] || (to.life != life && n.world.chance(0.7)) {
+			return
+		}
+		to.deliver(control.Received{Message: action.Message})
+	})
+}
+
+// cut blocks the way between two hosts, or lets messages pass again.
+func (n *network) cut(a, b *host, oneWay, blocked bool) {
+	n.blocked[[2]int{a.index, b.index}] = blocked
+	if !oneWay {
+		n.blocked[[2]int{b.index, a.index}] = blocked
+	}
+}
--- /dev/null
+++ b/internal/controlsim/operator_test.go
@@ -0,0 +1,200 @@
+package controlsim
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// operatorPatience is how long an operator waits for an answer before it goes to another machine.
+const operatorPatience = time.Second
+
+// configuration is an order of an operator; its key is a path that no other order has.
+type configuration struct {
+	key        string
+	base       uint64
+	generation uint64
+	invalid    bool
+}
+
+func (c *configuration) order() *pb.Order {
+	service := "b"
+	if c.invalid {
+		service = "none"
+	}
+	body := fmt.Sprintf(`{"gen":%d,"routes":[{"name":"r%s","vhost":"h.example","path-prefix":%q,"deadline-ms":5,"backend":%q}],"backends":[{"name":"b"}]}`,
+		c.generation, c.key[1:2], c.key, service)
+	return &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: c.base, Body: []byte(body)}
+}
+
+// keysOf returns the keys of the configurations that a state holds.
+func keysOf(snapshot *catalog.Snapshot) []string {
+	var keys []string
+	for _, item := range snapshot.Items(catalog.KindRoutes) {
+		var route struct {
+			Prefix string `json:"path-prefix"`
+		}
+		if json.Unmarshal(item.GetBody(), &route) == nil {
+			keys = append(keys, route.Prefix)
+		}
+	}
+	return keys
+}
+
+// operator sends configurations, evacuations and reads, one at a time, as the operator's API tells it to.
+type operator struct {
+	world *world
+	name  int
+	count int
+	base  uint64 // newest generation that it knows of
+	ended bool
+	tries int
+}
+
+func (w *world) addOperator(name int) *operator {
+	operator := &operator{world: w, name: name}
+	w.after(w.between(500*time.Millisecond, 1500*time.Millisecond), operator.next)
+	return operator
+}
+
+// next chooses what the operator does.
+func (o *operator) next() {
+	if o.ended {
+		return
+	}
+	switch draw := o.world.random.IntN(10); {
+	case draw < 5:
+		o.sendConfiguration()
+	case draw < 8:
+		o.read()
+	default:
+		o.evacuate()
+	}
+}
+
+func (o *operator) pause() {
+	o.world.after(o.world.between(5*time.Millisecond, 400*time.Millisecond), o.next)
+}
+
+func (o *operator) sendConfiguration() {
+	o.count++
+	o.send(&configuration{
+		key:        fmt.Sprintf("/%d-%d/", o.name, o.count),
+		base:       o.base,
+		generation: o.base + 1 + uint64(o.world.random.IntN(3)),
+		invalid:    o.world.chance(0.1),
+	}, 8)
+}
+
+// send sends a configuration until there is a clear answer, to another machine each time.
+func (o *operator) send(order *configuration, tries int) {
+	if tries == 0 {
+		o.read()
+		return
+	}
+	o.ask(order.order(), func(result *pb.OrderResult) {
+		switch status := result.GetStatus(); {
+		case status == http.StatusOK:
+			o.world.note("operator %d: %s base %d generation %d acknowledged", o.name, order.key, order.base, order.generation)
+			o.world.checker.acknowledge(order)
+			o.base = max(o.base, order.generation)
+			o.again(order)
+		case status >= 400 && status < 500:
+			o.world.note("operator %d: %s base %d refused %d", o.name, order.key, order.base, status)
+			o.world.checker.refuse(order, status)
+			o.read()
+		default:
+			wait := o.world.between(5*time.Millisecond, 300*time.Millisecond)
+			o.world.after(wait, func() { o.send(order, tries-1) })
+		}
+	})
+}
+
+// again sends an acknowledged configuration once more, now and then: the answer is 200 again.
+func (o *operator) again(order *configuration) {
+	if !o.world.chance(0.2) {
+		o.pause()
+		return
+	}
+	o.ask(order.order(), func(result *pb.OrderResult) {
+		if status := result.GetStatus(); status != http.StatusOK && status != http.StatusServiceUnavailable {
+			o.world.checker.fail("%s was acknowledged, and refused when sent again: %d", order.key, status)
+		}
+		o.pause()
+	})
+}
+
+func (o *operator) read() {
+	least := o.world.checker.newestAcked
+	o.ask(&pb.Order{Kind: pb.Order_KIND_READ}, func(result *pb.OrderResult) {
+		if result.GetStatus() == http.StatusOK {
+			var body struct {
+				Generation uint64 `json:"gen"`
+			}
+			if err := json.Unmarshal(result.GetBody(), &body); err != nil {
+				o.world.checker.fail("a read gives no configuration: %v", err)
+			}
+			o.world.checker.read(least, body.Generation)
+			o.base = max(o.base, body.Generation)
+		}
+		o.pause()
+	})
+}
+
+// ask sends an order to any machine. No answer in time counts as 503.
+func (o *operator) ask(order *pb.Order, done func(*pb.OrderResult)) {
+	answered := false
+	once := func(result *pb.OrderResult) {
+		if !answered {
+			answered = true
+			done(result)
+		}
+	}
+	o.world.submit(o.world.anyHost(), order, once)
+	o.world.after(operatorPatience, func() {
+		once(&pb.OrderResult{Status: http.StatusServiceUnavailable})
+	})
+}
+
+// evacuation is what is known of a zone's evacuation. Orders without a clear answer may have been carried out
+// or not, or may yet be.
+type evacuation struct {
+	unclear bool // some order was not clearly answered
+	known   bool // an order was acknowledged
+	begun   bool // by the last acknowledged order
+}
+
+func (e *evacuation) check(c *checker, zone string, evacuated bool) {
+	if e.known && !e.unclear && e.begun != evacuated {
+		c.fail("%s: evacuated is %v, acknowledged was %v", zone, evacuated, e.begun)
+	}
+}
+
+// evacuate begins or ends the evacuation of a zone of the operator's own.
+func (o *operator) evacuate() {
+	zone := "evacuated-" + strconv.Itoa(o.name)
+	known := o.world.checker.evacuations[zone]
+	if known == nil {
+		known = &evacuation{}
+		o.world.checker.evacuations[zone] = known
+	}
+	begin := o.world.chance(0.5)
+	kind := pb.Order_KIND_EVACUATE_FINISH
+	if begin {
+		kind = pb.Order_KIND_EVACUATE_BEGIN
+	}
+	o.ask(&pb.Order{Kind: kind, Zone: zone}, func(result *pb.OrderResult) {
+		if result.GetStatus() == http.StatusOK {
+			known.known = true
+			known.begun = begin
+		} else {
+			known.unclear = true
+		}
+		o.pause()
+	})
+}
--- /dev/null
+++ b/internal/controlsim/world_test.go
@@ -0,0 +1,158 @@
+package controlsim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/control"
+)
+
+// event is something that happens in the world at a time.
+type event struct {
+	at     time.Duration
+	number uint64 // keeps events of one time in the order of their making
+	do     func()
+}
+
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].number < q[j].number
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// plan is what a world is made of.
+type plan struct {
+	seed     uint64
+	machines int
+	zones    int
+	required chain.Requirement
+	mutation mutation
+	calm     bool // no faults of the network
+}
+
+// world is a set of machines with everything around them.
+type world struct {
+	plan    plan
+	random  *rand.Rand
+	now     time.Duration
+	events  eventQueue
+	numbers uint64
+
+	hosts    []*host
+	byPeer   map[string]*host
+	seeds    []string
+	network  network
+	checker  *checker
+	requests map[uint64]func(*pb.OrderResult)
+	request  uint64
+	lastHurt time.Duration // end of the last trouble
+	trace    []string
+}
+
+func newWorld(plan plan) *world {
+	w := &world{
+		plan:     plan,
+		random:   rand.New(rand.NewPCG(plan.seed, 7)),
+		byPeer:   make(map[string]*host),
+		requests: make(map[uint64]func(*pb.OrderResult)),
+	}
+	w.checker = newChecker(w)
+	w.network = newNetwork(w)
+	for index := range plan.machines {
+		w.addHost(true)
+		if index < 3 {
+			w.seeds = append(w.seeds, w.hosts[index].control)
+		}
+	}
+	for _, host := range w.hosts {
+		w.after(w.upTo(300*time.Millisecond), host.start)
+	}
+	return w
+}
+
+func (w *world) addHost(bootstrap bool) *host {
+	index := len(w.hosts)
+	host := newHost(w, index, bootstrap)
+	w.hosts = append(w.hosts, host)
+	w.byPeer[host.peer] = host
+	return host
+}
+
+func (w *world) after(wait time.Duration, do func()) {
+	w.numbers++
+	heap.Push(&w.events, &event{at: w.now + wait, number: w.numbers, do: do})
+}
+
+// run lets time pass.
+func (w *world) run(span time.Duration) {
+	w.runUntil(span, func() bool { return false })
+}
+
+// runUntil lets time pass until something is reached, and reports whether it was.
+func (w *world) runUntil(limit time.Duration, reached func() bool) bool {
+	end := w.now + limit
+	for len(w.events) > 0 && w.events[0].at <= end {
+		if reached() {
+			return true
+		}
+		next := heap.Pop(&w.events).(*event)
+		w.now = next.at
+		next.do()
+	}
+	w.now = end
+	return reached()
+}
+
+func (w *world) upTo(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit)))
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + w.upTo(most-least)
+}
+
+func (w *world) chance(probability float64) bool { return w.random.Float64() < probability }
+
+// note adds a line to what is printed when a run fails.
+func (w *world) note(format string, arguments ...any) {
+	line := fmt.Sprintf("%9.3f ", w.now.Seconds()) + fmt.Sprintf(format, arguments...)
+	w.trace = append(w.trace, line)
+}
+
+// submit hands an order to a machine; done is called once with its answer, or never if the machine dies.
+func (w *world) submit(host *host, order *pb.Order, done func(*pb.OrderResult)) {
+	w.request++
+	w.requests[w.request] = done
+	host.deliver(control.Submitted{Request: w.request, Order: order})
+}
+
+// living are the hosts that were not taken away.
+func (w *world) living() []*host {
+	var living []*host
+	for _, host := range w.hosts {
+		if !host.gone {
+			living = append(living, host)
+		}
+	}
+	return living
+}
+
+func (w *world) anyHost() *host {
+	living := w.living()
+	return living[w.random.IntN(len(living))]
+}
--- /dev/null
+++ b/internal/gossip/copy_test.go
@@ -0,0 +1,194 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// change is the change of a sequence number; all copies get the same one.
+func change(sequence uint64) *pb.Change {
+	item := &pb.Item{
+		Kind:     catalog.KindRoutes,
+		Name:     fmt.Sprintf("route-%d", sequence%50),
+		Order:    sequence,
+		Sequence: sequence,
+		Body:     []byte(`{"name":"r"}`),
+	}
+	return &pb.Change{Sequence: sequence, Generation: sequence, Upserts: []*pb.Item{item}}
+}
+
+func changes(from, to uint64) []*pb.Change {
+	var all []*pb.Change
+	for sequence := from; sequence <= to; sequence++ {
+		all = append(all, change(sequence))
+	}
+	return all
+}
+
+func stateAt(sequence uint64) *catalog.Snapshot {
+	held := NewCopy()
+	held.ApplyChanges(changes(1, sequence))
+	return held.Snapshot()
+}
+
+func version(epoch uint64, holder string, revision uint64) *pb.ListVersion {
+	return &pb.ListVersion{Epoch: epoch, Holder: holder, Revision: revision}
+}
+
+func list(revision uint64, ids ...string) *pb.ServerList {
+	message := &pb.ServerList{Version: version(1, "core-1", revision)}
+	for _, id := range ids {
+		message.Servers = append(message.Servers, &pb.Server{Id: id, Service: "s", Address: "10.0.0.1:80"})
+	}
+	return message
+}
+
+func TestVersionsAreOrderedByEpochHolderRevision(t *testing.T) {
+	ordered := []*pb.ListVersion{
+		nil,
+		version(1, "a", 9),
+		version(1, "b", 1),
+		version(1, "b", 2),
+		version(2, "a", 1),
+	}
+	for i, lower := range ordered {
+		require.Zero(t, CompareVersions(lower, lower))
+		for _, higher := range ordered[i+1:] {
+			require.Negative(t, CompareVersions(lower, higher))
+			require.Positive(t, CompareVersions(higher, lower))
+		}
+	}
+}
+
+// What is offered in any order, repeated and reordered, never lowers a version, and the state at a sequence is
+// the one state that this sequence has.
+func TestVersionsOnlyRise(t *testing.T) {
+	const last = 40
+	states := make([]*catalog.Snapshot, last+1)
+	for sequence := range states {
+		states[sequence] = stateAt(uint64(sequence))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		held := NewCopy()
+		bases := []*catalog.Snapshot{nil}
+		now := time.Minute
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			sequence, listed := held.Sequence(), held.ListVersion()
+			now += time.Duration(rapid.IntRange(0, 1000).Draw(t, "passed")) * time.Millisecond
+			at := rapid.Uint64Range(1, last).Draw(t, "at")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				held.ApplyChanges(changes(at, rapid.Uint64Range(at, last).Draw(t, "to")))
+			case 1:
+				base := rapid.SampledFrom(bases).Draw(t, "base")
+				var digests *pb.RangeDigests
+				if base != nil {
+					digests = base.Digests()
+				}
+				_, err := held.Restore(base, states[at].RepairFor(digests))
+				require.NoError(t, err)
+			case 2:
+				bases = append(bases, held.Snapshot())
+			case 3:
+				offered := &pb.ServerList{
+					Version: version(at%3, fmt.Sprint("core-", at%2), at%5),
+					AgeMs:   uint32(at * 10),
+				}
+				held.OfferList(now, offered)
+			}
+			require.GreaterOrEqual(t, held.Sequence(), sequence)
+			require.GreaterOrEqual(t, CompareVersions(held.ListVersion(), listed), 0)
+			require.True(t, proto.Equal(states[held.Sequence()].Digests(), held.Snapshot().Digests()))
+		}
+	})
+}
+
+func TestPartialRepairNeedsItsBase(t *testing.T) {
+	held := NewCopy()
+	held.ApplyChanges(changes(1, 3))
+	base := held.Snapshot()
+	repair := stateAt(9).RepairFor(base.Digests())
+	require.Less(t, len(repair.GetRanges()), catalog.RangeCount)
+	moved, err := held.Restore(nil, repair)
+	var partial *PartialRepairError
+	require.ErrorAs(t, err, &partial)
+	require.False(t, moved)
+	moved, err = held.Restore(base, repair)
+	require.NoError(t, err)
+	require.True(t, moved)
+	require.EqualValues(t, 9, held.Sequence())
+}
+
+func TestListContentIsComparedApartFromTheTimeThatPasses(t *testing.T) {
+	warming := func(revision uint64, ageMs, warmMs uint32) *pb.ServerList {
+		message := list(revision, "i-1")
+		message.AgeMs = ageMs
+		message.Servers[0].WarmLeftMs = warmMs
+		return message
+	}
+	cases := []struct {
+		name    string
+		now     time.Duration
+		offered *pb.ServerList
+		want    ListOutcome
+	}{
+		{"older", 2 * time.Second, warming(1, 0, 5000), ListRefused},
+		{"same and no later", 2 * time.Second, warming(2, 2000, 5000), ListRefused},
+		{"same and later", 2 * time.Second, warming(2, 100, 3100), ListRefreshed},
+		{"newer, cold a little longer", 3 * time.Second, warming(3, 0, 2200), ListChanged},
+		{"newer, cold a little shorter", 3 * time.Second, warming(3, 0, 1800), ListRefreshed},
+		{"newer, warming went on", 3 * time.Second, warming(3, 0, 2000), ListRefreshed},
+		{"newer, warm", 9 * time.Second, warming(3, 0, 0), ListRefreshed},
+		{"newer, cold again", 9 * time.Second, warming(3, 0, 5000), ListChanged},
+		{"newer, another server", 2 * time.Second, list(3, "i-2"), ListChanged},
+		{"newer, no server", 2 * time.Second, list(3), ListChanged},
+		{"no version", 2 * time.Second, &pb.ServerList{}, ListRefused},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			held := NewCopy()
+			require.Equal(t, ListChanged, held.OfferList(time.Second, warming(2, 1000, 5000)))
+			require.Equal(t, c.want, held.OfferList(c.now, c.offered))
+		})
+	}
+}
+
+func TestConfirmationLeavesTheSpansOfServersAsTheyAre(t *testing.T) {
+	held := NewCopy()
+	held.OfferList(time.Second, list(1, "i-1"))
+	confirmation := &pb.ServerList{Version: version(1, "core-1", 1), AgeMs: 100}
+	require.Equal(t, ListRefreshed, held.OfferList(3*time.Second, confirmation))
+	require.Equal(t, 2900*time.Millisecond, held.ListNewsAt())
+	require.EqualValues(t, 2000, held.List(3*time.Second).GetAgeMs(), "read two seconds ago")
+	require.Len(t, held.List(3*time.Second).GetServers(), 1)
+}
+
+func TestListAges(t *testing.T) {
+	held := NewCopy()
+	require.Nil(t, held.List(time.Second))
+	first := list(1, "i-1")
+	first.AgeMs = 300
+	held.OfferList(time.Second, first)
+	require.EqualValues(t, 800, held.List(1500*time.Millisecond).GetAgeMs())
+	require.EqualValues(t, 300, first.GetAgeMs(), "the message itself isn't changed")
+}
+
+func BenchmarkSameContent(b *testing.B) {
+	ids := make([]string, 400)
+	for i := range ids {
+		ids[i] = fmt.Sprint("i-", rand.Uint64())
+	}
+	one, other := heldList{message: list(1, ids...)}, heldList{message: list(2, ids...)}
+	for b.Loop() {
+		sameContent(one, other)
+	}
+}
