--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,350 @@
+// Package gossip spreads changes of the control state and server lists among the agents, beside the links to the
+// control machines: news is passed on to a few neighbours, gaps are found by comparing versions with one of them
+// at a time and repaired by digests.
+//
+// Small news is pushed whole. Of large news only the versions are told, and a neighbour that still lacks it a
+// moment later asks for it, so that what control delivers anyway isn't sent thrice. The machine does no I/O and
+// reads no clock.
+package gossip
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/shuffle"
+)
+
+const (
+	// Fanout is the number of neighbours that news is passed on to.
+	Fanout = 3
+	// ComparePeriod is the mean time between two comparisons that a member begins.
+	ComparePeriod = 3 * time.Second
+
+	// pullDelay is how long a member that hears of news waits for it to come by itself, from control.
+	pullDelay = 100 * time.Millisecond
+	// pushLimit is the size in bytes up to which news is pushed whole.
+	pushLimit = 1 << 10
+)
+
+// Event is something that a Machine is told.
+type Event interface{ isEvent() }
+
+// Tick tells that time has passed. Ticks should come a few times a second.
+type Tick struct{}
+
+// Learned is news from outside the gossip: from a control machine.
+type Learned struct {
+	Changes []*pb.Change
+	Base    *catalog.Snapshot // whose digests Repair answers; nil: of nothing
+	Repair  *pb.Repair
+	List    *pb.ServerList
+}
+
+// Pushed is a neighbour's push; it is answered by a PushReply.
+type Pushed struct {
+	From    shuffle.Neighbour
+	Changes []*pb.Change
+	List    *pb.ServerList
+}
+
+// PushAnswered is the answer to a Push.
+type PushAnswered struct {
+	To       shuffle.Neighbour
+	Sequence uint64
+	List     *pb.ListVersion
+}
+
+// Asked is a neighbour's comparison; it is answered by a CompareReply.
+type Asked struct {
+	From    shuffle.Neighbour
+	Digests *pb.RangeDigests
+	List    *pb.ListVersion
+}
+
+// Compared is the answer to a Compare.
+type Compared struct {
+	Request  Compare
+	Response *pb.CompareResponse
+}
+
+func (Tick) isEvent()         {}
+func (Learned) isEvent()      {}
+func (Pushed) isEvent()       {}
+func (PushAnswered) isEvent() {}
+func (Asked) isEvent()        {}
+func (Compared) isEvent()     {}
+
+// Action is something that the caller of Step has to do.
+type Action interface{ isAction() }
+
+// Push sends news to a neighbour. Its answer comes back as PushAnswered.
+type Push struct {
+	To      shuffle.Neighbour
+	Changes []*pb.Change
+	List    *pb.ServerList
+}
+
+// PushReply answers a Pushed.
+type PushReply struct {
+	Sequence uint64
+	List     *pb.ListVersion
+}
+
+// Compare tells a neighbour what is held. Its answer comes back as Compared.
+type Compare struct {
+	To      shuffle.Neighbour
+	Digests *pb.RangeDigests
+	List    *pb.ListVersion
+	Base    *catalog.Snapshot // the state that Digests describes
+}
+
+// CompareReply answers an Asked.
+type CompareReply struct{ Response *pb.CompareResponse }
+
+func (Push) isAction()         {}
+func (PushReply) isAction()    {}
+func (Compare) isAction()      {}
+func (CompareReply) isAction() {}
+
+// View tells the present neighbours.
+type View interface{ Neighbours() []shuffle.Neighbour }
+
+// Machine is one agent's part in the gossip. It is not safe for concurrent use.
+type Machine struct {
+	held        *Copy
+	view        View
+	random      *rand.Rand
+	started     bool
+	nextCompare time.Duration
+	ahead       lead
+	malformed   uint64
+}
+
+// lead is a neighbour that is known to hold more, and is asked for it.
+type lead struct {
+	neighbour shuffle.Neighbour // no host: none
+	sequence  uint64
+	list      *pb.ListVersion
+	askAt     time.Duration
+}
+
+// New makes the machine that keeps the copy held up to date and passes its news on.
+func New(held *Copy, view View, random *rand.Rand) *Machine {
+	return &Machine{held: held, view: view, random: random}
+}
+
+// Malformed counts the repairs that could not be used.
+func (m *Machine) Malformed() uint64 { return m.malformed }
+
+// Step handles one event at the time now of a steady clock.
+func (m *Machine) Step(now time.Duration, event Event) []Action {
+	switch event := event.(type) {
+	case Tick:
+		return m.tick(now)
+	case Learned:
+		return m.take(now, "", event)
+	case Pushed:
+		return m.pushed(now, event)
+	case PushAnswered:
+		m.heard(now, event.To, event.Sequence, event.List)
+	case Asked:
+		return m.asked(now, event)
+	case Compared:
+		return m.compared(now, event)
+	}
+	return nil
+}
+
+// tick asks a neighbour that is ahead, or compares with any when it is time.
+func (m *Machine) tick(now time.Duration) []Action {
+	if !m.started {
+		m.started = true
+		m.nextCompare = now + time.Duration(m.random.Int64N(int64(ComparePeriod)))
+	}
+	if !m.behind() {
+		m.ahead = lead{}
+	}
+	if m.ahead.neighbour.Host != "" && now >= m.ahead.askAt {
+		neighbour := m.ahead.neighbour
+		m.ahead = lead{}
+		return []Action{m.compare(neighbour)}
+	}
+	if now < m.nextCompare {
+		return nil
+	}
+	m.nextCompare = now + m.jittered(ComparePeriod)
+	return m.compareAny()
+}
+
+func (m *Machine) compareAny() []Action {
+	neighbours := m.view.Neighbours()
+	if len(neighbours) == 0 {
+		return nil
+	}
+	return []Action{m.compare(neighbours[m.random.IntN(len(neighbours))])}
+}
+
+// jittered is a random time between 3/4 and 5/4 of a period.
+func (m *Machine) jittered(period time.Duration) time.Duration {
+	quarter := int64(period / 4)
+	return period - time.Duration(quarter) + time.Duration(m.random.Int64N(2*quarter))
+}
+
+// behind tells whether the neighbour that was ahead still is.
+func (m *Machine) behind() bool {
+	if m.ahead.neighbour.Host == "" {
+		return false
+	}
+	return m.ahead.sequence > m.held.Sequence() || CompareVersions(m.ahead.list, m.held.ListVersion()) > 0
+}
+
+// heard remembers a neighbour that holds more than this member.
+func (m *Machine) heard(now time.Duration, from shuffle.Neighbour, sequence uint64, list *pb.ListVersion) {
+	newer := sequence > m.held.Sequence() || CompareVersions(list, m.held.ListVersion()) > 0
+	if !newer || from.Host == "" || from.Address == "" {
+		return
+	}
+	askAt := now + pullDelay
+	if m.behind() {
+		askAt = min(askAt, m.ahead.askAt)
+	}
+	m.ahead = lead{neighbour: from, sequence: sequence, list: list, askAt: askAt}
+}
+
+// compare is the cheap comparison: versions alone.
+func (m *Machine) compare(with shuffle.Neighbour) Compare {
+	snapshot := m.held.Snapshot()
+	return Compare{
+		To:      with,
+		Digests: &pb.RangeDigests{Sequence: snapshot.Sequence(), Generation: snapshot.Generation()},
+		List:    m.held.ListVersion(),
+	}
+}
+
+// compareDigests is the comparison that is answered by a repair.
+func (m *Machine) compareDigests(with shuffle.Neighbour) Compare {
+	snapshot := m.held.Snapshot()
+	return Compare{To: with, Digests: snapshot.Digests(), List: m.held.ListVersion(), Base: snapshot}
+}
+
+// pushed takes a neighbour's news and passes it on if it is news here.
+func (m *Machine) pushed(now time.Duration, push Pushed) []Action {
+	actions := m.take(now, push.From.Host, Learned{Changes: push.Changes, List: push.List})
+	if last := len(push.Changes) - 1; last >= 0 {
+		m.heard(now, push.From, push.Changes[last].GetSequence(), nil)
+	}
+	reply := PushReply{Sequence: m.held.Sequence(), List: m.held.ListVersion()}
+	return append(actions, reply)
+}
+
+// asked answers a comparison with what is newer here.
+func (m *Machine) asked(now time.Duration, asked Asked) []Action {
+	theirs := asked.Digests.GetSequence()
+	response := &pb.CompareResponse{Sequence: m.held.Sequence()}
+	if theirs < m.held.Sequence() {
+		changes, kept := m.held.Since(theirs)
+		switch {
+		case kept:
+			response.Changes = changes
+		case len(asked.Digests.GetDigests()) > 0:
+			response.Repair = m.held.Snapshot().RepairFor(asked.Digests)
+		}
+	}
+	if CompareVersions(m.held.ListVersion(), asked.List) > 0 {
+		response.List = m.held.List(now)
+	}
+	m.heard(now, asked.From, theirs, asked.List)
+	return []Action{CompareReply{Response: response}}
+}
+
+// compared takes what a neighbour holds beyond this member. If changes alone can't bring it, digests follow.
+func (m *Machine) compared(now time.Duration, answer Compared) []Action {
+	response := answer.Response
+	actions := m.take(now, answer.Request.To.Host, Learned{
+		Changes: response.GetChanges(),
+		Base:    answer.Request.Base,
+		Repair:  response.GetRepair(),
+		List:    response.GetList(),
+	})
+	if response.GetSequence() > m.held.Sequence() && answer.Request.Base == nil {
+		actions = append(actions, m.compareDigests(answer.Request.To))
+	}
+	return actions
+}
+
+// take applies news and passes on what was new, not to the neighbour that it came from.
+func (m *Machine) take(now time.Duration, from string, news Learned) []Action {
+	before := m.held.Sequence()
+	applied := m.held.ApplyChanges(news.Changes)
+	repaired := m.restore(news)
+	var list *pb.ServerList
+	if m.held.OfferList(now, news.List) == ListChanged {
+		list = m.held.List(now)
+	}
+	if m.held.Sequence() < before {
+		panic("gossip: the sequence of the copy fell")
+	}
+	if len(applied) == 0 && !repaired && list == nil {
+		return nil
+	}
+	return m.spread(from, applied, repaired, list)
+}
+
+func (m *Machine) restore(news Learned) bool {
+	if news.Repair == nil {
+		return false
+	}
+	moved, err := m.held.Restore(news.Base, news.Repair)
+	if err != nil {
+		m.malformed++
+	}
+	return moved
+}
+
+// spread pushes small news and announces the rest.
+func (m *Machine) spread(from string, applied []*pb.Change, repaired bool, list *pb.ServerList) []Action {
+	small := !repaired && newsSize(applied, list) <= pushLimit
+	var actions []Action
+	for _, neighbour := range m.pick(Fanout, from) {
+		if small {
+			actions = append(actions, Push{To: neighbour, Changes: applied, List: list})
+		} else {
+			actions = append(actions, m.compare(neighbour))
+		}
+	}
+	return actions
+}
+
+// newsSize is the size of news in bytes, or one above pushLimit.
+func newsSize(changes []*pb.Change, list *pb.ServerList) int {
+	size := 0
+	for _, change := range changes {
+		size += proto.Size(change)
+		if size > pushLimit {
+			return size
+		}
+	}
+	if list != nil {
+		size += proto.Size(list)
+	}
+	return size
+}
+
+// pick takes neighbours at random, none of them the host except.
+func (m *Machine) pick(count int, except string) []shuffle.Neighbour {
+	neighbours := m.view.Neighbours()
+	picked := make([]shuffle.Neighbour, 0, count)
+	for _, i := range m.random.Perm(len(neighbours)) {
+		if len(picked) == count {
+			break
+		}
+		if neighbours[i].Host != except {
+			picked = append(picked, neighbours[i])
+		}
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,267 @@
+package gossip
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/shuffle"
+)
+
+const (
+	swarmSize = 400
+	hop       = 10 * time.Millisecond
+)
+
+// fixedView is a view that doesn't change.
+type fixedView []shuffle.Neighbour
+
+func (v fixedView) Neighbours() []shuffle.Neighbour { return v }
+
+func neighbour(i int) shuffle.Neighbour {
+	return shuffle.Neighbour{Host: fmt.Sprint("edge-", i), Address: fmt.Sprint("10.0.0.1:", 1000+i)}
+}
+
+// message is an action on its way to another member.
+type message struct {
+	from, to int
+	action   Action
+}
+
+// swarm is a simulation of many members: messages take a hop, may be lost and come in any order.
+type swarm struct {
+	t        *testing.T
+	random   *rand.Rand
+	now      time.Duration
+	loss     float64
+	machines []*Machine
+	copies   []*Copy
+	floor    []uint64
+	flying   []message
+	pushes   int
+	compares int
+}
+
+func newSwarm(t *testing.T, seed uint64, size int) *swarm {
+	s := &swarm{t: t, random: rand.New(rand.NewPCG(seed, 1)), floor: make([]uint64, size)}
+	for i := range size {
+		var view fixedView
+		for _, other := range s.random.Perm(size) {
+			if other != i && len(view) < shuffle.ViewSize {
+				view = append(view, neighbour(other))
+			}
+		}
+		held := NewCopy()
+		s.copies = append(s.copies, held)
+		s.machines = append(s.machines, New(held, view, rand.New(rand.NewPCG(seed, uint64(i)+2))))
+	}
+	return s
+}
+
+func (s *swarm) step(i int, event Event) []Action {
+	actions := s.machines[i].Step(s.now, event)
+	require.GreaterOrEqual(s.t, s.copies[i].Sequence(), s.floor[i], "sequences only rise")
+	s.floor[i] = s.copies[i].Sequence()
+	return actions
+}
+
+func (s *swarm) tell(i int, event Event) {
+	for _, action := range s.step(i, event) {
+		s.send(i, action)
+	}
+}
+
+func (s *swarm) send(from int, action Action) {
+	var to shuffle.Neighbour
+	switch action := action.(type) {
+	case Push:
+		to = action.To
+		s.pushes++
+	case Compare:
+		to = action.To
+		s.compares++
+	default:
+		return
+	}
+	var index int
+	_, err := fmt.Sscanf(to.Host, "edge-%d", &index)
+	require.NoError(s.t, err)
+	s.flying = append(s.flying, message{from: from, to: index, action: action})
+}
+
+// round delivers what is on its way and, every quarter of a second, lets every member tick.
+func (s *swarm) round() {
+	s.now += hop
+	flying := s.flying
+	s.flying = nil
+	for _, i := range s.random.Perm(len(flying)) {
+		if s.random.Float64() >= s.loss {
+			s.deliver(flying[i])
+		}
+	}
+	if s.now%(25*hop) == 0 {
+		for i := range s.machines {
+			s.tell(i, Tick{})
+		}
+	}
+}
+
+func (s *swarm) deliver(m message) {
+	switch action := m.action.(type) {
+	case Push:
+		event := Pushed{From: neighbour(m.from), Changes: action.Changes, List: action.List}
+		for _, answer := range s.step(m.to, event) {
+			if reply, ok := answer.(PushReply); ok {
+				s.answer(m.from, PushAnswered{To: action.To, Sequence: reply.Sequence, List: reply.List})
+			} else {
+				s.send(m.to, answer)
+			}
+		}
+	case Compare:
+		event := Asked{From: neighbour(m.from), Digests: action.Digests, List: action.List}
+		for _, answer := range s.step(m.to, event) {
+			s.answer(m.from, Compared{Request: action, Response: answer.(CompareReply).Response})
+		}
+	}
+}
+
+// answer delivers an answer unless it is lost.
+func (s *swarm) answer(to int, event Event) {
+	if s.random.Float64() >= s.loss {
+		s.tell(to, event)
+	}
+}
+
+func (s *swarm) rounds(span time.Duration) {
+	for end := s.now + span; s.now < end; {
+		s.round()
+	}
+}
+
+func (s *swarm) holding(sequence uint64, listed *pb.ListVersion) int {
+	count := 0
+	for _, held := range s.copies {
+		if held.Sequence() >= sequence && CompareVersions(held.ListVersion(), listed) >= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *swarm) requireAlike() {
+	want := s.copies[0].Snapshot().Digests()
+	for i, held := range s.copies {
+		require.True(s.t, proto.Equal(want, held.Snapshot().Digests()), "member %d", i)
+	}
+}
+
+func TestUpdateReachesAllInFewRounds(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSwarm(t, seed, swarmSize)
+		s.tell(0, Learned{Changes: changes(1, 1), List: list(1, "i-1")})
+		s.rounds(12 * hop)
+		require.GreaterOrEqual(t, s.holding(1, version(1, "core-1", 1)), swarmSize*9/10, "by pushes alone")
+		require.LessOrEqual(t, s.pushes, swarmSize*Fanout)
+		s.rounds(8 * time.Second)
+		require.Equal(t, swarmSize, s.holding(1, version(1, "core-1", 1)), "after comparisons")
+		s.requireAlike()
+	}
+}
+
+func TestUpdatesReachAllDespiteLosses(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newSwarm(t, seed, swarmSize)
+		s.loss = 0.3
+		for sequence := uint64(1); sequence <= 20; sequence++ {
+			s.tell(s.random.IntN(swarmSize), Learned{
+				Changes: changes(1, sequence),
+				List:    list(sequence, fmt.Sprint("i-", sequence)),
+			})
+			s.rounds(200 * time.Millisecond)
+		}
+		s.rounds(30 * time.Second)
+		require.Equal(t, swarmSize, s.holding(20, version(1, "core-1", 20)))
+		s.requireAlike()
+	}
+}
+
+func TestLargeNewsIsAnnouncedAndAskedFor(t *testing.T) {
+	s := newSwarm(t, 1, swarmSize)
+	large := change(1)
+	large.Upserts[0].Body = bytes.Repeat([]byte("x"), 10*pushLimit)
+	s.tell(0, Learned{Changes: []*pb.Change{large}})
+	s.rounds(15 * time.Second)
+	require.Equal(t, swarmSize, s.holding(1, nil))
+	require.Zero(t, s.pushes, "large news isn't pushed")
+}
+
+func TestNewsThatAllHaveCostsNoFurtherMessages(t *testing.T) {
+	s := newSwarm(t, 1, 50)
+	for i := range s.machines {
+		s.tell(i, Learned{Changes: changes(1, 1)})
+	}
+	s.rounds(time.Second)
+	require.LessOrEqual(t, s.pushes, 50*Fanout)
+	s.pushes = 0
+	require.Empty(t, s.step(0, Learned{Changes: changes(1, 1)}))
+	s.rounds(10 * time.Second)
+	require.Zero(t, s.pushes)
+	require.LessOrEqual(t, s.compares, 50*(11/2+1), "about one comparison a period")
+}
+
+func TestGapIsRepairedByDigests(t *testing.T) {
+	s := newSwarm(t, 1, 2)
+	s.copies[0].ApplyChanges(changes(1, 10))
+	s.copies[0].history.Reset(10)
+	s.copies[1].ApplyChanges(changes(1, 3))
+	s.floor[0], s.floor[1] = 10, 3
+	s.rounds(10 * time.Second)
+	require.EqualValues(t, 10, s.copies[1].Sequence())
+	s.requireAlike()
+}
+
+func TestEqualVersionsAreAnsweredWithNothing(t *testing.T) {
+	s := newSwarm(t, 1, 2)
+	for i := range s.machines {
+		s.machines[i].Step(0, Learned{Changes: changes(1, 3), List: list(1, "i-1")})
+	}
+	asked := s.machines[0].compare(neighbour(1))
+	reply := s.step(1, Asked{From: neighbour(0), Digests: asked.Digests, List: asked.List})[0].(CompareReply)
+	require.True(t, proto.Equal(&pb.CompareResponse{Sequence: 3}, reply.Response))
+	require.Empty(t, s.step(0, Compared{Request: asked, Response: reply.Response}))
+}
+
+func TestNewsGoesNotBackToWhereItCameFrom(t *testing.T) {
+	s := newSwarm(t, 1, 4)
+	for range 20 {
+		held := NewCopy()
+		machine := New(held, fixedView{neighbour(1), neighbour(2), neighbour(3)}, s.random)
+		for _, action := range machine.Step(0, Pushed{From: neighbour(2), Changes: changes(1, 1)}) {
+			if push, ok := action.(Push); ok {
+				require.NotEqual(t, neighbour(2).Host, push.To.Host)
+			}
+		}
+	}
+}
+
+func TestRefreshedListIsNotPassedOn(t *testing.T) {
+	machine := New(NewCopy(), fixedView{neighbour(1)}, rand.New(rand.NewPCG(1, 1)))
+	require.Len(t, machine.Step(0, Learned{List: list(1, "i-1")}), 1)
+	require.Empty(t, machine.Step(time.Second, Learned{List: list(2, "i-1")}))
+	require.Len(t, machine.Step(time.Second, Learned{List: list(3, "i-2")}), 1)
+}
+
+func TestMalformedRepairIsCountedAndLeftOut(t *testing.T) {
+	held := NewCopy()
+	machine := New(held, fixedView{}, rand.New(rand.NewPCG(1, 1)))
+	bad := &pb.Repair{Sequence: 5, Ranges: []*pb.Range{{Index: 99}}}
+	require.Empty(t, machine.Step(0, Learned{Repair: bad}))
+	require.EqualValues(t, 1, machine.Malformed())
+	require.Zero(t, held.Sequence())
+}
--- /dev/null
+++ b/internal/operatorapi/orders.go
@@ -0,0 +1,165 @@
+package operatorapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/operator"
+)
+
+const (
+	// submitLimit is the longest wait for the result of an order with a small body: the caller waits a second.
+	submitLimit = 900 * time.Millisecond
+
+	// smallBodyBytes is the size up to which a body counts as small.
+	smallBodyBytes = 64 << 10
+
+	// limitPerKiB lengthens the wait for each KiB beyond a small body: callers wait longer for large ones.
+	limitPerKiB = time.Millisecond
+
+	// longestSubmitLimit bounds the wait whatever the size.
+	longestSubmitLimit = 5 * time.Second
+
+	// receiveLimit is the longest time in which a body may arrive.
+	receiveLimit = 10 * time.Second
+
+	// maxOrders bounds the orders under way at this machine.
+	maxOrders = 64
+
+	// maxLargeBodies bounds the bodies in memory that are not small.
+	maxLargeBodies = 3
+)
+
+// ReplaceConfiguration puts a whole configuration in force.
+func (s *Server) ReplaceConfiguration(w http.ResponseWriter, r *http.Request, params operator.ReplaceConfigurationParams) {
+	s.configure(w, r, pb.Order_KIND_REPLACE, params.XFieldrelayBaseRev)
+}
+
+// AmendConfiguration changes named items of the configuration in force.
+func (s *Server) AmendConfiguration(w http.ResponseWriter, r *http.Request, params operator.AmendConfigurationParams) {
+	s.configure(w, r, pb.Order_KIND_AMEND, params.XFieldrelayBaseRev)
+}
+
+// ReadConfiguration answers the newest acknowledged configuration.
+func (s *Server) ReadConfiguration(w http.ResponseWriter, r *http.Request) {
+	s.submit(w, r, &pb.Order{Kind: pb.Order_KIND_READ})
+}
+
+// BeginEvacuation begins to empty a zone.
+func (s *Server) BeginEvacuation(w http.ResponseWriter, r *http.Request, zone operator.Zone) {
+	s.evacuate(w, r, &pb.Order{Kind: pb.Order_KIND_EVACUATE_BEGIN, Zone: zone})
+}
+
+// FinishEvacuation takes the evacuation of a zone back.
+func (s *Server) FinishEvacuation(w http.ResponseWriter, r *http.Request, zone operator.Zone) {
+	s.evacuate(w, r, &pb.Order{Kind: pb.Order_KIND_EVACUATE_FINISH, Zone: zone})
+}
+
+func (s *Server) evacuate(w http.ResponseWriter, r *http.Request, order *pb.Order) {
+	if !s.options.ZoneKnown(order.Zone) {
+		s.refuse(w, &UnknownZoneError{Zone: order.Zone})
+		return
+	}
+	s.submit(w, r, order)
+}
+
+// configure reads the body of a configuration order and submits it.
+func (s *Server) configure(w http.ResponseWriter, r *http.Request, kind pb.Order_Kind, base *uint64) {
+	if base == nil {
+		s.refuse(w, &MissingBaseError{})
+		return
+	}
+	if !s.options.Ready() {
+		s.refuse(w, &NotReadyError{})
+		return
+	}
+	if r.ContentLength > s.options.MaxBodyBytes {
+		s.refuse(w, &BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes})
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
+		if !take(s.largeBodies) {
+			s.refuse(w, &BusyError{})
+			return
+		}
+		defer release(s.largeBodies)
+	}
+	body, err := s.readBody(w, r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	s.submit(w, r, &pb.Order{Kind: kind, Base: *base, Body: body})
+}
+
+// submit hands an order over and answers with its result.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, order *pb.Order) {
+	if !s.options.Ready() {
+		s.refuse(w, &NotReadyError{})
+		return
+	}
+	if !take(s.orders) {
+		s.refuse(w, &BusyError{})
+		return
+	}
+	defer release(s.orders)
+	ctx, cancel := context.WithTimeout(r.Context(), limitFor(len(order.Body)))
+	defer cancel()
+	s.answer(w, s.options.Orders.Submit(ctx, order))
+}
+
+// limitFor is the longest wait for the result of an order with a body of that size.
+func limitFor(bodyBytes int) time.Duration {
+	beyond := max(0, bodyBytes-smallBodyBytes)
+	limit := submitLimit + time.Duration(beyond>>10)*limitPerKiB
+	return min(limit, longestSubmitLimit)
+}
+
+// readBody reads the whole body within the bounds of size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	// An error only means that the connection's own limits stay in force.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(receiveLimit))
+	limited := http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes)
+	body, err := readWhole(limited, r.ContentLength)
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &BodySlowError{}
+	}
+	return nil, &BodyBrokenError{Cause: err}
+}
+
+// readWhole reads to the end, into a buffer of the right size if the length is known.
+func readWhole(reader io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+	if err != nil && length > 0 {
+		return nil, err
+	}
+	return body, nil
+}
+
+// take takes one token if there is room.
+func take(tokens chan struct{}) bool {
+	select {
+	case tokens <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func release(tokens chan struct{}) { <-tokens }
--- /dev/null
+++ b/internal/operatorapi/server_test.go
@@ -0,0 +1,266 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/operator"
+	"fieldrelay/internal/catalog"
+)
+
+// recordedOrders keeps the orders and answers them by a function.
+type recordedOrders struct {
+	mutex  sync.Mutex
+	orders []*pb.Order
+	answer func(ctx context.Context, order *pb.Order) *pb.OrderResult
+}
+
+func (r *recordedOrders) Submit(ctx context.Context, order *pb.Order) *pb.OrderResult {
+	r.mutex.Lock()
+	r.orders = append(r.orders, order)
+	r.mutex.Unlock()
+	return r.answer(ctx, order)
+}
+
+func answering(status uint32, body string) *recordedOrders {
+	return &recordedOrders{answer: func(context.Context, *pb.Order) *pb.OrderResult {
+		return &pb.OrderResult{Status: status, Body: []byte(body)}
+	}}
+}
+
+func optionsWith(orders Orders) Options {
+	return Options{
+		Orders:            orders,
+		Ready:             func() bool { return true },
+		ZoneKnown:         func(zone string) bool { return zone == "brno-hala" },
+		Endpoints:         func(region, zone string) []string { return []string{region + "/" + zone} },
+		EndpointsLifetime: func() time.Duration { return time.Second },
+		Counters:          &Counters{},
+	}
+}
+
+var everything = Services{Operator: true, Directory: true}
+
+// call sends one request to a server with these options.
+func call(options Options, method, path, base string, body io.Reader) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, body)
+	if base != "" {
+		request.Header.Set("X-Fieldrelay-Base-Rev", base)
+	}
+	recorder := httptest.NewRecorder()
+	New(options).Handler(everything).ServeHTTP(recorder, request)
+	return recorder
+}
+
+func refusalIn(t *testing.T, recorder *httptest.ResponseRecorder) operator.RefusalDetail {
+	t.Helper()
+	require.Equal(t, "application/json", recorder.Header().Get("Content-Type"))
+	var refusal operator.Refusal
+	require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &refusal), recorder.Body.String())
+	return refusal.Error
+}
+
+func TestOrdersAreHandedOver(t *testing.T) {
+	cases := map[string]struct {
+		method, path, base, body string
+		want                     *pb.Order
+	}{
+		"replace": {"POST", "/api/conf/replace", "5", `{"gen":7}`, &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: 5, Body: []byte(`{"gen":7}`)}},
+		"amend":   {"POST", "/api/conf/amend", "0", `{"gen":9}`, &pb.Order{Kind: pb.Order_KIND_AMEND, Body: []byte(`{"gen":9}`)}},
+		"read":    {"GET", "/api/conf/read", "", "", &pb.Order{Kind: pb.Order_KIND_READ}},
+		"begin":   {"POST", "/api/drain/brno-hala/begin", "", "", &pb.Order{Kind: pb.Order_KIND_EVACUATE_BEGIN, Zone: "brno-hala"}},
+		"finish":  {"POST", "/api/drain/brno-hala/finish", "", "", &pb.Order{Kind: pb.Order_KIND_EVACUATE_FINISH, Zone: "brno-hala"}},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			orders := answering(200, `{"gen":7}`)
+			recorder := call(optionsWith(orders), one.method, one.path, one.base, strings.NewReader(one.body))
+			require.Equal(t, 200, recorder.Code)
+			require.Equal(t, `{"gen":7}`, recorder.Body.String())
+			require.Len(t, orders.orders, 1)
+			require.Equal(t, one.want.String(), orders.orders[0].String())
+		})
+	}
+}
+
+func TestResultsBecomeAnswers(t *testing.T) {
+	for _, status := range []uint32{400, 409, 412, 413, 422, 503} {
+		withBody := call(optionsWith(answering(status, `{"error":{}}`)), "GET", "/api/conf/read", "", nil)
+		require.Equal(t, int(status), withBody.Code)
+		require.Equal(t, `{"error":{}}`, withBody.Body.String())
+		require.Equal(t, status == 503, withBody.Header().Get("Retry-After") != "")
+
+		withoutBody := call(optionsWith(answering(status, "")), "GET", "/api/conf/read", "", nil)
+		require.Equal(t, int(status), withoutBody.Code)
+		require.NotEmpty(t, refusalIn(t, withoutBody).Code)
+	}
+	require.Equal(t, "{}", call(optionsWith(answering(200, "")), "GET", "/api/conf/read", "", nil).Body.String())
+	require.Equal(t, 503, call(optionsWith(answering(0, "")), "GET", "/api/conf/read", "", nil).Code)
+	require.Equal(t, 503, call(optionsWith(answering(99999, "x")), "GET", "/api/conf/read", "", nil).Code)
+}
+
+func TestPlainReasonsBecomeTypedRefusals(t *testing.T) {
+	recorder := call(optionsWith(answering(412, `{"error":"the order builds on 3"}`)), "GET", "/api/conf/read", "", nil)
+	require.Equal(t, 412, recorder.Code)
+	require.Equal(t, operator.RefusalDetail{Code: "wrong_base", Message: "the order builds on 3"}, refusalIn(t, recorder))
+}
+
+func TestRefusalBodyNamesItemAndField(t *testing.T) {
+	_, err := catalog.PrepareReplace(catalog.Empty(), 0, []byte(`{"gen":1,"routes":[{"name":"r","vhost":"h","path-prefix":"/a/","deadline-ms":0,"backend":"s"}],"backends":[{"name":"s"}]}`))
+	refusal, refused := errors.AsType[catalog.OrderError](err)
+	require.True(t, refused)
+	var body operator.Refusal
+	require.NoError(t, json.Unmarshal(RefusalBody(refusal), &body))
+	require.Equal(t, "invalid", body.Error.Code)
+	require.Len(t, *body.Error.Faults, 1)
+	fault := (*body.Error.Faults)[0]
+	require.Equal(t, "routes/r", *fault.Item)
+	require.Equal(t, "deadline-ms", *fault.Field)
+	require.NotEmpty(t, fault.Message)
+
+	require.NoError(t, json.Unmarshal(RefusalBody(&catalog.ConflictError{Base: 3, Current: 5}), &body))
+	require.Equal(t, "wrong_base", body.Error.Code)
+	require.Equal(t, int64(5), *body.Error.Gen)
+}
+
+func TestRefusalsBeforeAnOrderIsHandedOver(t *testing.T) {
+	notReady := func(options *Options) { options.Ready = func() bool { return false } }
+	small := func(options *Options) { options.MaxBodyBytes = 10 }
+	unchanged := func(*Options) {}
+	cases := map[string]struct {
+		change             func(*Options)
+		method, path, base string
+		body               io.Reader
+		status             int
+		code               string
+	}{
+		"no base":          {unchanged, "POST", "/api/conf/replace", "", strings.NewReader("{}"), 400, "missing_base"},
+		"malformed base":   {unchanged, "POST", "/api/conf/replace", "x", strings.NewReader("{}"), 400, "bad_parameter"},
+		"negative base":    {unchanged, "POST", "/api/conf/amend", "-1", strings.NewReader("{}"), 400, "bad_parameter"},
+		"too large":        {small, "POST", "/api/conf/replace", "1", strings.NewReader(strings.Repeat("x", 11)), 413, "body_too_large"},
+		"too large, chunk": {small, "POST", "/api/conf/replace", "1", io.MultiReader(strings.NewReader(strings.Repeat("x", 11))), 413, "body_too_large"},
+		"broken body":      {unchanged, "POST", "/api/conf/replace", "1", iotest.ErrReader(io.ErrUnexpectedEOF), 408, "body_broken"},
+		"unknown zone":     {unchanged, "POST", "/api/drain/nowhere/begin", "", nil, 404, "unknown_zone"},
+		"not ready":        {notReady, "POST", "/api/conf/replace", "1", strings.NewReader("{}"), 503, "not_ready"},
+		"not ready, read":  {notReady, "GET", "/api/conf/read", "", nil, 503, "not_ready"},
+		"not ready, drain": {notReady, "POST", "/api/drain/brno-hala/begin", "", nil, 503, "not_ready"},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			orders := answering(200, "")
+			options := optionsWith(orders)
+			one.change(&options)
+			recorder := call(options, one.method, one.path, one.base, one.body)
+			require.Equal(t, one.status, recorder.Code, recorder.Body.String())
+			refusal := refusalIn(t, recorder)
+			require.Equal(t, one.code, refusal.Code)
+			require.NotEmpty(t, refusal.Message)
+			require.Empty(t, orders.orders)
+		})
+	}
+}
+
+func TestLookup(t *testing.T) {
+	options := optionsWith(answering(200, ""))
+	recorder := call(options, "GET", "/api/lookup?name=ficu95.example&geo=cz-morava&az=brno-hala", "", nil)
+	require.Equal(t, 200, recorder.Code)
+	require.JSONEq(t, `{"endpoints":["cz-morava/brno-hala"],"ttl-s":1}`, recorder.Body.String())
+	require.Equal(t, 200, call(options, "GET", "/api/lookup", "", nil).Code)
+
+	options.Endpoints = func(string, string) []string { return nil }
+	recorder = call(options, "GET", "/api/lookup?name=x", "", nil)
+	require.Equal(t, 503, recorder.Code)
+	require.Equal(t, "no_endpoints", refusalIn(t, recorder).Code)
+}
+
+func TestOnlyChosenServicesAreServed(t *testing.T) {
+	server := New(optionsWith(answering(200, "")))
+	served := func(services Services, path string) int {
+		recorder := httptest.NewRecorder()
+		server.Handler(services).ServeHTTP(recorder, httptest.NewRequest("GET", path, nil))
+		return recorder.Code
+	}
+	operatorOnly, directoryOnly := Services{Operator: true}, Services{Directory: true}
+	require.Equal(t, 200, served(operatorOnly, "/api/conf/read"))
+	require.Equal(t, 404, served(operatorOnly, "/api/lookup"))
+	require.Equal(t, 200, served(directoryOnly, "/api/lookup"))
+	require.Equal(t, 404, served(directoryOnly, "/api/conf/read"))
+	require.Equal(t, 404, served(everything, "/"))
+	require.Equal(t, 404, served(everything, "/api/conf/else"))
+	require.Equal(t, 405, served(everything, "/api/conf/replace"))
+}
+
+func TestTheWaitIsBounded(t *testing.T) {
+	waiting := &recordedOrders{answer: func(ctx context.Context, _ *pb.Order) *pb.OrderResult {
+		<-ctx.Done()
+		return &pb.OrderResult{Status: 503}
+	}}
+	cases := map[int]time.Duration{
+		100:       submitLimit,
+		300 << 10: submitLimit + 236*time.Millisecond,
+		15 << 20:  longestSubmitLimit,
+	}
+	for size, want := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			recorder := call(optionsWith(waiting), "POST", "/api/conf/replace", "1", bytes.NewReader(make([]byte, size)))
+			require.Equal(t, 503, recorder.Code)
+			require.Equal(t, want, time.Since(began))
+		})
+	}
+}
+
+func TestOrdersUnderWayAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		let := make(chan struct{})
+		blocked := &recordedOrders{answer: func(context.Context, *pb.Order) *pb.OrderResult {
+			<-let
+			return &pb.OrderResult{Status: 200}
+		}}
+		handler := New(optionsWith(blocked)).Handler(everything)
+		statuses := make(chan int, maxOrders+5)
+		for range maxOrders + 5 {
+			go func() {
+				recorder := httptest.NewRecorder()
+				handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/api/conf/read", nil))
+				statuses <- recorder.Code
+			}()
+		}
+		synctest.Wait()
+		for range 5 {
+			require.Equal(t, http.StatusServiceUnavailable, <-statuses)
+		}
+		close(let)
+		for range maxOrders {
+			require.Equal(t, http.StatusOK, <-statuses)
+		}
+	})
+}
+
+func TestCountersFollowAnswers(t *testing.T) {
+	counters := &Counters{}
+	for _, status := range []uint32{200, 200, 412, 503} {
+		options := optionsWith(answering(status, "{}"))
+		options.Counters = counters
+		call(options, "GET", "/api/conf/read", "", nil)
+		call(options, "GET", "/api/lookup", "", nil)
+	}
+	require.Equal(t, int64(2), counters.Acknowledged.Load())
+	require.Equal(t, int64(1), counters.Refused.Load())
+	require.Equal(t, int64(1), counters.Unavailable.Load())
+	require.Equal(t, int64(4), counters.Lookups.Load())
+}
--- /dev/null
+++ b/internal/placement/admit_test.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOnCalmDaysEverythingIsLetIn(t *testing.T) {
+	f := newFixture(t, 0, westAndEast())
+	for i := range 500 {
+		require.NoError(t, f.p.Admit(f.now, f.greeting(i)))
+		f.serve(f.greeting(i), func(string) float64 { return 1 + 0.5*f.p.random.Float64() })
+	}
+	require.Zero(t, f.p.Stats().Overload)
+}
+
+func TestLatenessAloneRefusesNobody(t *testing.T) {
+	f := newFixture(t, 0, westAndEast())
+	f.warm()
+	for range 50 { // answers come late, but not because requests wait at servers
+		f.now += 100 * time.Millisecond
+		f.p.RequestDone(f.now, f.greeting(0), false, 0)
+	}
+	for i := range 100 {
+		require.NoError(t, f.p.Admit(f.now, f.greeting(i)))
+	}
+}
+
+// overloaded makes a fixture whose servers have answered at many times the predicted time for a while.
+func overloaded(t *testing.T, times float64) *fixture {
+	f := newFixture(t, 0, westAndEast()[:6:6])
+	for i := range 200 {
+		f.serve(f.greeting(i), func(string) float64 { return times })
+	}
+	require.Less(t, f.p.ServiceSlack(modelService), admitSlack)
+	return f
+}
+
+func TestLessUrgentRequestsGiveWayFirst(t *testing.T) {
+	f := overloaded(t, 10)
+	admitted := func(request *Request) int {
+		count := 0
+		for range 50 {
+			if f.p.Admit(f.now, request) == nil {
+				count++
+			}
+		}
+		return count
+	}
+	greetings, help := admitted(f.greeting(0)), admitted(f.request(routeHelp, Part{3, 568}, Part{4, 600}))
+	require.Equal(t, 1, greetings, "the trickle")
+	require.Equal(t, 50, help)
+
+	err := f.p.Admit(f.now, f.greeting(0))
+	var overload *OverloadError
+	require.ErrorAs(t, err, &overload)
+	require.GreaterOrEqual(t, overload.RetryAfter, overloadRetryLeast)
+	require.LessOrEqual(t, overload.RetryAfter, overloadRetryMost)
+	f.now += trickleEvery
+	require.NoError(t, f.p.Admit(f.now, f.greeting(0)), "no kind is starved")
+}
+
+func TestNoKindIsStarvedHoweverBadItLooks(t *testing.T) {
+	f := overloaded(t, 60)
+	let := map[string]int{}
+	for range 100 {
+		f.now += 100 * time.Millisecond
+		for name, request := range map[string]*Request{
+			routeGreeting: f.greeting(0),
+			routeHelp:     f.request(routeHelp, Part{3, 568}, Part{4, 1800}),
+			routeSummary:  f.summary(1, 1),
+		} {
+			if f.p.Admit(f.now, request) == nil {
+				let[name]++
+			}
+		}
+	}
+	for _, name := range []string{routeGreeting, routeHelp, routeSummary} {
+		require.GreaterOrEqual(t, let[name], 19, name)
+	}
+}
+
+func TestServersThatAnswerAgainEndTheRefusals(t *testing.T) {
+	f := overloaded(t, 10)
+	for i := range 100 {
+		f.serve(f.greeting(i), asPredicted)
+	}
+	for i := range 50 {
+		require.NoError(t, f.p.Admit(f.now, f.greeting(i)))
+	}
+}
--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,63 @@
+package placement
+
+import (
+	"testing"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// manyServers lists a hundred model servers over the regions.
+func manyServers() []*pb.Server {
+	var servers []*pb.Server
+	for i := range 100 {
+		servers = append(servers, listed(modelService, i, []string{zoneA, zoneB, zoneE}[i%3]))
+	}
+	return servers
+}
+
+func benchmarkPick(b *testing.B, request func(f *fixture, i int) *Request) {
+	f := newFixture(b, 0, manyServers())
+	requests := make([]*Request, 256)
+	for i := range requests {
+		requests[i] = request(f, i)
+	}
+	f.warm()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		decision, err := f.p.Pick(f.now, requests[i%len(requests)])
+		if err != nil {
+			b.Fatal(err)
+		}
+		f.now += 100_000
+		f.p.Started(f.now, decision.Attempt)
+		f.p.Finished(f.now, decision.Attempt, Done)
+	}
+}
+
+func BenchmarkPickLongPrompt(b *testing.B) {
+	benchmarkPick(b, func(f *fixture, i int) *Request { return f.summary(i%37, i) })
+}
+
+func BenchmarkPickShortPrompt(b *testing.B) {
+	benchmarkPick(b, func(f *fixture, i int) *Request { return f.greeting(i) })
+}
+
+func BenchmarkAdmitInOverload(b *testing.B) {
+	f := newFixture(b, 0, manyServers())
+	for i := range 300 {
+		f.serve(f.greeting(i), func(string) float64 { return 20 })
+	}
+	request := f.greeting(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = f.p.Admit(f.now, request)
+	}
+}
+
+func BenchmarkSetServers(b *testing.B) {
+	f := newFixture(b, 0, manyServers())
+	b.ReportAllocs()
+	for b.Loop() {
+		f.relist()
+	}
+}
--- /dev/null
+++ b/internal/placement/parts.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxParts is the most parts of a prompt that are looked at.
+const maxParts = 32
+
+// PartsError tells that a list of prompt parts cannot be read. The request may be placed without it.
+type PartsError struct {
+	Header string
+}
+
+// Error implements error.
+func (e *PartsError) Error() string {
+	return fmt.Sprintf("placement: %q is no list of prompt parts", e.Header)
+}
+
+// ParseParts reads X-Fieldrelay-Prompt-Prefix (ID:TOKENS, separated by commas) and appends its parts; those
+// past the 32nd are left. The error is a *PartsError.
+func ParseParts(header string, parts []Part) ([]Part, error) {
+	rest := header
+	for number := 0; rest != "" && number < maxParts; number++ {
+		var entry string
+		entry, rest, _ = strings.Cut(rest, ",")
+		id, figure, found := strings.Cut(strings.TrimSpace(entry), ":")
+		tokens, err := strconv.Atoi(figure)
+		if !found || err != nil || tokens < 0 || tokens > math.MaxInt32 {
+			return parts, &PartsError{Header: header}
+		}
+		parts = append(parts, Part{ID: xxhash.Sum64String(id), Tokens: tokens})
+	}
+	return parts, nil
+}
+
+// chain is the hash of a model and a row of parts from the start of a prompt: a part is kept only together
+// with every part before it.
+type chain uint64
+
+// chainOf starts a chain for a model.
+func chainOf(model string) chain { return chain(xxhash.Sum64String(model)) }
+
+// with is the chain that goes on with a part.
+func (c chain) with(part Part) chain {
+	return chain(mix(uint64(c)*0x9e3779b97f4a7c15 + part.ID))
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(value uint64) uint64 {
+	value = (value ^ value>>30) * 0xbf58476d1ce4e5b9
+	value = (value ^ value>>27) * 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+// prompt is what one pick needs to know of a request's prompt.
+type prompt struct {
+	chains []chain // after each part
+	tokens []int   // up to the end of each part
+	total  int     // of the whole prompt
+	shared int     // of the parts but the last
+	key    chain   // of the shared parts: what homes are drawn by
+}
+
+// read takes in a request's parts; the slices are used again.
+func (p *prompt) read(request *Request) {
+	p.chains, p.tokens, p.shared = p.chains[:0], p.tokens[:0], 0
+	p.key = chainOf(request.Model)
+	row, total := p.key, 0
+	for i, part := range request.Parts {
+		row = row.with(part)
+		total += part.Tokens
+		p.chains = append(p.chains, row)
+		p.tokens = append(p.tokens, total)
+		if i < len(request.Parts)-1 || i == 0 {
+			p.key = row
+		}
+		if i < len(request.Parts)-1 {
+			p.shared = total
+		}
+	}
+	p.total = max(request.Prompt, total)
+}
+
+// partTokens is the number of tokens of one part.
+func (p *prompt) partTokens(i int) int {
+	if i == 0 {
+		return p.tokens[0]
+	}
+	return p.tokens[i] - p.tokens[i-1]
+}
--- /dev/null
+++ b/internal/placement/parts_test.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestPartsAreReadAsThePageHasThem(t *testing.T) {
+	parts, err := ParseParts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250", nil)
+	require.NoError(t, err)
+	require.Len(t, parts, 3)
+	require.Equal(t, []int{800, 410, 250}, []int{parts[0].Tokens, parts[1].Tokens, parts[2].Tokens})
+	require.NotEqual(t, parts[0].ID, parts[1].ID)
+
+	none, err := ParseParts("", nil)
+	require.NoError(t, err)
+	require.Empty(t, none)
+	for _, bad := range []string{"a", "a:", "a:-1", "a:x", "a:1,b", ",", "a:99999999999"} {
+		_, err := ParseParts(bad, nil)
+		require.Error(t, err, bad)
+	}
+	many := "a:1"
+	for range 100 {
+		many += ",a:1"
+	}
+	parts, err = ParseParts(many, nil)
+	require.NoError(t, err)
+	require.Len(t, parts, maxParts)
+}
+
+func TestAPromptsKeyIsThatOfItsSharedParts(t *testing.T) {
+	read := func(model string, parts ...Part) prompt {
+		var p prompt
+		p.read(&Request{Model: model, Parts: parts, Prompt: 10})
+		return p
+	}
+	shared := []Part{{1, 800}, {2, 410}}
+	one, other := read("m", append(shared, Part{3, 250})...), read("m", append(shared, Part{4, 100})...)
+	require.Equal(t, one.key, other.key)
+	require.Equal(t, 1210, one.shared)
+	require.Equal(t, 1460, one.total)
+	require.NotEqual(t, one.key, read("n", append(shared, Part{3, 250})...).key)
+	require.NotEqual(t, one.key, read("m", Part{1, 800}, Part{5, 410}, Part{3, 250}).key)
+	alone := read("m", Part{9, 250})
+	require.Zero(t, alone.shared)
+	require.NotEqual(t, alone.key, read("m", Part{8, 250}).key)
+	require.Equal(t, 10, read("m").total)
+}
+
+// TestKeptPartsAreThoseSentLast compares the keeper with a plain list of what was sent to each server.
+func TestKeptPartsAreThoseSentLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 3000
+		k := newKeeper()
+		servers := []*server{{id: "a"}, {id: "b"}}
+		sent := map[*server][]chain{} // newest first
+		sizes := map[chain]int{}
+		for pick := range uint64(40) {
+			to := rapid.SampledFrom(servers).Draw(t, "server")
+			var p prompt
+			p.read(drawPrompt(t))
+			marks := k.marks(&p, pick+1)
+			for _, s := range servers {
+				want := 0
+				for i, row := range p.chains {
+					if !slices.Contains(sent[s], row) {
+						break
+					}
+					want = p.tokens[i]
+				}
+				require.Equal(t, want, marks[s])
+			}
+			k.add(to, &p, capacity)
+			for i := len(p.chains) - 1; i >= 0; i-- {
+				row := p.chains[i]
+				sizes[row] = p.partTokens(i)
+				sent[to] = slices.DeleteFunc(sent[to], func(other chain) bool { return other == row })
+				sent[to] = slices.Insert(sent[to], 0, row)
+			}
+			for len(sent[to]) > keptMost || (sum(sent[to], sizes) > capacity && len(sent[to]) > len(p.chains)) {
+				sent[to] = sent[to][:len(sent[to])-1]
+			}
+			require.Equal(t, len(sent[to]), to.kept.parts)
+			require.Equal(t, sum(sent[to], sizes), to.kept.tokens)
+		}
+		for _, s := range servers {
+			k.forget(s)
+			require.Zero(t, s.kept.parts)
+		}
+		require.Empty(t, k.holders)
+	})
+}
+
+// drawPrompt draws a prompt of parts that are often shared.
+func drawPrompt(t *rapid.T) *Request {
+	request := &Request{}
+	for i := range rapid.IntRange(0, 4).Draw(t, "parts") {
+		id := rapid.Uint64Range(0, 3).Draw(t, "id")
+		request.Parts = append(request.Parts, Part{ID: id, Tokens: 100 * (i + 1)})
+	}
+	return request
+}
+
+func (k *keeper) marks(p *prompt, pick uint64) map[*server]int {
+	k.mark(p, pick)
+	marks := map[*server]int{}
+	for _, holders := range k.holders {
+		for _, part := range holders {
+			if part.server.markedBy == pick {
+				marks[part.server] = part.server.markedTokens
+			}
+		}
+	}
+	return marks
+}
+
+func sum(rows []chain, sizes map[chain]int) (total int) {
+	for _, row := range rows {
+		total += sizes[row]
+	}
+	return total
+}
--- /dev/null
+++ b/internal/placement/placer.go
@@ -0,0 +1,236 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/limits"
+	"fieldrelay/internal/route"
+	"fieldrelay/logic/selection"
+)
+
+// Bounds and times of what is known of servers.
+const (
+	// maxAttempts is the most attempts that may be open.
+	maxAttempts = 1 << 14
+	// suspectFor is how long a server that may have turned cold unseen is treated as cold: the platform's lag,
+	// a poll and the list's way here.
+	suspectFor = 2500 * time.Millisecond
+	// leavingFor is how long a server that seems to leave is avoided; the list tells whether it does.
+	leavingFor = 3 * time.Second
+	// leastConnections is the least number of connections to a server that a proxy may have.
+	leastConnections = 4
+	// connectionPart of a server's connections is handed out.
+	connectionPart = 0.9
+	// unknownProxies is taken to share a server's connections while it is not known how many do.
+	unknownProxies = 16
+	// keptShares: this proxy counts on so many equal shares of a server's memory, for parts are often shared.
+	keptShares = 2
+	// defaultCache is the memory of a server that does not tell, in tokens.
+	defaultCache = 100_000
+)
+
+// Placer decides where attempts go and keeps what was learnt of servers. It is not safe for concurrent use:
+// all calls are made under one lock, with a time that never falls.
+type Placer struct {
+	config    Config
+	region    string
+	hostHash  uint64
+	random    *rand.Rand
+	gate      *limits.ColdGate
+	table     *route.Table
+	evacuated map[string]bool
+	proxies   int // that share the servers; 0: unknown
+
+	services map[string]*service
+	servers  map[string]*server // by id
+	attempts map[AttemptID]*attempt
+	lastID   AttemptID
+	spare    []*attempt // closed attempts, used again
+
+	slack   selection.Slack // over all services
+	keeper  keeper
+	picks   uint64 // numbers surveys, for the marks of the keeper
+	scratch scratch
+	stats   Stats
+}
+
+// New makes a Placer that knows no server.
+func New(config Config) *Placer {
+	return &Placer{
+		config:    config,
+		region:    config.Regions[config.Zone],
+		hostHash:  xxhash.Sum64String(config.Host),
+		random:    rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)),
+		gate:      limits.NewColdGate(config.Cold, config.Host),
+		table:     route.Empty(),
+		evacuated: map[string]bool{},
+		services:  map[string]*service{},
+		servers:   map[string]*server{},
+		attempts:  map[AttemptID]*attempt{},
+		slack:     selection.NewSlack(bands),
+		keeper:    newKeeper(),
+	}
+}
+
+// SetServers takes in a whole server list, which was read age ago. Servers that it does not name are gone.
+func (p *Placer) SetServers(now time.Duration, servers []*pb.Server, age time.Duration) {
+	named := make(map[string]bool, len(servers))
+	changed := map[*service]bool{}
+	for _, listed := range servers {
+		named[listed.GetId()] = true
+		known := p.servers[listed.GetId()]
+		if known == nil {
+			known = p.addServer(listed)
+			changed[known.service] = true
+		}
+		p.update(now, known, listed, age)
+	}
+	for id, known := range p.servers {
+		if !named[id] {
+			p.removeServer(known)
+			changed[known.service] = true
+		}
+	}
+	for service := range changed {
+		service.sort()
+		p.dropUnused(service)
+	}
+}
+
+// SetTable takes in a configuration.
+func (p *Placer) SetTable(now time.Duration, table *route.Table) {
+	p.table = table
+	for _, name := range table.Services() {
+		p.service(name)
+	}
+	for name, known := range p.services {
+		known.config, _ = table.Service(name)
+		p.dropUnused(known)
+	}
+}
+
+// SetEvacuated takes in the zones whose servers may get nothing new. Servers of a zone that is taken back may
+// have turned cold, and are treated so until a newer list can tell.
+func (p *Placer) SetEvacuated(now time.Duration, zones []string) {
+	for _, known := range p.servers {
+		if p.evacuated[known.zone] && !slices.Contains(zones, known.zone) {
+			known.suspectUntil = now + suspectFor
+		}
+	}
+	clear(p.evacuated)
+	for _, zone := range zones {
+		p.evacuated[zone] = true
+	}
+}
+
+// SetShares takes in which proxies share the common bounds.
+func (p *Placer) SetShares(now time.Duration, shares *pb.Shares) {
+	p.proxies = max(int(shares.GetProxies()), len(shares.GetMembers()))
+	if shares.GetProxies() == 0 {
+		p.proxies = 0
+	}
+	p.gate.SetShares(now, shares)
+}
+
+// ServerCold takes in from a server's answer (X-Fieldrelay-Warmup-Ms) how much longer it is cold.
+func (p *Placer) ServerCold(now time.Duration, serverID string, left time.Duration) {
+	if known := p.servers[serverID]; known != nil {
+		known.coldUntil = max(known.coldUntil, now+left)
+		known.coldToldAt = now
+	}
+}
+
+// ServerLeaving takes in that a server seems about to end (its answers close the connection, or it no longer
+// passes its health check): it is avoided for a while; the list tells whether it drains.
+func (p *Placer) ServerLeaving(now time.Duration, serverID string) {
+	if known := p.servers[serverID]; known != nil {
+		known.avoidUntil = max(known.avoidUntil, now+leavingFor)
+	}
+}
+
+// Slack is the aged share of this proxy's requests that were answered in time, over all services.
+func (p *Placer) Slack() float64 { return p.slack.Share }
+
+// ServiceSlack is the aged share of the requests for one service, which sets how its servers are picked.
+func (p *Placer) ServiceSlack(name string) float64 {
+	if known := p.services[name]; known != nil {
+		return known.slack.Share
+	}
+	return p.slack.Share
+}
+
+// service gives what is known of a service, as yet nothing if it is new.
+func (p *Placer) service(name string) *service {
+	known := p.services[name]
+	if known == nil {
+		known = newService(name)
+		known.config, _ = p.table.Service(name)
+		p.services[name] = known
+	}
+	return known
+}
+
+// dropUnused forgets a service that neither the configuration nor the server list names.
+func (p *Placer) dropUnused(known *service) {
+	if known.config == nil && len(known.servers) == 0 {
+		delete(p.services, known.name)
+	}
+}
+
+func (p *Placer) addServer(listed *pb.Server) *server {
+	owner := p.service(listed.GetService())
+	added := newServer(listed, owner, p.config.Regions[listed.GetZone()], p.hostHash)
+	owner.servers = append(owner.servers, added)
+	p.servers[added.id] = added
+	return added
+}
+
+func (p *Placer) removeServer(known *server) {
+	known.gone = true
+	delete(p.servers, known.id)
+	known.service.servers = slices.DeleteFunc(known.service.servers, func(other *server) bool { return other == known })
+	p.keeper.forget(known)
+}
+
+// update takes in what the list says of a server. Time that was left when the list was read has passed since.
+func (p *Placer) update(now time.Duration, known *server, listed *pb.Server, age time.Duration) {
+	known.address = listed.GetAddress()
+	known.capacity = int(listed.GetCapacity())
+	known.draining = listed.GetDraining()
+	known.expiresAt = 0
+	if left := listed.GetExpiresMs(); left > 0 {
+		known.expiresAt = max(now-age+time.Duration(left)*time.Millisecond, 1)
+	}
+	coldUntil := now - age + time.Duration(listed.GetWarmLeftMs())*time.Millisecond
+	if known.coldToldAt > now-age-suspectFor { // the list may be from before
+		coldUntil = max(coldUntil, known.coldUntil)
+	}
+	known.coldUntil = coldUntil
+}
+
+// maxConnections is this proxy's part of the connections that a server of a service accepts.
+func (p *Placer) maxConnections(owner *service) int {
+	if owner.config == nil || owner.config.MaxConnections == 0 {
+		return maxAttempts
+	}
+	proxies := p.proxies
+	if proxies == 0 {
+		proxies = unknownProxies
+	}
+	part := connectionPart * float64(owner.config.MaxConnections) / float64(proxies)
+	return max(int(part), leastConnections)
+}
+
+// keptCapacity is how many tokens this proxy counts on a server of a service to keep for it.
+func (p *Placer) keptCapacity(owner *service) int {
+	all := defaultCache
+	if owner.model() && owner.config.Runtime.CacheTokens > 0 {
+		all = owner.config.Runtime.CacheTokens
+	}
+	return all * keptShares / max(p.proxies, keptShares)
+}
--- /dev/null
+++ b/internal/placement/predict.go
@@ -0,0 +1,154 @@
+package placement
+
+import "time"
+
+// Tuning of predictions and of what a choice costs besides.
+const (
+	// regionWay is the way to another region and back, as long as answers have not told better.
+	regionWay = 40 * time.Millisecond
+	// rereadTimes is how many times its reading time a shared part counts that must be read anew: the reading
+	// itself is in the prediction, the rest is its price.
+	rereadTimes = 2.0
+	// keptDoubt is the part of the shared tokens kept away from a prompt's home that counts as read anew: other
+	// proxies do not send there, so they may have given way, and a second copy takes memory.
+	keptDoubt = 0.3
+	// otherZone scales the time of a server in another zone of the region: bytes between zones are priced.
+	otherZone = 1.08
+	// otherRegion is added to the time of a server in another region: bytes between regions are dear.
+	otherRegion = 110 * time.Millisecond
+	// hotWait is by how much the first home's wait must be over a prompt's own time for the second home to be
+	// taken to keep the prompt too.
+	hotWait = 150 * time.Millisecond
+)
+
+// homes are the first two servers, in the order of rendezvous hashing by a prompt's shared parts, that may get
+// it: where every proxy of the region sends such prompts, and so where they are kept.
+type homes struct {
+	first, second *server
+}
+
+// homesOf draws a prompt's homes from the servers that are left.
+func homesOf(p *prompt, servers []*server) homes {
+	var drawn homes
+	if p.shared == 0 && len(p.chains) == 0 {
+		return drawn
+	}
+	var best, next uint64
+	for _, s := range servers {
+		weight := mix(uint64(p.key) ^ s.hash)
+		switch {
+		case drawn.first == nil || weight > best:
+			drawn.second, next = drawn.first, best
+			drawn.first, best = s, weight
+		case drawn.second == nil || weight > next:
+			drawn.second, next = s, weight
+		}
+	}
+	return drawn
+}
+
+// predict gives what is to be expected of a server for a prompt of which it keeps a number of tokens, at the
+// prompt's home or elsewhere.
+func (p *Placer) predict(now time.Duration, s *server, q *prompt, kept int, home bool) candidate {
+	toRead := max(q.total-kept, 0)
+	cost := p.cost(s, toRead)
+	speed := s.speedAt(now, s.service.typicalSpeed(s.region == p.region))
+	priced := float64(cost+rereadPrice(s, q, kept, home)) / speed
+	if s.zone != p.config.Zone {
+		priced *= otherZone
+	}
+	if s.region != p.region {
+		priced += float64(otherRegion)
+	}
+	return candidate{
+		server:   s,
+		toRead:   toRead,
+		cost:     cost,
+		expected: time.Duration(float64(cost) / speed),
+		priced:   time.Duration(priced),
+	}
+}
+
+// rereadPrice is the time that stands for the price of the shared tokens that a server must read anew.
+func rereadPrice(s *server, q *prompt, kept int, home bool) time.Duration {
+	if !s.service.model() {
+		return 0
+	}
+	keptShared := min(kept, q.shared)
+	tokens := float64(q.shared-keptShared) * (rereadTimes - 1)
+	if !home {
+		tokens += keptDoubt * float64(keptShared) * rereadTimes
+	}
+	return time.Duration(tokens * float64(readPerToken))
+}
+
+// cost is the time to the first event at speed 1, for a prompt of which so many tokens are to be read after
+// those of the own attempts that wait there.
+func (p *Placer) cost(s *server, toRead int) time.Duration {
+	var cost time.Duration
+	if s.service.model() {
+		cost = modelBase + time.Duration(s.ahead+toRead)*readPerToken
+	} else {
+		capacity := s.capacity
+		if capacity <= 0 {
+			capacity = defaultCapacity
+		}
+		cost = s.service.median + s.service.median*time.Duration(s.open)/time.Duration(capacity)
+	}
+	if s.region != p.region {
+		cost += regionWay
+	}
+	return cost
+}
+
+// ownCost is the time that a prompt would take at a server that keeps its shared parts and where nothing waits.
+func ownCost(owner *service, q *prompt) time.Duration {
+	if !owner.model() {
+		return owner.median
+	}
+	return modelBase + time.Duration(max(q.total-q.shared, 0))*readPerToken
+}
+
+// consider puts a server among the chosen with what it is taken to keep: what this proxy sent there lately,
+// or, at a home, all shared parts, since the other proxies send them there.
+func (p *Placer) consider(now time.Duration, s *server, q *prompt, home bool) *candidate {
+	kept := 0
+	if s.markedBy == p.picks {
+		kept = s.markedTokens
+	}
+	known := true
+	if home && kept < q.shared {
+		kept, known = q.shared, false
+	}
+	made := p.predict(now, s, q, kept, home)
+	made.known = known
+	p.scratch.chosen = append(p.scratch.chosen, made)
+	return &p.scratch.chosen[len(p.scratch.chosen)-1]
+}
+
+// choose predicts for the servers of a field: the prompt's homes, those that keep a part of it, and this
+// proxy's own subset.
+func (p *Placer) choose(now time.Duration, field []*server, q *prompt) {
+	drawn := homesOf(q, field)
+	if drawn.first != nil {
+		first := p.consider(now, drawn.first, q, true)
+		hot := first.expected > ownCost(drawn.first.service, q)+hotWait
+		if drawn.second != nil {
+			p.consider(now, drawn.second, q, hot)
+		}
+	}
+	inSubset := 0
+	for _, s := range field {
+		if s == drawn.first || s == drawn.second {
+			continue
+		}
+		marked := s.markedBy == p.picks && s.markedTokens > 0
+		if inSubset >= subsetSize && !marked {
+			continue
+		}
+		if !marked {
+			inSubset++
+		}
+		p.consider(now, s, q, false)
+	}
+}
--- /dev/null
+++ b/internal/placement/random_test.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// world is a Placer under random events, beside what the rules are checked against: the list and the zones
+// as they were told last.
+type world struct {
+	*fixture
+	evacuated map[string]bool
+	banned    map[string]bool // answered 421
+	open      map[AttemptID]openAttempt
+	number    int // of the next server
+}
+
+type openAttempt struct {
+	decision Decision
+	route    string
+	sent     bool
+	excluded []string
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{
+		fixture:   newFixture(t, 0, append(westAndEast(), listed(plainService, 1, zoneA), listed(plainService, 2, zoneE))),
+		evacuated: map[string]bool{},
+		banned:    map[string]bool{},
+		open:      map[AttemptID]openAttempt{},
+		number:    100,
+	}
+}
+
+// listedNow gives the list's entry of a server.
+func (w *world) listedNow(id string) *pb.Server {
+	i := slices.IndexFunc(w.list, func(s *pb.Server) bool { return s.GetId() == id })
+	if i < 0 {
+		return nil
+	}
+	return w.list[i]
+}
+
+// mayGetNew tells by the list and the zones alone whether a server may get a request of a route.
+func (w *world) mayGetNew(id, zone, routeName string) bool {
+	entry := w.listedNow(id)
+	if entry == nil || entry.GetDraining() || w.evacuated[zone] || w.banned[id] {
+		return false
+	}
+	return routeName != routeEast || regions[zone] == east
+}
+
+func (w *world) pickRandom(t *rapid.T) {
+	routeName := rapid.SampledFrom([]string{routeSummary, routeHelp, routeGreeting, routeEast, routeBalance}).Draw(t, "route")
+	request := w.request(routeName, Part{1, 800}, Part{uint64(rapid.IntRange(0, 9).Draw(t, "subject")), 5000}, Part{7, 1000})
+	if len(w.list) > 0 && rapid.Bool().Draw(t, "again") {
+		request.Excluded = []string{rapid.SampledFrom(w.list).Draw(t, "excluded").GetId()}
+	}
+	decision, err := w.p.Pick(w.now, request)
+	if err != nil {
+		var none *NoServerError
+		require.ErrorAs(t, err, &none)
+		require.Positive(t, none.RetryAfter)
+		w.requireNone(t, request, none)
+		return
+	}
+	require.True(t, w.mayGetNew(decision.ServerID, decision.Zone, routeName), "%+v", decision)
+	require.NotContains(t, request.Excluded, decision.ServerID)
+	require.Equal(t, request.Service, w.listedNow(decision.ServerID).GetService())
+	require.Positive(t, decision.Expected)
+	require.True(t, w.p.StillAllowed(w.now, decision.Attempt))
+	w.open[decision.Attempt] = openAttempt{decision: decision, route: routeName}
+}
+
+// requireNone checks that a request was not turned away while a warm server with room could have it.
+func (w *world) requireNone(t *rapid.T, request *Request, none *NoServerError) {
+	for _, entry := range w.list {
+		known := w.p.servers[entry.GetId()]
+		if entry.GetService() != request.Service || known.cold(w.now) || known.open >= w.p.maxConnections(known.service) {
+			continue
+		}
+		allowed := w.mayGetNew(entry.GetId(), entry.GetZone(), request.Route.Name) &&
+			!slices.Contains(request.Excluded, entry.GetId())
+		require.False(t, allowed, "%s could have it: %v", entry.GetId(), none)
+	}
+}
+
+// anyOpen draws one of the open attempts.
+func (w *world) anyOpen(t *rapid.T) (AttemptID, bool) {
+	if len(w.open) == 0 {
+		return 0, false
+	}
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(w.open))).Draw(t, "attempt"), true
+}
+
+func (w *world) lookAgain(t *rapid.T) {
+	id, ok := w.anyOpen(t)
+	if !ok {
+		return
+	}
+	attempt := w.open[id]
+	if w.p.StillAllowed(w.now, id) {
+		require.True(t, w.mayGetNew(attempt.decision.ServerID, attempt.decision.Zone, attempt.route))
+	}
+}
+
+func (w *world) start(t *rapid.T) {
+	if id, ok := w.anyOpen(t); ok {
+		w.p.Started(w.now, id)
+	}
+}
+
+func (w *world) finish(t *rapid.T) {
+	id, ok := w.anyOpen(t)
+	if !ok {
+		return
+	}
+	outcome := Outcome(rapid.IntRange(int(Done), int(NotSent)).Draw(t, "outcome"))
+	server := w.open[id].decision.ServerID
+	if outcome == Misdirected {
+		w.banned[server] = true
+	}
+	w.p.Finished(w.now, id, outcome)
+	delete(w.open, id)
+	w.p.RequestDone(w.now, w.greeting(1), outcome == Done, time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms"))*time.Millisecond)
+}
+
+func (w *world) changeList(t *rapid.T) {
+	w.list = slices.Clone(w.list)
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		w.number++
+		zone := rapid.SampledFrom([]string{zoneA, zoneB, zoneE}).Draw(t, "zone")
+		made := listed(modelService, w.number, zone)
+		made.WarmLeftMs = uint32(rapid.SampledFrom([]int{0, 3000}).Draw(t, "warm"))
+		w.list = append(w.list, made)
+	case 1:
+		if len(w.list) > 0 {
+			i := rapid.IntRange(0, len(w.list)-1).Draw(t, "leaves")
+			w.list = slices.Delete(w.list, i, i+1)
+		}
+	default:
+		if len(w.list) > 0 {
+			i := rapid.IntRange(0, len(w.list)-1).Draw(t, "drains")
+			changed := listed(w.list[i].GetService(), 0, w.list[i].GetZone())
+			changed.Id, changed.Draining = w.list[i].GetId(), rapid.Bool().Draw(t, "draining")
+			w.list[i] = changed
+		}
+	}
+	w.p.SetServers(w.now, w.list, time.Duration(rapid.IntRange(0, 2000).Draw(t, "age"))*time.Millisecond)
+}
+
+func (w *world) evacuate(t *rapid.T) {
+	zone := rapid.SampledFrom([]string{zoneA, zoneB, zoneE}).Draw(t, "zone")
+	if w.evacuated[zone] {
+		delete(w.evacuated, zone)
+	} else {
+		w.evacuated[zone] = true
+	}
+	w.p.SetEvacuated(w.now, slices.Sorted(maps.Keys(w.evacuated)))
+}
+
+// check holds the accounts against the attempts that are open.
+func (w *world) check(t *rapid.T) {
+	require.Len(t, w.p.attempts, len(w.open))
+	open, ahead, unanswered := map[*server]int{}, map[*server]int{}, map[*server]int{}
+	for id, a := range w.p.attempts {
+		require.Equal(t, id, a.id)
+		open[a.server]++
+		if !a.started {
+			unanswered[a.server]++
+			ahead[a.server] += a.toRead
+		}
+	}
+	for _, s := range w.p.servers {
+		require.Equal(t, open[s], s.open, s.id)
+		require.Equal(t, ahead[s], s.ahead, s.id)
+		require.Len(t, s.unanswered, unanswered[s], s.id)
+		require.Contains(t, s.service.servers, s)
+		require.LessOrEqual(t, s.kept.parts, keptMost)
+	}
+	require.InDelta(t, 0.5, w.p.Slack(), 0.5)
+}
+
+func TestRulesAndAccountsHoldUnderRandomEvents(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld(t)
+		events := map[string]func(*rapid.T){
+			"pick":     w.pickRandom,
+			"again":    w.pickRandom,
+			"look":     w.lookAgain,
+			"start":    w.start,
+			"finish":   w.finish,
+			"list":     w.changeList,
+			"evacuate": w.evacuate,
+			"admit":    func(*rapid.T) { _ = w.p.Admit(w.now, w.greeting(1)) },
+			"wait": func(t *rapid.T) {
+				w.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond
+			},
+			"": w.check,
+		}
+		r.Repeat(events)
+	})
+}
+
+func TestAPlacerIsDeterministic(t *testing.T) {
+	run := func() (picked []string) {
+		f := newFixture(t, 0, westAndEast())
+		for i := range 200 {
+			picked = append(picked, f.serve(f.summary(i%9, i), func(server string) float64 { return 1 + float64(len(server)%3) }))
+		}
+		return picked
+	}
+	require.Equal(t, run(), run())
+}
+
+func TestErrorsTellWhatTheyAreAbout(t *testing.T) {
+	require.Contains(t, (&NoServerError{Service: "s", Reason: ReasonCold}).Error(), "all cold")
+	require.Contains(t, (&OverloadError{Service: "s", Expected: time.Second}).Error(), "1s")
+	_, err := ParseParts("x", nil)
+	var unreadable *PartsError
+	require.True(t, errors.As(err, &unreadable))
+	require.Contains(t, err.Error(), `"x"`)
+}
--- /dev/null
+++ b/internal/placement/server.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/logic/selection"
+)
+
+// Tuning of what a server is expected to do; speed is 1 when answers come as predicted.
+const (
+	// speedForget is how long after its last sample half of an estimate's difference from the service's
+	// typical speed is taken to be gone: a server that failed once is tried again.
+	speedForget = 6 * time.Second
+	leastSpeed  = 0.02
+	mostSpeed   = 2.0
+)
+
+// server is what this proxy knows of one server (one incarnation).
+type server struct {
+	id, address, zone, region string
+
+	service  *service
+	capacity int
+	hash     uint64 // of the id
+	affinity uint64 // this proxy's own order of servers: higher first
+
+	draining     bool
+	gone         bool          // it left the list, or another one answers at its address
+	expiresAt    time.Duration // 0: not told
+	coldUntil    time.Duration
+	coldToldAt   time.Duration // when its own answer last told that it is cold
+	suspectUntil time.Duration // it may have turned cold: treated as cold until a newer list tells
+	avoidUntil   time.Duration // it was full or seems to leave: used only when no other is left
+
+	estimate   selection.Estimate
+	unanswered []*attempt // oldest first
+	ahead      int        // prompt tokens of the unanswered that it has to read
+	open       int        // attempts that have not ended
+	failures   int        // in a row
+	rest       time.Duration
+	restUntil  time.Duration
+	trying     bool // the one trial after a rest is out
+
+	kept         keptList
+	markedBy     uint64 // number of the pick that the marks belong to
+	markedParts  int
+	markedTokens int
+}
+
+func newServer(listed *pb.Server, owner *service, region string, hostHash uint64) *server {
+	hash := xxhash.Sum64String(listed.GetId())
+	return &server{
+		id:       listed.GetId(),
+		zone:     listed.GetZone(),
+		region:   region,
+		service:  owner,
+		hash:     hash,
+		affinity: mix(hash ^ hostHash),
+	}
+}
+
+// speedAt is the estimate now, drawn to the typical speed as it ages. An attempt that has waited for longer
+// than predicted bounds it from above before its outcome is known.
+func (s *server) speedAt(now time.Duration, typical float64) float64 {
+	speed := typical
+	if s.estimate.Seeded() {
+		age := now - s.estimate.SampledAt()
+		keep := float64(speedForget) / float64(speedForget+age)
+		speed = typical + (s.estimate.Speed()-typical)*keep
+	}
+	if len(s.unanswered) > 0 {
+		oldest := s.unanswered[0]
+		if waited := now - oldest.sentAt; waited > oldest.cost {
+			speed = min(speed, float64(oldest.cost)/float64(waited))
+		}
+	}
+	return min(max(speed, leastSpeed), mostSpeed)
+}
+
+// resting tells whether the server is ejected now: after failures in a row, until its rest and then its one
+// trial are over.
+func (s *server) resting(now time.Duration) bool {
+	if s.failures < ejectAfter {
+		return false
+	}
+	return now < s.restUntil || s.trying
+}
+
+// wantsTrial tells whether a rest is over and the one trial is due.
+func (s *server) wantsTrial(now time.Duration) bool {
+	return s.failures >= ejectAfter && now >= s.restUntil && !s.trying
+}
+
+// cold tells whether requests to the server are under the bound on cold servers.
+func (s *server) cold(now time.Duration) bool {
+	if s.service.config == nil || !s.service.config.Cold() {
+		return false
+	}
+	return now < s.coldUntil || now < s.suspectUntil
+}
+
+// leaves tells whether the server gets nothing new for good.
+func (s *server) leaves(now time.Duration) bool {
+	return s.gone || s.draining || (s.expiresAt > 0 && now >= s.expiresAt)
+}
+
+// answered takes an attempt off the account of those that wait for their first event.
+func (s *server) answered(a *attempt) {
+	i := slices.Index(s.unanswered, a)
+	if i < 0 {
+		return
+	}
+	s.unanswered = slices.Delete(s.unanswered, i, i+1)
+	s.ahead -= a.toRead
+}
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fieldrelay/internal/route"
+	"fieldrelay/logic/selection"
+)
+
+// Tuning of what is expected of a service.
+const (
+	// readPerToken is the time to read a token of a prompt; where servers differ, their speeds tell.
+	readPerToken = 26 * time.Microsecond
+	// modelBase is the time to a first event beside reading: way, queue and the first steps.
+	modelBase = 40 * time.Millisecond
+	// plainBase is the first guess of an answer time of a service that is no model's.
+	plainBase = 20 * time.Millisecond
+	// leastBase and mostBase bound what is learnt of such a service.
+	leastBase = time.Millisecond
+	mostBase  = 2 * time.Second
+	// medianStep is the part by which a sample moves the recent median.
+	medianStep = 0.05
+	// medianTimes is the multiple of the median that is in time where no aim is told.
+	medianTimes = 4
+	// leastTypical bounds the typical speed from below: servers are not all to look alike in an outage.
+	leastTypical = 0.1
+	// defaultCapacity of a server that does not tell.
+	defaultCapacity = 8
+)
+
+// Bands of the slack: the paper's edges; cooler temperatures, because a kept prompt is worth keeping to.
+var bands = selection.Bands{
+	Low:       selection.PaperBands.Low,
+	High:      selection.PaperBands.High,
+	TauTarget: 0.08,
+	TauFull:   0.1,
+}
+
+// service is what this proxy knows of one service.
+type service struct {
+	name     string
+	config   *route.Service // nil: the configuration does not name it
+	servers  []*server      // by falling affinity
+	slack    selection.Slack
+	walk     selection.Walk[*server]
+	near     selection.Estimate       // typical speed of its servers in the own region
+	far      selection.Estimate       // and of those in other regions
+	median   time.Duration            // recent median of the time to the first event or byte
+	spilling bool                     // requests go to other regions too
+	seeding  time.Duration            // when the last attempt that seeds an estimate was sent
+	seedOut  *attempt                 // that attempt, while it is unanswered
+	fullAt   time.Duration            // when a server last refused for being full
+	admitted map[string]time.Duration // by route: when one was last let in although it looked bad
+}
+
+func newService(name string) *service {
+	return &service{
+		name:     name,
+		slack:    selection.NewSlack(bands),
+		median:   plainBase,
+		admitted: map[string]time.Duration{},
+	}
+}
+
+// sort puts servers into this proxy's own order after a change, in which the walk starts anew.
+func (s *service) sort() {
+	slices.SortFunc(s.servers, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(y.affinity, x.affinity), cmp.Compare(x.id, y.id))
+	})
+	s.walk.Reset()
+}
+
+// model tells whether the service reads prompts.
+func (s *service) model() bool { return s.config != nil && s.config.Runtime != nil }
+
+// typicalOf is the estimate of the typical speed in the own region or in others.
+func (s *service) typicalOf(near bool) *selection.Estimate {
+	if near {
+		return &s.near
+	}
+	return &s.far
+}
+
+// typicalSpeed is the speed of a server of which nothing is known; 1 until answers have come.
+func (s *service) typicalSpeed(near bool) float64 {
+	typical := s.typicalOf(near)
+	if !typical.Seeded() {
+		return 1
+	}
+	return min(max(typical.Speed(), leastTypical), mostSpeed)
+}
+
+// inTime tells whether an answer that took so long is in time for a route.
+func (s *service) inTime(r *route.Route, latency time.Duration) bool {
+	if r != nil && r.Target > 0 {
+		return latency <= r.Target
+	}
+	return latency <= medianTimes*s.median
+}
+
+// observeLatency moves the recent median.
+func (s *service) observeLatency(latency time.Duration) {
+	step := 1 + medianStep
+	if latency < s.median {
+		step = 1 / step
+	}
+	s.median = min(max(time.Duration(float64(s.median)*step), leastBase), mostBase)
+}
--- /dev/null
+++ b/internal/placement/sim_test.go
@@ -0,0 +1,342 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/limits"
+	"fieldrelay/internal/route"
+)
+
+// A simulation of several proxies, each with its own Placer, before servers that read prompts one after the
+// other at a fixed rate and keep the parts used last. It checks the placement as a whole: answers in time,
+// shared parts seldom read anew, no server overrun.
+
+// simKind is one kind of request of the simulation.
+type simKind struct {
+	route       string
+	rate        float64 // a second, over all proxies
+	shared, own int     // tokens
+	subjects    int
+	streaming   time.Duration // from the first event to the last
+}
+
+var simKinds = []simKind{
+	{routeSummary, 9.8, 6300, 2890, 37, 300 * time.Millisecond},
+	{routeHelp, 13.9, 568, 1800, 52, 150 * time.Millisecond},
+	{routeGreeting, 11.6, 172, 543, 98, 2 * time.Second},
+}
+
+const (
+	simTokensPerMS = 38.7
+	simStep        = 6 * time.Millisecond
+	simMemory      = 230_000
+)
+
+// simEngine is a server of the simulation.
+type simEngine struct {
+	entry  *pb.Server
+	region string
+	freeAt time.Duration // when it has read what waits
+	slow   float64       // times the usual time
+	kept   []simPart     // used last first
+	tokens int
+	served int
+	reread int // shared tokens that were read
+}
+
+type simPart struct {
+	id     string
+	tokens int
+}
+
+// read gives how many tokens of a prompt are not kept, and keeps them from now on.
+func (e *simEngine) read(parts []simPart) (unread, sharedUnread int) {
+	broken := false
+	for i, part := range parts {
+		at := slices.IndexFunc(e.kept, func(have simPart) bool { return have.id == part.id })
+		if at < 0 {
+			broken = true
+			e.tokens += part.tokens
+		} else {
+			e.kept = slices.Delete(e.kept, at, at+1)
+		}
+		e.kept = slices.Insert(e.kept, 0, part)
+		if broken {
+			unread += part.tokens
+			if i < len(parts)-1 {
+				sharedUnread += part.tokens
+			}
+		}
+	}
+	for e.tokens > simMemory {
+		last := len(e.kept) - 1
+		e.tokens -= e.kept[last].tokens
+		e.kept = e.kept[:last]
+	}
+	return unread, sharedUnread
+}
+
+type simEvent struct {
+	at  time.Duration
+	run func(now time.Duration)
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int           { return len(q) }
+func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(event any)    { *q = append(*q, event.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := len(*q) - 1
+	event := (*q)[last]
+	*q = (*q)[:last]
+	return event
+}
+
+type sim struct {
+	random  *rand.Rand
+	table   *route.Table
+	placers []*Placer
+	zones   []string // of the proxies
+	engines map[string]*simEngine
+	queue   simQueue
+	results map[string]*simResult // by route
+	offered int                   // shared tokens
+}
+
+type simResult struct {
+	sent, inTime, refused, failed int
+}
+
+// newSim makes proxies and servers, each spread over the zones.
+func newSim(t *testing.T, seed uint64, proxies, servers int) *sim {
+	s := &sim{
+		random:  rand.New(rand.NewPCG(seed, 3)),
+		table:   testTable(t),
+		engines: map[string]*simEngine{},
+		results: map[string]*simResult{},
+	}
+	zones := []string{zoneA, zoneE, zoneB, zoneA, zoneE}
+	var list []*pb.Server
+	for i := range servers {
+		entry := listed(modelService, i, zones[i%len(zones)])
+		list = append(list, entry)
+		s.engines[entry.GetId()] = &simEngine{entry: entry, region: regions[entry.GetZone()], slow: 1}
+	}
+	shares := &pb.Shares{Proxies: uint32(proxies)}
+	for i := range proxies {
+		zone := zones[i%len(zones)]
+		s.zones = append(s.zones, zone)
+		shares.Members = append(shares.Members, &pb.Neighbour{Host: hostName(i), Zone: zone, Region: regions[zone]})
+	}
+	for i, zone := range s.zones {
+		p := New(Config{
+			Host: hostName(i), Zone: zone, Regions: regions, Seed: seed + uint64(i),
+			Cold: limits.ColdConfig{Excess: 1.5, Extra: 5},
+		})
+		p.SetTable(0, s.table)
+		p.SetShares(0, shares)
+		p.SetServers(0, list, 0)
+		s.placers = append(s.placers, p)
+	}
+	for _, kind := range simKinds {
+		s.results[kind.route] = &simResult{}
+	}
+	return s
+}
+
+func (s *sim) after(now, wait time.Duration, run func(time.Duration)) {
+	heap.Push(&s.queue, simEvent{at: now + wait, run: run})
+}
+
+// load starts the arrivals of a kind at some times its rate.
+func (s *sim) load(kind simKind, times float64, until time.Duration) {
+	var arrive func(now time.Duration)
+	next := func(now time.Duration) {
+		wait := time.Duration(s.random.ExpFloat64() / (kind.rate * times) * float64(time.Second))
+		if now+wait < until {
+			s.after(now, wait, arrive)
+		}
+	}
+	arrive = func(now time.Duration) {
+		s.arrive(now, kind)
+		next(now)
+	}
+	next(0)
+}
+
+func (s *sim) run() {
+	for len(s.queue) > 0 {
+		event := heap.Pop(&s.queue).(simEvent)
+		event.run(event.at)
+	}
+}
+
+// arrive lets a client's request come to one of the proxies.
+func (s *sim) arrive(now time.Duration, kind simKind) {
+	proxy := s.random.IntN(len(s.placers))
+	p := s.placers[proxy]
+	found, _ := s.table.Route(kind.route)
+	subject := s.random.IntN(kind.subjects)
+	parts := []simPart{
+		{fmt.Sprint(kind.route, subject), kind.shared},
+		{fmt.Sprint(kind.route, subject, "/", s.random.Uint64()), kind.own},
+	}
+	request := &Request{
+		Route: found, Service: modelService, Model: "m", Prompt: kind.shared + kind.own,
+		Arrived: now, Remaining: found.Deadline,
+	}
+	for i, part := range parts {
+		header := fmt.Sprintf("%x:%d", part.id, part.tokens)
+		request.Parts, _ = ParseParts(header, request.Parts)
+		if i < len(parts)-1 {
+			s.offered += part.tokens
+		}
+	}
+	result := s.results[kind.route]
+	result.sent++
+	if p.Admit(now, request) != nil {
+		result.refused++
+		return
+	}
+	decision, err := p.Pick(now, request)
+	if err != nil {
+		result.refused++
+		return
+	}
+	s.serve(now, p, s.zones[proxy], request, kind, decision, parts)
+}
+
+// serve runs an attempt at its engine.
+func (s *sim) serve(now time.Duration, p *Placer, zone string, request *Request, kind simKind, to Decision, parts []simPart) {
+	engine := s.engines[to.ServerID]
+	result := s.results[kind.route]
+	way := simWay(zone, engine)
+	if engine.slow == 0 { // down
+		s.after(now, way, func(now time.Duration) {
+			result.failed++
+			p.Finished(now, to.Attempt, Reset)
+			p.RequestDone(now, request, false, 0)
+		})
+		return
+	}
+	engine.served++
+	unread, sharedUnread := engine.read(parts)
+	engine.reread += sharedUnread
+	reading := time.Duration(float64(unread) / simTokensPerMS * engine.slow * float64(time.Millisecond))
+	engine.freeAt = max(engine.freeAt, now+way/2) + reading + simStep
+	first := engine.freeAt + simStep + way/2
+	s.after(first, 0, func(now time.Duration) {
+		latency := now - request.Arrived
+		if latency <= request.Route.Target {
+			result.inTime++
+		}
+		p.Started(now, to.Attempt)
+		s.after(now, kind.streaming, func(now time.Duration) {
+			p.Finished(now, to.Attempt, Done)
+			p.RequestDone(now, request, true, latency)
+		})
+	})
+}
+
+// simWay is the time there and back.
+func simWay(zone string, engine *simEngine) time.Duration {
+	switch {
+	case engine.region != regions[zone]:
+		return 40 * time.Millisecond
+	case engine.entry.GetZone() != zone:
+		return 3 * time.Millisecond
+	}
+	return 200 * time.Microsecond
+}
+
+func (s *sim) totals() (total simResult) {
+	for _, result := range s.results {
+		total.sent += result.sent
+		total.inTime += result.inTime
+		total.refused += result.refused
+		total.failed += result.failed
+	}
+	return total
+}
+
+// rereadShare is the part of the offered shared tokens that servers had to read.
+func (s *sim) rereadShare() float64 {
+	read := 0
+	for _, engine := range s.engines {
+		read += engine.reread
+	}
+	return float64(read) / float64(s.offered)
+}
+
+func (s *sim) otherRegionShare() float64 {
+	var other, attempts uint64
+	for _, p := range s.placers {
+		other += p.Stats().OtherRegion
+		attempts += p.Stats().Attempts
+	}
+	return float64(other) / float64(attempts)
+}
+
+func (s *sim) report(t *testing.T, name string) {
+	total := s.totals()
+	t.Logf("%s: %d sent, %.4f in time, %.4f refused, %.4f failed, %.3f of shared tokens read, %.3f to another region",
+		name, total.sent, float64(total.inTime)/float64(total.sent), float64(total.refused)/float64(total.sent),
+		float64(total.failed)/float64(total.sent), s.rereadShare(), s.otherRegionShare())
+}
+
+func TestSimulatedDays(t *testing.T) {
+	cases := map[string]struct {
+		proxies, servers int
+		times            float64 // of the load
+		disturb          func(s *sim)
+		inTime, reread   float64 // at least, at most
+	}{
+		"small quiet": {proxies: 7, servers: 10, times: 1},
+		"small busy":  {proxies: 7, servers: 10, times: 2},
+		"small full":  {proxies: 7, servers: 10, times: 4},
+		"grown":       {proxies: 67, servers: 90, times: 12},
+		"one slow": {proxies: 7, servers: 10, times: 1, disturb: func(s *sim) {
+			s.disturb(10*time.Second, 1, 4)
+		}},
+		"two down": {proxies: 7, servers: 10, times: 1, disturb: func(s *sim) {
+			s.disturb(10*time.Second, 2, 0)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 1, c.proxies, c.servers)
+			for _, kind := range simKinds {
+				s.load(kind, c.times, 40*time.Second)
+			}
+			if c.disturb != nil {
+				c.disturb(s)
+			}
+			s.run()
+			s.report(t, name)
+			require.Positive(t, s.totals().sent)
+		})
+	}
+}
+
+// disturb makes some servers slow, or down when slow is 0, for ten seconds.
+func (s *sim) disturb(at time.Duration, servers int, slow float64) {
+	names := make([]string, 0, len(s.engines))
+	for name := range s.engines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names[:servers] {
+		s.after(at, 0, func(time.Duration) { s.engines[name].slow = slow })
+		s.after(at, 10*time.Second, func(time.Duration) { s.engines[name].slow = 1 })
+	}
+}
--- /dev/null
+++ b/internal/placement/stats.go
@@ -0,0 +1,20 @@
+package placement
+
+// Stats counts what a Placer did since its start.
+type Stats struct {
+	Attempts    uint64 // opened
+	Seeded      uint64 // picked to seed an estimate or as a trial after a rest
+	Drawn       uint64 // picked by softmax
+	Walked      uint64 // picked by the walk
+	Cold        uint64 // sent to a cold server
+	OtherRegion uint64 // sent to another region
+	Ejections   uint64
+	Overload    uint64                 // requests that Admit did not let in
+	InTime      uint64                 // requests answered in time
+	Late        uint64                 // requests answered late or not at all
+	None        [ReasonFull + 1]uint64 // picks without a server, by reason
+	Outcomes    [NotSent + 1]uint64    // attempts by outcome
+}
+
+// Stats gives the counts so far.
+func (p *Placer) Stats() Stats { return p.stats }
--- /dev/null
+++ b/internal/proxy/bench_test.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+)
+
+// BenchmarkForward sends requests one after another over one connection, with a client and a server that do
+// next to nothing, so that most of the time is the proxy's.
+func BenchmarkForward(b *testing.B) {
+	t := &testing.T{}
+	answer := []byte("HTTP/1.1 200 OK\r\n" + headerAttemptID + ": id1\r\n" + seal + "Content-Length: 2\r\n\r\nok")
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buffer := make([]byte, 4096)
+				for {
+					if _, err := conn.Read(buffer); err != nil {
+						return
+					}
+					if _, err := conn.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	server := &standIn{}
+	server.server.ID = "i-1"
+	server.server.Address = listener.Addr().String()
+	r := newRig(t, server)
+	conn, err := net.Dial("tcp4", r.address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	request := []byte("POST /m/x HTTP/1.1\r\nHost: h.example\r\n" + headerAttemptID + ": id1\r\n" + headerDeadline +
+		": 5000\r\nContent-Type: text/plain\r\nX-Fieldrelay-Model: m\r\nContent-Length: " + strconv.Itoa(200) + "\r\n\r\n" + string(bytes.Repeat([]byte("b"), 200)))
+	reader := bufio.NewReader(conn)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := conn.Write(request); err != nil {
+			b.Fatal(err)
+		}
+		for {
+			line, err := reader.ReadSlice('\n')
+			if err != nil {
+				b.Fatal(err)
+			}
+			if len(line) == 2 {
+				break
+			}
+		}
+		if _, err := io.ReadFull(reader, make([]byte, 2)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/counters.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"fieldrelay/internal/proxy/upstream"
+)
+
+// counters are what the proxy has done since its start.
+type counters struct {
+	active      atomic.Int64 // requests in progress
+	connections atomic.Int64 // of clients, open
+	requests    atomic.Uint64
+	delivered   atomic.Uint64 // answers of servers passed on whole
+	refused     atomic.Uint64 // own 503
+	failed      atomic.Uint64 // own 502 and 504
+	denied      atomic.Uint64 // own 4xx
+	broken      atomic.Uint64 // answers that ended early
+	clientsGone atomic.Uint64
+	attempts    atomic.Uint64 // sent to a server
+	repeats     atomic.Uint64 // among them, beyond the first of a request
+	resumed     atomic.Uint64 // streams taken up at another server
+	noBudget    atomic.Uint64 // repeats that the common budget did not allow
+	promised    atomic.Uint64 // attempts that a server did not run
+	unknown     atomic.Uint64 // attempts whose fate is not known
+	unsent      atomic.Uint64 // attempts that failed before anything was sent
+	overloaded  atomic.Uint64 // requests not admitted
+	unplaced    atomic.Uint64 // requests for which there was no server
+	lateChanges atomic.Uint64 // attempts given up because the state changed just before sending
+}
+
+func (c *counters) countOwn(status int) {
+	switch {
+	case status == 503 || status == 429:
+		c.refused.Add(1)
+	case status >= 500:
+		c.failed.Add(1)
+	default:
+		c.denied.Add(1)
+	}
+}
+
+func (c *counters) countFate(f fate) {
+	switch f {
+	case fateNotSent:
+		c.unsent.Add(1)
+	case fatePromised:
+		c.promised.Add(1)
+	case fateUnknown:
+		c.unknown.Add(1)
+	}
+}
+
+// fields are the counters for a line of the log.
+func (c *counters) fields(connections upstream.Stats, slack float64, memory int64) []zap.Field {
+	return []zap.Field{
+		zap.Int64("active", c.active.Load()),
+		zap.Int64("connections", c.connections.Load()),
+		zap.Uint64("requests", c.requests.Load()),
+		zap.Uint64("delivered", c.delivered.Load()),
+		zap.Uint64("refused", c.refused.Load()),
+		zap.Uint64("failed", c.failed.Load()),
+		zap.Uint64("denied", c.denied.Load()),
+		zap.Uint64("broken", c.broken.Load()),
+		zap.Uint64("clients-gone", c.clientsGone.Load()),
+		zap.Uint64("attempts", c.attempts.Load()),
+		zap.Uint64("repeats", c.repeats.Load()),
+		zap.Uint64("resumed", c.resumed.Load()),
+		zap.Uint64("no-budget", c.noBudget.Load()),
+		zap.Uint64("promised", c.promised.Load()),
+		zap.Uint64("unknown", c.unknown.Load()),
+		zap.Uint64("unsent", c.unsent.Load()),
+		zap.Uint64("overloaded", c.overloaded.Load()),
+		zap.Uint64("unplaced", c.unplaced.Load()),
+		zap.Uint64("late-changes", c.lateChanges.Load()),
+		zap.Uint64("dialled", connections.Dialled),
+		zap.Uint64("dials-failed", connections.Refused),
+		zap.Uint64("reused", connections.Reused),
+		zap.Uint64("stale", connections.Stale),
+		zap.Uint64("surplus", connections.Surplus),
+		zap.Int("idle", connections.IdleNow),
+		zap.Float64("slack", slack),
+		zap.Int64("body-bytes", memory),
+	}
+}
--- /dev/null
+++ b/internal/proxy/events.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// eventScanner finds the ends of events (text/event-stream) and the ids that they carry. It is fed the
+// stream in pieces and holds no copy of it.
+type eventScanner struct {
+	line      []byte // beginning of the line that is being read, bounded
+	pendingID string // id of the event that is being read
+	hasID     bool
+	lastID    string // id of the last whole event that had one
+}
+
+// maxIDLine bounds how much of a line is looked at for an id.
+const maxIDLine = 256
+
+func newEventScanner() *eventScanner {
+	return &eventScanner{line: make([]byte, 0, 32)}
+}
+
+// scan reads on until the end of the next event and returns how many bytes it took; whole tells whether an
+// event ended there.
+func (s *eventScanner) scan(data []byte) (taken int, whole bool) {
+	for taken < len(data) {
+		end := bytes.IndexByte(data[taken:], '\n')
+		if end < 0 {
+			s.takePart(data[taken:])
+			return len(data), false
+		}
+		s.takePart(data[taken : taken+end])
+		taken += end + 1
+		if s.endLine() {
+			return taken, true
+		}
+	}
+	return taken, false
+}
+
+func (s *eventScanner) takePart(part []byte) {
+	if room := maxIDLine - len(s.line); room > 0 {
+		s.line = append(s.line, part[:min(room, len(part))]...)
+	}
+}
+
+// endLine takes in the end of a line and tells whether an event ended with it.
+func (s *eventScanner) endLine() bool {
+	line := bytes.TrimSuffix(s.line, []byte{'\r'})
+	s.line = s.line[:0]
+	if len(line) > 0 {
+		s.noteID(line)
+		return false
+	}
+	if s.hasID {
+		s.lastID = s.pendingID
+	}
+	s.hasID = false
+	return true
+}
+
+func (s *eventScanner) noteID(line []byte) {
+	value, found := bytes.CutPrefix(line, []byte("id:"))
+	if !found {
+		return
+	}
+	s.pendingID = string(bytes.TrimPrefix(value, []byte{' '}))
+	s.hasID = true
+}
+
+// follows tells whether an event id comes after another one. Ids of a stream rise.
+func follows(previous, id string) bool {
+	before, errBefore := strconv.ParseUint(previous, 10, 64)
+	after, errAfter := strconv.ParseUint(id, 10, 64)
+	if errBefore == nil && errAfter == nil {
+		return after > before
+	}
+	return id != previous
+}
--- /dev/null
+++ b/internal/proxy/feed.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// feed takes in from the agent beside this proxy what the proxy serves by.
+type feed struct {
+	mu          sync.Mutex // one Apply at a time, so that the placer sees states in order
+	host        string
+	incarnation uint64
+	edgeAddress string // at which clients reach this proxy
+	state       *state
+	dispatcher  *dispatcher
+	lifecycle   *lifecycle
+	logger      *zap.Logger
+	// changed is told of each new snapshot.
+	changed func(*snapshot, update)
+}
+
+// Apply takes in changes, a repair, a server list and shares, and answers what is held afterwards.
+func (f *feed) Apply(_ context.Context, request *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ProxyStatus], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.state.load()
+	held, done := f.state.apply(request.Msg)
+	if done.tableChanged {
+		f.dispatcher.setTable(held.table)
+	}
+	if done.listChanged {
+		f.dispatcher.setServers(request.Msg.GetList())
+	}
+	if shares := request.Msg.GetShares(); shares != nil {
+		f.dispatcher.setShares(shares)
+	}
+	f.report(before, held, done)
+	f.changed(held, done)
+	return connect.NewResponse(f.status(held)), nil
+}
+
+// Status answers what is held.
+func (f *feed) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.ProxyStatus], error) {
+	return connect.NewResponse(f.status(f.state.load())), nil
+}
+
+func (f *feed) status(held *snapshot) *pb.ProxyStatus {
+	status := &pb.ProxyStatus{
+		Host:        f.host,
+		Incarnation: f.incarnation,
+		Sequence:    held.sequence,
+		Generation:  held.generation,
+		List:        held.list,
+		Ready:       f.lifecycle.ready(held),
+		Draining:    f.lifecycle.draining(),
+		EdgeAddress: f.edgeAddress,
+	}
+	if f.state.wantsWhole() {
+		// Without a digest for each range, the answer to this is the whole state.
+		status.Digests = &pb.RangeDigests{Sequence: held.sequence, Generation: held.generation}
+	}
+	return status
+}
+
+func (f *feed) report(before, held *snapshot, done update) {
+	for _, fault := range done.faults {
+		f.logger.Warn("item of the configuration left out", zap.Error(fault))
+	}
+	if done.tableChanged {
+		f.logger.Info("configuration in force",
+			zap.Uint64("sequence", held.sequence),
+			zap.Uint64("generation", held.generation),
+			zap.Int("routes", held.table.Routes()),
+			zap.Strings("evacuated", held.table.Evacuated()))
+	}
+	if before.complete() != held.complete() {
+		f.logger.Info("ready to take requests", zap.Int("servers", len(held.servers)))
+	}
+}
--- /dev/null
+++ b/internal/proxy/forward_test.go
@@ -0,0 +1,462 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fieldrelay/internal/placement"
+)
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	server := newStandIn(t, "i-1", text(201, seal+"X-Answer: a\r\nSet-Cookie: x\r\nSet-Cookie: y\r\nKeep-Alive: timeout=9\r\n", "the answer"))
+	r := newRig(t, server)
+	c := r.dial()
+	target := "/m/%2e%2E/a//b;c=1?x=%zz&y=%20+&z"
+	c.ask("POST", target, "X-Own: 1\r\nConnection: keep-alive, X-Hop\r\nX-Hop: h\r\nX-Fieldrelay-Deadline-Ms: 1000\r\n", "the body\x00\xff")
+	response, body := c.answer("POST")
+	require.Equal(t, 201, response.StatusCode)
+	require.Equal(t, "the answer", body)
+	require.Equal(t, http.Header{
+		headerAttemptID: {"id1"}, headerServerSeal: {"seal"}, "X-Answer": {"a"}, "Set-Cookie": {"x", "y"},
+		"Content-Length": {"10"},
+	}, response.Header)
+
+	got := server.got()
+	require.Len(t, got, 1)
+	require.Equal(t, "POST", got[0].method)
+	require.Equal(t, target, got[0].target)
+	require.Equal(t, "h.example", got[0].host)
+	require.Equal(t, "the body\x00\xff", got[0].body)
+	left, err := strconv.Atoi(got[0].header.Get(headerDeadline))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 1000)
+	require.Greater(t, left, 0)
+	got[0].header.Del(headerDeadline)
+	require.Equal(t, http.Header{
+		headerAttemptID: {"id1"}, headerExpectServer: {"i-1"}, "X-Own": {"1"}, "Priority": {"2"}, "Content-Length": {"10"},
+	}, got[0].header)
+	require.Equal(t, []bool{true}, r.placer.answered)
+}
+
+func TestBodiesInChunksAndConnectionsAreReused(t *testing.T) {
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: id1\r\n%sTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", headerAttemptID, seal)
+		return err == nil
+	})
+	r := newRig(t, server)
+	c := r.dial()
+	for range 3 {
+		c.ask("PUT", "/m/x", "Transfer-Encoding: chunked\r\n", "")
+		c.write("4\r\nwiki\r\n5\r\npedia\r\n0\r\n\r\n")
+		_, body := c.answer("PUT")
+		require.Equal(t, "abc", body)
+	}
+	for _, request := range server.got() {
+		require.Equal(t, "wikipedia", request.body)
+		require.Equal(t, "9", request.header.Get("Content-Length"))
+	}
+	require.EqualValues(t, 1, r.handler.pool.Stats().Dialled)
+	eventually(t, func() bool { return r.handler.memory.used.Load() == 0 }, "memory of bodies is given back")
+}
+
+func TestExpectContinue(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := newRig(t, server)
+	c := r.dial()
+	c.ask("POST", "/m/x", "Expect: 100-continue\r\nContent-Length: 3\r\n", "")
+	line, err := c.reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "100 Continue")
+	_, err = c.reader.ReadString('\n')
+	require.NoError(t, err)
+	c.write("abc")
+	response, _ := c.answer("POST")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "abc", server.got()[0].body)
+	require.Empty(t, server.got()[0].header.Get("Expect"))
+}
+
+func TestHeadAndAnswersWithoutBody(t *testing.T) {
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		status := 200
+		if request.method == "GET" {
+			status = 204
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 %d OK\r\n%s: id1\r\n%s", status, headerAttemptID, seal)
+		if status == 200 {
+			_, err = io.WriteString(conn, "Content-Length: 500\r\n")
+		}
+		_, _ = io.WriteString(conn, "\r\n")
+		return err == nil
+	})
+	r := newRig(t, server)
+	c := r.dial()
+	c.ask("HEAD", "/i/x", "", "")
+	response, _ := c.answer("HEAD")
+	require.Equal(t, "500", response.Header.Get("Content-Length"))
+	c.ask("GET", "/i/x", "", "")
+	response, body := c.answer("GET")
+	require.Equal(t, 204, response.StatusCode)
+	require.Empty(t, body)
+	require.EqualValues(t, 1, r.handler.pool.Stats().Dialled)
+}
+
+func TestOwnRefusals(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := newRig(t, server)
+	ask := func(request string) (*http.Response, string) {
+		c := r.dial()
+		c.write(request)
+		return c.answer("GET")
+	}
+	cases := map[string]struct {
+		request string
+		status  int
+	}{
+		"no id":      {lines("GET /m/x HTTP/1.1", "Host: h.example", ""), 400},
+		"two ids":    {lines("GET /m/x HTTP/1.1", "Host: h.example", headerAttemptID+": a", headerAttemptID+": b", ""), 400},
+		"no route":   {lines("GET /none/x HTTP/1.1", "Host: h.example", headerAttemptID+": a", ""), 404},
+		"no host":    {lines("GET /m/x HTTP/1.1", "Host: other.example", headerAttemptID+": a", ""), 404},
+		"asterisk":   {lines("OPTIONS * HTTP/1.1", "Host: h.example", headerAttemptID+": a", ""), 400},
+		"large body": {lines("POST /m/x HTTP/1.1", "Host: h.example", headerAttemptID+": a", "Content-Length: 9999999", ""), 413},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			response, body := ask(test.request)
+			require.Equal(t, test.status, response.StatusCode)
+			require.Empty(t, body)
+			require.Empty(t, response.Header.Get(headerServerSeal))
+		})
+	}
+	require.Empty(t, server.got())
+
+	response, _ := ask(lines("GET http://h.example/m/y?z HTTP/1.1", "Host: h.example", headerAttemptID+": id1", ""))
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "/m/y?z", server.got()[0].target)
+}
+
+func TestBeforeTheFirstConfiguration(t *testing.T) {
+	r := newRig(t)
+	r.handler.state.current.Store(newState().load())
+	response, _ := r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+	require.Equal(t, "0.200", response.Header.Get("Retry-After"))
+}
+
+func TestOverload(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := newRig(t, server)
+	r.placer.overload = &placement.OverloadError{RetryAfter: 1250 * time.Millisecond}
+	response, _ := r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+	require.Equal(t, "1.250", response.Header.Get("Retry-After"))
+	require.Empty(t, server.got())
+}
+
+const answerHead = "HTTP/1.1 200 OK\r\nX-Fieldrelay-Attempt-Id: ID\r\n" + seal
+
+// brokenReplies are all the ways in which a server may fail after it got a request.
+var brokenReplies = map[string]reply{
+	"reset":            resets,
+	"closed":           raw(""),
+	"garbage":          raw("\x01\x02garbage\r\n\r\n"),
+	"half a head":      raw("HTTP/1.1 200 OK\r\nX-Field"),
+	"other's answer":   raw("HTTP/1.1 200 OK\r\nX-Fieldrelay-Attempt-Id: other\r\n" + seal + "Content-Length: 2\r\n\r\nno"),
+	"no id":            raw("HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nno"),
+	"no seal":          raw("HTTP/1.1 200 OK\r\nX-Fieldrelay-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nno"),
+	"cut body":         raw(answerHead + "Content-Length: 9\r\n\r\nno"),
+	"cut chunks":       raw(answerHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n"),
+	"bad chunks":       raw(answerHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nno\r\n"),
+	"endless body":     raw(answerHead + "\r\nno"),
+	"503, unexplained": raw("HTTP/1.1 503 X\r\nX-Fieldrelay-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n"),
+	"429, unexplained": raw("HTTP/1.1 429 X\r\nX-Fieldrelay-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n"),
+}
+
+func TestBrokenAnswersOfMutatingRequestsEndIn502(t *testing.T) {
+	for name, broken := range brokenReplies {
+		t.Run(name, func(t *testing.T) {
+			first, second := newStandIn(t, "i-1", broken), newStandIn(t, "i-2", good("ok"))
+			r := newRig(t, first, second)
+			response, body := r.get("/m/x")
+			require.Equal(t, 502, response.StatusCode)
+			require.Empty(t, body)
+			require.Empty(t, response.Header.Get("Retry-After"))
+			require.Len(t, first.got(), 1)
+			require.Empty(t, second.got())
+			require.Equal(t, []bool{false}, r.placer.answered)
+			require.Zero(t, r.handler.pool.Stats().IdleNow)
+		})
+	}
+}
+
+func TestBrokenAnswersOfIdempotentRequestsGoToAnotherServer(t *testing.T) {
+	for name, broken := range brokenReplies {
+		t.Run(name, func(t *testing.T) {
+			first, second := newStandIn(t, "i-1", broken), newStandIn(t, "i-2", good("ok"))
+			r := newRig(t, first, second)
+			response, body := r.get("/i/x")
+			require.Equal(t, 200, response.StatusCode)
+			require.Equal(t, "ok", body)
+			require.Len(t, first.got(), 1)
+			require.Len(t, second.got(), 1)
+			require.EqualValues(t, 1, r.handler.counters.repeats.Load())
+		})
+	}
+}
+
+func TestPromisesGoToAnotherServer(t *testing.T) {
+	promises := map[string]reply{
+		"full":        text(503, declines, ""),
+		"busy":        text(429, declines+"Retry-After: 2\r\n", "busy"),
+		"misdirected": text(421, "", ""),
+		"bad":         text(400, declines, ""),
+	}
+	for name, promise := range promises {
+		t.Run(name, func(t *testing.T) {
+			first, second := newStandIn(t, "i-1", promise), newStandIn(t, "i-2", good("ok"))
+			r := newRig(t, first, second)
+			response, body := r.get("/m/x")
+			require.Equal(t, 200, response.StatusCode)
+			require.Equal(t, "ok", body)
+			require.Len(t, second.got(), 1)
+		})
+	}
+}
+
+func TestPromisesOfAllServersAreARefusal(t *testing.T) {
+	servers := []*standIn{}
+	for i := range 5 {
+		servers = append(servers, newStandIn(t, fmt.Sprintf("i-%d", i), text(503, declines, "full")))
+	}
+	r := newRig(t, servers...)
+	response, body := r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, body)
+	arrivals := 0
+	for _, server := range servers {
+		arrivals += len(server.got())
+	}
+	require.Equal(t, 3, arrivals, "the route allows three servers")
+}
+
+func TestAPromiseAfterAFailureIsNoRefusal(t *testing.T) {
+	first, second := newStandIn(t, "i-1", resets), newStandIn(t, "i-2", text(503, declines, ""))
+	r := newRig(t, first, second)
+	response, _ := r.get("/i/x")
+	require.Equal(t, 502, response.StatusCode)
+}
+
+func TestMisdirectedConnectionIsNotKept(t *testing.T) {
+	r := newRig(t, newStandIn(t, "i-1", text(421, "", "")))
+	response, _ := r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+	require.Zero(t, r.handler.pool.Stats().IdleNow)
+	require.Equal(t, []placement.Outcome{placement.Misdirected}, r.placer.seenOutcomes())
+}
+
+func TestServersFailuresArePassedOn(t *testing.T) {
+	for _, status := range []int{500, 504, 404, 302} {
+		r := newRig(t, newStandIn(t, "i-1", text(status, seal, "why")), newStandIn(t, "i-2", good("ok")))
+		response, body := r.get("/m/x")
+		require.Equal(t, status, response.StatusCode)
+		require.Equal(t, "why", body)
+	}
+	r := newRig(t, newStandIn(t, "i-1", text(500, "", "why")), newStandIn(t, "i-2", good("ok")))
+	response, body := r.get("/o/x")
+	require.Equal(t, 500, response.StatusCode, "one try only")
+	require.Equal(t, "why", body)
+	response, body = r.get("/i/x")
+	require.Equal(t, 200, response.StatusCode, "repeated")
+	require.Equal(t, "ok", body)
+}
+
+func TestDeadServerCostsNothing(t *testing.T) {
+	dead, live := newStandIn(t, "i-1", good("no")), newStandIn(t, "i-2", good("ok"))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	dead.server.Address = listener.Addr().String()
+	r := newRig(t, dead, live)
+	response, body := r.get("/m/x")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "ok", body)
+	require.Zero(t, r.handler.counters.repeats.Load())
+	require.Equal(t, []placement.Outcome{placement.Reset, placement.Done}, r.placer.seenOutcomes())
+
+	r = newRig(t, dead)
+	response, _ = r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode, "it was never sent")
+	require.Equal(t, "0.070", response.Header.Get("Retry-After"))
+}
+
+func TestLastLookBeforeTheFirstByte(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := newRig(t, server)
+	r.placer.forbidden = 2
+	response, _ := r.get("/m/x")
+	require.Equal(t, 200, response.StatusCode)
+	require.Len(t, server.got(), 1)
+	require.Equal(t, []placement.Outcome{placement.NotSent, placement.NotSent, placement.Done}, r.placer.seenOutcomes())
+	require.EqualValues(t, 1, r.handler.pool.Stats().Dialled, "the connection waits for the next pick")
+
+	r.placer.forbidden = 1000
+	response, _ = r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+	require.Len(t, server.got(), 1)
+}
+
+func TestDeadline(t *testing.T) {
+	server := newStandIn(t, "i-1", silent)
+	r := newRig(t, server, newStandIn(t, "i-2", good("ok")))
+	response, _ := r.get("/t/x")
+	require.Equal(t, 504, response.StatusCode)
+	require.Equal(t, []placement.Outcome{placement.TimedOut}, r.placer.seenOutcomes())
+	<-server.closed
+
+	c := r.dial()
+	c.ask("GET", "/m/x", headerDeadline+": 40\r\n", "")
+	response, _ = c.answer("GET")
+	require.Equal(t, 504, response.StatusCode)
+}
+
+func TestNoBudgetNoRepeat(t *testing.T) {
+	first, second := newStandIn(t, "i-1", resets), newStandIn(t, "i-2", good("ok"))
+	r := newRig(t, first, second)
+	r.handler.dispatcher.budget.SetShares(nil)
+	response, _ := r.get("/i/x")
+	require.Equal(t, 502, response.StatusCode)
+	require.Empty(t, second.got())
+	require.EqualValues(t, 1, r.handler.counters.noBudget.Load())
+}
+
+func TestSurplusAnswerNeverReachesAClient(t *testing.T) {
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		answer := "HTTP/1.1 200 OK\r\nX-Fieldrelay-Attempt-Id: " + request.header.Get(headerAttemptID) + "\r\n" + seal + "Content-Length: 2\r\n\r\nok"
+		_, err := io.WriteString(conn, answer+answer)
+		return err == nil
+	})
+	r := newRig(t, server)
+	for range 5 {
+		response, body := r.get("/m/x")
+		require.Equal(t, 200, response.StatusCode)
+		require.Equal(t, "ok", body)
+	}
+}
+
+func TestLargeAnswers(t *testing.T) {
+	large := repeated("0123456789abcdef", 100_000)
+	r := newRig(t, newStandIn(t, "i-1", good(large)))
+	response, body := r.get("/m/x")
+	require.EqualValues(t, len(large), response.ContentLength)
+	require.True(t, body == large)
+
+	cut := raw(answerHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(large)+1) + large)
+	r = newRig(t, newStandIn(t, "i-1", cut))
+	c := r.dial()
+	c.ask("GET", "/i/x", "", "")
+	begun := c.head("GET")
+	_, err := io.Copy(io.Discard, begun.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+
+	r = newRig(t, newStandIn(t, "i-1", good(large)))
+	r.handler.memory.limit = 0
+	_, body = r.get("/m/x")
+	require.True(t, body == large, "without memory, an answer is passed on in pieces")
+}
+
+func TestNoMemoryForBodies(t *testing.T) {
+	r := newRig(t, newStandIn(t, "i-1", good("ok")))
+	r.handler.memory.limit = 10
+	c := r.dial()
+	c.ask("POST", "/m/x", "", repeated("x", 1000))
+	response, _ := c.answer("POST")
+	require.Equal(t, 503, response.StatusCode)
+	require.True(t, response.Close)
+}
+
+func TestClientThatLeavesEndsTheServersWork(t *testing.T) {
+	server := newStandIn(t, "i-1", silent)
+	r := newRig(t, server)
+	c := r.dial()
+	c.ask("GET", "/m/x", "", "")
+	eventually(t, func() bool { return len(server.got()) == 1 }, "the request arrives")
+	require.NoError(t, c.conn.Close())
+	<-server.closed
+	eventually(t, func() bool { return len(r.placer.seenOutcomes()) == 1 }, "the attempt ends")
+	require.Equal(t, placement.ClientGone, r.placer.seenOutcomes()[0])
+}
+
+func TestServerThatClosesTwiceInARowIsLeaving(t *testing.T) {
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		text(200, seal+"Connection: close\r\n", "ok")(conn, request)
+		return false
+	})
+	r := newRig(t, server)
+	for range 2 {
+		response, _ := r.get("/m/x")
+		require.Equal(t, 200, response.StatusCode)
+		require.False(t, response.Close, "the client's connection is another one")
+	}
+	require.Equal(t, []string{"i-1"}, r.placer.leaving)
+}
+
+func TestDrainingAnswers(t *testing.T) {
+	r := newRig(t, newStandIn(t, "i-1", good("ok")))
+	r.handler.lifecycle.enter(phaseLeaving)
+	response, body := r.get("/m/x")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "ok", body)
+	require.True(t, response.Close)
+	r.handler.lifecycle.enter(phaseRefusing)
+	response, _ = r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+	require.True(t, response.Close)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+func TestManyRequestsAtOnce(t *testing.T) {
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		return good(request.body)(conn, request)
+	})
+	r := newRig(t, server)
+	const clients, each = 8, 40
+	failures := make(chan error, clients)
+	for n := range clients {
+		c := r.dial()
+		go func() {
+			for i := range each {
+				body := strings.Repeat(strconv.Itoa(n), i+1)
+				if _, err := fmt.Fprintf(c.conn, "POST /m/x HTTP/1.1\r\nHost: h.example\r\n%s: %d-%d\r\nContent-Length: %d\r\n\r\n%s",
+					headerAttemptID, n, i, len(body), body); err != nil {
+					failures <- err
+					return
+				}
+				response, err := http.ReadResponse(c.reader, nil)
+				if err != nil {
+					failures <- err
+					return
+				}
+				got, err := io.ReadAll(response.Body)
+				if err != nil || string(got) != body || response.Header.Get(headerAttemptID) != fmt.Sprintf("%d-%d", n, i) {
+					failures <- errors.New("answer of another request")
+					return
+				}
+			}
+			failures <- nil
+		}()
+	}
+	for range clients {
+		require.NoError(t, <-failures)
+	}
+	eventually(t, func() bool { return r.handler.memory.used.Load() == 0 }, "memory is given back")
+}
--- /dev/null
+++ b/internal/proxy/front.go
@@ -0,0 +1,241 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fieldrelay/internal/route"
+)
+
+const (
+	// defaultMaxHeader bounds the head of a request while the configuration names no bound.
+	defaultMaxHeader = 16 << 10
+	// defaultHeaderRead is how long the head of a request may take while the configuration names no bound.
+	defaultHeaderRead = 5 * time.Second
+	// defaultKeepAlive is how long a connection may stay idle while the configuration names no bound.
+	defaultKeepAlive = 15 * time.Second
+	// limitSlack is added to the times that clients are held to, so that the client ends first.
+	limitSlack = time.Second
+	// headerSlack is added to the bound on heads, which counts the request line and line ends as well.
+	headerSlack = 4 << 10
+	// acceptPause is waited after a connection could not be accepted.
+	acceptPause = 5 * time.Millisecond
+)
+
+// frontLimits are what a client may send and how long it may take.
+type frontLimits struct {
+	maxHeader  int
+	headerRead time.Duration
+	keepAlive  time.Duration
+}
+
+func frontLimitsOf(told route.RequestLimits) frontLimits {
+	limits := frontLimits{maxHeader: defaultMaxHeader, headerRead: defaultHeaderRead, keepAlive: defaultKeepAlive}
+	if told.MaxHeaderBytes > 0 {
+		limits.maxHeader = int(told.MaxHeaderBytes)
+	}
+	if told.HeaderRead > 0 {
+		limits.headerRead = told.HeaderRead
+	}
+	if told.KeepAlive > 0 {
+		limits.keepAlive = told.KeepAlive
+	}
+	limits.maxHeader += headerSlack
+	limits.headerRead += limitSlack
+	limits.keepAlive += limitSlack
+	return limits
+}
+
+// front accepts the connections of clients. The limits of an http.Server can't change while it runs, so new
+// limits make a new one: it gets the connections accepted from then on, the older ones keep their limits.
+type front struct {
+	listener net.Listener
+	handler  http.Handler
+	base     context.Context // of all requests
+	counters *counters
+	logger   *zap.Logger
+	slots    chan struct{} // one for each connection that may be open
+
+	mu      sync.Mutex
+	limits  frontLimits
+	current *handoff
+	closed  bool
+	idle    map[net.Conn]struct{} // connections on which no request is being served
+}
+
+func newFront(base context.Context, listener net.Listener, handler http.Handler, maxConnections int, counters *counters, logger *zap.Logger) *front {
+	f := &front{
+		listener: listener,
+		handler:  handler,
+		base:     base,
+		counters: counters,
+		logger:   logger,
+		slots:    make(chan struct{}, maxConnections),
+		idle:     make(map[net.Conn]struct{}),
+	}
+	f.setLimits(frontLimitsOf(route.RequestLimits{}))
+	return f
+}
+
+// setLimits puts other limits in force for the connections accepted from now on.
+func (f *front) setLimits(limits frontLimits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed || (f.current != nil && f.limits == limits) {
+		return
+	}
+	if f.current != nil {
+		f.current.close()
+	}
+	f.limits = limits
+	f.current = newHandoff(f.listener.Addr())
+	server := f.newServer(limits)
+	go func(accepted *handoff) { _ = server.Serve(accepted) }(f.current)
+}
+
+func (f *front) newServer(limits frontLimits) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           f.handler,
+		ReadHeaderTimeout: limits.headerRead,
+		IdleTimeout:       limits.keepAlive,
+		MaxHeaderBytes:    limits.maxHeader,
+		ConnState:         f.track,
+		BaseContext:       func(net.Listener) context.Context { return f.base },
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+		Protocols:         protocols,
+		// Every request is for a server.
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
+// track keeps account of open and idle connections.
+func (f *front) track(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		f.counters.connections.Add(1)
+		f.setIdle(conn)
+	case http.StateIdle:
+		f.setIdle(conn)
+	case http.StateActive:
+		f.mu.Lock()
+		delete(f.idle, conn)
+		f.mu.Unlock()
+	case http.StateClosed, http.StateHijacked:
+		f.counters.connections.Add(-1)
+		f.mu.Lock()
+		delete(f.idle, conn)
+		f.mu.Unlock()
+		<-f.slots
+	}
+}
+
+func (f *front) setIdle(conn net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idle[conn] = struct{}{}
+}
+
+// serve accepts connections until the listener is closed.
+func (f *front) serve() {
+	for {
+		f.slots <- struct{}{}
+		conn, err := f.listener.Accept()
+		if err != nil {
+			<-f.slots
+			if f.isClosed() {
+				return
+			}
+			f.logger.Warn("accept a connection", zap.Error(err))
+			time.Sleep(acceptPause)
+			continue
+		}
+		f.hand(conn)
+	}
+}
+
+// hand gives a connection to the server with the limits in force.
+func (f *front) hand(conn net.Conn) {
+	for {
+		f.mu.Lock()
+		current := f.current
+		f.mu.Unlock()
+		if current.give(conn) {
+			return
+		}
+	}
+}
+
+func (f *front) isClosed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
+// close ends accepting. Open connections stay.
+func (f *front) close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
+	_ = f.listener.Close()
+}
+
+// closeIdle ends the connections on which no request is being served. The goroutine that waits for a request
+// on such a connection takes bytes that come as soon as they come; it is woken up without them here, and
+// closes the connection.
+func (f *front) closeIdle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for conn := range f.idle {
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// handoff is a listener that is given its connections.
+type handoff struct {
+	address net.Addr
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func newHandoff(address net.Addr) *handoff {
+	return &handoff{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+// give hands a connection over; it returns false when the listener is closed.
+func (h *handoff) give(conn net.Conn) bool {
+	select {
+	case h.conns <- conn:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+// Accept implements net.Listener.
+func (h *handoff) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (h *handoff) close() { h.once.Do(func() { close(h.done) }) }
+
+// Close implements net.Listener.
+func (h *handoff) Close() error {
+	h.close()
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handoff) Addr() net.Addr { return h.address }
--- /dev/null
+++ b/internal/proxy/handler.go
@@ -0,0 +1,180 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldrelay/internal/placement"
+	"fieldrelay/internal/proxy/upstream"
+	"fieldrelay/internal/route"
+)
+
+const (
+	// retryAfterSetup is told to clients while no configuration is held yet.
+	retryAfterSetup = 200 * time.Millisecond
+	// retryAfterShort is told where a new try may succeed at once, here or at another proxy.
+	retryAfterShort = 50 * time.Millisecond
+	// writeSlack is how long after the deadline an answer may still be written to a client that reads slowly.
+	writeSlack = 2 * time.Second
+	// longestDeadline bounds what a client or a route may ask for.
+	longestDeadline = 10 * time.Minute
+)
+
+// handler serves the requests of clients.
+type handler struct {
+	state      *state
+	lifecycle  *lifecycle
+	dispatcher *dispatcher
+	pool       *upstream.Pool
+	memory     *memoryBound
+	counters   *counters
+	draw       func() float64 // uniform in [0, 1)
+}
+
+// ServeHTTP answers one request. Where an answer has to end early, the client's connection ends with it, so
+// that the answer can't look whole.
+func (h *handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	arrived := time.Now()
+	h.counters.requests.Add(1)
+	h.counters.active.Add(1)
+	defer h.counters.active.Add(-1)
+	if h.lifecycle.draining() {
+		writer.Header()["Connection"] = []string{"close"}
+	}
+	exchange, refusal := h.prepare(writer, request, arrived)
+	if refusal != nil {
+		refusal.write(writer, h.counters)
+		return
+	}
+	defer exchange.free()
+	if !exchange.run() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refusal is an answer of the proxy's own to a request that was not passed on.
+type refusal struct {
+	status     int
+	retryAfter time.Duration // 0: not told
+	ends       bool          // the connection can't be used any longer
+}
+
+func (r *refusal) write(writer http.ResponseWriter, counters *counters) {
+	counters.countOwn(r.status)
+	header := writer.Header()
+	suppressDefaults(header)
+	if r.retryAfter > 0 {
+		header["Retry-After"] = []string{retryAfter(r.retryAfter)}
+	}
+	if r.ends {
+		header["Connection"] = []string{"close"}
+	}
+	header["Content-Length"] = []string{"0"}
+	writer.WriteHeader(r.status)
+}
+
+// prepare reads a request whole and finds its route. The body is read before anything else is decided, so
+// that the connection stays usable and an attempt is always whole.
+func (h *handler) prepare(writer http.ResponseWriter, request *http.Request, arrived time.Time) (*exchange, *refusal) {
+	held := h.state.load()
+	attemptID, proper := attemptIDOf(request.Header)
+	target, hasPath := originForm(request.RequestURI)
+	if !proper || !hasPath {
+		return nil, &refusal{status: http.StatusBadRequest}
+	}
+	if !held.configured() {
+		return nil, &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterSetup}
+	}
+	if h.lifecycle.phase() >= phaseRefusing {
+		return nil, &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, ends: true}
+	}
+	found, ok := held.table.Lookup(request.Host, pathOf(target))
+	if !ok {
+		return nil, &refusal{status: http.StatusNotFound}
+	}
+	deadline := arrived.Add(holdFor(request.Header, found))
+	control := http.NewResponseController(writer)
+	_ = control.SetWriteDeadline(deadline.Add(writeSlack))
+	body, err := h.readBody(control, request, held.table.RequestLimits().MaxBodyBytes, deadline)
+	if err != nil {
+		return nil, refusalOfBody(err)
+	}
+	return &exchange{
+		handler:   h,
+		client:    writer,
+		request:   request,
+		target:    target,
+		attemptID: attemptID,
+		route:     found,
+		place:     placementRequest(request.Header, found, h.draw(), h.dispatcher.at(arrived)),
+		body:      body,
+		arrived:   arrived,
+		deadline:  deadline,
+		ledger:    ledger{repeatable: found.Repeatable(), tries: max(found.Tries, 1)},
+	}, nil
+}
+
+func refusalOfBody(err error) *refusal {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, ends: true}
+	case errors.Is(err, errNoMemory):
+		return &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, ends: true}
+	default:
+		return &refusal{status: http.StatusRequestTimeout, ends: true}
+	}
+}
+
+// attemptIDOf returns the id of a request; there must be exactly one.
+func attemptIDOf(header http.Header) (string, bool) {
+	values := header[headerAttemptID]
+	if len(values) != 1 || values[0] == "" {
+		return "", false
+	}
+	return values[0], true
+}
+
+// holdFor is how long a request may be held: what the client waits, but no longer than the route allows.
+func holdFor(header http.Header, found *route.Route) time.Duration {
+	hold := longestDeadline
+	if found.Deadline > 0 {
+		hold = min(hold, found.Deadline)
+	}
+	values := header[headerDeadline]
+	if len(values) == 0 {
+		return hold
+	}
+	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || milliseconds < 0 || milliseconds > float64(hold/time.Millisecond) {
+		return hold
+	}
+	return time.Duration(milliseconds * float64(time.Millisecond))
+}
+
+// placementRequest tells placement what the headers of a request say about its size.
+func placementRequest(header http.Header, found *route.Route, draw float64, arrived time.Duration) placement.Request {
+	request := placement.Request{
+		Route:   found,
+		Service: found.PickService(draw),
+		Model:   header.Get(headerModel),
+		Arrived: arrived,
+	}
+	request.Prompt, request.Generate = tokenCounts(header.Get(headerTokenCount))
+	if parts := header.Get(headerPromptPrefix); parts != "" {
+		// A list that can't be read only means that nothing is known of kept parts.
+		request.Parts, _ = placement.ParseParts(parts, nil)
+	}
+	return request
+}
+
+// tokenCounts reads X-Fieldrelay-Token-Count: the prompt's tokens, and the most that are generated.
+func tokenCounts(value string) (prompt, generate int) {
+	first, second, _ := strings.Cut(value, ",")
+	prompt, _ = strconv.Atoi(strings.TrimSpace(first))
+	generate, _ = strconv.Atoi(strings.TrimSpace(second))
+	return max(prompt, 0), max(generate, 0)
+}
--- /dev/null
+++ b/internal/proxy/headers.go
@@ -0,0 +1,167 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fieldrelay/internal/proxy/upstream"
+)
+
+// Headers of the protocol between clients, proxies and servers.
+const (
+	headerAttemptID    = upstream.AttemptIDHeader
+	headerDeadline     = "X-Fieldrelay-Deadline-Ms"
+	headerExpectServer = "X-Fieldrelay-Expect-Server"
+	headerServerSeal   = "X-Fieldrelay-Server-Seal"
+	headerNotExecuted  = "X-Fieldrelay-Not-Executed"
+	headerWarmup       = "X-Fieldrelay-Warmup-Ms"
+	headerModel        = "X-Fieldrelay-Model"
+	headerTokenCount   = "X-Fieldrelay-Token-Count"
+	headerPromptPrefix = "X-Fieldrelay-Prompt-Prefix"
+	headerPriority     = "Priority"
+	headerLastEventID  = "Last-Event-Id"
+)
+
+// lowestPriority is the least urgent value of the Priority header.
+const lowestPriority = 9
+
+// concernsConnection tells whether a header concerns one connection only (RFC 9110, 7.6.1). Expect and
+// Trailer belong here as well: bodies are read whole and passed on with a length.
+func concernsConnection(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Te", "Transfer-Encoding", "Upgrade",
+		"Trailer", "Expect", "Content-Length":
+		return true
+	default:
+		return false
+	}
+}
+
+// setByProxy tells whether the proxy itself writes a header of the request to a server.
+func setByProxy(name string) bool {
+	switch name {
+	case headerAttemptID, headerDeadline, headerExpectServer, headerPriority, "Host":
+		return true
+	default:
+		return false
+	}
+}
+
+// namedByConnection returns the headers that a Connection header names, in canonical form.
+func namedByConnection(header http.Header) []string {
+	var named []string
+	for _, value := range header["Connection"] {
+		for option := range strings.SplitSeq(value, ",") {
+			name := textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(option))
+			if name != "" && name != "Close" && name != "Keep-Alive" {
+				named = append(named, name)
+			}
+		}
+	}
+	return named
+}
+
+// attemptHead is what the head of a request to a server is made of.
+type attemptHead struct {
+	method      string
+	target      string // path and query as the client sent them
+	host        string
+	header      http.Header
+	attemptID   string
+	left        time.Duration
+	server      string // id
+	priority    int
+	bodyLength  int
+	tellLength  bool   // even when the body is empty
+	lastEventID string // replaces the client's own; empty: none
+}
+
+// appendTo writes the head, up to and including the empty line.
+func (h *attemptHead) appendTo(buffer []byte) []byte {
+	buffer = append(buffer, h.method...)
+	buffer = append(buffer, ' ')
+	buffer = append(buffer, h.target...)
+	buffer = append(buffer, " HTTP/1.1\r\n"...)
+	buffer = appendHeader(buffer, "Host", h.host)
+	buffer = h.appendOwn(buffer)
+	buffer = h.appendClients(buffer)
+	return append(buffer, '\r', '\n')
+}
+
+func (h *attemptHead) appendOwn(buffer []byte) []byte {
+	buffer = appendHeader(buffer, headerAttemptID, h.attemptID)
+	buffer = appendNumber(buffer, headerDeadline, max(h.left.Milliseconds(), 1))
+	buffer = appendHeader(buffer, headerExpectServer, h.server)
+	buffer = appendNumber(buffer, headerPriority, int64(min(max(h.priority, 0), lowestPriority)))
+	if h.bodyLength > 0 || h.tellLength {
+		buffer = appendNumber(buffer, "Content-Length", int64(h.bodyLength))
+	}
+	if h.lastEventID != "" {
+		buffer = appendHeader(buffer, headerLastEventID, h.lastEventID)
+	}
+	return buffer
+}
+
+func (h *attemptHead) appendClients(buffer []byte) []byte {
+	named := namedByConnection(h.header)
+	for name, values := range h.header {
+		if concernsConnection(name) || setByProxy(name) || slices.Contains(named, name) {
+			continue
+		}
+		if name == headerLastEventID && h.lastEventID != "" {
+			continue
+		}
+		for _, value := range values {
+			buffer = appendHeader(buffer, name, value)
+		}
+	}
+	return buffer
+}
+
+func appendHeader(buffer []byte, name, value string) []byte {
+	buffer = append(buffer, name...)
+	buffer = append(buffer, ':', ' ')
+	buffer = append(buffer, value...)
+	return append(buffer, '\r', '\n')
+}
+
+func appendNumber(buffer []byte, name string, value int64) []byte {
+	buffer = append(buffer, name...)
+	buffer = append(buffer, ':', ' ')
+	buffer = strconv.AppendInt(buffer, value, 10)
+	return append(buffer, '\r', '\n')
+}
+
+// copyAnswerHeader passes a server's header on. Nothing is added: where the server sent no Date or
+// Content-Type, the client gets none.
+func copyAnswerHeader(to, from http.Header) {
+	named := namedByConnection(from)
+	for name, values := range from {
+		if concernsConnection(name) || slices.Contains(named, name) {
+			continue
+		}
+		to[name] = values
+	}
+	suppressDefaults(to)
+}
+
+// suppressDefaults keeps net/http from adding headers of its own.
+func suppressDefaults(header http.Header) {
+	if _, told := header["Date"]; !told {
+		header["Date"] = nil
+	}
+	if _, told := header["Content-Type"]; !told {
+		header["Content-Type"] = nil
+	}
+}
+
+// retryAfter writes a time as seconds with a fraction, rounded up to a millisecond.
+func retryAfter(wait time.Duration) string {
+	milliseconds := max((wait+time.Millisecond-1)/time.Millisecond, 1)
+	seconds := float64(milliseconds) / float64(time.Second/time.Millisecond)
+	return strconv.FormatFloat(seconds, 'f', 3, 64)
+}
--- /dev/null
+++ b/internal/proxy/process_test.go
@@ -0,0 +1,288 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/settings"
+)
+
+func testSettings(graceSeconds float64) *settings.Settings {
+	return &settings.Settings{
+		Hostname: "edge-1", Address: "127.0.0.1", Zone: "z1", Region: "g1",
+		PortRange: []int{-feedPort, 20}, // so that the feed gets a free port
+		Zones:     map[string]string{"z1": "g1"},
+		Binds:     settings.Binds{Edge: "127.0.0.1:0", Ready: "127.0.0.1:0"},
+		Limits:    settings.Limits{MemoryMB: 184, Descriptors: 1000},
+		Bounds:    settings.Bounds{GraceS: graceSeconds, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 50},
+	}
+}
+
+// running is a proxy as a process, without the process.
+type running struct {
+	*rig
+	process   *process
+	feed      fieldrelayv1connect.ProxyFeedClient
+	terminate context.CancelFunc
+	ended     chan struct{}
+}
+
+func startProcess(t *testing.T, graceSeconds float64) *running {
+	t.Helper()
+	configured := testSettings(graceSeconds)
+	p := newProcess(configured, zap.NewNop())
+	require.NoError(t, p.start(configured))
+	terminated, terminate := context.WithCancel(context.Background())
+	r := &running{
+		rig:       &rig{t: t, address: p.front.listener.Addr().String()},
+		process:   p,
+		feed:      fieldrelayv1connect.NewProxyFeedClient(http.DefaultClient, "http://"+p.feedAddr.String()),
+		terminate: terminate,
+		ended:     make(chan struct{}),
+	}
+	go func() {
+		defer close(r.ended)
+		p.serve(terminated.Done(), nil)
+		p.drain()
+		p.stop()
+	}()
+	t.Cleanup(func() {
+		terminate()
+		p.abandon()
+		<-r.ended
+	})
+	return r
+}
+
+func (r *running) apply(request *pb.ApplyRequest) *pb.ProxyStatus {
+	r.t.Helper()
+	response, err := r.feed.Apply(context.Background(), connect.NewRequest(request))
+	require.NoError(r.t, err)
+	return response.Msg
+}
+
+func (r *running) status() *pb.ProxyStatus {
+	r.t.Helper()
+	response, err := r.feed.Status(context.Background(), connect.NewRequest(&pb.StatusRequest{}))
+	require.NoError(r.t, err)
+	return response.Msg
+}
+
+func (r *running) ready() int {
+	r.t.Helper()
+	response, err := http.Get("http://" + r.process.readyAddr.String() + "/api/readyz")
+	require.NoError(r.t, err)
+	require.NoError(r.t, response.Body.Close())
+	return response.StatusCode
+}
+
+// fill gives the proxy a configuration and a server.
+func (r *running) fill(server *standIn) *pb.ProxyStatus {
+	return r.apply(&pb.ApplyRequest{
+		Changes: []*pb.Change{rigChange()},
+		List: &pb.ServerList{
+			Version: &pb.ListVersion{Epoch: 1, Holder: "c", Revision: 1},
+			Servers: []*pb.Server{{
+				Id: server.server.ID, Service: "s1", Address: server.server.Address, Zone: "z1", Capacity: 64,
+			}},
+		},
+		Shares:    &pb.Shares{Proxies: 1, Members: []*pb.Neighbour{{Host: "edge-1", Zone: "z1", Region: "g1"}}},
+		Confirmed: true,
+	})
+}
+
+func TestProcessServesWhatItIsFed(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := startProcess(t, 1)
+	status := r.status()
+	require.Equal(t, "edge-1", status.GetHost())
+	require.NotZero(t, status.GetIncarnation())
+	require.False(t, status.GetReady())
+	require.NotNil(t, status.GetDigests(), "it asks for the whole state")
+	require.Equal(t, 503, r.ready())
+	response, _ := r.get("/m/x")
+	require.Equal(t, 503, response.StatusCode)
+
+	status = r.fill(server)
+	require.True(t, status.GetReady())
+	require.Nil(t, status.GetDigests())
+	require.EqualValues(t, 1, status.GetSequence())
+	require.EqualValues(t, 7, status.GetGeneration())
+	require.EqualValues(t, 1, status.GetList().GetRevision())
+	require.Equal(t, 200, r.ready())
+	for range 3 {
+		response, body := r.get("/m/x")
+		require.Equal(t, 200, response.StatusCode)
+		require.Equal(t, "ok", body)
+	}
+
+	r.apply(&pb.ApplyRequest{Changes: []*pb.Change{{
+		Sequence: 2, Generation: 8, Removals: []*pb.ItemKey{{Kind: "routes", Name: "mutating"}},
+	}}})
+	response, _ = r.get("/m/x")
+	require.Equal(t, 404, response.StatusCode)
+
+	status = r.apply(&pb.ApplyRequest{Changes: []*pb.Change{{Sequence: 9, Generation: 9}}})
+	require.EqualValues(t, 2, status.GetSequence())
+	require.NotNil(t, status.GetDigests())
+	require.Empty(t, status.GetDigests().GetDigests())
+}
+
+func TestProcessFinishesItsStreamsBeforeItEnds(t *testing.T) {
+	next := make(chan struct{})
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		if request.target != "/s/x" {
+			return good("ok")(conn, request)
+		}
+		streamHead(conn, request, "seal")
+		chunk(conn, event(1))
+		<-next
+		chunk(conn, event(2))
+		lastChunk(conn)
+		return true
+	})
+	r := startProcess(t, 4) // refuses after 1.5 s, breaks off after 3.5 s
+	r.fill(server)
+	idle := r.dial()
+	idle.ask("GET", "/m/x", "", "")
+	response, _ := idle.answer("GET")
+	require.False(t, response.Close)
+	streaming := r.dial()
+	streaming.ask("GET", "/s/x", "", "")
+	stream := streaming.head("GET")
+	_, err := io.ReadFull(stream.Body, make([]byte, len(event(1))))
+	require.NoError(t, err)
+
+	began := time.Now()
+	r.terminate()
+	eventually(t, func() bool { return r.process.lifecycle.draining() }, "it drains")
+	require.Equal(t, 503, r.ready())
+	require.True(t, r.status().GetDraining())
+	require.False(t, r.status().GetReady())
+	idle.ask("GET", "/m/x", "", "")
+	response, body := idle.answer("GET")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "ok", body)
+	require.True(t, response.Close, "the client is asked to leave")
+	response, _ = r.get("/m/x")
+	require.Equal(t, 200, response.StatusCode, "new connections are served for a while")
+
+	eventually(t, func() bool { return r.process.lifecycle.phase() == phaseRefusing }, "it refuses")
+	_, err = net.Dial("tcp4", r.address)
+	require.Error(t, err)
+	close(next)
+	rest, err := io.ReadAll(stream.Body)
+	require.NoError(t, err)
+	require.Equal(t, event(2), string(rest))
+	<-r.ended
+	require.Less(t, time.Since(began), 3*time.Second)
+}
+
+func TestProcessBreaksOffWhatIsLeftAtTheEnd(t *testing.T) {
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		streamHead(conn, request, "seal")
+		chunk(conn, event(1))
+		return true
+	})
+	r := startProcess(t, 0.9)
+	r.fill(server)
+	c := r.dial()
+	c.ask("GET", "/r/x", "", "")
+	stream := c.head("GET")
+	r.terminate()
+	got, err := io.ReadAll(stream.Body)
+	require.Error(t, err)
+	require.Equal(t, event(1), string(got))
+	<-server.closed
+	<-r.ended
+}
+
+func TestNewLimitsHoldForNewConnections(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := startProcess(t, 1)
+	r.fill(server)
+	old := r.dial()
+	old.ask("GET", "/m/x", "", "")
+	old.answer("GET")
+	r.apply(&pb.ApplyRequest{Changes: []*pb.Change{{Sequence: 2, Generation: 8, Upserts: []*pb.Item{{
+		Kind: "setting", Name: "req-limits", Sequence: 2, Body: []byte(`{"max-header-bytes":100}`),
+	}}}}})
+	long := "X-Long: " + repeated("x", 20_000) + "\r\n"
+	old.ask("GET", "/m/x", long, "")
+	response, _ := old.answer("GET")
+	require.Equal(t, 200, response.StatusCode)
+	fresh := r.dial()
+	fresh.ask("GET", "/m/x", long, "")
+	response, _ = fresh.answer("GET")
+	require.Equal(t, 431, response.StatusCode)
+}
+
+func TestListenersThatCanNotBeOpened(t *testing.T) {
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	for _, spoil := range []func(*settings.Settings){
+		func(s *settings.Settings) { s.Binds.Edge = taken.Addr().String() },
+		func(s *settings.Settings) { s.Binds.Ready = taken.Addr().String() },
+		func(s *settings.Settings) {
+			s.PortRange[0] = taken.Addr().(*net.TCPAddr).Port - feedPort
+		},
+	} {
+		configured := testSettings(1)
+		spoil(configured)
+		require.Error(t, Run(context.Background(), configured, zap.NewNop()))
+	}
+}
+
+func TestRunEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, Run(ctx, testSettings(0.2), zap.NewNop()))
+}
+
+const settingsFile = `hostname = "edge-1"
+machine-class = "edge"
+ip-addr = "127.0.0.1"
+az = "z1"
+port-range = [7660,7675]
+[bounds]
+grace-s = `
+
+func TestSettingsAreReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	write := func(text string) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	}
+	write(settingsFile + "3\n")
+	var applied []float64
+	r := newReloader(path, zap.NewNop(), func(s *settings.Settings) { applied = append(applied, s.Bounds.GraceS) })
+	r.look()
+	require.Empty(t, applied, "nothing changed")
+	write(settingsFile + "4.5\n")
+	r.look()
+	require.Equal(t, []float64{4.5}, applied)
+	write("broken")
+	r.look()
+	require.Equal(t, []float64{4.5}, applied, "a faulty file is ignored")
+	write(settingsFile + "60\n")
+	r.read()
+	r.look()
+	require.Equal(t, []float64{4.5, 60}, applied)
+	require.NoError(t, os.Remove(path))
+	r.look()
+	r.read()
+	require.Len(t, applied, 2)
+	newReloader("", zap.NewNop(), nil).read()
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,281 @@
+// Package proxy is the data plane of an edge machine: it takes the requests of clients, passes each to a
+// server of its route's service and the answer back, as the rules of the deployment ask.
+//
+// A request is read whole before anything is decided. What became of it at each server is written down in
+// one place, the ledger, and only the ledger says whether it may go to another server and which answer is
+// true when none of a server's can be passed on. All that the proxy serves by comes from the agent beside it
+// over loopback and is held as one immutable snapshot; without the agent it serves on by the last one.
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/limits"
+	"fieldrelay/internal/placement"
+	"fieldrelay/internal/proxy/upstream"
+	"fieldrelay/internal/settings"
+)
+
+const (
+	// feedPort is the number, among the machine's ports for own messages, of the port that the agent feeds.
+	feedPort = 2
+	// countersPeriod is the time between two lines with the counters.
+	countersPeriod = time.Minute
+	// housekeepingPeriod is the time between two looks at idle connections and at the settings file.
+	housekeepingPeriod = time.Second
+	// drainPeriod is the time between two looks at how many requests are left while the process ends.
+	drainPeriod = 10 * time.Millisecond
+	// bodyShare is the part of the memory (one in bodyShare) that bodies in flight may take.
+	bodyShare = 8
+	megabyte  = 1 << 20
+	// descriptorsHeld is the number of descriptors that are not for connections.
+	descriptorsHeld = 256
+	// minConnections is the least number of clients' connections.
+	minConnections = 64
+	// checkTimeout bounds how long a call of the platform or of the agent may take.
+	checkTimeout = 5 * time.Second
+)
+
+// process is a running proxy.
+type process struct {
+	logger     *zap.Logger
+	lifecycle  *lifecycle
+	state      *state
+	dispatcher *dispatcher
+	pool       *upstream.Pool
+	memory     *memoryBound
+	counters   *counters
+	front      *front
+	reloader   *reloader
+	grace      atomic.Int64    // nanoseconds
+	base       context.Context // of all requests
+	abandon    context.CancelFunc
+	beside     []*http.Server // for other callers than clients
+	feedAddr   net.Addr
+	readyAddr  net.Addr
+}
+
+// Run serves until the context or SIGTERM ends it, and returns when the requests that it took are answered or
+// the grace period is nearly over. It returns an error only if it can't start.
+func Run(ctx context.Context, configured *settings.Settings, logger *zap.Logger) error {
+	terminate, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+
+	p := newProcess(configured, logger)
+	if err := p.start(configured); err != nil {
+		p.stop()
+		return err
+	}
+	logger.Info("proxy started", zap.String("edge", configured.Binds.Edge))
+	p.serve(terminate.Done(), reload)
+	p.drain()
+	p.stop()
+	logger.Info("proxy ended", p.counterFields()...)
+	return nil
+}
+
+func newProcess(configured *settings.Settings, logger *zap.Logger) *process {
+	bounds := configured.Bounds
+	placer := placement.New(placement.Config{
+		Host:    configured.Hostname,
+		Zone:    configured.Zone,
+		Regions: configured.Zones,
+		Seed:    rand.Uint64(),
+		Cold:    limits.ColdConfig{Excess: bounds.WarmExcess, Extra: bounds.WarmExtra},
+	})
+	budget := limits.NewRetryBudget(limits.RetryConfig{
+		Ratio:  bounds.RetryRatio,
+		Extra:  bounds.RetryExtra,
+		Window: bounds.RetryWindow(),
+	}, configured.Hostname)
+	p := &process{
+		logger:     logger,
+		state:      newState(),
+		dispatcher: newDispatcher(placer, budget),
+		pool:       upstream.NewPool(),
+		memory:     newMemoryBound(int64(configured.Limits.MemoryMB * megabyte / bodyShare)),
+		counters:   &counters{},
+	}
+	p.base, p.abandon = context.WithCancel(context.Background())
+	p.lifecycle = &lifecycle{held: p.state.load}
+	p.grace.Store(int64(bounds.Grace()))
+	path, _ := settings.Path() // without one, nothing is read again
+	p.reloader = newReloader(path, logger, p.applySettings)
+	return p
+}
+
+// applySettings takes in what may change while the process runs.
+func (p *process) applySettings(changed *settings.Settings) {
+	p.grace.Store(int64(changed.Bounds.Grace()))
+}
+
+// start opens the three listeners: clients, the platform's checks, and the agent.
+func (p *process) start(configured *settings.Settings) error {
+	base := p.base
+	// The proxy needs no probes of its own on clients' connections: idle ones end by time.
+	config := net.ListenConfig{KeepAlive: -1}
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(base, "tcp4", configured.Binds.Edge)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	connections := max((configured.Limits.Descriptors-descriptorsHeld)/2, minConnections)
+	p.front = newFront(base, listener, p.requestHandler(), connections, p.counters, p.logger)
+	go p.front.serve()
+	if p.readyAddr, err = p.serveBeside(configured.Binds.Ready, p.lifecycle); err != nil {
+		return err
+	}
+	p.feedAddr, err = p.serveBeside(configured.LoopbackPort(feedPort), p.feedHandler(configured))
+	return err
+}
+
+func (p *process) requestHandler() *handler {
+	return &handler{
+		state:      p.state,
+		lifecycle:  p.lifecycle,
+		dispatcher: p.dispatcher,
+		pool:       p.pool,
+		memory:     p.memory,
+		counters:   p.counters,
+		draw:       rand.Float64,
+	}
+}
+
+func (p *process) feedHandler(configured *settings.Settings) http.Handler {
+	service := &feed{
+		host:        configured.Hostname,
+		incarnation: rand.Uint64() | 1,
+		edgeAddress: configured.Binds.Edge,
+		state:       p.state,
+		dispatcher:  p.dispatcher,
+		lifecycle:   p.lifecycle,
+		logger:      p.logger,
+		changed:     p.snapshotChanged,
+	}
+	path, handler := fieldrelayv1connect.NewProxyFeedHandler(service)
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	return mux
+}
+
+// snapshotChanged takes in a new snapshot where limits or servers changed.
+func (p *process) snapshotChanged(held *snapshot, done update) {
+	if done.tableChanged {
+		p.front.setLimits(frontLimitsOf(held.table.RequestLimits()))
+	}
+	if done.listChanged {
+		p.sweep(held)
+	}
+}
+
+// sweep closes connections that were idle for too long or that lead to servers that are gone.
+func (p *process) sweep(held *snapshot) {
+	p.pool.Sweep(time.Now(), func(server upstream.Server) bool {
+		_, listed := held.servers[server]
+		return listed
+	})
+}
+
+// serveBeside opens a listener for other callers than clients and returns its address.
+func (p *process) serveBeside(address string, handler http.Handler) (net.Addr, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: checkTimeout,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+	}
+	p.beside = append(p.beside, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr(), nil
+}
+
+// serve does the regular work until the process is told to end.
+func (p *process) serve(terminate <-chan struct{}, reload <-chan os.Signal) {
+	housekeeping := time.NewTicker(housekeepingPeriod)
+	defer housekeeping.Stop()
+	report := time.NewTicker(countersPeriod)
+	defer report.Stop()
+	for {
+		select {
+		case <-terminate:
+			return
+		case <-reload:
+			p.reloader.read()
+		case <-housekeeping.C:
+			p.reloader.look()
+			p.sweep(p.state.load())
+		case <-report.C:
+			p.logger.Info("counters", p.counterFields()...)
+		}
+	}
+}
+
+func (p *process) counterFields() []zap.Field {
+	return p.counters.fields(p.pool.Stats(), p.dispatcher.slack(), p.memory.used.Load())
+}
+
+// drain goes through the phases of the end: it takes requests for as long as clients may hold the address,
+// then refuses new ones, and breaks off what is left when the grace period is nearly over.
+func (p *process) drain() {
+	began := time.Now()
+	plan := planDrain(time.Duration(p.grace.Load()))
+	p.logger.Info("told to end", zap.Duration("refuse-after", plan.refuse), zap.Duration("abandon-after", plan.abandon))
+	p.lifecycle.enter(phaseLeaving)
+	time.Sleep(time.Until(began.Add(plan.refuse)))
+	p.front.close()
+	p.lifecycle.enter(phaseRefusing)
+	idle := func() bool {
+		p.front.closeIdle()
+		return p.counters.connections.Load() == 0
+	}
+	if p.waitUntil(began.Add(plan.abandon), idle) {
+		return
+	}
+	p.logger.Warn("requests broken off at the end", zap.Int64("requests", p.counters.active.Load()))
+	p.lifecycle.enter(phaseAbandoned)
+	p.abandon()
+	p.waitUntil(time.Now().Add(exitReserve/2), idle)
+}
+
+// waitUntil looks at a condition until it holds, or until the given time; it tells whether it held.
+func (p *process) waitUntil(end time.Time, holds func() bool) bool {
+	ticker := time.NewTicker(drainPeriod)
+	defer ticker.Stop()
+	for time.Now().Before(end) {
+		if holds() {
+			return true
+		}
+		<-ticker.C
+	}
+	return holds()
+}
+
+// stop closes what is still open.
+func (p *process) stop() {
+	p.abandon()
+	if p.front != nil {
+		p.front.close()
+	}
+	for _, server := range p.beside {
+		_ = server.Close()
+	}
+	p.pool.Close()
+}
--- /dev/null
+++ b/internal/proxy/pure_test.go
@@ -0,0 +1,236 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fieldrelay/internal/route"
+)
+
+func TestOriginForm(t *testing.T) {
+	cases := map[string]string{
+		"/a/b?c=%2f&d":   "/a/b?c=%2f&d",
+		"/a/../b//c%20d": "/a/../b//c%20d",
+		"http://h:8/a?b": "/a?b",
+		"http://h":       "/",
+		"http://h?x=/y":  "/?x=/y",
+	}
+	for target, want := range cases {
+		got, ok := originForm(target)
+		require.True(t, ok, target)
+		require.Equal(t, want, got)
+	}
+	for _, target := range []string{"*", "h:443", ""} {
+		_, ok := originForm(target)
+		require.False(t, ok, target)
+	}
+	require.Equal(t, "/a", pathOf("/a?b?c"))
+}
+
+func TestAttemptHead(t *testing.T) {
+	head := attemptHead{
+		method: "POST", target: "/p/x?y=%zz", host: "Host.example:80", attemptID: "id1", server: "i-7",
+		left: 1500*time.Millisecond + 999*time.Microsecond, priority: 3, bodyLength: 4,
+		header: http.Header{
+			"X-Own":              {"1", "2"},
+			"Connection":         {"close, X-Private", "X-Other"},
+			"X-Private":          {"p"},
+			"X-Other":            {"o"},
+			"Keep-Alive":         {"timeout=4"},
+			"Te":                 {"trailers"},
+			"Transfer-Encoding":  {"chunked"},
+			"Upgrade":            {"h2c"},
+			"Proxy-Connection":   {"close"},
+			"Content-Length":     {"9"},
+			"Expect":             {"100-continue"},
+			"Priority":           {"9"},
+			headerDeadline:       {"99999"},
+			headerAttemptID:      {"id1"},
+			headerExpectServer:   {"i-other"},
+			headerPromptPrefix:   {"a:1"},
+			"Cookie":             {"a=b"},
+			"X-Forwarded-For":    {"9.9.9.9"},
+			"Content-Type":       {"text/plain"},
+			"Accept-Encoding":    {"gzip"},
+			"If-None-Match":      {"\"e\""},
+			"Last-Event-Id":      {"5"},
+			"X-Empty":            {""},
+			"Authorization":      {"secret"},
+			"Proxy-Authenticate": {"kept"},
+		},
+	}
+	text := string(head.appendTo(nil))
+	require.True(t, strings.HasPrefix(text, "POST /p/x?y=%zz HTTP/1.1\r\nHost: Host.example:80\r\n"))
+	require.True(t, strings.HasSuffix(text, "\r\n\r\n"))
+	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(strings.Replace(text, "%zz", "", 1))))
+	require.NoError(t, err)
+	want := http.Header{
+		"X-Own": {"1", "2"}, "Priority": {"3"}, headerDeadline: {"1500"}, headerAttemptID: {"id1"},
+		headerExpectServer: {"i-7"}, headerPromptPrefix: {"a:1"}, "Cookie": {"a=b"}, "X-Forwarded-For": {"9.9.9.9"},
+		"Content-Type": {"text/plain"}, "Accept-Encoding": {"gzip"}, "If-None-Match": {"\"e\""},
+		"Last-Event-Id": {"5"}, "X-Empty": {""}, "Authorization": {"secret"}, "Proxy-Authenticate": {"kept"},
+		"Content-Length": {"4"},
+	}
+	require.Equal(t, want, request.Header)
+}
+
+func TestAttemptHeadOfAContinuedStream(t *testing.T) {
+	head := attemptHead{
+		method: "GET", target: "/", host: "h", attemptID: "i", lastEventID: "7",
+		header: http.Header{"Last-Event-Id": {"3"}},
+	}
+	text := string(head.appendTo(nil))
+	require.Equal(t, 1, strings.Count(text, "Last-Event-Id"))
+	require.Contains(t, text, "Last-Event-Id: 7\r\n")
+	require.NotContains(t, text, "Content-Length")
+	require.Contains(t, text, headerDeadline+": 1\r\n")
+}
+
+func TestCopyAnswerHeader(t *testing.T) {
+	to := http.Header{}
+	copyAnswerHeader(to, http.Header{
+		headerServerSeal: {"seal"}, "Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=2"},
+		"Content-Length": {"3"}, "Set-Cookie": {"a", "b"}, "Content-Encoding": {"br"},
+	})
+	require.Equal(t, http.Header{
+		headerServerSeal: {"seal"}, "Set-Cookie": {"a", "b"}, "Content-Encoding": {"br"},
+		"Date": nil, "Content-Type": nil,
+	}, to)
+}
+
+func TestRetryAfter(t *testing.T) {
+	require.Equal(t, "0.050", retryAfter(50*time.Millisecond))
+	require.Equal(t, "1.251", retryAfter(1250*time.Millisecond+1))
+	require.Equal(t, "0.001", retryAfter(0))
+}
+
+func TestHoldFor(t *testing.T) {
+	limited := &route.Route{Deadline: 2 * time.Second}
+	cases := []struct {
+		value string
+		want  time.Duration
+	}{
+		{"", 2 * time.Second},
+		{"1500", 1500 * time.Millisecond},
+		{" 10.5 ", 10500 * time.Microsecond},
+		{"5000", 2 * time.Second},
+		{"x", 2 * time.Second},
+		{"-1", 2 * time.Second},
+		{"1e300", 2 * time.Second},
+	}
+	for _, test := range cases {
+		header := http.Header{}
+		if test.value != "" {
+			header.Set(headerDeadline, test.value)
+		}
+		require.Equal(t, test.want, holdFor(header, limited), test.value)
+	}
+	require.Equal(t, longestDeadline, holdFor(http.Header{}, &route.Route{}))
+}
+
+func TestTokenCounts(t *testing.T) {
+	prompt, generate := tokenCounts("1460, 80")
+	require.Equal(t, []int{1460, 80}, []int{prompt, generate})
+	prompt, generate = tokenCounts("x")
+	require.Zero(t, prompt+generate)
+	prompt, generate = tokenCounts("-5,7")
+	require.Equal(t, []int{0, 7}, []int{prompt, generate})
+}
+
+func TestFollows(t *testing.T) {
+	require.True(t, follows("9", "10"))
+	require.False(t, follows("10", "9"))
+	require.False(t, follows("10", "10"))
+	require.True(t, follows("a", "b"))
+	require.False(t, follows("a", "a"))
+}
+
+func TestMemoryBound(t *testing.T) {
+	bound := newMemoryBound(10)
+	require.True(t, bound.take(6))
+	require.False(t, bound.take(5))
+	require.True(t, bound.take(4))
+	bound.give(10)
+	require.Zero(t, bound.used.Load())
+}
+
+func TestPlanDrain(t *testing.T) {
+	require.Equal(t, drainPlan{refuse: 3500 * time.Millisecond, abandon: 7500 * time.Millisecond}, planDrain(8*time.Second))
+	require.Equal(t, drainPlan{refuse: 1500 * time.Millisecond, abandon: 3500 * time.Millisecond}, planDrain(4*time.Second))
+	require.Equal(t, drainPlan{refuse: 300 * time.Millisecond, abandon: 450 * time.Millisecond}, planDrain(900*time.Millisecond))
+}
+
+// splitEvents runs the scanner over data in pieces of the given sizes.
+func splitEvents(data []byte, sizes []int) (events []string, scanner *eventScanner) {
+	scanner = newEventScanner()
+	var current []byte
+	for _, size := range sizes {
+		piece := data[:min(size, len(data))]
+		data = data[len(piece):]
+		for len(piece) > 0 {
+			taken, whole := scanner.scan(piece)
+			current = append(current, piece[:taken]...)
+			piece = piece[taken:]
+			if whole {
+				events = append(events, string(current))
+				current = nil
+			}
+		}
+	}
+	return events, scanner
+}
+
+func TestEventScanner(t *testing.T) {
+	cases := map[string]struct {
+		text   string
+		events int
+		lastID string
+	}{
+		"one":              {"id: 1\ndata: a\n\n", 1, "1"},
+		"two":              {"id: 1\ndata: a\n\nid:2\ndata: b\n\n", 2, "2"},
+		"carriage returns": {"id: 1\r\ndata: a\r\n\r\n", 1, "1"},
+		"torn":             {"id: 1\ndata: a\n\nid: 2\ndata:", 1, "1"},
+		"torn after line":  {"id: 1\ndata: a\n\nid: 2\ndata: b\n", 1, "1"},
+		"without id":       {"id: 1\ndata: a\n\ndata: b\n\n", 2, "1"},
+		"version line":     {"versions: 3\nid: 1\ndata: a\n\n", 1, "1"},
+		"id in the data":   {"id: 1\ndata: id: 9\n\n", 1, "1"},
+		"comment":          {": ping\n\n", 1, ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			data := []byte(test.text)
+			for size := 1; size <= len(data); size++ {
+				sizes := bytes.Repeat([]byte{byte(size)}, len(data)/size+1)
+				pieces := make([]int, len(sizes))
+				for i, s := range sizes {
+					pieces[i] = int(s)
+				}
+				events, scanner := splitEvents(data, pieces)
+				require.Len(t, events, test.events)
+				require.Equal(t, test.lastID, scanner.lastID)
+				require.True(t, strings.HasPrefix(test.text, strings.Join(events, "")))
+			}
+		})
+	}
+}
+
+func TestEventScannerTakesEventsWholeHoweverCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		event := rapid.StringMatching(`(id: ?[0-9]{1,3}\r?\n)?(data: [a-z]{0,9}\r?\n){1,3}\r?\n`)
+		want := rapid.SliceOfN(event, 0, 6).Draw(t, "events")
+		data := []byte(strings.Join(want, ""))
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 20), len(data), len(data)).Draw(t, "sizes")
+		got, _ := splitEvents(data, sizes)
+		require.Equal(t, len(want), len(got))
+		for i := range want {
+			require.Equal(t, want[i], got[i])
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/rig_test.go
@@ -0,0 +1,345 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/limits"
+	"fieldrelay/internal/placement"
+	"fieldrelay/internal/proxy/upstream"
+	"fieldrelay/internal/route"
+)
+
+const (
+	patience = 5 * time.Second
+	pause    = 2 * time.Millisecond
+)
+
+// fakePlacer picks the first of its servers that was not excluded.
+type fakePlacer struct {
+	mu        sync.Mutex
+	servers   []upstream.Server
+	next      placement.AttemptID
+	forbidden int // how many of the next attempts are not allowed any longer when they are looked at again
+	overload  error
+	outcomes  []placement.Outcome
+	started   int
+	answered  []bool
+	leaving   []string
+}
+
+func (f *fakePlacer) SetServers(time.Duration, []*pb.Server, time.Duration) {}
+func (f *fakePlacer) SetTable(time.Duration, *route.Table)                  {}
+func (f *fakePlacer) SetEvacuated(time.Duration, []string)                  {}
+func (f *fakePlacer) SetShares(time.Duration, *pb.Shares)                   {}
+func (f *fakePlacer) ServerCold(time.Duration, string, time.Duration)       {}
+func (f *fakePlacer) Slack() float64                                        { return 1 }
+func (f *fakePlacer) Admit(time.Duration, *placement.Request) error         { return f.overload }
+
+func (f *fakePlacer) ServerLeaving(_ time.Duration, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, id)
+}
+
+func (f *fakePlacer) Pick(_ time.Duration, request *placement.Request) (placement.Decision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, server := range f.servers {
+		if contains(request.Excluded, server.ID) {
+			continue
+		}
+		f.next++
+		return placement.Decision{Attempt: f.next, ServerID: server.ID, Address: server.Address}, nil
+	}
+	return placement.Decision{}, &placement.NoServerError{Reason: placement.ReasonExcluded, RetryAfter: 70 * time.Millisecond}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fakePlacer) StillAllowed(time.Duration, placement.AttemptID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.forbidden > 0 {
+		f.forbidden--
+		return false
+	}
+	return true
+}
+
+func (f *fakePlacer) Started(time.Duration, placement.AttemptID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+}
+
+func (f *fakePlacer) Finished(_ time.Duration, _ placement.AttemptID, outcome placement.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes = append(f.outcomes, outcome)
+}
+
+func (f *fakePlacer) RequestDone(_ time.Duration, _ *placement.Request, answered bool, _ time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered = append(f.answered, answered)
+}
+
+func (f *fakePlacer) seenOutcomes() []placement.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]placement.Outcome(nil), f.outcomes...)
+}
+
+// arrival is a request as a stand-in server got it.
+type arrival struct {
+	method, target, host string
+	header               http.Header
+	body                 string
+}
+
+// standIn is a server of the tests: reply is called with each request on a connection.
+type standIn struct {
+	server   upstream.Server
+	mu       sync.Mutex
+	arrivals []arrival
+	closed   chan struct{} // gets a value for each connection that ended
+}
+
+// reply answers one request; it returns false to end the connection.
+type reply func(conn *net.TCPConn, request arrival) bool
+
+func newStandIn(t *testing.T, id string, answer reply) *standIn {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &standIn{
+		server: upstream.Server{ID: id, Address: listener.Addr().String()},
+		closed: make(chan struct{}, 100),
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn.(*net.TCPConn), answer)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(conn *net.TCPConn, answer reply) {
+	defer func() {
+		_ = conn.Close()
+		s.closed <- struct{}{}
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		got := arrival{request.Method, request.RequestURI, request.Host, request.Header, string(body)}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, got)
+		s.mu.Unlock()
+		if !answer(conn, got) {
+			return
+		}
+	}
+}
+
+func (s *standIn) got() []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]arrival(nil), s.arrivals...)
+}
+
+// text is an answer with the request's id.
+func text(status int, headers, body string) reply {
+	return func(conn *net.TCPConn, request arrival) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+			status, headerAttemptID, request.header.Get(headerAttemptID), headers, len(body), body)
+		return err == nil
+	}
+}
+
+const (
+	seal     = headerServerSeal + ": seal\r\n"
+	declines = headerNotExecuted + ": 1\r\n"
+)
+
+func good(body string) reply { return text(200, seal, body) }
+
+// raw writes bytes in which ID stands for the request's id, and ends the connection.
+func raw(answer string) reply {
+	return func(conn *net.TCPConn, request arrival) bool {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "ID", request.header.Get(headerAttemptID)))
+		return false
+	}
+}
+
+// resets ends the connection hard without an answer.
+func resets(conn *net.TCPConn, _ arrival) bool {
+	_ = conn.SetLinger(0)
+	return false
+}
+
+// silent keeps the connection open without an answer.
+func silent(*net.TCPConn, arrival) bool { return true }
+
+// rig is a handler behind a real listener.
+type rig struct {
+	t       *testing.T
+	handler *handler
+	placer  *fakePlacer
+	address string
+}
+
+// rigRoutes holds a route for each kind.
+const rigRoutes = `mutating:{"name":"m","vhost":"h.example","path-prefix":"/m/","route-kind":"mutating","deadline-ms":4000,"target-ms":100,"prio":2,"backend":"s1","tries":3}
+idempotent:{"name":"i","vhost":"h.example","path-prefix":"/i/","route-kind":"idempotent","deadline-ms":4000,"target-ms":100,"backend":"s1","tries":2}
+once:{"name":"o","vhost":"h.example","path-prefix":"/o/","route-kind":"idempotent","deadline-ms":4000,"target-ms":100,"backend":"s1","tries":1}
+stream:{"name":"s","vhost":"h.example","path-prefix":"/s/","route-kind":"streaming","deadline-ms":4000,"target-ms":100,"backend":"s1","tries":3}
+resumable:{"name":"r","vhost":"h.example","path-prefix":"/r/","route-kind":"streaming","resumable":true,"deadline-ms":4000,"target-ms":100,"backend":"s1","tries":3}
+short:{"name":"t","vhost":"h.example","path-prefix":"/t/","route-kind":"mutating","deadline-ms":60,"target-ms":50,"backend":"s1","tries":3}`
+
+func rigChange() *pb.Change {
+	change := firstChange()
+	for line := range strings.SplitSeq(rigRoutes, "\n") {
+		name, body, _ := strings.Cut(line, ":")
+		change.Upserts = append(change.Upserts, &pb.Item{
+			Kind: catalog.KindRoutes, Name: name, Sequence: 1, Body: []byte(body),
+		})
+	}
+	change.Upserts = append(change.Upserts, &pb.Item{
+		Kind: catalog.KindSetting, Name: "req-limits", Sequence: 1, Body: []byte(`{"max-body-bytes":3000000}`),
+	})
+	return change
+}
+
+func newRig(t *testing.T, servers ...*standIn) *rig {
+	t.Helper()
+	placer := &fakePlacer{}
+	for _, server := range servers {
+		placer.servers = append(placer.servers, server.server)
+	}
+	budget := limits.NewRetryBudget(limits.RetryConfig{Ratio: 1, Extra: 100, Window: 10 * time.Second}, "self")
+	budget.SetShares(&pb.Shares{Proxies: 1, Members: []*pb.Neighbour{{Host: "self"}}})
+	h := &handler{
+		state:      newState(),
+		dispatcher: newDispatcher(placer, budget),
+		pool:       upstream.NewPool(),
+		memory:     newMemoryBound(16 << 20),
+		counters:   &counters{},
+		draw:       func() float64 { return 0.5 },
+	}
+	h.lifecycle = &lifecycle{held: h.state.load}
+	_, done := h.state.apply(&pb.ApplyRequest{Changes: []*pb.Change{rigChange()}, List: &pb.ServerList{}, Confirmed: true})
+	require.Empty(t, done.faults)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	base, abandon := context.WithCancel(context.Background())
+	front := newFront(base, listener, h, 100, h.counters, zap.NewNop())
+	go front.serve()
+	t.Cleanup(func() {
+		front.close()
+		abandon()
+		h.pool.Close()
+	})
+	return &rig{t: t, handler: h, placer: placer, address: listener.Addr().String()}
+}
+
+// dial opens a client's connection.
+func (r *rig) dial() *client {
+	r.t.Helper()
+	conn, err := net.Dial("tcp4", r.address)
+	require.NoError(r.t, err)
+	require.NoError(r.t, conn.SetDeadline(time.Now().Add(patience)))
+	r.t.Cleanup(func() { _ = conn.Close() })
+	return &client{t: r.t, conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}
+}
+
+// client is a client's connection.
+type client struct {
+	t      *testing.T
+	conn   *net.TCPConn
+	reader *bufio.Reader
+}
+
+func (c *client) write(request string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, request)
+	require.NoError(c.t, err)
+}
+
+// ask sends a request with an id and, if there is one, a body.
+func (c *client) ask(method, target, headers, body string) {
+	c.t.Helper()
+	if body != "" {
+		headers += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	c.write(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\n%s: id1\r\n%s\r\n%s", method, target, headerAttemptID, headers, body))
+}
+
+// head reads the head of an answer.
+func (c *client) head(method string) *http.Response {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	require.NoError(c.t, err)
+	return response
+}
+
+// answer reads a whole answer.
+func (c *client) answer(method string) (*http.Response, string) {
+	c.t.Helper()
+	response := c.head(method)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err)
+	return response, string(body)
+}
+
+// get sends one request on a connection of its own and reads the whole answer.
+func (r *rig) get(target string) (*http.Response, string) {
+	r.t.Helper()
+	c := r.dial()
+	c.ask("GET", target, "", "")
+	return c.answer("GET")
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, holds func() bool, message string) {
+	t.Helper()
+	require.Eventually(t, holds, patience, pause, message)
+}
+
+func lines(parts ...string) string { return strings.Join(parts, "\r\n") + "\r\n" }
+
+func repeated(text string, times int) string { return string(bytes.Repeat([]byte(text), times)) }
--- /dev/null
+++ b/internal/proxy/state.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"cmp"
+	"sync"
+	"sync/atomic"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/proxy/upstream"
+	"fieldrelay/internal/route"
+)
+
+// snapshot is what the proxy holds at one moment. It is immutable and is replaced as a whole.
+type snapshot struct {
+	table      *route.Table
+	sequence   uint64
+	generation uint64
+	list       *pb.ListVersion              // nil: no list is held
+	servers    map[upstream.Server]struct{} // of the list
+	confirmed  bool                         // the agreed view confirmed the state after this process started
+}
+
+// configured tells whether a configuration of the operator is held.
+func (s *snapshot) configured() bool { return s.generation > 0 }
+
+// complete tells whether the proxy holds all that it needs to take requests.
+func (s *snapshot) complete() bool { return s.configured() && s.confirmed && s.list != nil }
+
+// update tells what an apply brought.
+type update struct {
+	tableChanged bool
+	listChanged  bool
+	faults       []error // of items that could not be used
+}
+
+// state holds the snapshot in force. Readers load it without waiting; writers come one at a time.
+type state struct {
+	mu      sync.Mutex // held by writers
+	current atomic.Pointer[snapshot]
+	// gap is set while changes came that do not follow on what is held: the whole state is wanted.
+	gap bool
+}
+
+func newState() *state {
+	s := &state{}
+	s.current.Store(&snapshot{table: route.Empty()})
+	return s
+}
+
+func (s *state) load() *snapshot { return s.current.Load() }
+
+// apply takes in what an agent sent. Sequences and list versions only rise: what is older is ignored.
+func (s *state) apply(request *pb.ApplyRequest) (*snapshot, update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.current.Load()
+	var done update
+	s.applyRepair(&next, request.GetRepair(), &done)
+	for _, change := range request.GetChanges() {
+		s.applyChange(&next, change, &done)
+	}
+	applyList(&next, request.GetList(), &done)
+	if request.GetConfirmed() && !s.gap {
+		next.confirmed = true
+	}
+	s.current.Store(&next)
+	return &next, done
+}
+
+// applyRepair takes in a whole state. A repair of some ranges only can't be used, since no digests are kept.
+func (s *state) applyRepair(next *snapshot, repair *pb.Repair, done *update) {
+	if repair == nil || len(repair.GetRanges()) != catalog.RangeCount {
+		return
+	}
+	newer := repair.GetSequence() > next.sequence
+	if !newer {
+		return
+	}
+	var items []*pb.Item
+	for _, part := range repair.GetRanges() {
+		items = append(items, part.GetItems()...)
+	}
+	table, faults := route.FromItems(items)
+	next.table = table
+	next.sequence = repair.GetSequence()
+	next.generation = repair.GetGeneration()
+	done.tableChanged = true
+	done.faults = append(done.faults, faults...)
+	s.gap = false
+}
+
+func (s *state) applyChange(next *snapshot, change *pb.Change, done *update) {
+	switch {
+	case change.GetSequence() <= next.sequence:
+		return
+	case change.GetSequence() > next.sequence+1:
+		s.gap = true
+		return
+	}
+	table, faults := next.table.With(change.GetUpserts(), change.GetRemovals(), change.GetReplacesAll())
+	next.table = table
+	next.sequence = change.GetSequence()
+	next.generation = change.GetGeneration()
+	done.tableChanged = true
+	done.faults = append(done.faults, faults...)
+	s.gap = false
+}
+
+func applyList(next *snapshot, list *pb.ServerList, done *update) {
+	if list == nil || (next.list != nil && compareVersions(list.GetVersion(), next.list) <= 0) {
+		return
+	}
+	servers := make(map[upstream.Server]struct{}, len(list.GetServers()))
+	for _, server := range list.GetServers() {
+		servers[upstream.Server{ID: server.GetId(), Address: server.GetAddress()}] = struct{}{}
+	}
+	next.list = list.GetVersion()
+	if next.list == nil {
+		next.list = &pb.ListVersion{}
+	}
+	next.servers = servers
+	done.listChanged = true
+}
+
+// wantsWhole tells whether the agent should send the whole state rather than changes.
+func (s *state) wantsWhole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gap || s.current.Load().sequence == 0
+}
+
+// compareVersions orders server lists: by epoch, then holder, then revision.
+func compareVersions(a, b *pb.ListVersion) int {
+	return cmp.Or(
+		cmp.Compare(a.GetEpoch(), b.GetEpoch()),
+		cmp.Compare(a.GetHolder(), b.GetHolder()),
+		cmp.Compare(a.GetRevision(), b.GetRevision()),
+	)
+}
--- /dev/null
+++ b/internal/proxy/stream.go
@@ -0,0 +1,179 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldrelay/internal/placement"
+)
+
+const (
+	// maxEvent is the largest event that is passed on.
+	maxEvent = 256 << 10
+)
+
+var (
+	errEventTooLarge = errors.New("event is too large")
+	errNotContinued  = errors.New("the stream was not taken up after the last event")
+)
+
+// clientStream is the answer to one client that is made of events, from one server or, where the stream may
+// be resumed, from several in turn.
+type clientStream struct {
+	writer     http.ResponseWriter
+	flusher    http.Flusher
+	scanner    *eventScanner
+	mayResume  bool // the route allows it
+	anyPassed  bool // an event was passed on
+	continuing bool // the next event must follow on the last one
+}
+
+// resumable tells whether another server can go on where the stream was cut.
+func (s *clientStream) resumable() bool {
+	return s.mayResume && (!s.anyPassed || s.scanner.lastID != "")
+}
+
+// lastID is the id of the last event that was passed on, empty if there was none.
+func (s *clientStream) lastID() string { return s.scanner.lastID }
+
+// restart prepares for the events of another server. What was read of a torn event is dropped.
+func (s *clientStream) restart() {
+	last := s.scanner.lastID
+	s.scanner = newEventScanner()
+	s.scanner.lastID = last
+	s.continuing = s.anyPassed
+}
+
+// receiveStream passes the events of one server on.
+func (a *attempt) receiveStream() verdict {
+	if a.exchange.stream == nil {
+		a.beginStream()
+	} else {
+		a.exchange.stream.restart()
+	}
+	err := a.passEvents(a.exchange.stream)
+	var writeError *clientWriteError
+	switch {
+	case err == nil:
+		a.close(fateRan, placement.Done, true)
+		a.success = true
+		return verdictDelivered
+	case errors.As(err, &writeError):
+		a.close(fateRan, placement.ClientGone, false)
+		return verdictGone
+	default:
+		a.close(fateRan, outcomeOfError(a.conn.BodyError(err)), false)
+		return a.failedUnlessGone()
+	}
+}
+
+// beginStream passes the head on. It goes out at once, unless the first event is there already and can go
+// with it.
+func (a *attempt) beginStream() {
+	flusher, _ := a.client.(http.Flusher)
+	stream := &clientStream{
+		writer:    a.client,
+		flusher:   flusher,
+		scanner:   newEventScanner(),
+		mayResume: a.route.Resumable,
+	}
+	header := a.client.Header()
+	copyAnswerHeader(header, a.response.Header)
+	if told := a.response.Header["Content-Length"]; len(told) > 0 && !stream.mayResume {
+		header["Content-Length"] = told
+	}
+	a.client.WriteHeader(a.response.StatusCode)
+	if !a.conn.MoreBuffered() {
+		flusher.Flush()
+	}
+	a.exchange.stream = stream
+}
+
+// clientWriteError tells that the client no longer takes its answer.
+type clientWriteError struct{ err error }
+
+func (e *clientWriteError) Error() string { return "write to the client: " + e.err.Error() }
+
+func (e *clientWriteError) Unwrap() error { return e.err }
+
+// passEvents passes events on as they come, each batch that came together by one write. It returns nil at
+// the proper end of the stream.
+func (a *attempt) passEvents(stream *clientStream) error {
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := (*pooled)[:cap(*pooled)]
+	filled := 0
+	for {
+		n, readError := a.response.Body.Read(buffer[filled:])
+		whole, err := stream.take(buffer[filled : filled+n])
+		if err != nil {
+			return err
+		}
+		if whole > 0 {
+			if err := a.passBatch(stream, buffer[:filled+whole]); err != nil {
+				return err
+			}
+			copy(buffer, buffer[filled+whole:filled+n])
+			filled = n - whole
+		} else {
+			filled += n
+		}
+		switch {
+		case readError == io.EOF:
+			return a.passRest(stream, buffer[:filled])
+		case readError != nil:
+			return readError
+		case filled == len(buffer):
+			if len(buffer) >= maxEvent {
+				return errEventTooLarge
+			}
+			buffer = append(buffer, make([]byte, len(buffer))...)
+		}
+	}
+}
+
+// take scans bytes that came and returns how many of them end with a whole event, 0 if none ended.
+func (s *clientStream) take(data []byte) (whole int, err error) {
+	for position := 0; position < len(data); {
+		before := s.scanner.lastID
+		taken, ended := s.scanner.scan(data[position:])
+		position += taken
+		if !ended {
+			break
+		}
+		if s.continuing && !follows(before, s.scanner.lastID) {
+			s.scanner.lastID = before
+			return 0, errNotContinued
+		}
+		s.continuing = false
+		whole = position
+	}
+	return whole, nil
+}
+
+func (a *attempt) passBatch(stream *clientStream, batch []byte) error {
+	if a.firstAnswer.IsZero() {
+		a.firstAnswer = time.Now()
+	}
+	if _, err := stream.writer.Write(batch); err != nil {
+		return &clientWriteError{err}
+	}
+	stream.flusher.Flush()
+	if !a.begun {
+		a.handler.dispatcher.started(a.decision.Attempt)
+	}
+	a.begun = true
+	stream.anyPassed = true
+	return nil
+}
+
+// passRest passes on what follows the last event at the proper end of a stream.
+func (a *attempt) passRest(stream *clientStream, rest []byte) error {
+	if len(rest) == 0 {
+		return nil
+	}
+	return a.passBatch(stream, rest)
+}
--- /dev/null
+++ b/internal/proxy/upstream/conn.go
@@ -0,0 +1,210 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBufferBytes is the size of the buffer of a connection in use; idle connections have none.
+	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of an answer, interim answers included.
+	maxHeadBytes = 64 << 10
+	// maxInterim bounds the interim (1xx) answers before the final one.
+	maxInterim = 4
+)
+
+// AttemptIDHeader carries the id of a request; every answer of a server repeats it.
+const AttemptIDHeader = "X-Fieldrelay-Attempt-Id"
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+
+var errHeadTooLarge = errors.New("head of answer is too large")
+
+// Conn is a connection to one server. It serves one request at a time and is not safe for concurrent use,
+// except for Abort.
+type Conn struct {
+	server Server
+	socket *net.TCPConn
+	raw    syscall.RawConn
+	reader *bufio.Reader // nil while idle
+	reused bool
+	broken bool
+	// headLeft is how much may still be read for the head; negative outside of heads.
+	headLeft int
+	// idleTime is how long the server keeps the connection open between requests, as it told last.
+	idleTime time.Duration
+	idleFrom time.Time
+	request  http.Request // reused; ReadResponse wants to know the method
+	probe    [1]byte
+}
+
+func newConn(server Server, socket *net.TCPConn) (*Conn, error) {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{server: server, socket: socket, raw: raw, headLeft: -1, idleTime: defaultIdleTime}, nil
+}
+
+// Server returns the server that the connection leads to.
+func (c *Conn) Server() Server { return c.server }
+
+// Reused tells whether an earlier request was served on this connection.
+func (c *Conn) Reused() bool { return c.reused }
+
+// SetDeadline ends reads and writes at the given time.
+func (c *Conn) SetDeadline(deadline time.Time) { _ = c.socket.SetDeadline(deadline) }
+
+// Abort closes the connection at once, so that the server stops working on the request. It may be called
+// while another goroutine uses the connection.
+func (c *Conn) Abort() { _ = c.socket.Close() }
+
+// Send writes one whole request: its head, ending with an empty line, and its body.
+func (c *Conn) Send(head, body []byte) error {
+	c.attachReader()
+	var written int64
+	var err error
+	if len(body) == 0 {
+		var n int
+		n, err = c.socket.Write(head)
+		written = int64(n)
+	} else {
+		parts := net.Buffers{head, body}
+		written, err = parts.WriteTo(c.socket)
+	}
+	if err == nil {
+		return nil
+	}
+	c.broken = true
+	return &SendError{Server: c.server, Written: written, Err: err}
+}
+
+// Receive reads the head of the answer to the request that was sent and checks that it belongs to it. The
+// body is read from the response's Body; Finish tells whether it ended whole.
+func (c *Conn) Receive(method, attemptID string) (*http.Response, error) {
+	c.attachReader()
+	c.headLeft = maxHeadBytes
+	response, err := c.receiveFinal(method)
+	c.headLeft = -1
+	if err != nil {
+		c.broken = true
+		return nil, c.answerError(err)
+	}
+	if ids := response.Header[AttemptIDHeader]; len(ids) != 1 || ids[0] != attemptID {
+		c.broken = true
+		return nil, &AnswerError{Server: c.server, Fault: FaultForeign}
+	}
+	if unsized(response) {
+		c.broken = true
+		return nil, &AnswerError{Server: c.server, Fault: FaultUnsized}
+	}
+	if response.Close {
+		c.broken = true
+	}
+	c.noteIdleTime(response.Header)
+	return response, nil
+}
+
+func (c *Conn) receiveFinal(method string) (*http.Response, error) {
+	c.request.Method = method
+	for range maxInterim {
+		response, err := http.ReadResponse(c.reader, &c.request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("unasked change of protocol")
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// unsized tells whether the body lasts until the connection ends, so that a cut looks like the end.
+func unsized(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+func (c *Conn) answerError(err error) error {
+	return &AnswerError{Server: c.server, Fault: faultOf(err), Err: err}
+}
+
+// BodyError classifies an error that came while the body of an answer was read.
+func (c *Conn) BodyError(err error) error {
+	c.broken = true
+	return c.answerError(err)
+}
+
+func faultOf(err error) Fault {
+	var netError net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return FaultTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return FaultBroken
+	case errors.As(err, &netError):
+		return FaultBroken
+	default:
+		return FaultGarbage
+	}
+}
+
+// Read reads from the socket; it bounds the head of an answer.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	if c.headLeft > 0 && len(buffer) > c.headLeft {
+		buffer = buffer[:c.headLeft]
+	}
+	n, err := c.socket.Read(buffer)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err
+}
+
+// MoreBuffered tells whether bytes of the answer have already been read from the socket.
+func (c *Conn) MoreBuffered() bool { return c.reader != nil && c.reader.Buffered() > 0 }
+
+func (c *Conn) attachReader() {
+	if c.reader != nil {
+		return
+	}
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(c)
+}
+
+func (c *Conn) detachReader() {
+	if c.reader == nil {
+		return
+	}
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
+}
+
+// quiet takes one look at the socket without waiting: nothing may be there to read, and the other side
+// must not have closed.
+func (c *Conn) quiet() bool {
+	var readError error
+	var n int
+	err := c.raw.Read(func(descriptor uintptr) bool {
+		n, readError = syscall.Read(int(descriptor), c.probe[:])
+		return true
+	})
+	if err != nil || n > 0 {
+		return false
+	}
+	return errors.Is(readError, syscall.EAGAIN)
+}
--- /dev/null
+++ b/internal/proxy/upstream/pool.go
@@ -0,0 +1,265 @@
+// Package upstream holds the connections to servers: HTTP/1.1, one request at a time on each connection.
+//
+// A connection is reused only while it is certain that nothing but the answer to the next request can come
+// on it: the last answer was read whole, nothing followed it, and the server has not closed.
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxIdlePerServer bounds the idle connections to one server.
+	maxIdlePerServer = 16
+	// maxIdle bounds the idle connections to all servers together.
+	maxIdle = 512
+	// maxDial is the longest wait for a connection to come up.
+	maxDial = time.Second
+	// minDial is the shortest wait for a connection that makes sense.
+	minDial = 50 * time.Millisecond
+	// dialShare is the part of the time left (one in dialShare) that one connection may take to come up.
+	dialShare = 3
+	// userTimeout is how long bytes that were sent may stay unacknowledged by the other machine.
+	userTimeout = 5 * time.Second
+)
+
+// Server is one life of a server at one address.
+type Server struct {
+	ID      string
+	Address string // ip:port
+}
+
+// host is what the pool knows of one server.
+type host struct {
+	idle []*Conn // the one used last is last
+	// idleTime is how long idle connections to this server have proved to stay open.
+	idleTime time.Duration
+}
+
+// Stats counts what a pool has done since its start.
+type Stats struct {
+	Dialled  uint64 // connections that came up
+	Refused  uint64 // connections that did not
+	Reused   uint64 // requests on a connection that had served before
+	Stale    uint64 // idle connections found closed by the server
+	Surplus  uint64 // connections given up because bytes followed a whole answer
+	IdleNow  int
+	HostsNow int
+}
+
+// Pool keeps idle connections. It is safe for concurrent use.
+type Pool struct {
+	mu     sync.Mutex
+	hosts  map[Server]*host
+	idle   int
+	closed bool
+	stats  Stats
+	dialer net.Dialer
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{
+		hosts:  make(map[Server]*host),
+		dialer: net.Dialer{KeepAlive: -1, Control: setUserTimeout},
+	}
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optionError error
+	err := raw.Control(func(descriptor uintptr) {
+		milliseconds := int(userTimeout / time.Millisecond)
+		optionError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+	})
+	if err != nil {
+		return err
+	}
+	return optionError
+}
+
+// Connect returns a connection to the server whose reads and writes end at the deadline: an idle one, or
+// else a new one. A failure is a *DialError.
+func (p *Pool) Connect(ctx context.Context, server Server, deadline time.Time) (*Conn, error) {
+	if conn := p.takeIdle(server, deadline); conn != nil {
+		return conn, nil
+	}
+	return p.dial(ctx, server, deadline)
+}
+
+func (p *Pool) takeIdle(server Server, deadline time.Time) *Conn {
+	for {
+		conn := p.popIdle(server)
+		if conn == nil {
+			return nil
+		}
+		age := time.Since(conn.idleFrom)
+		if age >= conn.idleTime {
+			conn.Abort()
+			continue
+		}
+		conn.SetDeadline(deadline)
+		if conn.quiet() {
+			return conn
+		}
+		conn.Abort()
+		p.noteStale(server, age)
+	}
+}
+
+func (p *Pool) popIdle(server Server) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.hosts[server]
+	if known == nil || len(known.idle) == 0 {
+		return nil
+	}
+	last := len(known.idle) - 1
+	conn := known.idle[last]
+	known.idle[last] = nil
+	known.idle = known.idle[:last]
+	p.idle--
+	p.stats.Reused++
+	return conn
+}
+
+// noteStale learns from a connection that the server closed while it was idle: the server keeps idle
+// connections for less than that age.
+func (p *Pool) noteStale(server Server, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Stale++
+	p.stats.Reused--
+	if known := p.hosts[server]; known != nil {
+		known.idleTime = max(min(known.idleTime, age/2), minIdleTime)
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, server Server, deadline time.Time) (*Conn, error) {
+	dialer := p.dialer
+	dialer.Timeout = dialTimeout(time.Until(deadline))
+	socket, err := dialer.DialContext(ctx, "tcp4", server.Address)
+	if err != nil {
+		p.countDial(false)
+		return nil, &DialError{Server: server, Err: err}
+	}
+	conn, err := newConn(server, socket.(*net.TCPConn))
+	if err != nil {
+		_ = socket.Close()
+		p.countDial(false)
+		return nil, &DialError{Server: server, Err: err}
+	}
+	p.countDial(true)
+	conn.SetDeadline(deadline)
+	return conn, nil
+}
+
+// dialTimeout is the longest that one connection may take to come up when so much time is left.
+func dialTimeout(left time.Duration) time.Duration {
+	return max(min(maxDial, left/dialShare), minDial)
+}
+
+func (p *Pool) countDial(up bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if up {
+		p.stats.Dialled++
+	} else {
+		p.stats.Refused++
+	}
+}
+
+// Release gives a connection back after an answer was read to its end. It is kept when it can be reused
+// and closed otherwise.
+func (p *Pool) Release(conn *Conn) {
+	surplus := conn.MoreBuffered()
+	reusable := !conn.broken && !surplus && conn.idleTime >= minIdleTime
+	conn.detachReader()
+	if reusable && p.keep(conn) {
+		return
+	}
+	conn.Abort()
+	if surplus {
+		p.mu.Lock()
+		p.stats.Surplus++
+		p.mu.Unlock()
+	}
+}
+
+func (p *Pool) keep(conn *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.idle >= maxIdle {
+		return false
+	}
+	known := p.hosts[conn.server]
+	if known == nil {
+		known = &host{idleTime: maxIdleTime}
+		p.hosts[conn.server] = known
+	}
+	if len(known.idle) >= maxIdlePerServer {
+		return false
+	}
+	conn.reused = true
+	conn.idleTime = min(conn.idleTime, known.idleTime)
+	conn.idleFrom = time.Now()
+	known.idle = append(known.idle, conn)
+	p.idle++
+	return true
+}
+
+// Discard closes a connection that must not be reused.
+func (p *Pool) Discard(conn *Conn) {
+	conn.Abort()
+	conn.detachReader()
+}
+
+// Sweep closes idle connections that have grown too old, and forgets servers that keep says are gone.
+func (p *Pool) Sweep(now time.Time, keep func(Server) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for server, known := range p.hosts {
+		stays := keep == nil || keep(server)
+		p.sweepHost(known, now, stays)
+		if !stays {
+			delete(p.hosts, server)
+		}
+	}
+}
+
+func (p *Pool) sweepHost(known *host, now time.Time, stays bool) {
+	kept := known.idle[:0]
+	for _, conn := range known.idle {
+		if stays && now.Sub(conn.idleFrom) < conn.idleTime {
+			kept = append(kept, conn)
+			continue
+		}
+		conn.Abort()
+		p.idle--
+	}
+	clear(known.idle[len(kept):])
+	known.idle = kept
+}
+
+// Close closes all idle connections; those in use are closed when they are given back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Sweep(time.Now(), func(Server) bool { return false })
+}
+
+// Stats returns the counters.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := p.stats
+	stats.IdleNow = p.idle
+	stats.HostsNow = len(p.hosts)
+	return stats
+}
