--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -187,7 +187,7 @@
 // answered takes an answer. Outcome tells what it brought.
 func (l *link) answered(now time.Duration, call watchCall, response *pb.WatchResponse, outcome watchOutcome) {
 	if call.kind == watchProbe {
-		l.probed(now, call, response)
+		l.probed(now, call, response, outcome)
 		return
 	}
 	l.wantDigests = outcome.behind && (response.GetNeedDigests() || !outcome.news)
@@ -237,6 +237,7 @@
 func (l *link) judge(now time.Duration, address string, authoritative bool) {
 	if authoritative {
 		l.linked = true
+		l.probes.lacking = nil
 		l.doubtful = false
 		if nearer := l.targets.nearer(now, address); nearer != "" && now-l.since >= settleFor {
 			l.moveTo(now, nearer)
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -149,7 +149,7 @@
 
 // TestAgentWithoutALinkAsksSeveralMachinesAtOnce: some of them may have no power yet.
 func TestAgentWithoutALinkAsksSeveralMachinesAtOnce(t *testing.T) {
-	l := testLink("a:1", "b:1", "c:1", "d:1")
+	l := testLink("a:1", "b:1", "c:1", "d:1", "e:1", "f:1", "g:1")
 	require.Nil(t, l.probeNow(0), "the long poll comes first")
 	long := l.nextAt(0)
 	asked := map[string]bool{long.address: true}
@@ -256,3 +256,30 @@
 	require.Less(t, count, 10*40)
 	require.LessOrEqual(t, len(l.probes.addresses), maxProbes)
 }
+
+// TestEveryMachineIsProbedInItsTurn: the only one that holds the agreed state may be far away, behind others that
+// answer.
+func TestEveryMachineIsProbedInItsTurn(t *testing.T) {
+	l := testLink("seed:1")
+	l.takeView(&pb.View{Number: 1, Voters: []*pb.Replica{
+		voter("near-1:1", "zone-a", "region-a"),
+		voter("near-2:1", "zone-a", "region-a"),
+		voter("near-3:1", "zone-a", "region-a"),
+		voter("middle:1", "zone-b", "region-a"),
+		voter("far:1", "zone-c", "region-b"),
+	}})
+	l.nextAt(0)
+	now, asked := time.Duration(0), make(map[string]int)
+	for asked["far:1"] < 2 {
+		require.Less(t, now, 2*time.Second)
+		for call := l.probeNow(now); call != nil; call = l.probeNow(now) {
+			asked[call.address]++
+		}
+		now += probeHold
+		for len(l.probes.addresses) > 0 {
+			l.answered(now, watchCall{kind: watchProbe, address: l.probes.addresses[0]}, &pb.WatchResponse{}, watchOutcome{})
+		}
+	}
+	require.Len(t, asked, 5)
+	require.LessOrEqual(t, len(l.probes.lacking), 5)
+}
--- a/internal/agent/probes.go
+++ b/internal/agent/probes.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	// maxProbes bounds the control machines that are probed at a time.
-	maxProbes = 2
-	// probeHold is the longest wait for the agreed state that is asked of a control machine.
-	probeHold = time.Second
+	// maxProbes bounds the control machines that are probed at a time: of five, only one may hold the agreed state.
+	maxProbes = 4
+	// probeHold is the longest wait for the agreed state that is asked of a control machine; then another one's turn
+	// comes.
+	probeHold = 300 * time.Millisecond
 	// probeTimeout ends a probe.
-	probeTimeout = probeHold + 500*time.Millisecond
+	probeTimeout = probeHold + 700*time.Millisecond
 	// never is a time that doesn't come.
 	never = time.Duration(math.MaxInt64)
 )
@@ -24,6 +25,7 @@
 // state, so that many agents may ask several machines at once.
 type probes struct {
 	addresses []string // in flight
+	lacking   []string // asked in vain since the link was lost
 	due       time.Duration
 }
 
@@ -62,7 +64,7 @@
 	if now < l.probeAt(now) {
 		return nil
 	}
-	address := l.targets.chooseOther(now, append(slices.Clone(l.probes.addresses), l.current))
+	address := l.probeTarget(now)
 	if address == "" {
 		l.probes.due = now + longestBackoff
 		return nil
@@ -78,6 +80,16 @@
 	return &call
 }
 
+// probeTarget is the control machine to probe next, empty if there is none: one that wasn't asked in vain if possible.
+func (l *link) probeTarget(now time.Duration) string {
+	taken := append(slices.Clone(l.probes.addresses), l.current)
+	if address := l.targets.chooseOther(now, slices.Concat(taken, l.probes.lacking)); address != "" {
+		return address
+	}
+	l.probes.lacking = nil
+	return l.targets.chooseOther(now, taken)
+}
+
 // probeAt is when the next probe may begin.
 func (l *link) probeAt(now time.Duration) time.Duration {
 	if len(l.probes.addresses) >= maxProbes {
@@ -88,9 +100,12 @@
 
 // probed takes the answer to a probe: a machine that holds the agreed state becomes the current one if that is
 // wanted still.
-func (l *link) probed(now time.Duration, call watchCall, response *pb.WatchResponse) {
+func (l *link) probed(now time.Duration, call watchCall, response *pb.WatchResponse, outcome watchOutcome) {
 	l.probes.end(call.address, now)
 	if !response.GetAuthoritative() {
+		if !outcome.news { // else it had no time to come to hold the agreed state
+			l.probes.lacking = append(l.probes.lacking, call.address)
+		}
 		return
 	}
 	if !l.seeking(now) || !l.targets.known(call.address) {
@@ -100,6 +115,7 @@
 		l.targets.fail(now, l.current)
 	}
 	l.moveTo(now, call.address)
+	l.probes.lacking = nil
 	l.linked = true
 	l.inFlight = false // a long poll to the machine that was the current one is given up
 	l.failures = 0
--- a/internal/chain/capacity_bench_test.go
+++ b/internal/chain/capacity_bench_test.go
@@ -16,7 +16,7 @@
 	writes   int
 }
 
-func newBenchmarkChain(b *testing.B, length int, state *catalog.Snapshot) *benchmarkChain {
+func newBenchmarkChain(b *testing.B, length int) *benchmarkChain {
 	view := &pb.View{Number: 1, Cluster: "c"}
 	for i := range length {
 		member := &pb.Replica{Host: fmt.Sprint("core-", i), Identity: fmt.Sprint("id-", i), Zone: fmt.Sprint("zone-", i)}
@@ -25,7 +25,7 @@
 	}
 	chain := &benchmarkChain{b: b, replicas: make(map[string]*Replica)}
 	for _, member := range view.GetChain() {
-		chain.replicas[member.GetIdentity()] = NewReplica(member.GetIdentity(), State{Newest: state}, 1)
+		chain.replicas[member.GetIdentity()] = NewReplica(member.GetIdentity(), benchmarkState(b), 1)
 	}
 	for _, member := range view.GetChain() {
 		chain.perform(member, chain.replicas[member.GetIdentity()].Adopt(view))
@@ -71,7 +71,7 @@
 func BenchmarkCapacityChainWrite(b *testing.B) {
 	for _, length := range []int{1, 3, 5} {
 		b.Run(fmt.Sprint(length), func(b *testing.B) {
-			chain := newBenchmarkChain(b, length, benchmarkState(b))
+			chain := newBenchmarkChain(b, length)
 			head := chain.replicas["id-0"]
 			if !head.IsOpen() {
 				b.Fatal("the chain does not open")
@@ -108,15 +108,16 @@
 	return &pb.Change{Sequence: sequence, Generation: sequence, Upserts: []*pb.Item{item}}
 }
 
-func benchmarkState(b *testing.B) *catalog.Snapshot {
+// benchmarkState holds 1,500 routes.
+func benchmarkState(b *testing.B) State {
 	b.Helper()
 	change := benchmarkChange(1, 0)
 	change.Upserts = nil
 	for number := range 1500 {
 		change.Upserts = append(change.Upserts, benchmarkChange(1, number).GetUpserts()...)
 	}
-	state, err := catalog.Empty().Apply(change)
-	if err != nil {
+	state := EmptyState()
+	if err := state.Apply(Write{Change: change}); err != nil {
 		b.Fatal(err)
 	}
 	return state
--- a/internal/chain/replica_test.go
+++ b/internal/chain/replica_test.go
@@ -164,6 +164,9 @@
 	old := c.late
 	require.NotEmpty(t, old)
 	c.restart("b", 77_000)
+	c.holdBack = func(message *pb.Message) bool { return message.GetSyncRequest() != nil }
+	c.take("b", c.replicas["b"].Tick())
+	require.NotNil(t, c.replicas["b"].request, "this life has asked too")
 	c.holdBack = nil
 	for _, message := range old {
 		c.deliver("b", message)
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -240,3 +240,43 @@
 		require.ErrorAs(t, err, &record)
 	}
 }
+
+// A machine that has lost its disk, and whose seeds are gone, answers those that look for its old identity.
+func TestMachineWithoutAViewFindsThoseThatLookForIt(t *testing.T) {
+	machine, err := NewMachine(Config{
+		Self:        &pb.Replica{Host: "core", Address: "10.0.0.1:7660", ControlAddress: "10.0.0.1:8146"},
+		Seeds:       []string{"10.0.0.9:8146"},
+		PeerAddress: func(string) string { return "10.0.0.9:7660" },
+		Random:      rand.New(rand.NewPCG(1, 1)),
+	}, &ring.Recovered{Fresh: true})
+	require.NoError(t, err)
+	machine.Step(0, Started{})
+	machine.Step(time.Millisecond, Received{Message: &pb.Message{
+		From:       &pb.Replica{Host: "other", Identity: "o", Address: "10.0.0.2:7660"},
+		ToIdentity: "its old identity",
+		Cluster:    "c",
+		Body:       &pb.Message_Heartbeat{Heartbeat: &pb.Heartbeat{ViewNumber: 4}},
+	}})
+	var addresses []string
+	for _, action := range machine.Step(TickPeriod, Tick{}) {
+		if send, sends := action.(Send); sends {
+			addresses = append(addresses, send.Address)
+		}
+	}
+	require.Contains(t, addresses, "10.0.0.2:7660")
+}
+
+func TestOtherSeedsAreAskedFromThenOn(t *testing.T) {
+	machine, err := NewMachine(Config{
+		Self:        &pb.Replica{Host: "core", Address: "10.0.0.1:7660"},
+		Seeds:       []string{"10.0.0.9:8146"},
+		PeerAddress: func(seed string) string { return "peer of " + seed },
+		Random:      rand.New(rand.NewPCG(1, 1)),
+	}, &ring.Recovered{Fresh: true})
+	require.NoError(t, err)
+	machine.Step(0, Started{})
+	machine.Step(time.Millisecond, SeedsChanged{Seeds: []string{"10.0.0.8:8146"}})
+	actions := machine.Step(TickPeriod, Tick{})
+	require.Len(t, actions, 1)
+	require.Equal(t, "peer of 10.0.0.8:8146", actions[0].(Send).Address)
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -42,6 +42,7 @@
 		return
 	}
 	if to := message.GetToIdentity(); to != "" && to != m.self.GetIdentity() {
+		m.noteCaller(from)
 		return
 	}
 	own := m.View().GetCluster()
@@ -55,6 +56,14 @@
 	m.handle(message)
 }
 
+// noteCaller remembers a machine that looks for an earlier identity of this one: a machine that has lost its
+// disk, and whose seeds are gone, finds the others by that.
+func (m *Machine) noteCaller(from *pb.Replica) {
+	if m.View() == nil {
+		m.peers.note(from, m.now)
+	}
+}
+
 func (m *Machine) handle(message *pb.Message) {
 	from := message.GetFrom()
 	switch body := message.GetBody().(type) {
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
 	"fieldrelay/internal/quorum"
+	"fieldrelay/internal/ring/ringtest"
 	"fieldrelay/internal/settings"
 )
 
@@ -23,6 +25,7 @@
 	settings *settings.Settings
 	control  string
 	listener net.Listener
+	disk     *ringtest.Disk // nil: the ring is in the state folder
 	node     *Node
 	stop     func()
 }
@@ -35,6 +38,11 @@
 }
 
 func newTestCluster(t *testing.T, size int) *testCluster {
+	return newTestClusterOn(t, size, func(int) *ringtest.Disk { return nil })
+}
+
+// newTestClusterOn starts machines on the given disks.
+func newTestClusterOn(t *testing.T, size int, diskOf func(index int) *ringtest.Disk) *testCluster {
 	cluster := &testCluster{t: t, peers: make(map[string]string)}
 	var seeds []string
 	for index := range size {
@@ -48,6 +56,7 @@
 		cluster.machines = append(cluster.machines, &testMachine{
 			control:  control,
 			listener: listener,
+			disk:     diskOf(index),
 			settings: &settings.Settings{
 				Hostname:    "core-" + strconv.Itoa(index),
 				Address:     "127.0.0.1",
@@ -74,12 +83,16 @@
 
 func (c *testCluster) start(machine *testMachine) {
 	ctx, cancel := context.WithCancel(context.Background())
-	node, err := Start(ctx, Options{
+	options := Options{
 		Settings:       machine.settings,
 		Logger:         zap.NewNop(),
 		ControlAddress: machine.control,
 		PeerAddress:    func(seed string) string { return c.peers[seed] },
-	})
+	}
+	if machine.disk != nil {
+		options.Storage = machine.disk
+	}
+	node, err := Start(ctx, options)
 	require.NoError(c.t, err)
 	machine.node = node
 	if machine.listener == nil {
@@ -215,3 +228,22 @@
 	t.Logf("joined after %v", time.Since(began))
 	require.EqualValues(t, 200, cluster.order(wiped, replaceOrder(3, 4)).GetStatus())
 }
+
+func TestNodeWithAFullDiskStepsOutOfTheChainAndReturns(t *testing.T) {
+	for index := range 3 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestClusterOn(t, 3, func(index int) *ringtest.Disk {
+				return ringtest.NewDisk(rand.New(rand.NewPCG(1, uint64(index))))
+			})
+			require.EqualValues(t, 200, cluster.order(cluster.machines[0], replaceOrder(0, 3)).GetStatus())
+			cluster.machines[index].disk.Fill(true)
+			other := cluster.machines[(index+1)%3]
+			require.EqualValues(t, 200, cluster.order(other, replaceOrder(3, 4)).GetStatus())
+			cluster.await(other, 5*time.Second, func(status Status) bool { return len(status.View.GetChain()) == 2 })
+			cluster.machines[index].disk.Fill(false)
+			cluster.await(other, 5*time.Second, func(status Status) bool { return len(status.View.GetChain()) == 3 })
+			require.EqualValues(t, 200, cluster.order(cluster.machines[index], replaceOrder(4, 5)).GetStatus())
+		})
+	}
+}
--- a/internal/controlserver/fake_test.go
+++ b/internal/controlserver/fake_test.go
@@ -29,6 +29,7 @@
 	changed   chan struct{}
 	broadcast []*pb.ServerList
 	delivered int
+	seeds     []string      // as last set
 	block     chan struct{} // orders wait for it, if set
 	waiting   atomic.Int64  // orders that do
 }
@@ -138,6 +139,12 @@
 	return connect.NewResponse(&pb.DeliverResponse{}), nil
 }
 
+func (n *fakeNode) SetSeeds(_ context.Context, seeds []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.seeds = seeds
+}
+
 func (n *fakeNode) Broadcast(list *pb.ServerList) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/controlserver/link.go
+++ b/internal/controlserver/link.go
@@ -122,9 +122,9 @@
 		answer.Generation = status.Committed.Generation()
 	}
 	if status.View.GetNumber() > held.GetViewNumber() {
-		answer.View = status.View
+		answer.View = status.View // it names others that may be asked
 	}
-	return answer, status.Authoritative
+	return answer, status.Authoritative || answer.View != nil
 }
 
 // compose returns the answer as of now and whether it holds something that the agent does not.
--- a/internal/controlserver/link_test.go
+++ b/internal/controlserver/link_test.go
@@ -231,6 +231,10 @@
 		require.Equal(t, 1, p.soft.Picture().members.Live())
 
 		node.alter(func(status *control.Status) { status.Authoritative = false })
+		got = watch(p, probe)
+		require.Zero(t, got.took)
+		require.Equal(t, uint64(1), got.answer.View.Number, "it names others that may be asked")
+		probe.ViewNumber = 1
 		require.Equal(t, 800*time.Millisecond, watch(p, probe).took)
 		time.AfterFunc(100*time.Millisecond, func() {
 			node.alter(func(status *control.Status) { status.Authoritative = true })
--- a/internal/controlserver/node.go
+++ b/internal/controlserver/node.go
@@ -25,6 +25,8 @@
 	Since(sequence uint64) ([]*pb.Change, bool)
 	// Deliver takes messages of the other control machines.
 	Deliver(ctx context.Context, request *connect.Request[pb.DeliverRequest]) (*connect.Response[pb.DeliverResponse], error)
+	// SetSeeds names other machines to ask, by their operator's addresses, when the known ones cannot be reached.
+	SetSeeds(ctx context.Context, seeds []string)
 	// Broadcast sends a server list to the other control machines.
 	Broadcast(list *pb.ServerList)
 }
--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/control"
 	"fieldrelay/internal/operatorapi"
 	"fieldrelay/internal/registry"
 	"fieldrelay/internal/settings"
@@ -124,14 +126,27 @@
 // tick does what time alone brings about.
 func (p *process) tick() {
 	status := p.node.Status()
-	var order []string
+	var tick registry.Tick
 	if status.Founded && p.settings.Current().CloudAPI.Address != "" {
-		order = status.Live
+		tick.Order = status.Live
+		tick.Place = placeOf(status)
 	}
-	p.soft.Tick(order)
+	p.soft.Tick(tick)
 	p.logChanges(status.Authoritative)
 }
 
+// placeOf is the place of this machine among the voters; the last if it does not vote.
+func placeOf(status control.Status) int {
+	voters := status.View.GetVoters()
+	place := slices.IndexFunc(voters, func(voter *pb.Replica) bool {
+		return voter.GetIdentity() == status.Self.GetIdentity()
+	})
+	if place < 0 {
+		return len(voters)
+	}
+	return place
+}
+
 // logChanges writes a line when this machine's part changed.
 func (p *process) logChanges(authoritative bool) {
 	if authoritative != p.wasAuthoritative {
@@ -160,8 +175,9 @@
 }
 
 // settingsChanged follows new settings.
-func (p *process) settingsChanged(fresh *settings.Settings) {
+func (p *process) settingsChanged(ctx context.Context, fresh *settings.Settings) {
 	p.soft.SetRate(fresh.CloudAPI.Rate)
+	p.node.SetSeeds(ctx, fresh.Seeds)
 }
 
 // heartbeat and serverList are what the node tells.
--- a/internal/controlserver/run.go
+++ b/internal/controlserver/run.go
@@ -115,18 +115,18 @@
 		case <-started.C:
 			ticks.Reset(tickEvery)
 		case <-files.C:
-			p.checkSettings(false)
+			p.checkSettings(ctx, false)
 		case <-hangups:
-			p.checkSettings(true)
+			p.checkSettings(ctx, true)
 		case <-counters.C:
 			p.logCounters()
 		}
 	}
 }
 
-func (p *process) checkSettings(forced bool) {
+func (p *process) checkSettings(ctx context.Context, forced bool) {
 	if p.settings.Check(forced) {
-		p.settingsChanged(p.settings.Current())
+		p.settingsChanged(ctx, p.settings.Current())
 	}
 }
 
--- a/internal/controlserver/serve_test.go
+++ b/internal/controlserver/serve_test.go
@@ -184,3 +184,19 @@
 	require.Equal(t, 1, lines.Len(), "a fault is told once")
 	require.True(t, watch.Current().KnowsZone("olomouc-hala"))
 }
+
+// TestOtherSeedsReachTheNode: the known machines may all have been replaced.
+func TestOtherSeedsReachTheNode(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	seeds := func(address string) string { return settingsText + "seed-nodes = [\"" + address + "\"]\n" }
+	require.NoError(t, os.WriteFile(path, []byte(seeds("10.0.0.1:80")), 0o600))
+	initial, err := settings.Load(path)
+	require.NoError(t, err)
+	p, node := newTestProcess(t)
+	p.settings = newSettingsWatch(path, initial, zap.NewNop())
+	p.checkSettings(t.Context(), true)
+	require.Empty(t, node.seeds, "nothing changed")
+	require.NoError(t, os.WriteFile(path, []byte(seeds("10.0.0.2:80")), 0o600))
+	p.checkSettings(t.Context(), true)
+	require.Equal(t, []string{"10.0.0.2:80"}, node.seeds)
+}
--- a/internal/controlserver/softstate.go
+++ b/internal/controlserver/softstate.go
@@ -133,8 +133,8 @@
 	s.inventory.SetRate(rate)
 }
 
-// Tick looks at what time changes. order names the live control machines in the order of the view.
-func (s *softState) Tick(order []string) {
+// Tick looks at what time changes.
+func (s *softState) Tick(tick registry.Tick) {
 	s.update(func(now time.Duration) []registry.Action {
 		if now-s.lastTick >= standstill {
 			s.settlingFrom = now
@@ -142,7 +142,7 @@
 		s.lastTick = now
 		s.refresh(now)
 		s.tellMembers(now)
-		actions := s.inventory.Step(now, registry.Tick{Order: order})
+		actions := s.inventory.Step(now, tick)
 		s.notify()
 		return actions
 	})
--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -21,7 +21,8 @@
 	peer    string // address of the peer service
 	zone    string
 	disk    *ringtest.Disk
-	boot    bool // the settings say bootstrap
+	boot    bool     // the settings say bootstrap
+	seeds   []string // of the settings
 
 	machine *control.Machine // nil while the process is dead
 	life    int              // counts starts
@@ -54,6 +55,9 @@
 		return
 	}
 	h.life++
+	if !h.boot {
+		h.seeds = h.world.seedsFor(h)
+	}
 	opened, recovered, err := ring.Open("", ring.Options{
 		Files:     2,
 		FileBytes: 4 << 10,
@@ -72,7 +76,7 @@
 			Region:         "region",
 			ControlAddress: h.control,
 		},
-		Seeds:           h.world.seeds,
+		Seeds:           h.seeds,
 		Bootstrap:       h.boot,
 		Requirement:     h.world.plan.required,
 		PeerAddress:     h.world.peerOf,
--- /dev/null
+++ b/internal/controlsim/replaced_test.go
@@ -0,0 +1,166 @@
+package controlsim
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/control"
+)
+
+// staleOrder is the id of the orders in these tests, which no machine uses.
+const staleOrder = 424242
+
+// A tail that was cut off holds an old view, though the messages of its check of the view pass. A read that
+// reaches it must not be answered with what it holds.
+func TestTailThatWasReplacedAnswersNoRead(t *testing.T) {
+	require.False(t, answersStaleRead(t, mutation{}))
+}
+
+func TestCheckOfTheViewIsWhatPreventsStaleReads(t *testing.T) {
+	require.True(t, answersStaleRead(t, mutation{message: alwaysCurrent}))
+}
+
+// answersStaleRead reports whether a replaced tail answers a read with an old configuration.
+func answersStaleRead(t *testing.T, planted mutation) bool {
+	answered := false
+	watch := func(message *pb.Message) *pb.Message {
+		if result := message.GetOrderResult(); result.GetId() == staleOrder && result.GetStatus() == http.StatusOK {
+			answered = true
+		}
+		return planted.onMessage(message)
+	}
+	w := newWorld(plan{
+		seed:     3,
+		machines: 3,
+		zones:    3,
+		required: chain.Requirement{Replicas: 2, Zones: 2},
+		mutation: mutation{message: watch},
+		calm:     true,
+	})
+	require.True(t, w.acknowledgeOne(foundWithin))
+	tail := w.byPeer[w.hosts[0].machine.View().GetChain()[2].GetAddress()]
+	w.cutOffButForChecks(tail)
+	w.run(2 * time.Second)
+	require.True(t, w.acknowledgeOneAt(w.otherThan(tail), foundWithin))
+	tail.deliver(control.Received{Message: &pb.Message{
+		From:       w.otherThan(tail).machine.Self(),
+		ToIdentity: tail.machine.Self().GetIdentity(),
+		Body: &pb.Message_Order{Order: &pb.Order{
+			Id:   staleOrder,
+			Kind: pb.Order_KIND_READ,
+		}},
+	}})
+	w.run(time.Second)
+	return answered
+}
+
+// A head that was cut off holds an old view in which a zone is evacuated; that has been taken back since. An
+// order to evacuate it, which changes nothing as the old head sees it, must not be acknowledged there.
+func TestHeadThatWasReplacedAcknowledgesNoEvacuation(t *testing.T) {
+	require.False(t, acknowledgesStaleEvacuation(t, mutation{}))
+}
+
+func TestCheckOfTheViewIsWhatPreventsStaleAcknowledgements(t *testing.T) {
+	require.True(t, acknowledgesStaleEvacuation(t, mutation{message: alwaysCurrent}))
+}
+
+// staleZone is the zone whose evacuation the tests order.
+const staleZone = "zone-x"
+
+func acknowledgesStaleEvacuation(t *testing.T, planted mutation) bool {
+	answered := false
+	var number []byte // given by the head for the order
+	watch := func(message *pb.Message) *pb.Message {
+		if result := message.GetOrderResult(); result.GetId() == staleOrder {
+			number = result.GetBody()
+			answered = answered || result.GetStatus() == http.StatusOK
+		}
+		return planted.onMessage(message)
+	}
+	w := newWorld(plan{
+		seed:     4,
+		machines: 3,
+		zones:    3,
+		required: chain.Requirement{Replicas: 2, Zones: 2},
+		mutation: mutation{message: watch},
+		calm:     true,
+	})
+	require.True(t, w.acknowledgeOne(foundWithin))
+	head := w.byPeer[w.hosts[0].machine.View().GetChain()[0].GetAddress()]
+	other := w.otherThan(head)
+	w.evacuateAt(t, other, pb.Order_KIND_EVACUATE_BEGIN)
+	w.cutOffButForChecks(head)
+	w.run(2 * time.Second)
+	w.evacuateAt(t, other, pb.Order_KIND_EVACUATE_FINISH)
+	require.True(t, head.machine.Committed().Evacuated(staleZone), "the old head has not heard")
+	for range 2 {
+		head.deliver(control.Received{Message: &pb.Message{
+			From:       other.machine.Self(),
+			ToIdentity: head.machine.Self().GetIdentity(),
+			Body: &pb.Message_Order{Order: &pb.Order{
+				Id:   staleOrder,
+				Kind: pb.Order_KIND_EVACUATE_BEGIN,
+				Zone: staleZone,
+				Body: number,
+			}},
+		}})
+		require.NotEmpty(t, number)
+	}
+	w.run(time.Second)
+	return answered
+}
+
+// evacuateAt has the evacuation of staleZone begun or ended by way of a host.
+func (w *world) evacuateAt(t *testing.T, host *host, kind pb.Order_Kind) {
+	status := uint32(0)
+	w.submit(host, &pb.Order{Kind: kind, Zone: staleZone}, func(result *pb.OrderResult) {
+		status = result.GetStatus()
+	})
+	w.run(time.Second)
+	require.EqualValues(t, http.StatusOK, status)
+}
+
+// cutOffButForChecks cuts a host off from the others for all messages but those of checks of the view.
+func (w *world) cutOffButForChecks(host *host) {
+	w.network.passes = func(message *pb.Message) bool {
+		return message.GetViewCheck() != nil || message.GetViewCheckResult() != nil
+	}
+	for _, other := range w.hosts {
+		if other != host {
+			w.network.cut(host, other, false, true)
+		}
+	}
+}
+
+func (w *world) otherThan(not *host) *host {
+	for _, host := range w.hosts {
+		if host != not {
+			return host
+		}
+	}
+	return nil
+}
+
+// acknowledgeOne gets one configuration acknowledged.
+func (w *world) acknowledgeOne(limit time.Duration) bool { return w.acknowledgeOneAt(nil, limit) }
+
+func (w *world) acknowledgeOneAt(host *host, limit time.Duration) bool {
+	operator := &operator{world: w, name: 4, ended: true, only: host, count: w.checker.acknowledged}
+	operator.insist()
+	return w.runUntil(limit, func() bool { return operator.tries < 0 })
+}
+
+func alwaysCurrent(message *pb.Message) *pb.Message {
+	if message.GetViewCheckResult() == nil {
+		return message
+	}
+	changed := proto.CloneOf(message)
+	changed.GetViewCheckResult().Current = true
+	return changed
+}
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -81,6 +81,7 @@
 		}
 	}
 	for _, host := range w.hosts {
+		host.seeds = w.seeds
 		w.after(w.upTo(300*time.Millisecond), host.start)
 	}
 	return w
@@ -153,6 +154,24 @@
 	return living
 }
 
+// seedsFor are the seeds that settings written now name to a host. Some may be gone, but one other machine is
+// there: without any, nobody could find the others.
+func (w *world) seedsFor(host *host) []string {
+	seeds := []string{w.anyOther(host).control, w.anyHost().control, w.anyHost().control}
+	if w.chance(0.3) {
+		seeds = append(seeds[:1], w.seeds[1:]...)
+	}
+	return seeds
+}
+
+func (w *world) anyOther(not *host) *host {
+	for {
+		if host := w.anyHost(); host != not {
+			return host
+		}
+	}
+}
+
 func (w *world) anyHost() *host {
 	living := w.living()
 	return living[w.random.IntN(len(living))]
--- a/internal/hollow/platform.go
+++ b/internal/hollow/platform.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"fieldrelay/api/operator"
 )
@@ -17,6 +18,7 @@
 // platform is a stand-in for the platform's list of servers, told page by page.
 type platform struct {
 	page  int
+	delay time.Duration // of each answer
 	calls atomic.Int64
 
 	mutex   sync.Mutex
@@ -24,8 +26,8 @@
 	marker  int
 }
 
-func newPlatform(d Deployment) *platform {
-	p := &platform{page: d.Page}
+func newPlatform(d Deployment, delay time.Duration) *platform {
+	p := &platform{page: d.Page, delay: delay}
 	for number := range d.Servers {
 		p.servers = append(p.servers, serverEntry(d, number))
 	}
@@ -67,15 +69,30 @@
 // ServeHTTP answers one page.
 func (p *platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	p.calls.Add(1)
+	if err := pass(request.Context(), p.delay); err != nil {
+		return
+	}
 	start, _ := strconv.Atoi(request.URL.Query().Get("page-token"))
-	p.mutex.Lock()
-	end := min(start+p.page, len(p.servers))
-	answer := operator.ServerPage{Servers: append([]operator.ServerEntry(nil), p.servers[min(start, end):end]...)}
-	p.mutex.Unlock()
-	if end < len(p.servers) {
+	servers := p.of(request.URL.Query().Get("az"))
+	end := min(start+p.page, len(servers))
+	answer := operator.ServerPage{Servers: servers[min(start, end):end]}
+	if end < len(servers) {
 		next := strconv.Itoa(end)
 		answer.NextToken = &next
 	}
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(answer)
 }
+
+// of gives the servers of a zone, all of them if it is empty.
+func (p *platform) of(zone string) []operator.ServerEntry {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var servers []operator.ServerEntry
+	for _, server := range p.servers {
+		if zone == "" || server.Az == zone {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
--- a/internal/hollow/proxy.go
+++ b/internal/hollow/proxy.go
@@ -25,6 +25,8 @@
 	lists       int // taken
 	servers     int
 	shares      int // proxies that share the bounds
+	sharesFell  int // times that a later message told fewer
+	lateApplies int // messages taken after their sender had given up
 	gap         bool
 	confirmed   bool
 	inForce     map[uint64]time.Time // when a generation came
@@ -49,10 +51,13 @@
 }
 
 // Apply takes in what is newer.
-func (p *proxy) Apply(_ context.Context, request *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ProxyStatus], error) {
+func (p *proxy) Apply(ctx context.Context, request *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ProxyStatus], error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
+	if ctx.Err() != nil {
+		p.lateApplies++
+	}
 	p.takeRepair(now, request.Msg.GetRepair())
 	for _, change := range request.Msg.GetChanges() {
 		p.takeChange(now, change)
@@ -61,6 +66,9 @@
 		p.takeList(now, list)
 	}
 	if shares := request.Msg.GetShares(); shares != nil {
+		if int(shares.GetProxies()) < p.shares {
+			p.sharesFell++
+		}
 		p.shares = int(shares.GetProxies())
 	}
 	p.confirmed = p.confirmed || request.Msg.GetConfirmed() && !p.gap
--- a/internal/hollow/trial.go
+++ b/internal/hollow/trial.go
@@ -25,6 +25,7 @@
 	Lists      int           `help:"Changes of the server list." default:"5"`
 	ListPause  time.Duration `help:"Time between two changes of the server list." default:"3s"`
 	Cut        time.Duration `help:"Time for which the second worker's agents stand still." default:"60s"`
+	PageDelay  time.Duration `help:"Time that the platform takes to answer a call." default:"0s"`
 	CutShare   int           `help:"Agents of the second worker, in percent." default:"20"`
 }
 
@@ -50,7 +51,7 @@
 
 // Run plays the trial.
 func (t *Trial) Run(ctx context.Context, output io.Writer) error {
-	running := &trial{Trial: *t, output: output, platform: newPlatform(t.Deployment), operator: newOperator(t.Deployment)}
+	running := &trial{Trial: *t, output: output, platform: newPlatform(t.Deployment, t.PageDelay), operator: newOperator(t.Deployment)}
 	defer running.stop()
 	if err := os.MkdirAll(t.Folder, 0o700); err != nil {
 		return errors.Wrap(err, "make the folder")
@@ -157,6 +158,7 @@
 		noteFirst(&shares, began, known)
 		return all > 0 && shares > 0, nil
 	})
+	t.printReports(ctx, err)
 	note := fmt.Sprintf("half ready after %.1f s, all after %.1f s, all know the members after %.1f s",
 		half.Seconds(), all.Seconds(), shares.Seconds())
 	return note, err
@@ -216,15 +218,20 @@
 
 func (t *trial) awaitGeneration(ctx context.Context, numbers []int) error {
 	err := t.awaitGenerationOf(ctx, numbers)
+	t.printReports(ctx, err)
+	return err
+}
+
+// printReports tells how far the agents are if a wait was in vain.
+func (t *trial) printReports(ctx context.Context, err error) {
 	var late *NotReachedError
 	if !errors.As(err, &late) {
-		return err
+		return
 	}
-	reports, reportError := t.reports(ctx)
+	reports, _ := t.reports(ctx)
 	for number, report := range reports {
-		fmt.Fprintf(t.output, "worker %d: %d wanted, least %d, behind: %+v\n", number, t.operator.generation, report.Generation, report.Laggards)
+		fmt.Fprintf(t.output, "%v; generation %d wanted; worker %d: %+v\n", late, t.operator.generation, number, report)
 	}
-	return errors.CombineErrors(err, reportError)
 }
 
 func (t *trial) awaitGenerationOf(ctx context.Context, numbers []int) error {
--- a/internal/hollow/usage.go
+++ b/internal/hollow/usage.go
@@ -51,9 +51,12 @@
 // processorTime adds user and system time of a line of /proc/PID/stat.
 func processorTime(stat string) (time.Duration, error) {
 	const user, system = 11, 12 // after the name
-	_, rest, found := strings.Cut(stat, ") ")
-	fields := strings.Fields(rest)
-	if !found || len(fields) <= system {
+	const endOfName = ") "      // a name may hold it too
+	fields := strings.Fields(stat[max(strings.LastIndex(stat, endOfName), 0):])
+	if len(fields) > 0 {
+		fields = fields[1:]
+	}
+	if len(fields) <= system {
 		return 0, errors.Newf("unreadable stat line %q", stat)
 	}
 	total := time.Duration(0)
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -147,6 +147,8 @@
 	PeerBytes     int64   // between agents, both directions, seen by the side that serves
 	FeedBytes     int64   // between agents and proxies
 	AverageShares float64 // proxies that share the bounds
+	SharesFell    int     // proxies that were once told of fewer sharers than before
+	LateApplies   int     // messages that proxies took after their agents had given them up
 	Laggards      []Laggard
 }
 
@@ -202,6 +204,10 @@
 		report.LeastServers = min(report.LeastServers, one.servers)
 		report.LeastShares = min(report.LeastShares, one.shares)
 		report.MostShares = max(report.MostShares, one.shares)
+		if one.sharesFell > 0 {
+			report.SharesFell++
+		}
+		report.LateApplies += one.lateApplies
 		lists += one.lists
 		shares += one.shares
 		one.mutex.Unlock()
--- a/internal/migration/execute/admit.go
+++ b/internal/migration/execute/admit.go
@@ -92,26 +92,30 @@
 	return true
 }
 
-// relieve gives nodes back, the last one first, as long as a group is short of room without its margin.
+// relieve gives nodes back, the last one first, as long as a group is short of room without its margin. It does
+// not ask which of them helps: while a group is short anywhere, nothing of it is taken away.
 func (r *round) relieve() {
 	for _, group := range r.groups() {
-		for {
-			shortage := r.bare().Check(group, r.serving(r.withheld()), r.observation.Loads)
-			if shortage == nil {
-				break
-			}
-			r.short, r.shortAt = true, r.now
-			index := r.lastReturnable(group)
-			if index < 0 {
-				r.hold(noTask, HoldRoom, shortage)
-				break
+		shortage := r.shortage(group)
+		if shortage == nil {
+			continue
+		}
+		r.short, r.shortAt = true, r.now
+		r.hold(noTask, HoldRoom, shortage)
+		for index := len(r.next.Tasks) - 1; index >= 0 && shortage != nil; index-- {
+			if r.isReturnable(index, group) {
+				r.giveBack(index)
+				shortage = r.shortage(group)
 			}
-			r.hold(index, HoldRoom, shortage)
-			r.giveBack(index)
 		}
 	}
 }
 
+// shortage is what a group lacks now, without its margin.
+func (r *round) shortage(group room.Group) *room.Shortage {
+	return r.bare().Check(group, r.serving(r.withheld()), r.observation.Loads)
+}
+
 func (r *round) groups() []room.Group {
 	var groups []room.Group
 	for index := range r.next.Tasks {
@@ -123,24 +127,17 @@
 	return groups
 }
 
-// lastReturnable is the last task of a group that withholds a node which still serves; -1 if there is none.
-func (r *round) lastReturnable(group room.Group) int {
-	for index := len(r.next.Tasks) - 1; index >= 0; index-- {
-		replacement := r.replacement(index)
-		if replacement.Old.Group() != group {
-			continue
-		}
-		withheld := ""
-		switch r.next.Tasks[index].Phase {
-		case Withholding, Draining:
-			withheld = replacement.Old.ID
-		case Emptying:
-			withheld = replacement.New.ID
-		}
-		serves := func(node room.Node) bool { return node.ID == withheld }
-		if slices.ContainsFunc(r.observation.Fleet, serves) {
-			return index
-		}
+// isReturnable reports whether a task withholds a node of a group that could serve at once.
+func (r *round) isReturnable(index int, group room.Group) bool {
+	replacement := r.replacement(index)
+	id := ""
+	switch r.next.Tasks[index].Phase {
+	case Withholding, Draining:
+		id = replacement.Old.ID
+	case Emptying:
+		id = replacement.New.ID
 	}
-	return -1
+	return slices.ContainsFunc(r.observation.Fleet, func(node room.Node) bool {
+		return node.ID == id && node.Group() == group
+	})
 }
--- a/internal/migration/execute/advance.go
+++ b/internal/migration/execute/advance.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// fresh reports whether the observation is young enough, and made since the state in force was acknowledged by
-// this machine.
+// fresh reports whether the observation is young enough.
 func (m *Machine) fresh() bool {
 	return m.observation != nil && m.now-m.observation.Began <= m.config.Fresh
 }
@@ -274,8 +273,12 @@
 	r.holdIfLate(index, HoldNotStopped, r.config.Settle+r.replacement(index).Times.Stop)
 }
 
-// finishStage goes on to the next stage when all tasks of the present one have come to their end.
+// finishStage goes on to the next stage when all tasks of the present one have come to their end and that is
+// acknowledged.
 func (r *round) finishStage() {
+	if r.changed {
+		return
+	}
 	for _, task := range r.next.Tasks {
 		if task.Phase != Finished && task.Phase != Returned {
 			return
@@ -305,9 +308,12 @@
 		return false
 	}
 	replacement := r.replacement(index)
-	if replacement.Old.Kind == room.Core && task.Phase != Emptying {
+	if replacement.Old.Kind == room.Core {
 		old, _ := r.status(replacement.Old.ID)
 		next, _ := r.status(replacement.New.ID)
+		if task.Phase == Emptying {
+			return old.Votes && !next.Votes
+		}
 		return !old.Votes && (next.Votes || !replacement.Beside)
 	}
 	return r.observation.InForce >= task.Since
--- a/internal/migration/execute/machine.go
+++ b/internal/migration/execute/machine.go
@@ -129,16 +129,15 @@
 
 // tell reports what changed between two acknowledged states, and begins the times of the phases.
 func (m *Machine) tell(before *State) {
-	if before == nil || before.Stage != m.state.Stage {
+	if before == nil || before.Plan != m.state.Plan {
 		m.restartTimes()
-	}
-	if before == nil {
 		return
 	}
 	if before.Outcome != m.state.Outcome {
 		m.report(Changed{Stage: before.Stage, From: string(before.Outcome), To: string(m.state.Outcome)})
 	}
 	if before.Stage != m.state.Stage {
+		m.restartTimes()
 		m.report(Changed{Stage: before.Stage, From: string(Running), To: string(Finished)})
 		return
 	}
@@ -147,7 +146,9 @@
 			continue
 		}
 		m.entered[index] = m.now
-		m.confirmed[index] = 0
+		if task.Phase != Draining {
+			m.confirmed[index] = 0
+		}
 		replacement := m.replacement(index)
 		m.report(Changed{
 			Stage: m.state.Stage,
@@ -193,16 +194,22 @@
 	}
 }
 
-// claim begins an epoch of this machine. Nothing else changes with it.
+// claim begins an epoch of this machine. Nothing else changes with it, unless the run is a new one.
 func (m *Machine) claim() {
-	if m.state != nil && m.state.Outcome.Ended() {
-		return
-	}
 	next := &State{Plan: m.config.Digest, Outcome: Running}
-	if m.state != nil {
+	switch {
+	case m.state == nil:
+		next.enter(0, m.config.Plan)
+	case m.state.Plan == m.config.Digest && m.state.Outcome.Ended():
+		return
+	case m.state.Plan == m.config.Digest:
 		next = m.state.clone()
-	} else {
+	case m.state.Outcome.Ended():
+		next.Epoch, next.Revision = m.state.Epoch, m.state.Revision
 		next.enter(0, m.config.Plan)
+	default: // a run of another plan is not over
+		m.fenced = true
+		return
 	}
 	next.Epoch++
 	next.Owner = m.config.Owner
--- a/internal/migration/execute/state.go
+++ b/internal/migration/execute/state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"fieldrelay/internal/migration/plan"
+	"fieldrelay/internal/migration/room"
 )
 
 // Phase is how far a replacement is.
@@ -46,7 +47,8 @@
 	Moving bool   `json:"moving,omitempty"` // the old node's resumable streams are to be moved
 }
 
-// Swap is an exchange of voters. Either side may be empty.
+// Swap tells of two core machines which is to vote and which not; it is carried out when the one that is to vote
+// holds the state, in one view. Either side may be empty.
 type Swap struct {
 	Out string `json:"out,omitempty"`
 	In  string `json:"in,omitempty"`
@@ -63,11 +65,11 @@
 	Tasks    []Task  `json:"tasks"` // of the stage
 
 	// What follows from the tasks, for those who carry it out.
-	Withheld []string `json:"withheld"` // get nothing new
-	Moving   []string `json:"moving"`   // their resumable streams go on elsewhere
-	Start    []string `json:"start"`    // are to be running
-	Stop     []string `json:"stop"`     // may be stopped
-	Swaps    []Swap   `json:"swaps"`    // exchanges of voters that are to be made or stay made
+	Withheld []string `json:"withheld,omitempty"` // get nothing new
+	Moving   []string `json:"moving,omitempty"`   // their resumable streams go on elsewhere
+	Start    []string `json:"start,omitempty"`    // are to be running
+	Stop     []string `json:"stop,omitempty"`     // may be stopped
+	Swaps    []Swap   `json:"swaps,omitempty"`
 }
 
 func (s *State) clone() *State {
@@ -89,33 +91,65 @@
 	}
 }
 
-// derive fills in what follows from the tasks.
+// derive fills in what follows from the tasks, and from the stages that are over: what has retired stays withheld
+// and may be stopped, should it come back.
 func (s *State) derive(made *plan.Plan) {
 	s.Withheld, s.Moving, s.Start, s.Stop, s.Swaps = nil, nil, nil, nil, nil
+	for _, stage := range made.Stages[:s.Stage] {
+		for index := range stage.Replacements {
+			s.retire(stage.Replacements[index].Old.ID)
+		}
+	}
 	for index := range s.Tasks {
 		s.deriveTask(&s.Tasks[index], &made.Stages[s.Stage].Replacements[index])
 	}
 }
 
+func (s *State) retire(id string) {
+	s.Withheld = append(s.Withheld, id)
+	s.Stop = append(s.Stop, id)
+}
+
 func (s *State) deriveTask(task *Task, replacement *plan.Replacement) {
 	old, next := replacement.Old.ID, replacement.New.ID
 	switch task.Phase {
-	case Withholding, Draining, Stopping:
-		s.Withheld = append(s.Withheld, old)
-		s.Swaps = appendSwap(s.Swaps, replacement)
-		if task.Moving {
-			s.Moving = append(s.Moving, old)
+	case Starting, Warming:
+		s.Start = append(s.Start, next)
+		if !replacement.Beside {
+			s.retire(old)
 		}
-	case Emptying, Removing:
+	case Withholding, Draining:
+		s.Withheld = append(s.Withheld, old)
+	case Stopping, Finished:
+		s.retire(old)
+	case Emptying:
 		s.Withheld = append(s.Withheld, next)
+	case Removing, Returned:
+		if replacement.Beside {
+			s.retire(next)
+		}
 	}
-	switch task.Phase {
-	case Starting, Warming:
-		s.Start = append(s.Start, next)
-		s.Swaps = appendVoteIn(s.Swaps, task, replacement)
-	case Stopping:
-		s.Stop = append(s.Stop, old)
-	case Removing:
-		s.Stop = append(s.Stop, next)
+	if task.Moving {
+		s.Moving = append(s.Moving, old)
+	}
+	if replacement.Old.Kind == room.Core {
+		s.Swaps = append(s.Swaps, swapOf(task, replacement))
+	}
+}
+
+// swapOf tells who is to vote while a core machine is replaced.
+func swapOf(task *Task, replacement *plan.Replacement) Swap {
+	old, next := replacement.Old.ID, replacement.New.ID
+	retired := task.Phase == Withholding || task.Phase == Draining || task.Phase == Stopping || task.Phase == Finished
+	switch {
+	case replacement.Beside && retired:
+		return Swap{Out: old, In: next}
+	case replacement.Beside:
+		return Swap{Out: next, In: old}
+	case task.Phase == Waiting || task.Phase == Returned:
+		return Swap{In: old}
+	case task.Phase == Withholding || task.Phase == Draining || task.Phase == Stopping:
+		return Swap{Out: old}
 	}
+	return Swap{Out: old, In: next}
 }
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -8,8 +8,7 @@
 )
 
 // tick starts a reading when this machine has the duty, or has to take it, and the time has come.
-func (i *Inventory) tick(now time.Duration, order []string) []Action {
-	i.order = order
+func (i *Inventory) tick(now time.Duration) []Action {
 	i.noteFirst(now)
 	if now < i.nextPoll {
 		return nil
@@ -61,11 +60,11 @@
 // firstWait is how long this machine listens after its start before it reads the list because it has none.
 // Machines that start together read it together: the list under the highest epoch stays.
 func (i *Inventory) firstWait() time.Duration {
-	rank := i.rank()
-	if rank < firstReaders && !i.promised {
-		return introduction
+	if i.promised {
+		return settling + time.Duration(i.rank())*rankWait
 	}
-	return settling + time.Duration(rank)*rankWait
+	atOnce := max(1, int(i.rate/firstReadingCalls))
+	return introduction + time.Duration(i.place/atOnce)*firstReadersWait
 }
 
 // patience is the age of the news at which this machine takes the duty over: the machines that come before it
@@ -120,6 +119,9 @@
 	}
 	if done.Failed || len(done.Servers) == 0 || now-done.SentAt > SlowestAnswer {
 		i.failures++
+		if i.current == nil {
+			i.nextPoll = now + firstRetry + time.Duration(i.random.Int64N(int64(firstRetry)))
+		}
 		return nil
 	}
 	i.failures = 0
--- a/internal/registry/inventory.go
+++ b/internal/registry/inventory.go
@@ -30,12 +30,20 @@
 	// sends it at the first heartbeat.
 	introduction = 60 * time.Millisecond
 
-	// firstReaders are the machines, by their place in order, that read the list right after the introduction: a
-	// proxy serves nothing without a list, and a call costs less than one request that is refused.
-	firstReaders = 3
+	// firstReadingCalls is the number of calls to the platform that the first reading of a machine may need: so many
+	// machines read the list at once, right after the introduction, as the platform's rate allows for. A proxy
+	// serves nothing without a list, and a call costs less than one request that is refused.
+	firstReadingCalls = 10
 
-	// settling is the time after the start for which the other machines wait, and for which each one waits for a
-	// list that another machine says it holds.
+	// firstReadersWait is how long the next machines wait for those before them to read the first list.
+	firstReadersWait = 250 * time.Millisecond
+
+	// firstRetry is the shortest wait before a machine without a list tries again to read it; as much again is
+	// added at random.
+	firstRetry = 300 * time.Millisecond
+
+	// settling is the time after the start for which a machine waits for a list that another one says it holds, and
+	// before which it does not take the duty over.
 	settling = time.Second
 
 	// preemptAfter is how long a machine is the first in order, with another one in the duty, before it takes
@@ -63,6 +71,8 @@
 	// Order names the hosts of the live control machines, this one included, in the order of the agreed view;
 	// it is empty while no view is known.
 	Order []string
+	// Place is the place of this machine in that order if all machines were live.
+	Place int
 }
 
 // PollDone ends the reading that the last StartPoll asked for.
@@ -124,6 +134,7 @@
 	started    bool
 	promised   bool // another control machine holds a list that has not come yet
 	order      []string
+	place      int           // in order if all machines were live
 	firstSince time.Duration // since when this machine was the first in order and another one had the duty
 	isFirst    bool
 	jitter     time.Duration
@@ -171,7 +182,8 @@
 	}
 	switch event := event.(type) {
 	case Tick:
-		return i.tick(now, event.Order)
+		i.order, i.place = event.Order, event.Place
+		return i.tick(now)
 	case PollDone:
 		return i.pollDone(now, event)
 	case ListReceived:
--- a/internal/registry/inventory_sim_test.go
+++ b/internal/registry/inventory_sim_test.go
@@ -135,7 +135,7 @@
 			s.step(index, done)
 		}
 		if s.now%(250*time.Millisecond) == 0 {
-			s.step(index, Tick{Order: s.order(index)})
+			s.step(index, Tick{Order: s.order(index), Place: index})
 		}
 		if s.now%(500*time.Millisecond) == 0 {
 			s.send(index, VersionSeen{Version: machine.inventory.Told(), Peer: true})
--- a/internal/registry/inventory_test.go
+++ b/internal/registry/inventory_test.go
@@ -62,11 +62,38 @@
 	}
 }
 
-func TestOnlyTheFirstMachinesReadTheFirstList(t *testing.T) {
-	inventory := newTestInventory("m9")
-	order := []string{"m1", "m2", "m3", "m9"}
-	require.Empty(t, ticked(inventory, 0, settling+firstReaders*rankWait-time.Millisecond, order...))
-	require.NotEmpty(t, ticked(inventory, settling+firstReaders*rankWait, settling+firstReaders*rankWait, order...))
+// TestMachinesThatStartTogetherKeepToThePlatformsRate: they read the first list in groups.
+func TestMachinesThatStartTogetherKeepToThePlatformsRate(t *testing.T) {
+	for _, rate := range []float64{8, 20, 42} {
+		calls := make(map[time.Duration]float64)
+		for place := range 9 {
+			inventory := NewInventory("m1", rate, rand.New(rand.NewPCG(1, uint64(place))))
+			for now := time.Duration(0); ; now += 10 * time.Millisecond {
+				require.LessOrEqual(t, now, introduction+8*firstReadersWait)
+				if len(inventory.Step(now, Tick{Order: []string{"m1"}, Place: place})) > 0 {
+					calls[now] += firstReadingCalls
+					break
+				}
+			}
+		}
+		for now, count := range calls {
+			require.LessOrEqual(t, count, max(rate, firstReadingCalls), "at %s", now)
+		}
+		require.Contains(t, calls, introduction)
+	}
+}
+
+// TestTheFirstReadingIsTriedAgainSoon: not by all machines at the same time.
+func TestTheFirstReadingIsTriedAgainSoon(t *testing.T) {
+	inventory := newTestInventory("m1")
+	require.Empty(t, inventory.Step(0, Tick{Order: []string{"m1"}}))
+	now := introduction
+	for range 5 {
+		require.Equal(t, []Action{StartPoll{}}, inventory.Step(now, Tick{Order: []string{"m1"}}))
+		inventory.Step(now, PollDone{SentAt: now, Pages: 1, Failed: true})
+		require.Empty(t, inventory.Step(now+firstRetry-1, Tick{Order: []string{"m1"}}))
+		now += 2 * firstRetry
+	}
 }
 
 // TestAMachineThatStartsAnewLeavesTheDuty: a machine that starts beside others takes their list.
--- a/internal/transport/http/conn.go
+++ b/internal/transport/http/conn.go
@@ -34,7 +34,7 @@
 	turn   sync.Mutex
 	asked  bool
 	socket syscall.RawConn // nil: it has none, and nothing is seen before it is read
-	seen   [1]byte         // what a look found; under turn
+	seen   byte            // what a look found; under turn
 
 	hurry atomic.Int32 // whether its claim was put on it before it had rested, as one of the constants below
 
@@ -137,7 +137,7 @@
 	c.asked = true
 	if c.socket != nil {
 		err := c.socket.Control(func(fd uintptr) {
-			waits, _ := peek(fd, c.seen[:])
+			waits, _ := peek(fd, &c.seen)
 			c.asked = !waits
 		})
 		c.asked = c.asked && err == nil
@@ -215,7 +215,7 @@
 		if asked = c.asked; asked {
 			return true
 		}
-		waits, bytes := peek(fd, c.seen[:])
+		waits, bytes := peek(fd, &c.seen)
 		if bytes {
 			c.node.nodes.strays.saw()
 		}
--- a/internal/transport/http/peek_linux.go
+++ b/internal/transport/http/peek_linux.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,13 +22,13 @@
 }
 
 // peek looks at what waits unread on a socket, without taking it or waiting for it: bytes, or else the end or an error (waits
-// alone).
-func peek(fd uintptr, into []byte) (waits, bytes bool) {
-	n, _, err := unix.Recvfrom(int(fd), into, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+// alone). It is unix.Recvfrom without the address of the sender, which that allocates each time.
+func peek(fd uintptr, into *byte) (waits, bytes bool) {
+	n, _, err := unix.Syscall6(unix.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(into)), 1, unix.MSG_PEEK|unix.MSG_DONTWAIT, 0, 0)
 	switch err {
 	case unix.EAGAIN, unix.EINTR:
 		return false, false
 	default:
-		return true, err == nil && n > 0
+		return true, err == 0 && n > 0
 	}
 }
--- a/internal/transport/http/peek_other.go
+++ b/internal/transport/http/peek_other.go
@@ -10,4 +10,4 @@
 // socketOf is known on Linux only. Where it is not, what waits unread on a connection is seen by reading it.
 func socketOf(net.Conn) syscall.RawConn { return nil }
 
-func peek(uintptr, []byte) (waits, bytes bool) { return false, false }
+func peek(uintptr, *byte) (waits, bytes bool) { return false, false }
--- a/internal/transport/http/pool.go
+++ b/internal/transport/http/pool.go
@@ -49,26 +49,37 @@
 // others are retired. Where none has: if no node has ever sent a stray byte likewise the one used last, unless it is time for
 // it to rest; elsewhere the one that has rested for longest, or none if a copy would not be known.
 func (n *node) choose(now time.Time) (i int, hurry int32) {
+	if i = n.latestRested(now); i >= 0 {
+		return i, atRest
+	}
+	hurry = trusting
+	differ := n.nodes.answers.differ()
+	if differ {
+		hurry = knowing
+	}
+	if n.nodes.strays.never() {
+		if i = n.latestUnrested(); i >= 0 {
+			return i, hurry
+		}
+	}
+	if differ && len(n.idle) > 0 {
+		return 0, hurry
+	}
+	return -1, atRest
+}
+
+// latestRested is the connection used last of those that have rested; -1: none.
+func (n *node) latestRested(now time.Time) int {
 	rested, _ := slices.BinarySearchFunc(n.idle, now, func(c *conn, now time.Time) int {
 		if n.resting(c, now) {
 			return 1
 		}
 		return -1
 	})
-	differ := n.nodes.answers.differ()
-	switch {
-	case rested > 0:
-		return rested - 1, atRest
-	case n.nodes.strays.never():
-		return n.latestUnrested(), hurryIf(differ)
-	case len(n.idle) > 0 && differ:
-		return 0, knowing
-	default:
-		return -1, atRest
-	}
+	return rested - 1
 }
 
-// latestUnrested is the connection used last of those that need not rest yet; -1: none.
+// latestUnrested is the connection used last of those whose turn to rest has not come; -1: none.
 func (n *node) latestUnrested() int {
 	i := len(n.idle) - 1
 	for i >= 0 && n.idle[i].unrested >= mostUnrested {
@@ -77,14 +88,6 @@
 	return i
 }
 
-// hurryIf tells how a connection that has not rested is used while no node has ever sent a stray byte.
-func hurryIf(differ bool) int32 {
-	if differ {
-		return knowing
-	}
-	return trusting
-}
-
 func (n *node) resting(c *conn, now time.Time) bool {
 	return c.settledAt(n.nodes.opts.Settle).After(now)
 }
--- a/internal/transport/http/pool_test.go
+++ b/internal/transport/http/pool_test.go
@@ -21,7 +21,7 @@
 	"fieldrelay/internal/scenario"
 )
 
-// burst is a node in a bubble of fake time whose every answer differs and takes a while.
+// burst is a node in a bubble of fake time whose every answer takes a while. All differ, or all are alike.
 type burst struct {
 	node   *node
 	opened atomic.Int64
@@ -31,20 +31,20 @@
 
 const burstIdle, burstWork = 30 * time.Second, 10 * time.Millisecond
 
-func newBurst() *burst {
+func newBurst(alike bool) *burst {
 	b := &burst{served: make(chan struct{}, 1024)}
 	nodes := NewNodes(Options{DialTimeout: time.Second, ConnIdle: burstIdle, MaxConns: 64, Settle: Settle,
 		Dial: func(context.Context, string, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			number := b.opened.Add(1)
-			go answerAll(far, number)
+			go answerAll(far, number, alike)
 			return near, nil
 		}}, zerolog.Nop())
 	b.node = nodes.Open(relay.Member{Addr: "node:1"}, func(relay.ClaimID, relay.Result) { b.served <- struct{}{} }).(*node)
 	return b
 }
 
-func answerAll(far net.Conn, number int64) {
+func answerAll(far net.Conn, number int64, alike bool) {
 	requests := bufio.NewReader(far)
 	for n := 0; ; n++ {
 		request, err := http.ReadRequest(requests)
@@ -54,6 +54,9 @@
 		io.Copy(io.Discard, request.Body)
 		time.Sleep(burstWork) // fake time: the node's work
 		body := fmt.Sprintf("%d of connection %d", n, number)
+		if alike {
+			body = "answered"
+		}
 		fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}
 }
@@ -80,7 +83,7 @@
 // asked all the time; none is opened anew meanwhile.
 func TestAPoolShrinksAfterABurst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBurst()
+		b := newBurst(false)
 		defer b.node.Close()
 		const most, pace = 24, 200 * time.Millisecond
 		b.claim(most)
@@ -107,7 +110,7 @@
 // The idle time of a connection counts from its last use, however often its end was put off, and ends before the node's.
 func TestIdleTimeCountsFromTheLastUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBurst()
+		b := newBurst(false)
 		defer b.node.Close()
 		const early = time.Duration((1 - idleMargin) * float64(burstIdle))
 		for range 3 {
--- a/internal/transport/http/strays_test.go
+++ b/internal/transport/http/strays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,7 +109,7 @@
 // A rest counts as quiet only when it has lasted to its end, and the next claim found nothing.
 func TestQuietRestsAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBurst()
+		b := newBurst(false)
 		defer b.node.Close()
 		for digest := range uint64(apart) { // so that a connection is used though it has not rested
 			b.node.nodes.answers.add(digest)
@@ -135,14 +136,20 @@
 		unrested []int
 		want     int
 	}{
-		"one has rested":       {[]time.Duration{time.Minute, 0, 0}, []int{mostUnrested, 1, 1}, 0},
-		"none has":             {[]time.Duration{0, 0, 0}, []int{1, 1, mostUnrested - 1}, 2},
-		"the last is due":      {[]time.Duration{0, 0, 0}, []int{1, 1, mostUnrested}, 1},
-		"all are due":          {[]time.Duration{0, 0, 0}, []int{mostUnrested, mostUnrested, mostUnrested + 1}, -1},
-		"there is none at all": {nil, nil, -1},
+		"one has rested":              {[]time.Duration{time.Minute, 0, 0}, []int{mostUnrested, 1, 1}, 0},
+		"none has":                    {[]time.Duration{0, 0, 0}, []int{1, 1, mostUnrested - 1}, 2},
+		"the last is due":             {[]time.Duration{0, 0, 0}, []int{1, 1, mostUnrested}, 1},
+		"all are due":                 {[]time.Duration{0, 0, 0}, []int{mostUnrested, mostUnrested, mostUnrested + 1}, -1},
+		"there is none at all":        {nil, nil, -1},
+		"all are due, answers differ": {[]time.Duration{0, 0}, []int{mostUnrested, mostUnrested}, 0},
 	} {
 		n := &node{nodes: NewNodes(Options{Settle: Settle}, zerolog.Nop())}
 		nothingEver(n)
+		for digest := range uint64(apart) {
+			if strings.Contains(name, "differ") {
+				n.nodes.answers.add(digest)
+			}
+		}
 		for i, ago := range c.rested {
 			n.idle = append(n.idle, &conn{answered: true, unrested: c.unrested[i], rested: now.Add(time.Minute / 2).Add(-ago)})
 		}
@@ -156,7 +163,7 @@
 // A connection that is asked on and on rests once in a while, and is used again after it.
 func TestAConnectionAskedOnAndOnRests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBurst()
+		b := newBurst(true)
 		defer b.node.Close()
 		nothingEver(b.node)
 		for range mostUnrested {
