--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -25,12 +25,16 @@
 )
 
 // Admit tells whether a new request should be let in. The error is an *OverloadError: the request should be
-// refused at once, because it would wait for too much of its aim; less urgent requests give way first.
+// refused at once, because it would wait for too much of its aim; less urgent requests give way first. What comes
+// back after a refusal is let in.
 func (p *Placer) Admit(now time.Duration, request *Request) error {
 	owner := p.services[request.Service]
 	if owner == nil || request.Route == nil || request.Route.Target <= 0 || !p.crowded(now, owner) {
 		return nil
 	}
+	if request.Returned { // refused a second time it would be lost
+		return nil
+	}
 	p.survey(now, owner, request)
 	if len(p.scratch.chosen) == 0 {
 		return nil // Pick tells why
--- a/internal/placement/admit_test.go
+++ b/internal/placement/admit_test.go
@@ -58,6 +58,9 @@
 	require.ErrorAs(t, err, &overload)
 	require.GreaterOrEqual(t, overload.RetryAfter, overloadRetryLeast)
 	require.LessOrEqual(t, overload.RetryAfter, overloadRetryMost)
+	again := f.greeting(0)
+	again.Returned = true
+	require.NoError(t, f.p.Admit(f.now, again), "refused a second time it would be lost")
 	f.now += trickleEvery
 	require.NoError(t, f.p.Admit(f.now, f.greeting(0)), "no kind is starved")
 }
--- a/internal/placement/api.go
+++ b/internal/placement/api.go
@@ -36,6 +36,7 @@
 	Generate  int           // most tokens that it generates (second figure); 0: not told
 	Arrived   time.Duration // when the client's request was read
 	Remaining time.Duration // until the client or the route gives up
+	Returned  bool          // it seems to be the try after one that was refused or failed
 	Excluded  []string      // servers (ids) that may not get it, because they had it
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -84,8 +84,8 @@
 }
 
 // trialByAll is how long after a rest only requests that another server may still get are tried on a server: it
-// may have come back as another one, which runs none of its requests.
-const trialByAll = 3 * time.Second
+// may have come back as another one, which runs none of its requests, and the list tells that some seconds later.
+const trialByAll = 10 * time.Second
 
 // resting tells whether the server is ejected now for a request: after failures in a row, until its rest and then
 // its one trial are over.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -20,6 +20,9 @@
 	retryAfterShort = 50 * time.Millisecond
 	// writeSlack is how long after the deadline an answer may still be written to a client that reads slowly.
 	writeSlack = 2 * time.Second
+	// returnedSlack is how much less than the route's deadline a client's first try may tell: its way here takes
+	// time. Later tries tell what is left, which is less by the answer to the first one at least.
+	returnedSlack = 60 * time.Millisecond
 	// longestDeadline bounds what a client or a route may ask for.
 	longestDeadline = 10 * time.Minute
 )
@@ -210,6 +213,7 @@
 		Model:   header.Get(headerModel),
 		Arrived: arrived,
 	}
+	request.Returned = deadlineTold(header)+returnedSlack < found.Deadline
 	request.Prompt, request.Generate = tokenCounts(header.Get(headerTokenCount))
 	if parts := header.Get(headerPromptPrefix); parts != "" {
 		// A list that can't be read only means that nothing is known of kept parts.
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -14,6 +14,10 @@
 	waitShare = 5
 	// waitUntold is how long a request waits for a place when the route has no aim.
 	waitUntold = 100 * time.Millisecond
+	// waitReturned is the part of the time left (one in waitReturned) for which a request waits that was refused
+	// or failed before: its client seldom has another try left. longestReturned bounds that time.
+	waitReturned    = 2
+	longestReturned = 2500 * time.Millisecond
 	// waitStream is how long a stream that was cut waits for a server that takes it up.
 	waitStream = time.Second
 	// minWait and maxWait bound the time between two looks for a place.
@@ -46,6 +50,9 @@
 	if x.stream != nil {
 		return earlier(time.Now().Add(waitStream), x.deadline)
 	}
+	if x.place.Returned {
+		return x.arrived.Add(min(x.deadline.Sub(x.arrived)/waitReturned, longestReturned))
+	}
 	wait := x.route.Target / waitShare
 	if wait <= 0 {
 		wait = waitUntold
--- a/internal/proxy/pure_test.go
+++ b/internal/proxy/pure_test.go
@@ -135,6 +135,27 @@
 	require.Equal(t, longestDeadline, holdFor(http.Header{}, &route.Route{}))
 }
 
+func TestRequestsThatReturnAreToldByWhatTheirClientsHaveLeft(t *testing.T) {
+	found := &route.Route{Deadline: 5 * time.Second, Split: []route.Share{{Service: "s", Weight: 1}}}
+	for value, returned := range map[string]bool{"": false, "5000": false, "4978": false, "4800": true, "9000": false} {
+		header := http.Header{}
+		if value != "" {
+			header.Set(headerDeadline, value)
+		}
+		require.Equal(t, returned, placementRequest(header, found, 0, 0).Returned, value)
+	}
+}
+
+func TestARequestThatReturnedWaitsLongerForAPlace(t *testing.T) {
+	now := time.Now()
+	x := &exchange{route: &route.Route{Target: time.Second}, arrived: now, deadline: now.Add(4 * time.Second)}
+	require.Equal(t, now.Add(time.Second/waitShare), x.patience())
+	x.place.Returned = true
+	require.Equal(t, now.Add(2*time.Second), x.patience())
+	x.deadline = now.Add(time.Minute)
+	require.Equal(t, now.Add(longestReturned), x.patience())
+}
+
 func TestTokenCounts(t *testing.T) {
 	prompt, generate := tokenCounts("1460, 80")
 	require.Equal(t, []int{1460, 80}, []int{prompt, generate})
--- a/internal/proxy/upstream/upstream_test.go
+++ b/internal/proxy/upstream/upstream_test.go
@@ -348,12 +348,28 @@
 	t.Cleanup(func() { close(stays) })
 	conn := connect(t, pool, scriptedServer(t, func(*net.TCPConn) { <-stays }))
 	conn.setContact(100 * time.Millisecond)
-	conn.SetDeadline(time.Now().Add(50 * time.Millisecond))
-	_ = conn.Send(make([]byte, 32<<20), nil)
+	// On a machine that is short of processor time one slice may end before the other end's window is full.
+	require.Eventually(t, func() bool {
+		conn.SetDeadline(time.Now().Add(50 * time.Millisecond))
+		_ = conn.Send(make([]byte, 32<<20), nil)
+		return unacknowledged(t, conn) > 0
+	}, patience, pause)
 	conn.SetDeadline(time.Now().Add(patience))
 	return conn
 }
 
+// unacknowledged is the number of bytes that the other end's system has not taken in yet.
+func unacknowledged(t *testing.T, conn *Conn) int {
+	t.Helper()
+	count := 0
+	require.NoError(t, conn.raw.Control(func(descriptor uintptr) {
+		var err error
+		count, err = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		require.NoError(t, err)
+	}))
+	return count
+}
+
 func TestAMachineThatTakesNothingInIsSilent(t *testing.T) {
 	conn := unanswered(t, NewPool())
 	_, err := conn.Receive(http.MethodGet, "id1")
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -202,7 +202,11 @@
 	if difference > 0 {
 		return i.seeHigher(now, seen)
 	}
-	if difference == 0 || !seen.Peer || now < i.sentAt+resendEvery {
+	pause := resendEvery
+	if seen.Version.GetHolder() == "" {
+		pause = resendFirst
+	}
+	if difference == 0 || !seen.Peer || now < i.sentAt+pause {
 		return nil
 	}
 	i.sentAt = now
--- a/internal/registry/inventory.go
+++ b/internal/registry/inventory.go
@@ -56,6 +56,10 @@
 	// resendEvery is the shortest time between two sendings of the whole list to machines that lag.
 	resendEvery = 500 * time.Millisecond
 
+	// resendFirst stands for resendEvery if the machine that lags has no list at all: it has just started, after
+	// the last sending, and the edge waits.
+	resendFirst = 100 * time.Millisecond
+
 	// firstEpochs is the number of epochs out of which the first one is drawn.
 	firstEpochs = 1 << 32
 
