Send nothing to cold servers while the own share is unknown, keep chains over regions

Each of 16 proxies that restarted at once sent the one request that a proxy without a share was allowed. Seen by reading: regions-lost was ignored in what a chain must span. Ruled out: counting other proxies before members are known.

--- a/internal/chain/next.go
+++ b/internal/chain/next.go
@@ -15,23 +15,30 @@
 type Requirement struct {
 	Replicas int
 	Zones    int
+	Regions  int
 }
 
-// MetBy reports whether a chain is enough. Where the voters lie in fewer zones than required, all of those
-// are enough.
+// MetBy reports whether a chain is enough. Where the voters lie in fewer zones or regions than required, all
+// of those are enough.
 func (q Requirement) MetBy(chain, voters []*pb.Replica) bool {
 	if len(chain) < q.Replicas {
 		return false
 	}
-	return countZones(chain) >= min(q.Zones, countZones(voters))
+	return spans(chain, voters, q.Zones, (*pb.Replica).GetZone) &&
+		spans(chain, voters, q.Regions, (*pb.Replica).GetRegion)
 }
 
-func countZones(replicas []*pb.Replica) int {
-	zones := make(map[string]bool, len(replicas))
+// spans reports whether a chain lies in as many places as required, or in all where the voters are.
+func spans(chain, voters []*pb.Replica, required int, place func(*pb.Replica) string) bool {
+	return countPlaces(chain, place) >= min(required, countPlaces(voters, place))
+}
+
+func countPlaces(replicas []*pb.Replica, place func(*pb.Replica) string) int {
+	places := make(map[string]bool, len(replicas))
 	for _, replica := range replicas {
-		zones[replica.GetZone()] = true
+		places[place(replica)] = true
 	}
-	return len(zones)
+	return len(places)
 }
 
 // Candidate is what is known of a voter that may be in the next chain.
--- a/internal/chain/next_test.go
+++ b/internal/chain/next_test.go
@@ -117,3 +117,14 @@
 	require.False(t, required.MetBy(inZones("x"), inZones("x", "y", "z")))
 	require.True(t, required.MetBy(inZones("x", "x"), inZones("x", "x", "x")), "there is only one zone")
 }
+
+func TestRequirementOfRegions(t *testing.T) {
+	near := &pb.Replica{Zone: "x", Region: "one"}
+	alsoNear := &pb.Replica{Zone: "y", Region: "one"}
+	far := &pb.Replica{Zone: "z", Region: "two"}
+	required := Requirement{Replicas: 2, Zones: 2, Regions: 2}
+	voters := []*pb.Replica{near, alsoNear, far}
+	require.False(t, required.MetBy([]*pb.Replica{near, alsoNear}, voters), "the loss of a region would take all")
+	require.True(t, required.MetBy([]*pb.Replica{near, far}, voters))
+	require.True(t, required.MetBy([]*pb.Replica{near, alsoNear}, []*pb.Replica{near, alsoNear}), "there is only one region")
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -159,6 +159,7 @@
 		Requirement: chain.Requirement{
 			Replicas: own.FaultBudget.Hosts + 1,
 			Zones:    own.FaultBudget.Zones + 1,
+			Regions:  own.FaultBudget.Regions + 1,
 		},
 		PeerAddress: peerAddress,
 		Random:      newRandom(),
--- a/internal/limits/cold.go
+++ b/internal/limits/cold.go
@@ -23,8 +23,6 @@
 	learning = 2 * time.Second
 	// settled is how long the members must have been the same before spare places are used.
 	settled = 5 * time.Second
-	// unknownPause is the time between two requests to cold servers by a proxy that does not know its share.
-	unknownPause = 2 * time.Second
 	// mostBuckets bounds the cold servers that are accounted for at a time.
 	mostBuckets = 4096
 	// forgetAfter is how long an account is kept after its last use: longer than any pause between requests.
@@ -63,7 +61,6 @@
 	namedAt     time.Duration // since when they have
 	changedAt   time.Duration
 	buckets     map[string]*bucket
-	nextUnknown time.Duration // when a proxy that does not know its share may send to a cold server
 }
 
 // bucket is the account of one cold server.
@@ -107,7 +104,8 @@
 // is left to it.
 func (g *ColdGate) Allows(now time.Duration, server ColdServer, lastResort bool) bool {
 	if !g.known(now) {
-		return lastResort && now >= g.nextUnknown
+		// One request of each would be too many: any number of proxies may have started at once.
+		return false
 	}
 	rate, ok := g.share(now, server, lastResort)
 	if !ok {
@@ -123,10 +121,6 @@
 
 // Take counts a request to a cold server, which Allows allowed at the same instant.
 func (g *ColdGate) Take(now time.Duration, server ColdServer) {
-	if !g.known(now) {
-		g.nextUnknown = now + unknownPause
-		return
-	}
 	held := g.buckets[server.ID]
 	if held == nil {
 		held = &bucket{tokens: 1, usedAt: now}
@@ -139,7 +133,7 @@
 // Wait is how long until a request may go to a server that Allows did not allow; false: no time is known.
 func (g *ColdGate) Wait(now time.Duration, server ColdServer) (time.Duration, bool) {
 	if !g.known(now) {
-		return max(g.nextUnknown-now, 0), true
+		return g.namedAt + learning - now, g.named
 	}
 	rate, ok := g.share(now, server, true)
 	if !ok {
--- a/internal/limits/cold_test.go
+++ b/internal/limits/cold_test.go
@@ -20,25 +20,30 @@
 	return server.WarmRate*config.Excess + config.Extra
 }
 
-func TestAProxyThatDoesNotKnowItsShareSendsNextToNothing(t *testing.T) {
-	for name, shares := range map[string]*pb.Shares{
-		"none":                nil,
-		"number unknown":      sharesOf(0, upTo(5), oneRegion),
-		"few of many members": sharesOf(20, upTo(5), oneRegion),
-		"just learnt":         sharesOf(5, upTo(5), oneRegion),
-	} {
+// Sixteen proxies that came back at once and each sent one request broke the bound of a server.
+func TestAProxyThatDoesNotKnowItsShareSendsNothing(t *testing.T) {
+	tests := map[string]struct {
+		shares   *pb.Shares
+		learnsIn time.Duration // 0: no time is known
+	}{
+		"none":                {nil, 0},
+		"number unknown":      {sharesOf(0, upTo(5), oneRegion), 0},
+		"few of many members": {sharesOf(20, upTo(5), oneRegion), 0},
+		"just learnt":         {sharesOf(5, upTo(5), oneRegion), 1},
+	}
+	for name, test := range tests {
 		gate := NewColdGate(coldConfig, hostName(0))
 		now := time.Minute
-		gate.SetShares(now, shares)
+		gate.SetShares(now, test.shares)
 		now += learning - 1
 		require.False(t, gate.Allows(now, coldServer("a"), false), name)
-		require.True(t, gate.Allows(now, coldServer("a"), true), name)
-		gate.Take(now, coldServer("a"))
-		require.False(t, gate.Allows(now, coldServer("b"), true), name)
-		wait, ok := gate.Wait(now, coldServer("b"))
-		require.True(t, ok, name)
-		require.Equal(t, unknownPause, wait, name)
-		require.True(t, gate.Allows(now+unknownPause, coldServer("b"), true), name)
+		require.False(t, gate.Allows(now, coldServer("a"), true), name)
+		wait, ok := gate.Wait(now, coldServer("a"))
+		require.Equal(t, test.learnsIn > 0, ok, name)
+		if ok {
+			require.Equal(t, test.learnsIn, wait, name)
+			require.True(t, gate.Allows(now+wait, coldServer("a"), true), name)
+		}
 	}
 }
 
