--- a/internal/limits/cold.go
+++ b/internal/limits/cold.go
@@ -54,13 +54,13 @@
 // kind: 1/2 + 1/4 + 1/(2k) + 1/(4j) of the bound, no more than the whole for k and j of 3 or more; with fewer
 // places there are no spare ones.
 type ColdGate struct {
-	config      ColdConfig
-	host        string
-	members     []member
-	named       bool          // the shares name enough members to cut the bound by them
-	namedAt     time.Duration // since when they have
-	changedAt   time.Duration
-	buckets     map[string]*bucket
+	config    ColdConfig
+	host      string
+	members   []member
+	named     bool          // the shares name enough members to cut the bound by them
+	namedAt   time.Duration // since when they have
+	changedAt time.Duration
+	buckets   map[string]*bucket
 }
 
 // bucket is the account of one cold server.
