--- a/internal/transport/http/conn.go
+++ b/internal/transport/http/conn.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +16,7 @@
 
 	"fieldrelay/internal/budget"
 	"fieldrelay/internal/relay"
+	"fieldrelay/internal/socket"
 	"fieldrelay/logic"
 )
 
@@ -31,12 +31,10 @@
 
 	// A claim is being or has been written on it and is not answered. Whoever writes sets it while nothing is unread, and
 	// the reader takes nothing from the system before it has looked: so what came before a claim is never its answer.
-	turn   sync.Mutex
-	asked  bool
-	socket syscall.RawConn // nil: it has none, and nothing is seen before it is read
-	seen   byte            // what a look found; under turn
+	turn  sync.Mutex
+	asked bool
 
-	hurry atomic.Int32 // whether its claim was put on it before it had rested, as one of the constants below
+	hurried atomic.Bool // its claim was put on it before it had rested
 
 	last  uint64    // digest of the last answer; the reader's, as the next two
 	begun time.Time // when the present answer began to come, while it is read; the reader's
@@ -45,22 +43,13 @@
 	// What follows belongs to the node's actor.
 	claim    *claim // nil: none
 	writing  bool
-	early    *answer     // came while the request was being written
-	over     bool        // nothing more comes
-	retire   *time.Timer // ends its idle time; it may have been used since that was set, then it is set anew. nil: not set
-	rested   time.Time   // since when it is idle, or was last; zero: it never was
-	answered bool        // it has brought an answer
-	unrested int         // answers since it last rested to the end
-	quiet    bool        // it brought nothing while it rested before its claim
+	early    *answer // came while the request was being written
+	over     bool    // nothing more comes
+	retire   *time.Timer
+	rested   time.Time // since when it is idle, or was last; zero: it never was
+	answered bool      // it has brought an answer
 }
 
-// How a claim was put on a connection.
-const (
-	atRest   = int32(iota) // the connection had rested, or has brought no answer yet
-	knowing                // it had not: a copy of the answer before would be known, since answers differ
-	trusting               // it had not: no node has ever sent a copy
-)
-
 // An answer that has begun to come and does not end is as bad as none, and costs the job the time for another claim.
 const answerTime = 400 * time.Millisecond
 
@@ -91,10 +80,20 @@
 }
 
 func newConn(n *node, nc net.Conn, addr string) *conn {
-	return &conn{node: n, nc: nc, addr: addr, gone: make(chan struct{}), socket: socketOf(nc),
+	return &conn{node: n, nc: nc, addr: addr, gone: make(chan struct{}),
 		cost: n.nodes.opts.Gate.Must(budget.Conns, connBytes)}
 }
 
+// wake ends the idle time of a connection.
+func (c *conn) wake() {
+	c.retire.Stop()
+	c.retire = nil
+}
+
+// usable tells whether the connection can carry a claim: its end has not come, nor anything since the last answer, such as
+// a second copy of that, which would be taken for the answer to this claim.
+func (c *conn) usable() bool { return !c.broken.Load() && !socket.Unread(c.nc) }
+
 // Why a claim was not written. Nothing of it has left.
 var (
 	errOver  = errors.New("it may no longer be sent")
@@ -103,45 +102,24 @@
 
 // send writes a claim out, unless by now it may not be sent. All that can speak against it is looked at here, just before
 // its first byte, since anything may have happened while it waited: its deadline, the end of its window or of a drain's
-// grace (together until), its client, its final answer, its connection. No write outlasts the claim's deadline: then the
-// actor closes the connection.
-func (c *conn) send(of *claim, host string, until time.Time) error {
-	now := time.Now()
+// grace (together until), its client, its final answer, its connection.
+func (c *conn) send(parts net.Buffers, of *claim, until time.Time) error {
 	switch {
-	case !now.Before(until) || !of.Request.Wanted():
+	case !time.Now().Before(until) || !of.Request.Wanted():
 		return errOver
 	case !c.ask():
 		return errStale
 	}
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	head := encode(&request.Header, of, host, now)
-	if len(of.Request.Body) == 0 {
-		_, err := c.nc.Write(head)
-		return err
-	}
-	parts := net.Buffers{head, of.Request.Body}
+	c.nc.SetWriteDeadline(of.Deadline)
 	_, err := parts.WriteTo(c.nc)
 	return err
 }
 
-// ask makes the connection a claim's, if it can carry one: its end has not come, nor anything since the last answer, such as
-// a second copy of that, which would be taken for the answer to this claim. This is the one look at the socket on the way from
-// choice to write.
+// ask makes the connection a claim's, if it is usable.
 func (c *conn) ask() bool {
 	c.turn.Lock()
 	defer c.turn.Unlock()
-	if c.broken.Load() {
-		return false
-	}
-	c.asked = true
-	if c.socket != nil {
-		err := c.socket.Control(func(fd uintptr) {
-			waits, _ := peek(fd, &c.seen)
-			c.asked = !waits
-		})
-		c.asked = c.asked && err == nil
-	}
+	c.asked = c.usable()
 	return c.asked
 }
 
@@ -165,14 +143,11 @@
 	defer c.cost.Release()
 	br := bufio.NewReader(c)
 	for last := false; !last; {
-		if !c.awaitAsked() {
-			break
+		err := socket.Readable(c.nc)
+		if err != nil || !c.isAsked() {
+			break // nothing is taken: whoever looks sees that it is there
 		}
-		if _, err := br.Peek(1); err != nil {
-			break
-		}
-		if !c.isAsked() { // seen before it was read only where there is a socket
-			c.node.nodes.strays.saw()
+		if _, err = br.Peek(1); err != nil {
 			break
 		}
 		c.begun = time.Now()
@@ -181,7 +156,6 @@
 			break
 		}
 		if c.repeats(&a) {
-			c.node.nodes.strays.saw()
 			a.held.Release()
 			break
 		}
@@ -189,10 +163,8 @@
 			c.late = false
 			c.nc.SetReadDeadline(time.Time{})
 		}
-		if br.Buffered() > 0 { // they belong to nothing that was asked
-			c.node.nodes.strays.saw()
-			a.last = true
-		}
+		// Bytes behind an answer belong to nothing that was asked.
+		a.last = a.last || br.Buffered() > 0
 		a.at, last = time.Now(), a.last
 		c.answeredWhole()
 		if !c.node.box.Put(func() { c.node.answered(c, a) }) {
@@ -203,51 +175,27 @@
 	c.node.box.Put(func() { c.node.ended(c) })
 }
 
-// awaitAsked waits until something has come or the connection is a claim's, whichever the system tells first, and takes
-// nothing. What comes while nothing is asked stays where whoever asks next sees it: false, as at the end of the connection.
-func (c *conn) awaitAsked() (asked bool) {
-	if c.socket == nil {
-		return true
-	}
-	err := c.socket.Read(func(fd uintptr) (done bool) {
-		c.turn.Lock()
-		defer c.turn.Unlock()
-		if asked = c.asked; asked {
-			return true
-		}
-		waits, bytes := peek(fd, &c.seen)
-		if bytes {
-			c.node.nodes.strays.saw()
-		}
-		return waits
-	})
-	return asked && err == nil
-}
-
 // repeats tells whether a served answer is, byte for byte, the one before on this connection, which had not rested since: a
-// second copy of that, come late, where answers differ. Rejections are alike as a rule: the second of two proves nothing then,
+// second copy of that, come late, since answers differ. Rejections are alike as a rule: the second of two proves nothing then,
 // in case it is a copy of the first.
 func (c *conn) repeats(a *answer) bool {
-	var digest xxhash.Digest
-	digest.Reset()
+	digest := xxhash.New()
 	digest.Write([]byte{byte(a.outcome)})
 	digest.WriteString(a.contentType)
 	digest.Write(a.body)
 	before := c.last
 	c.last = digest.Sum64()
-	hurry := c.hurry.Load()
-	alike := hurry != atRest && c.last == before
+	alike := c.hurried.Load() && c.last == before
 	if a.outcome != logic.Done {
 		if alike && a.outcome == logic.Busy {
 			a.outcome = logic.Errored
 		}
 		return false
 	}
-	if copied := alike && hurry == knowing; copied {
-		return true
+	if !alike {
+		c.node.nodes.answers.add(c.last)
 	}
-	c.node.nodes.answers.add(c.last)
-	return false
+	return alike
 }
 
 // Read reads for the reader. An answer mostly comes at once: only one that does not is timed.
@@ -372,8 +320,9 @@
 	}
 }
 
-// encode writes out the head of a claim's request, into bytes of the header's own. Its body goes out from where it is held.
-func encode(h *fasthttp.RequestHeader, c *claim, host string, now time.Time) []byte {
+// encode writes out the head of a claim's request. Its body goes out from where it is held.
+func encode(c *claim, host string, now time.Time) []byte {
+	var h fasthttp.RequestHeader
 	h.SetMethod(c.Request.Method)
 	h.SetRequestURI(c.Request.Target)
 	h.SetHost(host)
--- a/internal/transport/http/executenode.go
+++ b/internal/transport/http/executenode.go
@@ -40,13 +40,22 @@
 	drainMargin = 0.2 // of DrainGrace
 )
 
+// Settle is how long a connection rests after an answer before it is used again. What a node sends behind an answer (its
+// end, or a second copy of the answer) comes some milliseconds later and carries no sign of whose it is: on a connection
+// that was asked again by then it would be taken for the next answer. A connection that has not rested is used where there
+// is no other, since one more costs the node a handshake, but only if a copy would be known: answers all differ.
+const Settle = 50 * time.Millisecond
+
+// trimmed is how long a connection must have been idle to be closed because bytes are short: one that the next claim is
+// likely to need would only have to be opened again, at the node's cost.
+const trimmed = time.Second
+
 // Nodes opens execute nodes and counts their connections.
 type Nodes struct {
 	opts    Options
 	log     zerolog.Logger
 	conns   atomic.Int64
 	answers answers
-	strays  strays
 }
 
 // NewNodes makes a set that has no node yet.
@@ -78,7 +87,7 @@
 	claims  map[relay.ClaimID]*claim
 	waiting []*claim // of those, the ones without a connection, the oldest first
 	conns   map[*conn]bool
-	idle    []*conn // in the order in which they will have rested, or have
+	idle    []*conn // in the order of their last use
 	settled *time.Timer
 	dials   int // under way
 	closed  bool
@@ -100,7 +109,13 @@
 
 func (n *node) Release() { n.box.Put(n.closeIdle) }
 
-func (n *node) Trim() { n.box.Put(n.trim) }
+func (n *node) Trim() {
+	n.box.Put(func() {
+		for len(n.idle) > 0 && time.Since(n.idle[0].rested) > trimmed {
+			n.drop(n.idle[0])
+		}
+	})
+}
 
 func (n *node) Update(m relay.Member) { n.box.Put(func() { n.update(m) }) }
 
@@ -166,7 +181,8 @@
 			n.serveLater()
 			return
 		}
-		if conn.broken.Load() { // the word of its end is on its way in the mailbox
+		// Its end may be on its way in the mailbox: a request written now would be lost for nothing.
+		if !conn.usable() {
 			n.drop(conn)
 			continue
 		}
@@ -179,7 +195,7 @@
 	if len(n.idle) == 0 || n.settled != nil {
 		return
 	}
-	n.settled = time.AfterFunc(time.Until(n.idle[0].settledAt(n.nodes.opts.Settle)), func() {
+	n.settled = time.AfterFunc(time.Until(n.idle[0].rested.Add(n.nodes.opts.Settle)), func() {
 		n.box.Put(func() {
 			n.settled = nil
 			n.serve()
@@ -187,6 +203,23 @@
 	})
 }
 
+// rouse takes an idle connection: of those that have rested the one used last, so that the others are retired; if none
+// has, the one that has rested for longest, or none.
+func (n *node) rouse() *conn {
+	i, now := len(n.idle)-1, time.Now()
+	resting := func(i int) bool { return n.idle[i].answered && now.Sub(n.idle[i].rested) < n.nodes.opts.Settle }
+	for ; i > 0 && resting(i); i-- {
+	}
+	if i < 0 || resting(i) && !n.nodes.answers.differ() {
+		return nil
+	}
+	conn := n.idle[i]
+	conn.hurried.Store(resting(i))
+	n.idle = slices.Delete(n.idle, i, i+1)
+	conn.wake()
+	return conn
+}
+
 func (n *node) dial(c *claim) {
 	if len(n.idle) > 0 && n.nodes.conns.Load() >= int64(n.nodes.opts.MaxConns) { // it has not rested: another takes its place
 		n.drop(n.idle[0])
@@ -231,8 +264,11 @@
 		if slices.Contains(n.waiting, c) { // its node has moved meanwhile
 			n.dial(c)
 		}
-	default:
+	case conn.usable():
 		n.write(c, conn)
+	default: // a node that speaks before it is asked
+		n.drop(conn)
+		n.end(c, logic.Refused, relay.Result{})
 	}
 }
 
@@ -240,18 +276,19 @@
 func (n *node) write(c *claim, conn *conn) {
 	n.waiting = slices.DeleteFunc(n.waiting, func(o *claim) bool { return o == c })
 	c.conn, conn.claim, conn.writing = conn, c, true
-	until, host := c.Deadline, n.member.Addr
+	now, until := time.Now(), c.Deadline
 	if !c.Begin.IsZero() && c.Begin.Before(until) {
 		until = c.Begin
 	}
 	if grace := n.barred.Add(time.Duration((1 - drainMargin) * float64(n.nodes.opts.DrainGrace))); !n.barred.IsZero() && grace.Before(until) {
 		until = grace
 	}
+	parts := net.Buffers{encode(c, n.member.Addr, now), c.Request.Body}
 	// A claim given up meanwhile, and with it the job, may be forgotten before this has let go of its bytes.
 	held := c.Request.Held
 	held.Hold()
 	go func() {
-		err := conn.send(c, host, until)
+		err := conn.send(parts, c, until)
 		held.Release()
 		if fig := n.nodes.opts.Figures; err == nil && fig != nil {
 			fig.BackendCalls.Add(1)
@@ -260,13 +297,9 @@
 	}()
 }
 
-// written learns whether the last byte has left: what breaks before that never ran. A connection that is stale before its
-// first claim is that of a node that speaks before it is asked: refused.
+// written learns whether the last byte has left: what breaks before that never ran.
 func (n *node) written(conn *conn, err error) {
 	conn.writing = false
-	if err == nil && conn.quiet {
-		n.nodes.strays.sawNone()
-	}
 	if conn.early != nil {
 		a := *conn.early
 		conn.early = nil
@@ -326,7 +359,6 @@
 		n.drop(conn)
 	default:
 		conn.answered, conn.claim, c.conn = true, nil, nil // at rest it may carry another claim at once
-		conn.unrested++
 		n.rest(conn, time.Now())
 	}
 	n.end(c, a.outcome, relay.Result{At: a.at, Body: a.body, ContentType: a.contentType, Held: a.held})
@@ -368,3 +400,65 @@
 	}
 	n.report(c.ID, res)
 }
+
+// rest keeps a connection for the next claim, for a time that ends safely before the node closes it: it counts from the last
+// answer on it, also where a claim was put on it meanwhile and not sent.
+func (n *node) rest(conn *conn, since time.Time) {
+	if !n.conns[conn] {
+		return
+	}
+	if n.closed || !n.barred.IsZero() || conn.addr != n.member.Addr || conn.broken.Load() {
+		n.drop(conn)
+		return
+	}
+	if since.IsZero() {
+		since = time.Now()
+	}
+	i := slices.IndexFunc(n.idle, later(since))
+	if i < 0 {
+		i = len(n.idle)
+	}
+	n.idle = slices.Insert(n.idle, i, conn)
+	conn.rested = since
+	idle := time.Duration((1 - idleMargin) * float64(n.nodes.opts.ConnIdle))
+	var timer *time.Timer
+	timer = time.AfterFunc(time.Until(since.Add(idle)), func() {
+		n.box.Put(func() {
+			if conn.retire == timer { // it has not been used since
+				n.drop(conn)
+			}
+		})
+	})
+	conn.retire = timer
+	n.serve()
+}
+
+// later picks connections that came to rest after a time.
+func later(than time.Time) func(*conn) bool {
+	return func(c *conn) bool { return c.rested.After(than) }
+}
+
+func (n *node) closeIdle() {
+	for len(n.idle) > 0 {
+		n.drop(n.idle[len(n.idle)-1])
+	}
+}
+
+// drop closes a connection. Its reader ends by that.
+func (n *node) drop(conn *conn) {
+	if !n.conns[conn] {
+		return
+	}
+	delete(n.conns, conn)
+	n.nodes.conns.Add(-1)
+	conn.nc.Close()
+	close(conn.gone)
+	for i, o := range n.idle {
+		if o == conn {
+			o.wake()
+			n.idle = slices.Delete(n.idle, i, i+1)
+			break
+		}
+	}
+	n.finish()
+}
