--- a/internal/hollow/measure.go
+++ b/internal/hollow/measure.go
@@ -32,8 +32,12 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "wait until %s", condition)
 		case <-limited.Done():
-			return &NotReachedError{Condition: condition, Limit: limit}
+			if ctx.Err() == nil {
+				return &NotReachedError{Condition: condition, Limit: limit}
+			}
 		}
 	}
 }
--- a/internal/hollow/trial.go
+++ b/internal/hollow/trial.go
@@ -33,7 +33,9 @@
 const (
 	settleTime   = 10 * time.Second // after a start, before the quiet time
 	inForceLimit = 60 * time.Second
-	workers      = 2
+	// informedLimit is how long after the proxies are ready they may not know the members yet.
+	informedLimit = 10 * time.Second
+	workers       = 2
 )
 
 // trial is a Trial under way.
@@ -138,30 +140,44 @@
 	return t.awaitReady(ctx, startLimit)
 }
 
-// awaitReady waits until all proxies hold the newest state and the whole list and are confirmed.
+// awaitReady waits until all proxies hold the newest state and the whole list and are confirmed, then a little
+// for those that don't know yet how many share the bounds; it fails if some never learn it.
 func (t *trial) awaitReady(ctx context.Context, limit time.Duration) (string, error) {
 	began := time.Now()
-	var half, all, shares time.Duration
-	err := until(ctx, limit, "all proxies are ready", func() (bool, error) {
+	var half, all, informed time.Duration
+	left := t.Agents // that don't know
+	look := func() (bool, error) {
 		reports, err := t.reports(ctx)
 		if err != nil {
 			return false, nil // a worker that has just been started
 		}
-		ready, current, known := 0, true, true
+		ready, current, knowing := 0, true, 0
 		for _, report := range reports {
 			ready += report.Ready
+			knowing += report.Informed
 			current = current && report.Generation >= t.operator.generation && report.LeastServers == t.Servers
-			known = known && report.LeastShares == t.Agents
 		}
+		left = t.Agents - knowing
 		noteFirst(&half, began, 2*ready >= t.Agents)
 		noteFirst(&all, began, ready == t.Agents && current)
-		noteFirst(&shares, began, known)
-		return all > 0 && shares > 0, nil
-	})
+		noteFirst(&informed, began, left == 0)
+		return all > 0, nil
+	}
+	err := until(ctx, limit, "all proxies are ready", look)
 	t.printReports(ctx, err)
-	note := fmt.Sprintf("half ready after %.1f s, all after %.1f s, all know the members after %.1f s",
-		half.Seconds(), all.Seconds(), shares.Seconds())
-	return note, err
+	if err != nil {
+		return "", err
+	}
+	known := func() (bool, error) { _, err := look(); return informed > 0, err }
+	var late *NotReachedError
+	if err := until(ctx, informedLimit, "all proxies know the members", known); err != nil && !errors.As(err, &late) {
+		return "", err
+	}
+	note := fmt.Sprintf("half ready after %.1f s, all after %.1f s, ", half.Seconds(), all.Seconds())
+	if informed == 0 {
+		return note + fmt.Sprintf("%d don't know the members %v later", left, informedLimit), late
+	}
+	return note + fmt.Sprintf("all know the members after %.1f s", informed.Seconds()), nil
 }
 
 func noteFirst(at *time.Duration, began time.Time, reached bool) {
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -142,6 +142,7 @@
 	Marker        int     // least marker of the platform that every proxy has, -1: none
 	Lists         int     // whole lists that proxies have taken, on average
 	LeastServers  int     // on a proxy's list
+	Informed      int     // proxies that know how many share the bounds
 	LeastShares   int     // proxies that share the bounds, by the proxy that knows of the fewest
 	MostShares    int     // by the one that knows of the most
 	PeerBytes     int64   // between agents, both directions, seen by the side that serves
@@ -204,6 +205,9 @@
 		report.LeastServers = min(report.LeastServers, one.servers)
 		report.LeastShares = min(report.LeastShares, one.shares)
 		report.MostShares = max(report.MostShares, one.shares)
+		if one.shares == w.Agents {
+			report.Informed++
+		}
 		if one.sharesFell > 0 {
 			report.SharesFell++
 		}
