Let a control machine call its state agreed only while it can know that it is

Cause: a machine called itself authoritative as soon as it heard any message of a majority. A learner cut off from the tail alone, a machine that hears but is not heard, one whose whole chain is out of reach, and one that has just been joined or has thawed told agents old state as agreed, for as long as the cut lasted. Proxies that start take that word as their confirmation.

Ruled out: more contact than heartbeats (a round trip for each answer to an agent); a later view in every message.

A storm of cuts in controlsim (up to 22 s, by role, one way, from zones, ended by elections, cut again at once, restarts and standstills behind the cut) checks each claim against what was acknowledged.

--- /dev/null
+++ b/internal/control/authority.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/quorum"
+)
+
+// behindLimit is how long a machine may lack a committed change that others have told of before it ceases to be
+// authoritative: changes follow the heartbeats that tell of them within a moment, unless a link is cut.
+const behindLimit = 2 * HeartbeatPeriod
+
+// toldByPeers is the newest that heartbeats of other machines have told of. A machine that is cut off from the
+// chain alone, or that hears but is not heard, learns by it that the state that it holds has grown old.
+type toldByPeers struct {
+	view     uint64 // newest view number
+	sequence uint64 // newest committed sequence, in the view in force
+	// behindSince is since when this machine has committed less than sequence; 0: it has not.
+	behindSince time.Duration
+	// apart: heartbeats of a majority were missing, and since they are back not all that they tell of has come.
+	apart bool
+}
+
+// Authoritative reports whether the machine holds the state of the view in force, has had heartbeats of a
+// majority of the voters lately, and was told neither of a later view nor of changes that it does not get.
+func (m *Machine) Authoritative() bool {
+	return m.replica.Follows() && m.hasHeartbeats() && !m.isBehind()
+}
+
+// hasHeartbeats reports whether heartbeats came lately of a majority of the voters, this one included, and of a
+// member of the chain: a chain that is out of reach as a whole may still acknowledge what was on its way. Other
+// messages do not count, for they do not tell how far their sender is, and a standstill of this machine is no
+// excuse.
+func (m *Machine) hasHeartbeats() bool {
+	view := m.View()
+	return view != nil &&
+		m.countHeartbeats(view.GetVoters()) >= quorum.Majority(view) &&
+		m.countHeartbeats(view.GetChain()) > 0
+}
+
+// countHeartbeats counts the replicas that sent a heartbeat lately; this machine is one of them.
+func (m *Machine) countHeartbeats(replicas []*pb.Replica) int {
+	count := 0
+	for _, replica := range replicas {
+		found, known := m.peers.known[replica.GetIdentity()]
+		lately := known && found.heartbeat != nil && m.now-found.heartbeatAt <= SilenceLimit
+		if lately || m.isSelf(replica) {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Machine) isBehind() bool {
+	if m.told.view > m.View().GetNumber() || m.told.apart {
+		return true
+	}
+	return m.told.behindSince > 0 && m.now-m.told.behindSince >= behindLimit
+}
+
+// noteTold remembers what another machine's heartbeat tells of. One that has just started does not know how much
+// of what it has on disk is committed: all of it may be.
+func (m *Machine) noteTold(heartbeat *pb.Heartbeat) {
+	m.told.view = max(m.told.view, heartbeat.GetViewNumber())
+	committed := heartbeat.GetCommitted()
+	if committed == 0 {
+		committed = heartbeat.GetSequence()
+	}
+	m.told.sequence = max(m.told.sequence, committed)
+	m.compareWithTold()
+}
+
+// compareWithTold keeps the time since when this machine lacks something that it was told of.
+func (m *Machine) compareWithTold() {
+	if !m.hasHeartbeats() {
+		m.told.apart = true
+	}
+	if sequenceOf(m.replica.Committed()) < m.told.sequence {
+		if m.told.behindSince == 0 {
+			m.told.behindSince = m.now
+		}
+		return
+	}
+	m.told.behindSince = 0
+	if m.hasHeartbeats() {
+		m.told.apart = false
+	}
+}
+
+// forgetTold forgets the sequence told of in an earlier view: whoever follows the new one holds all of it.
+func (m *Machine) forgetTold() {
+	m.told.sequence = 0
+	m.told.behindSince = 0
+}
--- /dev/null
+++ b/internal/control/authority_test.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// agreed is a machine that holds the agreed state as the head of a chain of five.
+type agreed struct {
+	t       *testing.T
+	machine *Machine
+	peers   []*pb.Replica
+	now     time.Duration
+}
+
+func newAgreed(t *testing.T) *agreed {
+	machine, peers := startedAgain(t)
+	a := &agreed{t: t, machine: machine, peers: peers}
+	a.receive(0, &pb.Message{Body: &pb.Message_Acknowledge{Acknowledge: &pb.Acknowledge{ViewNumber: 1}}})
+	a.pass(time.Second, 0, 1)
+	require.True(t, machine.Authoritative())
+	return a
+}
+
+// pass lets time pass, in which some of the peers send heartbeats.
+func (a *agreed) pass(span time.Duration, from ...int) {
+	for end := a.now + span; a.now < end; {
+		a.now += TickPeriod
+		a.machine.Step(a.now, Tick{})
+		for _, index := range from {
+			hear(a.machine, a.now, a.peers[index])
+		}
+	}
+}
+
+func (a *agreed) receive(from int, message *pb.Message) {
+	message.From = a.peers[from]
+	a.machine.Step(a.now, Received{Message: message})
+}
+
+func (a *agreed) told(from int, heartbeat *pb.Heartbeat) {
+	a.receive(from, &pb.Message{Body: &pb.Message_Heartbeat{Heartbeat: heartbeat}})
+}
+
+func TestAuthorityNeedsHeartbeatsOfAMajority(t *testing.T) {
+	a := newAgreed(t)
+	a.pass(SilenceLimit, 0)
+	a.pass(2*TickPeriod, 0)
+	require.False(t, a.machine.Authoritative())
+	a.pass(TickPeriod, 0, 1)
+	require.True(t, a.machine.Authoritative())
+}
+
+func TestOtherMessagesThanHeartbeatsGiveNoAuthority(t *testing.T) {
+	a := newAgreed(t)
+	for range 2 * SilenceLimit / TickPeriod {
+		a.pass(TickPeriod)
+		for index := range a.peers {
+			a.receive(index, &pb.Message{Body: &pb.Message_ViewCheck{ViewCheck: &pb.ViewCheck{ViewNumber: 1}}})
+		}
+	}
+	require.True(t, a.machine.hearsMajority())
+	require.False(t, a.machine.Authoritative())
+}
+
+func TestAMachineThatIsToldOfALaterViewHasNoAuthority(t *testing.T) {
+	a := newAgreed(t)
+	a.told(3, &pb.Heartbeat{ViewNumber: 2})
+	require.False(t, a.machine.Authoritative())
+	a.pass(time.Second, 0, 1, 2, 3)
+	require.False(t, a.machine.Authoritative(), "it has not learnt of that view")
+}
+
+func TestAMachineThatDoesNotGetWhatIsCommittedHasNoAuthority(t *testing.T) {
+	a := newAgreed(t)
+	a.told(2, &pb.Heartbeat{ViewNumber: 1, Committed: 1})
+	require.True(t, a.machine.Authoritative(), "the change may be on its way")
+	a.pass(behindLimit, 0, 1, 2)
+	require.False(t, a.machine.Authoritative())
+}
+
+func TestWhatAMachineThatJustStartedHasOnDiskMayBeCommitted(t *testing.T) {
+	a := newAgreed(t)
+	a.told(2, &pb.Heartbeat{ViewNumber: 1, Sequence: 1})
+	a.pass(behindLimit, 0, 1)
+	require.False(t, a.machine.Authoritative())
+}
+
+func TestAMachineThatWasCutOffHasNoAuthorityUntilItHasAllThatItIsTold(t *testing.T) {
+	a := newAgreed(t)
+	a.pass(20 * time.Second)
+	a.told(0, &pb.Heartbeat{ViewNumber: 1, Committed: 1})
+	a.told(1, &pb.Heartbeat{ViewNumber: 1})
+	require.False(t, a.machine.Authoritative(), "the change is not on its way only now")
+}
+
+// Messages that have waited for a machine that stood still do not show that it is in touch.
+func TestAStandstillEndsTheAuthority(t *testing.T) {
+	a := newAgreed(t)
+	a.now += 20 * time.Second
+	hear(a.machine, a.now, a.peers[0])
+	hear(a.machine, a.now, a.peers[1])
+	require.False(t, a.machine.Authoritative(), "before the first tick")
+	a.pass(wakeCalm-TickPeriod, 0, 1)
+	require.False(t, a.machine.Authoritative())
+	a.pass(2*TickPeriod, 0, 1)
+	require.True(t, a.machine.Authoritative())
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -29,6 +29,7 @@
 		case <-ticker.C:
 			node.step(Tick{})
 			node.publish()
+			node.stepped.Store(int64(time.Since(node.began)))
 		case <-report.C:
 			node.counters.log(node.logger, node.Status())
 		}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -69,7 +69,8 @@
 	origin   originOrders
 	head     headOrders
 	checks   viewChecks
-	told     *catalog.Snapshot // committed state that was told last
+	told     toldByPeers
+	shown    *catalog.Snapshot // committed state that the shell was told last
 	sizes    ringSizes
 }
 
@@ -147,12 +148,6 @@
 // Committed is the newest state known to be committed; nil before the first is known.
 func (m *Machine) Committed() *catalog.Snapshot { return m.replica.Committed() }
 
-// Authoritative reports whether the machine holds the state of the view in force and has heard from a
-// majority of the voters lately.
-func (m *Machine) Authoritative() bool {
-	return m.replica.Follows() && m.hearsMajority()
-}
-
 // Live lists the hosts of the live voters in the order of the view.
 func (m *Machine) Live() []string {
 	var hosts []string
@@ -193,6 +188,7 @@
 		m.election.concern = 0
 	}
 	m.peers.forget(m.now, m.View())
+	m.compareWithTold()
 	if m.View() == nil || m.ticks%uint64(HeartbeatPeriod/TickPeriod) == 0 {
 		m.sendHeartbeats()
 	}
@@ -223,11 +219,12 @@
 func (m *Machine) tellCommitted() {
 	committed := m.replica.Committed()
 	action := Committed{Snapshot: committed}
-	if m.told == nil {
+	if m.shown == nil {
 		action.Changes = m.replica.RecentChanges()
-	} else if changes, found := m.replica.ChangesSince(m.told.Sequence()); found {
+	} else if changes, found := m.replica.ChangesSince(m.shown.Sequence()); found {
 		action.Changes = changes
 	}
-	m.told = committed
+	m.shown = committed
+	m.compareWithTold()
 	m.actions = append(m.actions, action)
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -52,6 +52,9 @@
 	found := m.peers.note(from, m.now)
 	if heartbeat := message.GetHeartbeat(); heartbeat != nil {
 		found.heartbeat = heartbeat
+		if !m.wakesLate() {
+			found.heartbeatAt = m.now
+		}
 	}
 	m.handle(message)
 }
@@ -126,6 +129,7 @@
 	if view := m.View(); view != nil && heartbeat.GetViewNumber() < view.GetNumber() {
 		m.send(from, &pb.Message{Body: &pb.Message_Decided{Decided: &pb.Decided{View: view}}})
 	}
+	m.noteTold(heartbeat)
 	m.perform(m.replica.Heard(from, heartbeat))
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -80,7 +80,8 @@
 	// owned by the loop
 	machine *Machine
 
-	status atomic.Pointer[Status]
+	status  atomic.Pointer[Status]
+	stepped atomic.Int64 // when the loop was last at work, since began
 
 	mutex   sync.Mutex // guards what follows
 	changed chan struct{}
@@ -208,8 +209,15 @@
 	delete(node.waiting, request)
 }
 
-// Status tells what the node holds now.
-func (node *Node) Status() Status { return *node.status.Load() }
+// Status tells what the node holds now. While the loop stands still, nothing tells whether the state has grown
+// old.
+func (node *Node) Status() Status {
+	status := *node.status.Load()
+	if time.Since(node.began)-time.Duration(node.stepped.Load()) >= lateWake {
+		status.Authoritative = false
+	}
+	return status
+}
 
 // Changed returns a channel that is closed at the next change of the committed state, the view, Authoritative
 // or Live.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -19,10 +19,11 @@
 
 // peer is what is known of another control machine.
 type peer struct {
-	replica   *pb.Replica
-	heard     time.Duration // last time
-	liveSince time.Duration
-	heartbeat *pb.Heartbeat // nil before the first
+	replica     *pb.Replica
+	heard       time.Duration // last time
+	liveSince   time.Duration
+	heartbeat   *pb.Heartbeat // the last one; nil before the first
+	heartbeatAt time.Duration // when it came
 }
 
 type peerTable struct {
--- a/internal/control/voting.go
+++ b/internal/control/voting.go
@@ -154,6 +154,7 @@
 	m.election.attempt = nil
 	m.election.concern = 0
 	m.election.highest = nil
+	m.forgetTold()
 	m.perform(m.replica.Adopt(view))
 	m.actions = append(m.actions, ViewChanged{View: view})
 	m.dropHeadOrders()
--- /dev/null
+++ b/internal/controlsim/cutplanted_test.go
@@ -0,0 +1,66 @@
+package controlsim
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+func TestStormOfCutsFindsPlantedFaults(t *testing.T) {
+	faults := []struct {
+		name    string
+		message func(*pb.Message) *pb.Message
+		passes  func(*pb.Message) bool // messages that no cut holds up
+		finding string
+	}{
+		{
+			name:    "heartbeats do not tell what is committed",
+			message: withoutCommitted,
+			finding: "claims to hold the agreed state",
+		},
+		{
+			name:    "a voter agrees to every check of the view, behind every cut",
+			message: alwaysCurrent,
+			passes:  isViewCheck,
+			finding: "a read gives generation",
+		},
+		{
+			name:    "a voter accepts whatever it promised",
+			message: grantAll,
+			finding: "breaks its promise",
+		},
+	}
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(plantedSeeds) {
+				plan := planOf(seed)
+				plan.mutation.message = fault.message
+				plan.restless = plantedRestless
+				w := playCutsPassing(plan, fault.passes)
+				if strings.Contains(strings.Join(w.checker.failures, "; "), fault.finding) {
+					return
+				}
+			}
+			require.Fail(t, "not found", fault.finding)
+		})
+	}
+}
+
+// withoutCommitted makes heartbeats tell that next to nothing is committed.
+func withoutCommitted(message *pb.Message) *pb.Message {
+	if message.GetHeartbeat().GetCommitted() == 0 {
+		return message
+	}
+	changed := proto.CloneOf(message)
+	changed.GetHeartbeat().Committed = 1
+	return changed
+}
+
+func isViewCheck(message *pb.Message) bool {
+	return message.GetViewCheck() != nil || message.GetViewCheckResult() != nil
+}
