--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,8 @@
 // name. A collection also has an item of KindSetting, with the body "[]", which keeps the collection's place
 // among the members while it is empty.
 //
+// Beside the items, replicas keep a record of the orders that were taken, which agents and proxies do not carry.
+//
 // Items, changes and repairs that were handed to or come from this package are shared between snapshots and
 // must not be written to. Everything but History is safe for concurrent use.
 package catalog
@@ -28,17 +30,12 @@
 	KindSetting = "setting"
 	// KindEvacuation are the zones to which nothing more may be sent; the name is the zone.
 	KindEvacuation = "evacuation"
-	// KindTaken records orders that were taken: the name is the order's SHA-256, the body its generation.
-	KindTaken = "taken"
 )
 
-// TakenLimit is the number of orders that are remembered as taken.
-const TakenLimit = 64
-
 // isOperatorKind reports whether a kind's items come from the configuration and go when a configuration does
 // not name them.
 func isOperatorKind(kind string) bool {
-	return kind != KindEvacuation && kind != KindTaken
+	return kind != KindEvacuation && kind != kindTaken
 }
 
 // isCollection reports whether a list of this name may be kept as items of their own. The names of this
--- a/internal/catalog/errors.go
+++ b/internal/catalog/errors.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// OrderError is an answer to an operator's order that leads to no change. InvalidError, ConflictError and
-// AlreadyTakenError are the only ones.
+// OrderError is an answer to an operator's order that leads to no change. InvalidError, ConflictError,
+// AlreadyTakenError and ForgottenError are the only ones.
 type OrderError interface {
 	error
 	// Status is the HTTP status of the answer.
@@ -101,6 +101,20 @@
 // Status is 200.
 func (e *AlreadyTakenError) Status() int { return http.StatusOK }
 
+// ForgottenError tells that it is not known any more whether an order was taken: it builds on a generation that
+// the record of taken orders no longer reaches.
+type ForgottenError struct {
+	Base   uint64 // generation that the order builds on
+	Oldest uint64 // generation up to which the record reaches back
+}
+
+func (e *ForgottenError) Error() string {
+	return fmt.Sprintf("the order builds on generation %d, orders are remembered from generation %d on", e.Base, e.Oldest)
+}
+
+// Status is 503: the order was perhaps taken, so it is not refused.
+func (e *ForgottenError) Status() int { return http.StatusServiceUnavailable }
+
 // SequenceError refuses a change that does not follow the snapshot that it was applied to.
 type SequenceError struct {
 	Have uint64 // sequence of the snapshot
--- a/internal/catalog/order_test.go
+++ b/internal/catalog/order_test.go
@@ -77,26 +77,6 @@
 	require.Equal(t, http.StatusPreconditionFailed, refused.Status(), "another call is another order")
 }
 
-func TestTheLastOrdersAreRemembered(t *testing.T) {
-	snapshot := catalog.Empty()
-	var orders [][]byte
-	for generation := range uint64(catalog.TakenLimit + 10) {
-		orders = append(orders, configuration(generation+1))
-		snapshot = replaced(t, snapshot, orders[generation])
-		require.LessOrEqual(t, len(snapshot.Items(catalog.KindTaken)), catalog.TakenLimit)
-	}
-	for index, order := range orders {
-		_, err := catalog.PrepareReplace(snapshot, uint64(index), order)
-		var refused catalog.OrderError
-		require.ErrorAs(t, err, &refused)
-		if index < 10 {
-			require.Equal(t, http.StatusPreconditionFailed, refused.Status(), "order %d", index)
-		} else {
-			require.Equal(t, http.StatusOK, refused.Status(), "order %d", index)
-		}
-	}
-}
-
 func TestInvalidConfigurations(t *testing.T) {
 	backends := `"backends":[{"name":"s1"},{"name":"s2"}]`
 	withRoutes := func(routes ...string) string { return string(configuration(9, routes...)) }
@@ -286,7 +266,8 @@
 	routes = append([]string{route("first")}, append(routes, route("last"))...)
 	change, err := catalog.PrepareReplace(snapshot, 1, configuration(2, routes...))
 	require.NoError(t, err)
-	require.Len(t, change.GetUpserts(), 4, "first, last, r100 and the record of the order")
+	require.Len(t, change.GetUpserts(), 3, "first, last and r100")
+	require.Len(t, change.GetTaken(), 16, "the record of the order")
 	require.Len(t, change.GetRemovals(), 1)
 }
 
--- a/internal/catalog/prepare.go
+++ b/internal/catalog/prepare.go
@@ -4,10 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
-	"strconv"
-
-	"github.com/cockroachdb/errors"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 )
@@ -20,20 +16,16 @@
 	orderAmend   orderKind = "amend"
 )
 
-// prepare checks an order in the sequence that its answers depend on: taken before, readable, built on the
-// current generation, valid.
+// prepare checks an order in the sequence that its answers depend on: built on the current generation or taken
+// before, readable, valid.
 func prepare(snapshot *Snapshot, kind orderKind, base uint64, body []byte) (*pb.Change, error) {
-	identity := orderIdentity(kind, base, body)
-	if item, found := snapshot.Get(KindTaken, identity); found {
-		return nil, alreadyTaken(item)
+	if base != snapshot.Generation() {
+		return nil, snapshot.judgeStale(kind, base, body)
 	}
 	object, err := parseObject(body)
 	if err != nil {
 		return nil, err
 	}
-	if base != snapshot.Generation() {
-		return nil, &ConflictError{Base: base, Current: snapshot.Generation()}
-	}
 	faults := &InvalidError{}
 	writer := newChangeWriter(snapshot, generationOf(object, snapshot.Generation(), faults))
 	if kind == orderAmend {
@@ -44,26 +36,32 @@
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
-	return writer.finish(identity)
+	return writer.finish(digestOrder(kind, base, body))
+}
+
+// judgeStale answers an order on another generation than the current one. It is a repeat if it is the very order
+// that was taken on that generation, and has lost for good if another one was or the generation was never in
+// force.
+func (s *Snapshot) judgeStale(kind orderKind, base uint64, body []byte) error {
+	if !s.taken.reaches(base) {
+		return &ForgottenError{Base: base, Oldest: s.taken.base}
+	}
+	if order, found := s.taken.takenOn(base); found && order.digest == digestOrder(kind, base, body) {
+		return &AlreadyTakenError{Generation: order.generation}
+	}
+	return &ConflictError{Base: base, Current: s.generation}
 }
 
-// orderIdentity is the SHA-256, in hex, of an order with the generation that it builds on.
-func orderIdentity(kind orderKind, base uint64, body []byte) string {
+// digestOrder is the start of the SHA-256 of an order with the generation that it builds on.
+func digestOrder(kind orderKind, base uint64, body []byte) orderDigest {
 	digest := sha256.New()
 	digest.Write([]byte(kind))
 	var number [9]byte // after a 0 that ends the kind
 	binary.BigEndian.PutUint64(number[1:], base)
 	digest.Write(number[:])
 	digest.Write(body)
-	return hex.EncodeToString(digest.Sum(nil))
-}
-
-func alreadyTaken(item *pb.Item) error {
-	generation, err := strconv.ParseUint(string(item.GetBody()), 10, 64)
-	if err != nil {
-		return errors.Wrapf(err, "record of the taken order %s", item.GetName())
-	}
-	return &AlreadyTakenError{Generation: generation}
+	var sum [sha256.Size]byte
+	return orderDigest(digest.Sum(sum[:0])[:orderDigestBytes])
 }
 
 // changeWriter collects the difference between the snapshot and the configuration that an order asks for.
@@ -79,8 +77,8 @@
 	}
 }
 
-// finish checks the configuration that results and records the order as taken.
-func (w *changeWriter) finish(identity string) (*pb.Change, error) {
+// finish checks the configuration that results and notes the order that makes the change.
+func (w *changeWriter) finish(digest orderDigest) (*pb.Change, error) {
 	next, err := w.snapshot.Apply(w.change)
 	if err != nil {
 		return nil, err
@@ -90,20 +88,10 @@
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
-	w.recordTaken(identity)
+	w.change.Taken = digest[:]
 	return w.change, nil
 }
 
-func (w *changeWriter) recordTaken(identity string) {
-	generation := strconv.FormatUint(w.change.Generation, 10)
-	w.upsert(KindTaken, identity, w.change.Sequence, []byte(generation))
-	taken := w.snapshot.Items(KindTaken)
-	for len(taken) >= TakenLimit {
-		w.remove(KindTaken, taken[0].GetName())
-		taken = taken[1:]
-	}
-}
-
 // upsert writes an item, unless the snapshot holds it just so. The body is copied: an item must not keep the
 // whole order in memory.
 func (w *changeWriter) upsert(kind, name string, order uint64, body []byte) {
--- a/internal/catalog/repair.go
+++ b/internal/catalog/repair.go
@@ -19,6 +19,21 @@
 	return &pb.RangeDigests{Sequence: s.sequence, Generation: s.generation, Digests: digests}
 }
 
+// ReplicaDigests are the Digests with those of the taken orders, which only replicas keep.
+func (s *Snapshot) ReplicaDigests() *pb.RangeDigests {
+	digests := s.Digests()
+	digests.Taken = s.taken.digests()
+	return digests
+}
+
+// ReplicaRepairFor is RepairFor for a replica: with the taken orders that it lacks. The digests are its
+// ReplicaDigests; nil asks for everything.
+func (s *Snapshot) ReplicaRepairFor(digests *pb.RangeDigests) *pb.Repair {
+	repair := s.RepairFor(digests)
+	repair.Taken = s.taken.repairFor(digests.GetTaken())
+	return repair
+}
+
 // RepairFor returns the ranges in which the copy that the digests describe differs from this snapshot, or all
 // of them if digests is nil or of another number of ranges. It says nothing about which of the two is newer.
 func (s *Snapshot) RepairFor(digests *pb.RangeDigests) *pb.Repair {
@@ -57,6 +72,11 @@
 		}
 		next.ranges[index] = restored
 	}
+	var err error
+	next.taken, err = s.taken.restored(repair.GetTaken(), repair.GetGeneration())
+	if err != nil {
+		return nil, err
+	}
 	return &next, nil
 }
 
@@ -76,7 +96,7 @@
 
 // Marshal returns the whole state in its stored form, a pb.Repair.
 func (s *Snapshot) Marshal() ([]byte, error) {
-	data, err := proto.Marshal(s.RepairFor(nil))
+	data, err := proto.Marshal(s.ReplicaRepairFor(nil))
 	return data, errors.Wrap(err, "marshal the control state")
 }
 
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
@@ -12,6 +14,7 @@
 	sequence   uint64
 	generation uint64
 	ranges     [RangeCount]*itemRange
+	taken      takenOrders
 }
 
 var emptySnapshot = newEmptySnapshot()
@@ -112,5 +115,25 @@
 	for _, item := range change.GetUpserts() {
 		editor.upsert(item)
 	}
+	editor.next.taken = s.taken.after(s.generation, change.GetGeneration(), change.GetTaken())
 	return editor.snapshot(change.GetSequence(), change.GetGeneration()), nil
 }
+
+// SameAs reports whether two snapshots hold the same state, the record of taken orders included.
+func (s *Snapshot) SameAs(other *Snapshot) bool {
+	return proto.Equal(s.ReplicaDigests(), other.ReplicaDigests()) && s.taken.base == other.taken.base
+}
+
+// ForAgents returns a change without what only replicas keep of it.
+func ForAgents(change *pb.Change) *pb.Change {
+	if len(change.GetTaken()) == 0 {
+		return change
+	}
+	return &pb.Change{
+		Sequence:    change.GetSequence(),
+		Generation:  change.GetGeneration(),
+		Upserts:     change.GetUpserts(),
+		Removals:    change.GetRemovals(),
+		ReplacesAll: change.GetReplacesAll(),
+	}
+}
--- a/internal/catalog/snapshot_test.go
+++ b/internal/catalog/snapshot_test.go
@@ -193,6 +193,10 @@
 			repaired, err := older.Restore(s.snapshot.RepairFor(older.Digests()))
 			require.NoError(t, err)
 			requireSame(t, s.snapshot, repaired)
+			replica, err := older.Restore(s.snapshot.ReplicaRepairFor(older.ReplicaDigests()))
+			require.NoError(t, err)
+			requireSame(t, s.snapshot, replica)
+			require.True(t, s.snapshot.SameAs(replica))
 
 			changes, known := s.history.Since(older.Sequence())
 			require.True(t, known)
@@ -202,6 +206,7 @@
 				require.NoError(t, err)
 			}
 			requireSame(t, s.snapshot, applied)
+			require.True(t, s.snapshot.SameAs(applied))
 		}
 		whole, err := s.snapshots[0].Restore(s.snapshot.RepairFor(nil))
 		require.NoError(t, err)
@@ -211,6 +216,7 @@
 		stored, err := catalog.Unmarshal(data)
 		require.NoError(t, err)
 		requireSame(t, s.snapshot, stored)
+		require.True(t, s.snapshot.SameAs(stored))
 	})
 }
 
@@ -282,9 +288,9 @@
 	}
 	next, err := snapshot.Apply(change)
 	require.NoError(t, err)
-	require.Equal(t, []string{catalog.KindEvacuation, catalog.KindRoutes, catalog.KindTaken}, next.Kinds())
+	require.Equal(t, []string{catalog.KindEvacuation, catalog.KindRoutes}, next.Kinds())
 	require.Equal(t, []string{"b"}, names(next.Items(catalog.KindRoutes)))
-	require.Equal(t, 3, next.Len())
+	require.Equal(t, 2, next.Len())
 }
 
 func TestRepairsThatAreMalformed(t *testing.T) {
--- /dev/null
+++ b/internal/catalog/taken_test.go
@@ -0,0 +1,255 @@
+package catalog_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// changesOfADay is the number of changes that the largest site makes in a day.
+const changesOfADay = 11_000
+
+// takenOrder is an order of these tests: every third is a whole configuration, the others are amendments.
+type takenOrder struct {
+	base uint64
+	body []byte
+}
+
+func (o takenOrder) isReplace() bool { return o.base%3 == 0 }
+
+func (o takenOrder) prepare(snapshot *catalog.Snapshot) (*pb.Change, error) {
+	if o.isReplace() {
+		return catalog.PrepareReplace(snapshot, o.base, o.body)
+	}
+	return catalog.PrepareAmend(snapshot, o.base, o.body)
+}
+
+// orderOn makes an order on a generation; the text tells it from others on the same one.
+func orderOn(base uint64, text string) takenOrder {
+	order := takenOrder{base: base}
+	if order.isReplace() {
+		order.body = fmt.Appendf(nil, `{"gen":%d,"note":%q}`, base+1, text)
+	} else {
+		order.body = fmt.Appendf(nil, `{"gen":%d,"upsert":{"note":%q}}`, base+1, text)
+	}
+	return order
+}
+
+// takeOrders takes orders one after the other, each on the generation of the one before.
+func takeOrders(t require.TestingT, snapshot *catalog.Snapshot, count int, text string) (*catalog.Snapshot, []takenOrder) {
+	var orders []takenOrder
+	for range count {
+		order := orderOn(snapshot.Generation(), text)
+		change, err := order.prepare(snapshot)
+		snapshot = taken(t, snapshot, change, err)
+		orders = append(orders, order)
+	}
+	return snapshot, orders
+}
+
+// answerTo is the status of the answer to an order that makes no change.
+func answerTo(t require.TestingT, snapshot *catalog.Snapshot, order takenOrder) int {
+	_, err := order.prepare(snapshot)
+	var refused catalog.OrderError
+	require.ErrorAs(t, err, &refused)
+	return refused.Status()
+}
+
+func TestEveryOrderOfADayIsAcknowledgedAgain(t *testing.T) {
+	snapshot, orders := takeOrders(t, catalog.Empty(), changesOfADay, "a")
+	for _, order := range orders {
+		_, err := order.prepare(snapshot)
+		var already *catalog.AlreadyTakenError
+		require.ErrorAs(t, err, &already, "order on %d", order.base)
+		require.Equal(t, order.base+1, already.Generation)
+		require.Equal(t, http.StatusPreconditionFailed, answerTo(t, snapshot, orderOn(order.base, "b")),
+			"another order on %d", order.base)
+	}
+}
+
+// An order on a generation that the record no longer reaches may have been taken or not: it must not be refused.
+func TestAnOrderThatIsForgottenIsNotRefused(t *testing.T) {
+	count := catalog.TakenCapacity + 1000
+	snapshot, orders := takeOrders(t, catalog.Empty(), count, "a")
+	forgotten := 0
+	for index, order := range orders {
+		status := answerTo(t, snapshot, order)
+		if status == http.StatusOK {
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, status, "order %d", index)
+		require.Equal(t, http.StatusServiceUnavailable, answerTo(t, snapshot, orderOn(order.base, "b")))
+		require.Equal(t, forgotten, index, "only the oldest are forgotten")
+		forgotten++
+	}
+	require.Positive(t, forgotten)
+	require.GreaterOrEqual(t, count-forgotten, catalog.TakenCapacity)
+	require.Less(t, count-forgotten, catalog.TakenCapacity+200, "the record is bounded")
+}
+
+func TestAnOrderOnAGenerationThatNeverWasIsRefused(t *testing.T) {
+	snapshot := replaced(t, catalog.Empty(), configuration(5))
+	snapshot = replaced(t, snapshot, configuration(9))
+	for _, base := range []uint64{1, 4, 6, 8, 10} {
+		_, err := catalog.PrepareReplace(snapshot, base, configuration(11))
+		var conflict *catalog.ConflictError
+		require.ErrorAs(t, err, &conflict, "base %d", base)
+	}
+}
+
+// Two operators pick one number for different changes on the same version: one of them has lost.
+func TestOneNumberForTwoChanges(t *testing.T) {
+	first := configuration(6, route("a"))
+	second := configuration(6, route("b"))
+	snapshot := replaced(t, catalog.Empty(), configuration(5))
+	snapshot = replaced(t, snapshot, first)
+	for range 2 {
+		var already *catalog.AlreadyTakenError
+		_, err := catalog.PrepareReplace(snapshot, 5, first)
+		require.ErrorAs(t, err, &already)
+		var conflict *catalog.ConflictError
+		_, err = catalog.PrepareReplace(snapshot, 5, second)
+		require.ErrorAs(t, err, &conflict)
+		snapshot = replaced(t, snapshot, configuration(snapshot.Generation()+1))
+	}
+}
+
+// Two changes on one snapshot, as the head validates them or as two histories hold them, do not disturb each
+// other, at each length of the newest chunk.
+func TestRecordsThatBranchAreApart(t *testing.T) {
+	snapshot := catalog.Empty()
+	for range 300 {
+		mine, ours := takeOrders(t, snapshot, 1, "a")
+		other, others := takeOrders(t, snapshot, 1, "b")
+		require.Equal(t, http.StatusOK, answerTo(t, mine, ours[0]))
+		require.Equal(t, http.StatusPreconditionFailed, answerTo(t, mine, others[0]))
+		require.Equal(t, http.StatusOK, answerTo(t, other, others[0]))
+		require.Equal(t, http.StatusPreconditionFailed, answerTo(t, other, ours[0]))
+		require.False(t, mine.SameAs(other))
+		snapshot = other
+	}
+}
+
+func TestReplicasCatchUpOnTheRecord(t *testing.T) {
+	const newest = 2000
+	var states []*catalog.Snapshot // by number of orders
+	snapshot := catalog.Empty()
+	states = append(states, snapshot)
+	for range newest {
+		snapshot, _ = takeOrders(t, snapshot, 1, "a")
+		states = append(states, snapshot)
+	}
+	for _, held := range []int{0, 1, 127, 128, 129, 700, 1024, 1900, 1999, 2000} {
+		t.Run(fmt.Sprint(held), func(t *testing.T) {
+			repaired, repair := repairReplica(t, states[held], snapshot)
+			require.True(t, repaired.SameAs(snapshot))
+			require.LessOrEqual(t, len(repair.GetTaken().GetOrders()), (newest-held+128)*24,
+				"what the copy has is not sent")
+			if held == newest {
+				require.Empty(t, repair.GetTaken().GetOrders())
+			}
+			// a copy with a change that nobody else has
+			forked, lost := takeOrders(t, states[held], 1, "b")
+			repaired, _ = repairReplica(t, forked, snapshot)
+			require.True(t, repaired.SameAs(snapshot))
+			if held < newest {
+				require.Equal(t, http.StatusPreconditionFailed, answerTo(t, repaired, lost[0]))
+			}
+			// and back to an older state
+			repaired, _ = repairReplica(t, snapshot, states[held])
+			require.True(t, repaired.SameAs(states[held]))
+		})
+	}
+}
+
+func repairReplica(t *testing.T, from, to *catalog.Snapshot) (*catalog.Snapshot, *pb.Repair) {
+	repair := to.ReplicaRepairFor(from.ReplicaDigests())
+	data, err := proto.Marshal(repair)
+	require.NoError(t, err)
+	received := &pb.Repair{}
+	require.NoError(t, proto.Unmarshal(data, received))
+	repaired, err := from.Restore(received)
+	require.NoError(t, err)
+	return repaired, repair
+}
+
+// The oldest orders of one replica's record are gone at another.
+func TestReplicasCatchUpOverTheEndOfTheRecord(t *testing.T) {
+	early, _ := takeOrders(t, catalog.Empty(), 3000, "a")
+	late, orders := takeOrders(t, early, catalog.TakenCapacity, "a")
+	repaired, repair := repairReplica(t, early, late)
+	require.True(t, repaired.SameAs(late))
+	require.Less(t, len(repair.GetTaken().GetOrders()), (catalog.TakenCapacity+200)*24)
+	for _, order := range []takenOrder{orders[0], orders[len(orders)-1]} {
+		require.Equal(t, http.StatusOK, answerTo(t, repaired, order))
+	}
+	repaired, _ = repairReplica(t, late, early)
+	require.True(t, repaired.SameAs(early))
+}
+
+// Agents get changes and repairs without the record, and theirs stays empty.
+func TestAgentsDoNotCarryTheRecord(t *testing.T) {
+	replica, orders := takeOrders(t, catalog.Empty(), 10, "a")
+	require.Nil(t, replica.RepairFor(nil).GetTaken())
+	require.Nil(t, replica.Digests().GetTaken())
+	agent, err := catalog.Empty().Restore(replica.RepairFor(nil))
+	require.NoError(t, err)
+	for range 300 {
+		order := orderOn(replica.Generation(), "a")
+		change, err := order.prepare(replica)
+		replica = taken(t, replica, change, err)
+		stripped := catalog.ForAgents(change)
+		require.NotEmpty(t, change.GetTaken())
+		require.Empty(t, stripped.GetTaken())
+		agent, err = agent.Apply(stripped)
+		require.NoError(t, err)
+	}
+	requireSame(t, replica, agent)
+	require.Equal(t, []string{catalog.KindSetting}, agent.Kinds())
+	require.Empty(t, agent.ReplicaRepairFor(nil).GetTaken().GetOrders())
+	require.Equal(t, http.StatusServiceUnavailable, answerTo(t, agent, orders[0]), "and it says so")
+	same := &pb.Change{Sequence: 1}
+	require.Same(t, same, catalog.ForAgents(same))
+}
+
+// A change of generation that names no order, or one that does not follow what is known, begins the record anew.
+func TestARecordWithAGapIsNotTrusted(t *testing.T) {
+	snapshot, orders := takeOrders(t, catalog.Empty(), 200, "a")
+	change, err := orderOn(200, "a").prepare(snapshot)
+	require.NoError(t, err)
+	gap, err := snapshot.Apply(catalog.ForAgents(change))
+	require.NoError(t, err)
+	gap, later := takeOrders(t, gap, 3, "a")
+	require.Equal(t, http.StatusServiceUnavailable, answerTo(t, gap, orders[0]))
+	require.Equal(t, http.StatusServiceUnavailable, answerTo(t, gap, orderOn(200, "a")))
+	require.Equal(t, http.StatusOK, answerTo(t, gap, later[0]))
+	repaired, _ := repairReplica(t, snapshot, gap)
+	require.True(t, repaired.SameAs(gap))
+}
+
+func TestRecordsThatAreMalformed(t *testing.T) {
+	snapshot, _ := takeOrders(t, catalog.Empty(), 300, "a")
+	order := func(generation byte) []byte { return append([]byte{generation}, make([]byte, 23)...) }
+	damage := map[string]*pb.TakenOrders{
+		"cut short":            {Orders: order(1)[:20]},
+		"does not rise":        {Orders: append(order(2), order(2)...)},
+		"below its base":       {Base: 5, Orders: order(5)},
+		"leads elsewhere":      {Orders: order(1)},
+		"kept chunks are not":  {Kept: 9},
+		"kept from before":     {First: 7, Kept: 1},
+		"nothing, not at base": {Base: 7},
+	}
+	for name, record := range damage {
+		t.Run(name, func(t *testing.T) {
+			_, err := snapshot.Restore(&pb.Repair{Sequence: 400, Generation: 400, Taken: record})
+			var malformed *catalog.RepairError
+			require.ErrorAs(t, err, &malformed)
+		})
+	}
+}
--- a/internal/chain/sync.go
+++ b/internal/chain/sync.go
@@ -51,7 +51,7 @@
 	if upstream == nil {
 		return
 	}
-	digests := r.state.Newest.Digests()
+	digests := r.state.Newest.ReplicaDigests()
 	digests.Digests = append(digests.Digests, r.ticket)
 	r.send(output, upstream, &pb.Message{Body: &pb.Message_SyncRequest{SyncRequest: &pb.SyncRequest{
 		ViewNumber: r.state.View.GetNumber(),
@@ -127,10 +127,11 @@
 		return
 	}
 	ticket := digests.GetDigests()[ticketRange]
-	repair := r.state.Newest.RepairFor(&pb.RangeDigests{
+	repair := r.state.Newest.ReplicaRepairFor(&pb.RangeDigests{
 		Sequence:   digests.GetSequence(),
 		Generation: digests.GetGeneration(),
 		Digests:    digests.GetDigests()[:catalog.RangeCount],
+		Taken:      digests.GetTaken(),
 	})
 	repair.Ranges = append(repair.Ranges, &pb.Range{
 		Index: ticketRange,
@@ -169,6 +170,7 @@
 		Sequence:   repair.GetSequence(),
 		Generation: repair.GetGeneration(),
 		Ranges:     repair.GetRanges()[:last],
+		Taken:      repair.GetTaken(),
 	}
 	return plain, items[0].GetSequence()
 }
@@ -201,7 +203,7 @@
 	if !r.isLearner() {
 		r.state.Basis = r.state.View.GetNumber()
 	}
-	same := len(repair.GetRanges()) == 0 && next.Sequence() == r.state.Newest.Sequence()
+	same := next.SameAs(r.state.Newest)
 	r.synchronised = true
 	if same && r.isLearner() {
 		r.publish()
--- a/internal/control/disk.go
+++ b/internal/control/disk.go
@@ -74,7 +74,7 @@
 	state := m.replica.State()
 	records := []ring.Record{identityRecord(m.self.GetIdentity(), m.bootstrap)}
 	if state.Newest.Sequence() > 0 {
-		repair := state.Newest.RepairFor(nil)
+		repair := state.Newest.ReplicaRepairFor(nil)
 		records = append(records, writeRecord(chain.Write{Repair: repair, Basis: state.Basis}))
 	}
 	if state.View != nil {
--- a/internal/control/head.go
+++ b/internal/control/head.go
@@ -128,11 +128,16 @@
 		m.result(next.from, unavailable(next.order.GetId()))
 		return
 	}
-	m.check(next.from, &pb.OrderResult{
+	result := &pb.OrderResult{
 		Id:     next.order.GetId(),
 		Status: uint32(refusal.Status()),
 		Body:   reasonBody(refusal),
-	}, nil)
+	}
+	if refusal.Status() == http.StatusServiceUnavailable {
+		m.result(next.from, result)
+		return
+	}
+	m.check(next.from, result, nil)
 }
 
 func reasonBody(refusal catalog.OrderError) []byte {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -101,6 +101,9 @@
 		Region:         config.Self.GetRegion(),
 		ControlAddress: config.Self.GetControlAddress(),
 	}
+	if state.migrated {
+		machine.sizes.snapshotDue = true // behind it, no record is of the earlier version
+	}
 	machine.sizes.limit = cmp.Or(config.SnapshotRecords, snapshotRecords)
 	machine.replica = chain.NewReplica(identity, state.chain, machine.incarnation)
 	machine.peers = newPeerTable()
@@ -228,6 +231,9 @@
 	} else if changes, found := m.replica.ChangesSince(m.told.Sequence()); found {
 		action.Changes = changes
 	}
+	for index, change := range action.Changes {
+		action.Changes[index] = catalog.ForAgents(change)
+	}
 	m.told = committed
 	m.actions = append(m.actions, action)
 }
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -24,6 +24,7 @@
 	held    []Persist
 	replies []*pb.OrderResult
 	sent    []Send
+	told    []*pb.Change // of the Committed actions
 	request uint64
 }
 
@@ -58,6 +59,8 @@
 			l.replies = append(l.replies, action.Result)
 		case Send:
 			l.sent = append(l.sent, action)
+		case Committed:
+			l.told = append(l.told, action.Changes...)
 		}
 	}
 	l.release()
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -40,6 +40,7 @@
 	bootstrap bool // the disk was empty when the whole system started for the first time
 	acceptor  *pb.Promise
 	chain     chain.State
+	migrated  bool // the state was of an earlier version
 }
 
 func newDurable() durable { return durable{chain: chain.EmptyState()} }
@@ -56,6 +57,7 @@
 			return state, &RecordError{Kind: record.Kind, Cause: err}
 		}
 	}
+	state.chain.Newest, state.migrated = state.chain.Newest.MigrateTaken()
 	return state, nil
 }
 
--- /dev/null
+++ b/internal/control/taken_test.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"compress/gzip"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/ring"
+)
+
+// noteOrder is the order on a generation that the disk of the earlier version was written with.
+func noteOrder(base uint64) *pb.Order {
+	return &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: base, Body: fmt.Appendf(nil, `{"gen":%d,"note":"a"}`, base+1)}
+}
+
+func otherNoteOrder(base uint64) *pb.Order {
+	return &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: base, Body: fmt.Appendf(nil, `{"gen":%d,"note":"b"}`, base+1)}
+}
+
+// earlierDisk is what commit d046182 left on the disk of a system of one machine after 70 orders: a snapshot of
+// 66 of them and four records. It kept the last 64 orders as items.
+func earlierDisk(t *testing.T) *ring.Recovered {
+	packed, err := os.Open(filepath.Join("testdata", "ring-with-taken-items.gz"))
+	require.NoError(t, err)
+	defer func() { _ = packed.Close() }()
+	unpacked, err := gzip.NewReader(packed)
+	require.NoError(t, err)
+	content, err := io.ReadAll(unpacked)
+	require.NoError(t, err)
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "ring-0"), content, 0o600))
+	opened, recovered, err := ring.Open(folder, ring.Options{Files: 2, FileBytes: 4 << 10})
+	require.NoError(t, err)
+	require.NoError(t, opened.Close())
+	return recovered
+}
+
+func TestTakenOrdersOfAnEarlierVersionAreKept(t *testing.T) {
+	recovered := earlierDisk(t)
+	require.Len(t, recovered.Records, 4)
+	l := &lone{t: t, base: recovered.Snapshot, records: recovered.Records}
+	l.restart()
+	require.Empty(t, l.records, "all of it is written anew")
+	requireEarlierOrders := func() {
+		for base := range uint64(70) {
+			status, other := http.StatusOK, http.StatusPreconditionFailed
+			if base <= 6 { // the items began with the order on 6, and that is not known of them
+				status, other = http.StatusServiceUnavailable, http.StatusServiceUnavailable
+			}
+			l.requireStatus(status, noteOrder(base))
+			l.requireStatus(other, otherNoteOrder(base))
+		}
+		require.NotContains(t, l.machine.Committed().Kinds(), "taken")
+	}
+	requireEarlierOrders()
+	for base := uint64(70); base < 90; base++ {
+		l.requireStatus(http.StatusOK, noteOrder(base))
+	}
+	l.restart()
+	requireEarlierOrders()
+	l.requireStatus(http.StatusOK, noteOrder(89))
+}
+
+// Every order of a run is acknowledged again, after restarts from snapshots and from records too.
+func TestTakenOrdersSurviveRestarts(t *testing.T) {
+	l := newLone(t)
+	const count = 400
+	for base := range uint64(count) {
+		l.requireStatus(http.StatusOK, noteOrder(base))
+		if base%97 == 0 {
+			l.restart()
+		}
+	}
+	l.restart()
+	for base := range uint64(count) {
+		l.requireStatus(http.StatusOK, noteOrder(base))
+		l.requireStatus(http.StatusPreconditionFailed, otherNoteOrder(base))
+	}
+}
+
+// What leaves a machine for agents does not name the orders.
+func TestCommittedChangesDoNotNameTheirOrders(t *testing.T) {
+	l := newLone(t)
+	for base := range uint64(5) {
+		l.requireStatus(http.StatusOK, noteOrder(base))
+	}
+	require.Len(t, l.told, 5)
+	for _, change := range l.told {
+		require.Empty(t, change.GetTaken())
+		require.Positive(t, change.GetGeneration())
+	}
+}
--- a/internal/controlsim/checker_test.go
+++ b/internal/controlsim/checker_test.go
@@ -122,7 +122,7 @@
 		c.world.note("%s commits %d generation %d %v %v", host.name, sequence, snapshot.Generation(), keysOf(snapshot), snapshot.EvacuatedZones())
 		return
 	}
-	if !sameState(known, snapshot) {
+	if !known.SameAs(snapshot) {
 		c.fail("%s: two states of sequence %d", host.name, sequence)
 	}
 }
@@ -137,14 +137,13 @@
 		}
 		state = next
 	}
-	if !sameState(state, action.Snapshot) {
+	if !sameItems(state, action.Snapshot) {
 		c.fail("%s: changes lead to another state than %d", host.name, action.Snapshot.Sequence())
 	}
 }
 
-func sameState(a, b *catalog.Snapshot) bool {
-	return a.Sequence() == b.Sequence() && proto.Equal(a.Digests(), b.Digests())
-}
+// sameItems compares what agents carry of a state.
+func sameItems(a, b *catalog.Snapshot) bool { return proto.Equal(a.Digests(), b.Digests()) }
 
 // sent: a voter keeps its promises, whatever happens to it in between.
 func (c *checker) sent(message *pb.Message) {
@@ -222,7 +221,7 @@
 			c.fail("%s holds no committed state at the end", host.name)
 			continue
 		}
-		if !sameState(host.machine.Committed(), newest) {
+		if !host.machine.Committed().SameAs(newest) {
 			c.fail("%s holds %d at the end, not %d", host.name, host.machine.Committed().Sequence(), c.last)
 		}
 	}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -45,7 +45,7 @@
 		item(catalog.KindSetting, "anything", `17`),
 		item(catalog.KindEvacuation, "zone-b", `{}`),
 		item(catalog.KindEvacuation, "zone-a", ``),
-		item(catalog.KindTaken, "abc", `5`),
+		item("taken", "abc", `5`),
 		item("lists-unknown-today", "x", `{"name":"x"}`),
 	})
 	require.Empty(t, faults)
