--- a/internal/controlsim/checker_test.go
+++ b/internal/controlsim/checker_test.go
@@ -26,6 +26,7 @@
 	refused      map[string]uint32 // keys of those refused, with the status
 	newestAcked  uint64            // highest acknowledged generation
 	ackedByBase  map[uint64]string // key by base
+	ackedByGen   map[uint64]string // key by generation
 	acknowledged int
 	refusals     int
 	reads        int
@@ -53,6 +54,7 @@
 		inForce:     make(map[string]bool),
 		refused:     make(map[string]uint32),
 		ackedByBase: make(map[uint64]string),
+		ackedByGen:  make(map[uint64]string),
 		evacuations: make(map[string]*evacuation),
 	}
 }
@@ -122,7 +124,7 @@
 		c.world.note("%s commits %d generation %d %v %v", host.name, sequence, snapshot.Generation(), keysOf(snapshot), snapshot.EvacuatedZones())
 		return
 	}
-	if !known.SameAs(snapshot) {
+	if !c.sameState(known, snapshot) {
 		c.fail("%s: two states of sequence %d", host.name, sequence)
 	}
 }
@@ -142,6 +144,13 @@
 	}
 }
 
+func (c *checker) sameState(a, b *catalog.Snapshot) bool {
+	if c.world.plan.mutation.looseRecords {
+		return sameItems(a, b)
+	}
+	return a.SameAs(b)
+}
+
 // sameItems compares what agents carry of a state.
 func sameItems(a, b *catalog.Snapshot) bool { return proto.Equal(a.Digests(), b.Digests()) }
 
@@ -187,6 +196,10 @@
 		c.fail("%s and %s on base %d are both acknowledged", other, order.key, order.base)
 	}
 	c.ackedByBase[order.base] = order.key
+	if other, found := c.ackedByGen[order.generation]; found && other != order.key {
+		c.fail("%s and %s are both acknowledged as generation %d", other, order.key, order.generation)
+	}
+	c.ackedByGen[order.generation] = order.key
 }
 
 func (c *checker) refuse(order *configuration, status uint32) {
@@ -221,7 +234,7 @@
 			c.fail("%s holds no committed state at the end", host.name)
 			continue
 		}
-		if !host.machine.Committed().SameAs(newest) {
+		if !c.sameState(host.machine.Committed(), newest) {
 			c.fail("%s holds %d at the end, not %d", host.name, host.machine.Committed().Sequence(), c.last)
 		}
 	}
--- a/internal/controlsim/doc.go
+++ b/internal/controlsim/doc.go
@@ -4,5 +4,7 @@
 // Messages are lost, delayed, doubled and reordered; machines are killed, frozen, cut off one way or both ways,
 // lose power with torn and missing writes, lose their disks, or are replaced; disks fill up and stall. While
 // this goes on, and after it, the checker looks at every action of every machine. The package holds tests
-// only. The environment variable CONTROLSIM_SEEDS sets the number of runs, CONTROLSIM_FIRST the first seed.
+// only. The environment variable CONTROLSIM_SEEDS sets the number of runs, CONTROLSIM_FIRST the first seed;
+// CONTROLSIM_REPEAT_SEEDS and CONTROLSIM_REPEAT_FIRST do so for the runs with eight operators that repeat orders, and
+// CONTROLSIM_RACE_STRIDE tells how many events of a change of view the sweeps of races pass over at a time.
 package controlsim
--- a/internal/controlsim/mutation_test.go
+++ b/internal/controlsim/mutation_test.go
@@ -14,6 +14,8 @@
 	reply      func(*pb.OrderResult) *pb.OrderResult
 	loseWrites bool // writes are told to be on disk but are not
 	wipeTwo    bool // more disks are lost at once than the budget allows
+	// the checker does not compare the machines' records of taken orders, so that other checks must find the fault
+	looseRecords bool
 }
 
 func (m *mutation) onMessage(message *pb.Message) *pb.Message {
--- a/internal/controlsim/network_test.go
+++ b/internal/controlsim/network_test.go
@@ -16,6 +16,7 @@
 	slow    time.Duration
 	blocked map[[2]int]bool        // from, to
 	passes  func(*pb.Message) bool // what goes through all the same; nil: nothing
+	loses   func(*pb.Message) bool // what is lost besides; nil: nothing
 }
 
 func newNetwork(w *world) network {
@@ -35,7 +36,7 @@
 
 func (n *network) send(from *host, action control.Send) {
 	to := n.world.byPeer[action.Address]
-	if to == nil || n.world.chance(n.lose) {
+	if to == nil || n.world.chance(n.lose) || (n.loses != nil && n.loses(action.Message)) {
 		return
 	}
 	n.carry(from, to, action)
--- a/internal/controlsim/operator_test.go
+++ b/internal/controlsim/operator_test.go
@@ -20,6 +20,7 @@
 	base       uint64
 	generation uint64
 	invalid    bool
+	amend      bool
 }
 
 func (c *configuration) order() *pb.Order {
@@ -27,8 +28,13 @@
 	if c.invalid {
 		service = "none"
 	}
-	body := fmt.Sprintf(`{"gen":%d,"routes":[{"name":"r%s","vhost":"h.example","path-prefix":%q,"deadline-ms":5,"backend":%q}],"backends":[{"name":"b"}]}`,
-		c.generation, c.key[1:2], c.key, service)
+	items := fmt.Sprintf(`"routes":[{"name":"r%s","vhost":"h.example","path-prefix":%q,"deadline-ms":5,"backend":%q}],"backends":[{"name":"b"}]`,
+		c.key[1:2], c.key, service)
+	if c.amend {
+		body := fmt.Sprintf(`{"gen":%d,"upsert":{%s}}`, c.generation, items)
+		return &pb.Order{Kind: pb.Order_KIND_AMEND, Base: c.base, Body: []byte(body)}
+	}
+	body := fmt.Sprintf(`{"gen":%d,%s}`, c.generation, items)
 	return &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: c.base, Body: []byte(body)}
 }
 
--- /dev/null
+++ b/internal/controlsim/race_test.go
@@ -0,0 +1,321 @@
+package controlsim
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+)
+
+// Two operators choose the same number for different changes of the same version, one of them a configuration and
+// the other an amendment, and a third sends the same body as the first, each through another machine. They do so
+// at every event of a change of view, while answers are lost at one place. CONTROLSIM_RACE_STRIDE sets how many
+// events are passed over from one run to the next.
+const (
+	defaultRaceStride = 40
+	// raceHealsAfter is when the trouble ends that led to the change of view.
+	raceHealsAfter = 3 * time.Second
+	// raceLimit is the limit for clear answers after that.
+	raceLimit = 15 * time.Second
+	// raceLosses is the number of answers that are lost at the place in question.
+	raceLosses = 3
+	// maxRaceEvents bounds the events of a change of view.
+	maxRaceEvents = 5000
+	// plantedRaces is the number of races for each upheaval in which a planted fault is looked for.
+	plantedRaces = 120
+	// plantedRaceStride is the number of events that these pass over.
+	plantedRaceStride = 5
+)
+
+// upheaval makes a change of view; chained are the hosts of the chain, the head first.
+type upheaval struct {
+	name  string
+	begin func(w *world, chained []*host)
+	end   func(w *world, chained []*host)
+}
+
+func upheavals() []upheaval {
+	startAll := func(w *world, _ []*host) {
+		for _, host := range w.hosts {
+			host.start()
+		}
+	}
+	joinAll := func(w *world, _ []*host) { w.network.blocked = make(map[[2]int]bool) }
+	cut := func(position int, from, to bool) func(*world, []*host) {
+		return func(w *world, chained []*host) {
+			for _, other := range w.hosts {
+				w.network.blocked[[2]int{chained[position].index, other.index}] = from
+				w.network.blocked[[2]int{other.index, chained[position].index}] = to
+			}
+		}
+	}
+	kill := func(position int) func(*world, []*host) {
+		return func(_ *world, chained []*host) { chained[position].kill() }
+	}
+	return []upheaval{
+		{"the head is killed", kill(0), startAll},
+		{"a middle machine is killed", kill(1), startAll},
+		{"the tail is killed", kill(2), startAll},
+		{"the head is cut off", cut(0, true, true), joinAll},
+		{"the head is not heard", cut(0, true, false), joinAll},
+		{"the head hears nothing", cut(0, false, true), joinAll},
+		{"the tail is not heard", cut(2, true, false), joinAll},
+		{
+			"the head freezes",
+			func(_ *world, chained []*host) { chained[0].frozen = true },
+			func(_ *world, chained []*host) { chained[0].thaw() },
+		},
+		{
+			"all lose power",
+			func(w *world, _ []*host) {
+				for _, host := range w.hosts {
+					host.losePower()
+					w.after(w.between(100*time.Millisecond, 400*time.Millisecond), host.start)
+				}
+			},
+			startAll,
+		},
+	}
+}
+
+// racer sends an order until it gets a clear answer, from one machine to the next.
+type racer struct {
+	operator
+	order  *configuration
+	host   int    // index of the machine that is asked next
+	status uint32 // of the clear answer; 0: there is none yet
+}
+
+func (r *racer) send() {
+	r.only = r.world.hosts[r.host%len(r.world.hosts)]
+	r.host++
+	r.ask(r.order.order(), func(result *pb.OrderResult) {
+		switch status := result.GetStatus(); {
+		case status == http.StatusOK:
+			r.world.checker.acknowledge(r.order)
+			r.status = status
+		case status >= 400 && status < 500:
+			r.world.checker.refuse(r.order, status)
+			r.status = status
+		default:
+			r.world.after(r.world.between(20*time.Millisecond, 120*time.Millisecond), r.send)
+		}
+	})
+}
+
+// raceWorld is a calm world in which one configuration was acknowledged.
+func raceWorld(t require.TestingT, seed uint64, planted mutation) (w *world, chained []*host) {
+	w = newWorld(plan{
+		seed:     seed,
+		machines: []int{3, 5}[seed%2],
+		zones:    3,
+		required: chain.Requirement{Replicas: 2, Zones: 2},
+		mutation: planted,
+		calm:     true,
+	})
+	require.True(t, w.acknowledgeOne(foundWithin))
+	w.run(time.Second)
+	for _, member := range w.hosts[0].machine.View().GetChain() {
+		chained = append(chained, w.byPeer[member.GetAddress()])
+	}
+	return w, chained
+}
+
+// isPast reports whether a later view than that of a number is in force everywhere and its head takes orders.
+func (w *world) isPast(number uint64) bool {
+	for _, host := range w.hosts {
+		if host.machine != nil && !host.frozen && host.machine.View().GetNumber() <= number {
+			return false
+		}
+	}
+	return true
+}
+
+// race is one run: the orders are sent at an event of a change of view, or the other way round.
+type race struct {
+	seed        uint64
+	change      upheaval
+	loss        answerLoss
+	event       int
+	ordersFirst bool // the change of view begins at an event of the orders' way
+	planted     mutation
+}
+
+// run returns the world, and whether what the event is counted in was over before it.
+func (r race) run(t require.TestingT) (w *world, over bool) {
+	w, chained := raceWorld(t, r.seed, r.planted)
+	w.network.loses = r.losses()
+	var racers []*racer
+	begin := func() { r.change.begin(w, chained) }
+	send := func() { racers = startRace(w, r.event) }
+	before := w.hosts[0].machine.View().GetNumber()
+	isOver := func() bool { return w.isPast(before) }
+	if r.ordersFirst {
+		begin, send = send, begin
+		isOver = func() bool { return isDecided(racers) }
+	}
+	begin()
+	for count := 0; count < r.event && !over; count++ {
+		w.step()
+		over = isOver()
+	}
+	send()
+	w.run(raceHealsAfter)
+	r.change.end(w, chained)
+	if !w.runUntil(raceLimit, func() bool { return isDecided(racers) }) {
+		w.checker.fail("the operators get no clear answer")
+		return w, over
+	}
+	checkRace(w, racers)
+	return w, over
+}
+
+// losses returns what loses the first few answers.
+func (r race) losses() func(*pb.Message) bool {
+	lost := 0
+	return func(message *pb.Message) bool {
+		if r.loss.lost == nil || lost >= raceLosses || !r.loss.lost(message) {
+			return false
+		}
+		lost++
+		return true
+	}
+}
+
+func isDecided(racers []*racer) bool {
+	return !slices.ContainsFunc(racers, func(r *racer) bool { return r.status == 0 })
+}
+
+// startRace sends a configuration twice and an amendment on the same version, under the same number.
+func startRace(w *world, event int) []*racer {
+	base := w.checker.newestAcked
+	first := &configuration{key: "/1-1/", base: base, generation: base + 1}
+	second := &configuration{key: "/2-1/", base: base, generation: base + 1, amend: true}
+	var racers []*racer
+	for index, order := range []*configuration{first, second, first} {
+		racer := &racer{operator: operator{world: w, name: index + 1, ended: true}, order: order, host: event + index}
+		racers = append(racers, racer)
+		w.after(w.upTo(3*time.Millisecond), racer.send)
+	}
+	return racers
+}
+
+// checkRace: one of the two has won, and it is said so to whoever asks again, at every machine.
+func checkRace(w *world, racers []*racer) {
+	won := func(r *racer) bool { return r.status == http.StatusOK }
+	if won(racers[0]) != won(racers[2]) {
+		w.checker.fail("one body gets %d and %d", racers[0].status, racers[2].status)
+	}
+	if won(racers[0]) == won(racers[1]) {
+		w.checker.fail("two changes of one version get %d and %d", racers[0].status, racers[1].status)
+	}
+	for index := range w.hosts {
+		for _, racer := range racers[:2] {
+			before := racer.status
+			racer.status = 0
+			racer.host = index
+			racer.send()
+			if !w.runUntil(raceHealsAfter+raceLimit, func() bool { return racer.status != 0 }) {
+				w.checker.fail("%s is sent again and gets no clear answer", racer.order.key)
+				return
+			}
+			if racer.status != before {
+				w.checker.fail("%s gets %d, and %d when it is sent again", racer.order.key, before, racer.status)
+			}
+		}
+	}
+	w.runUntil(convergeWithin, w.converged)
+	w.checker.finish()
+}
+
+func TestRacesAtEveryEventOfAChangeOfView(t *testing.T) { sweepRaces(t, false) }
+
+func TestChangesOfViewAtEveryEventOfARace(t *testing.T) { sweepRaces(t, true) }
+
+func sweepRaces(t *testing.T, ordersFirst bool) {
+	stride := number("CONTROLSIM_RACE_STRIDE", defaultRaceStride)
+	var total figures
+	t.Cleanup(func() {
+		t.Logf("%d races, %d failed", total.races.Load(), total.failed.Load())
+		require.Positive(t, total.races.Load())
+	})
+	for _, change := range upheavals() {
+		for place, loss := range answerLosses() {
+			if loss.caller > 0 {
+				continue // the operators ask again in any case
+			}
+			t.Run(change.name+", "+loss.name, func(t *testing.T) {
+				t.Parallel()
+				for event := place % stride; event < maxRaceEvents && total.failed.Load() < maxFailed; event += stride {
+					seed := uint64(event + place)
+					w, over := race{seed: seed, change: change, loss: loss, event: event, ordersFirst: ordersFirst}.run(t)
+					total.races.Add(1)
+					total.report(t, seed, w)
+					if over {
+						return
+					}
+				}
+			})
+		}
+	}
+}
+
+func TestRacesFindPlantedFaults(t *testing.T) {
+	faults := []struct {
+		name    string
+		plant   func() mutation
+		finding string
+	}{
+		{
+			"the loser is acknowledged",
+			func() mutation { return mutation{reply: acknowledgeRefused} },
+			"two changes of one version get 200 and 200",
+		},
+		{
+			"an order is not known again",
+			func() mutation { return mutation{message: forgetOrders(2)} },
+			"when it is sent again",
+		},
+		{
+			"what is acknowledged is not on disk",
+			func() mutation { return mutation{records: withoutChanges} },
+			"is sent again and gets no clear answer",
+		},
+		{
+			"an order without a clear answer is refused",
+			func() mutation { return mutation{reply: refuseUnclear} },
+			"one body gets ",
+		},
+	}
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			require.True(t, isFoundByRaces(t, fault.plant, fault.finding), "%q was not found", fault.finding)
+		})
+	}
+}
+
+func isFoundByRaces(t *testing.T, plant func() mutation, finding string) bool {
+	for _, change := range upheavals() {
+		for number := range plantedRaces {
+			planted := race{
+				seed:        uint64(number),
+				change:      change,
+				event:       plantedRaceStride * (number / 2),
+				ordersFirst: number%2 == 0,
+				planted:     plant(),
+			}
+			w, _ := planted.run(t)
+			if strings.Contains(strings.Join(w.checker.failures, "; "), finding) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/controlsim/sim_test.go
+++ b/internal/controlsim/sim_test.go
@@ -124,6 +124,7 @@
 // figures add up what happened in many runs.
 type figures struct {
 	acknowledged, refused, reads, views, failed atomic.Int64
+	repeats, unclear, most, races               atomic.Int64
 }
 
 func (f *figures) add(w *world) {
@@ -155,11 +156,16 @@
 func playAndReport(t *testing.T, seed uint64, total *figures) {
 	w := play(planOf(seed))
 	total.add(w)
+	total.report(t, seed, w)
+}
+
+// report fails the test if the checker found something, and prints the trace of the first such run.
+func (f *figures) report(t *testing.T, seed uint64, w *world) {
 	if len(w.checker.failures) == 0 {
 		return
 	}
 	t.Errorf("seed %d: %s", seed, strings.Join(w.checker.failures, "; "))
-	if total.failed.Add(1) == 1 {
+	if f.failed.Add(1) == 1 {
 		t.Log(strings.Join(w.trace, "\n"))
 	}
 }
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -112,14 +112,19 @@
 		if reached() {
 			return true
 		}
-		next := heap.Pop(&w.events).(*event)
-		w.now = next.at
-		next.do()
+		w.step()
 	}
 	w.now = end
 	return reached()
 }
 
+// step lets the next event happen.
+func (w *world) step() {
+	next := heap.Pop(&w.events).(*event)
+	w.now = next.at
+	next.do()
+}
+
 func (w *world) upTo(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
 }
