--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -13,8 +13,9 @@
 	for _, item := range next.Items(KindBackends) {
 		services[item.GetName()] = true
 	}
-	checker := routeChecker{services: services, owners: make(map[routeKey]string), faults: faults}
-	for _, item := range next.Items(KindRoutes) {
+	routes := next.Items(KindRoutes)
+	checker := routeChecker{services: services, owners: make(map[routeKey]string, len(routes)), faults: faults}
+	for _, item := range routes {
 		checker.check(item)
 	}
 }
@@ -31,6 +32,14 @@
 	faults   *InvalidError
 }
 
+// optionalText decodes a JSON string; any other value gives the empty text.
+func optionalText(value []byte) string {
+	if !isString(value) {
+		return ""
+	}
+	return text(value)
+}
+
 // routeFields are the members of a route that the rules are about; nil where they are missing or null.
 type routeFields struct {
 	host, prefix, service, split, deadline []byte
@@ -62,106 +71,111 @@
 }
 
 func (c *routeChecker) check(item *pb.Item) {
-	place := KindRoutes + "/" + item.GetName()
 	fields := readRoute(item.GetBody())
-	c.checkPlace(place, item.GetName(), fields)
-	c.checkDeadline(place, fields.deadline)
-	c.checkServices(place, fields)
+	c.checkPlace(item.GetName(), fields)
+	c.checkDeadline(item.GetName(), fields.deadline)
+	c.checkServices(item.GetName(), fields)
+}
+
+// fault adds a fault of a route.
+func (c *routeChecker) fault(route, field, format string, arguments ...any) {
+	c.faults.add(KindRoutes+"/"+route, field, format, arguments...)
 }
 
 // checkPlace refuses a route that no request can be matched with, and two for the same requests.
-func (c *routeChecker) checkPlace(place, name string, fields routeFields) {
-	if !isString(fields.host) || text(fields.host) == "" {
-		c.faults.add(place, "vhost", "is not a host name")
+func (c *routeChecker) checkPlace(route string, fields routeFields) {
+	key := routeKey{host: optionalText(fields.host), prefix: optionalText(fields.prefix)}
+	if key.host == "" {
+		c.fault(route, "vhost", "is not a host name")
 		return
 	}
-	if !isString(fields.prefix) || !strings.HasPrefix(text(fields.prefix), "/") {
-		c.faults.add(place, "path-prefix", "does not begin with a slash")
+	if !strings.HasPrefix(key.prefix, "/") {
+		c.fault(route, "path-prefix", "does not begin with a slash")
 		return
 	}
-	key := routeKey{host: strings.ToLower(text(fields.host)), prefix: text(fields.prefix)}
+	key.host = strings.ToLower(key.host)
 	if owner, taken := c.owners[key]; taken {
-		c.faults.add(place, "path-prefix", "route %q has the same host and prefix", owner)
+		c.fault(route, "path-prefix", "route %q has the same host and prefix", owner)
 		return
 	}
-	c.owners[key] = name
+	c.owners[key] = route
 }
 
-func (c *routeChecker) checkDeadline(place string, value []byte) {
+func (c *routeChecker) checkDeadline(route string, value []byte) {
 	if value == nil {
 		return
 	}
 	deadline, ok := floatNumber(value)
 	if !ok {
-		c.faults.add(place, "deadline-ms", "is not a number")
+		c.fault(route, "deadline-ms", "is not a number")
 		return
 	}
 	if deadline <= 0 {
-		c.faults.add(place, "deadline-ms", "is not above 0")
+		c.fault(route, "deadline-ms", "is not above 0")
 	}
 }
 
 // checkServices checks the services that a route names, by "backend" or by "split".
-func (c *routeChecker) checkServices(place string, fields routeFields) {
+func (c *routeChecker) checkServices(route string, fields routeFields) {
 	named := fields.service != nil
 	if named {
-		named = c.checkService(place, "backend", fields.service)
+		named = c.checkService(route, "backend", fields.service)
 	}
 	if fields.split == nil {
 		if !named {
-			c.faults.add(place, "backend", "no service is named")
+			c.fault(route, "backend", "no service is named")
 		}
 		return
 	}
 	if !isArray(fields.split) {
-		c.faults.add(place, "split", "is not a list")
+		c.fault(route, "split", "is not a list")
 		return
 	}
-	total, count := c.checkSplit(place, fields.split)
+	total, count := c.checkSplit(route, fields.split)
 	onlyService := count == 0 && named
 	if total <= 0 && !onlyService {
-		c.faults.add(place, "split", "the shares add up to 0")
+		c.fault(route, "split", "the shares add up to 0")
 	}
 }
 
 // checkService reports whether a service is named; the empty name stands for none.
-func (c *routeChecker) checkService(place, field string, value []byte) bool {
+func (c *routeChecker) checkService(route, field string, value []byte) bool {
 	if !isString(value) {
-		c.faults.add(place, field, "is not a name")
+		c.fault(route, field, "is not a name")
 		return true
 	}
-	name := text(value)
-	if name == "" {
+	name := inner(value)
+	if len(name) == 0 {
 		return false
 	}
-	if !c.services[name] {
-		c.faults.add(place, field, "there is no service %q", name)
+	if !c.services[string(name)] && !c.services[textOf(name)] {
+		c.fault(route, field, "there is no service %q", textOf(name))
 	}
 	return true
 }
 
-func (c *routeChecker) checkSplit(place string, split []byte) (total float64, count int) {
+func (c *routeChecker) checkSplit(route string, split []byte) (total float64, count int) {
 	for element := range elements(split) {
 		count++
 		if !isObject(element) {
-			c.faults.add(place, "split", "element %d is not an object", count-1)
+			c.fault(route, "split", "element %d is not an object", count-1)
 			continue
 		}
-		if !c.checkService(place, "split", member(element, "backend")) {
-			c.faults.add(place, "split", "element %d names no service", count-1)
+		if !c.checkService(route, "split", member(element, "backend")) {
+			c.fault(route, "split", "element %d names no service", count-1)
 		}
-		total += c.checkShare(place, member(element, "share"))
+		total += c.checkShare(route, member(element, "share"))
 	}
 	return total, count
 }
 
-func (c *routeChecker) checkShare(place string, value []byte) float64 {
+func (c *routeChecker) checkShare(route string, value []byte) float64 {
 	if value == nil {
 		return 0
 	}
 	share, ok := floatNumber(value)
 	if !ok || share < 0 {
-		c.faults.add(place, "split", "a share is not a number of 0 or more")
+		c.fault(route, "split", "a share is not a number of 0 or more")
 		return 0
 	}
 	return share
