Let small bodies of untold length in while large ones are under way

Cause: a body without a length counted as large from the start, so that three large configurations under way at a machine kept small ones out for up to five seconds. Change: a body claims one of the places of large ones when it is known to be large. Figures: with three large bodies under way a small one of untold length got 503 before (the new test), now 200.

--- a/internal/operatorapi/orders.go
+++ b/internal/operatorapi/orders.go
@@ -82,14 +82,9 @@
 		s.refuse(w, &BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes})
 		return
 	}
-	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
-		if !take(s.largeBodies) {
-			s.refuse(w, &BusyError{})
-			return
-		}
-		defer release(s.largeBodies)
-	}
-	body, err := s.readBody(w, r)
+	large := &largeBody{tokens: s.largeBodies}
+	defer large.release()
+	body, err := s.readBody(w, r, large)
 	if err != nil {
 		s.refuse(w, err)
 		return
@@ -120,15 +115,39 @@
 	return min(limit, longestSubmitLimit)
 }
 
+// largeBody is the place of one body among the large ones in memory, if it is large.
+type largeBody struct {
+	tokens chan struct{}
+	held   bool
+}
+
+// claim takes a place. The error is a *BusyError if there is none.
+func (l *largeBody) claim() error {
+	if !take(l.tokens) {
+		return &BusyError{}
+	}
+	l.held = true
+	return nil
+}
+
+func (l *largeBody) release() {
+	if l.held {
+		release(l.tokens)
+	}
+}
+
 // readBody reads the whole body within the bounds of size and time.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, large *largeBody) ([]byte, error) {
 	// An error only means that the connection's own limits stay in force.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(receiveLimit))
 	limited := http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes)
-	body, err := readWhole(limited, r.ContentLength)
+	body, err := readWhole(limited, r.ContentLength, large)
 	if err == nil {
 		return body, nil
 	}
+	if busy, full := errors.AsType[*BusyError](err); full {
+		return nil, busy
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes}
@@ -139,10 +158,16 @@
 	return nil, &BodyBrokenError{Cause: err}
 }
 
-// readWhole reads to the end, into a buffer of the right size if the length is known.
-func readWhole(reader io.Reader, length int64) ([]byte, error) {
+// readWhole reads to the end, into a buffer of the right size if the length is known. A body claims its place
+// once it is known to be large.
+func readWhole(reader io.Reader, length int64, large *largeBody) ([]byte, error) {
 	if length < 0 {
-		return io.ReadAll(reader)
+		return readUnsized(reader, large)
+	}
+	if length > smallBodyBytes {
+		if err := large.claim(); err != nil {
+			return nil, err
+		}
 	}
 	body := make([]byte, length)
 	_, err := io.ReadFull(reader, body)
@@ -152,6 +177,19 @@
 	return body, nil
 }
 
+// readUnsized reads a body whose length is not told.
+func readUnsized(reader io.Reader, large *largeBody) ([]byte, error) {
+	start, err := io.ReadAll(io.LimitReader(reader, smallBodyBytes+1))
+	if err != nil || len(start) <= smallBodyBytes {
+		return start, err
+	}
+	if err := large.claim(); err != nil {
+		return nil, err
+	}
+	rest, err := io.ReadAll(reader)
+	return append(start, rest...), err
+}
+
 // take takes one token if there is room.
 func take(tokens chan struct{}) bool {
 	select {
--- a/internal/operatorapi/server_test.go
+++ b/internal/operatorapi/server_test.go
@@ -251,6 +251,43 @@
 	})
 }
 
+// Large bodies that are under way keep other large ones out, but not small ones, whether their length is told or not.
+func TestLargeBodiesUnderWayLeaveRoomForSmallOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		finish := make(chan struct{})
+		server := New(optionsWith(&recordedOrders{answer: func(_ context.Context, order *pb.Order) *pb.OrderResult {
+			if len(order.GetBody()) > smallBodyBytes {
+				<-finish
+			}
+			return &pb.OrderResult{Status: 200}
+		}}))
+		send := func(bytes int, sized bool) int {
+			var body io.Reader = strings.NewReader(strings.Repeat("x", bytes))
+			if !sized {
+				body = io.MultiReader(body)
+			}
+			request := httptest.NewRequest("POST", "/api/conf/replace", body)
+			request.Header.Set("X-Fieldrelay-Base-Rev", "1")
+			recorder := httptest.NewRecorder()
+			server.Handler(everything).ServeHTTP(recorder, request)
+			return recorder.Code
+		}
+		for index := range maxLargeBodies {
+			go send(smallBodyBytes+1, index%2 == 0)
+		}
+		synctest.Wait()
+		for _, sized := range []bool{true, false} {
+			require.Equal(t, 503, send(smallBodyBytes+1, sized))
+			require.Equal(t, 200, send(smallBodyBytes, sized))
+			require.Equal(t, 200, send(0, sized))
+		}
+		close(finish)
+		synctest.Wait()
+		require.Equal(t, 200, send(2*smallBodyBytes, false), "the places are free again")
+		require.Empty(t, server.largeBodies)
+	})
+}
+
 func TestCountersFollowAnswers(t *testing.T) {
 	counters := &Counters{}
 	for _, status := range []uint32{200, 200, 412, 503} {
