--- a/internal/controlsim/doc.go
+++ b/internal/controlsim/doc.go
@@ -6,4 +6,6 @@
 // this goes on, and after it, the checker looks at every action of every machine. The package holds tests
 // only. The environment variable CONTROLSIM_SEEDS sets the number of runs, CONTROLSIM_FIRST the first seed;
 // CUTSIM_SEEDS and CUTSIM_FIRST do so for the storms of cuts of up to 22 s.
+// CONTROLSIM_REPEAT_SEEDS and CONTROLSIM_REPEAT_FIRST do so for the runs with eight operators that repeat orders, and
+// CONTROLSIM_RACE_STRIDE tells how many events of a change of view the sweeps of races pass over at a time.
 package controlsim
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -37,13 +37,14 @@
 
 // plan is what a world is made of.
 type plan struct {
-	seed     uint64
-	machines int
-	zones    int
-	required chain.Requirement
-	mutation mutation
-	calm     bool    // no faults of the network
-	restless float64 // probability that a voter proposes without need at a tick
+	seed      uint64
+	machines  int
+	zones     int
+	required  chain.Requirement
+	mutation  mutation
+	calm      bool    // no faults of the network
+	restless  float64 // probability that a voter proposes without need at a tick
+	processor float64 // share of a core of each host; 0: events take no time
 }
 
 // world is a set of machines with everything around them.
@@ -63,6 +64,8 @@
 	request  uint64
 	lastHurt time.Duration // end of the last trouble
 	trace    []string
+
+	stateBytes int // size of the configuration, for the cost of checking an amendment
 }
 
 func newWorld(plan plan) *world {
@@ -112,14 +115,19 @@
 		if reached() {
 			return true
 		}
-		next := heap.Pop(&w.events).(*event)
-		w.now = next.at
-		next.do()
+		w.step()
 	}
 	w.now = end
 	return reached()
 }
 
+// step lets the next event happen.
+func (w *world) step() {
+	next := heap.Pop(&w.events).(*event)
+	w.now = next.at
+	next.do()
+}
+
 func (w *world) upTo(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
 }
