Make leaving an agreed step: a control machine told to end is left out by a view

Cause: a control machine that got SIGTERM just fell silent; the others learnt of it after 1.2 s, and no order was acknowledged meanwhile. Nobody looked whether the copies required were elsewhere, a return cost the pause of a machine that comes and goes, and an even number of voters was short of one vote until 2.5 s had gone. Ruled out: taking the vote from every leaver (out of an odd number nothing is won, and a restart would cost two changes of voters); answering orders 503 at a machine that is not yet, or no more, the head. Change: event Leave; heartbeats carry `leaving` (an older receiver ignores it and takes part in the view that the leaver proposes itself). chain.Next drops a leaver once the staying members that hold the state meet the requirement, adds whoever can take the state until then, never adds a leaver. The vote goes with it out of an even number, stays out of an odd one, and passes to a joiner at once. The machine ends when the view is in force and copied, when nobody is there who could go on, or after 2 s. A planned return waits for no pause. Orders that come before the view that makes their receiver the head are kept for it.

--- a/internal/chain/next_test.go
+++ b/internal/chain/next_test.go
@@ -22,6 +22,7 @@
 	unfit   = Candidate{Holds: true, Steady: true}
 	lagging = Candidate{Fit: true, Steady: true}
 	fresh   = Candidate{Fit: true, Holds: true}
+	leaving = Candidate{Fit: true, Holds: true, Steady: true, Leaving: true}
 )
 
 func TestNext(t *testing.T) {
@@ -72,6 +73,31 @@
 			candidates: map[string]Candidate{"a": good, "b": good, "c": good, "d": good, "e": good, "f": good},
 			want:       "a b c d e",
 		},
+		{
+			name: "a member that was told to end goes", chain: "a b c", voters: "a b c",
+			candidates: map[string]Candidate{"a": leaving, "b": good, "c": good},
+			want:       "b c", change: Change{Removal: true},
+		},
+		{
+			name: "not before the others hold enough copies", chain: "a b c", voters: "a b c",
+			candidates: map[string]Candidate{"a": leaving, "b": good, "c": lagging},
+			want:       "a b c",
+		},
+		{
+			name: "while it stays, whoever can take the state is added", chain: "a b", voters: "a b c",
+			candidates: map[string]Candidate{"a": leaving, "b": good, "c": lagging},
+			want:       "a b c", change: Change{Addition: true},
+		},
+		{
+			name: "the only copy stays", chain: "a", voters: "a b c",
+			candidates: map[string]Candidate{"a": leaving, "b": lagging},
+			want:       "a b", change: Change{Addition: true},
+		},
+		{
+			name: "one that was told to end is not added", chain: "a b", voters: "a b c",
+			candidates: map[string]Candidate{"a": good, "b": good, "c": leaving},
+			want:       "a b",
+		},
 		{
 			name: "a member that does not vote any more goes", chain: "a b c", voters: "a b d",
 			candidates: map[string]Candidate{"a": good, "b": good, "c": good, "d": lagging},
@@ -100,7 +126,7 @@
 			Region:   "r" + zone,
 		})
 	}
-	require.Equal(t, "b c a g e", identities(First(voters)))
+	require.Equal(t, "b c a g e", identities(First(voters, Requirement{Replicas: 2, Zones: 2})))
 }
 
 func TestRequirement(t *testing.T) {
@@ -128,3 +154,44 @@
 	require.True(t, required.MetBy([]*pb.Replica{near, far}, voters))
 	require.True(t, required.MetBy([]*pb.Replica{near, alsoNear}, []*pb.Replica{near, alsoNear}), "there is only one region")
 }
+
+// inPlaces returns replicas with candidates that are all good; each is named by its place, region and zone.
+func inPlaces(names ...string) ([]*pb.Replica, map[string]Candidate) {
+	candidates := make(map[string]Candidate, len(names))
+	var replicas []*pb.Replica
+	for _, name := range names {
+		replicas = append(replicas, &pb.Replica{Host: name, Identity: name, Region: name[:1], Zone: name[:2]})
+		candidates[name] = good
+	}
+	return replicas, candidates
+}
+
+func TestChainIsSpreadOverRegionsWhereTheLossOfOneMustBeBorne(t *testing.T) {
+	voters, candidates := inPlaces("aa1", "ab1", "ac1", "ba1", "ca1")
+	view := &pb.View{Chain: voters[:1]}
+	candidates["ca1"] = Candidate{}
+	near, _ := Next(view, voters, candidates, Requirement{Replicas: 2, Zones: 2, Regions: 1})
+	require.Equal(t, "aa1 ab1 ac1 ba1", identities(near), "by zone, in the order of the voters")
+	far, _ := Next(view, voters, candidates, Requirement{Replicas: 2, Zones: 2, Regions: 2})
+	require.Equal(t, "aa1 ba1 ab1 ac1", identities(far))
+	require.Equal(t, "aa1 ab1 ac1 ba1 ca1", identities(First(voters, Requirement{Replicas: 2, Zones: 2, Regions: 2})))
+}
+
+func TestFirstChainPrefersRegionsOnlyWhereTheLossOfOneMustBeBorne(t *testing.T) {
+	voters, _ := inPlaces("aa1", "ab1", "ac1", "ad1", "ae1", "ba1")
+	require.Equal(t, "aa1 ab1 ac1 ad1 ae1", identities(First(voters, Requirement{Replicas: 2, Zones: 2, Regions: 1})))
+	require.Equal(t, "aa1 ab1 ac1 ad1 ba1", identities(First(voters, Requirement{Replicas: 2, Zones: 2, Regions: 2})))
+}
+
+func TestFullChainInTooFewPlacesMakesRoom(t *testing.T) {
+	voters, candidates := inPlaces("aa1", "aa2", "aa3", "ab1", "ab2", "ba1")
+	required := Requirement{Replicas: 2, Zones: 3, Regions: 2}
+	view := &pb.View{Chain: voters[:5]}
+	wanted, change := Next(view, voters, candidates, required)
+	require.Equal(t, "aa1 aa2 aa3 ab1 ba1", identities(wanted))
+	require.Equal(t, Change{Removal: true, Addition: true}, change)
+	candidates["ba1"] = Candidate{}
+	wanted, change = Next(view, voters, candidates, required)
+	require.Equal(t, "aa1 aa2 aa3 ab1 ab2", identities(wanted), "nobody in another place is fit")
+	require.Equal(t, Change{}, change)
+}
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -6,7 +6,6 @@
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/internal/chain"
 	"fieldrelay/internal/quorum"
 )
 
@@ -22,11 +21,6 @@
 	retryPause = 200 * time.Millisecond
 	// leftoverAfter is how long an accepted value may stay undecided before another voter completes it.
 	leftoverAfter = 800 * time.Millisecond
-	// returnPause is how long a machine that was dropped from the chain stays outside; it doubles with each
-	// time up to maxReturnPause, and starts anew after a calm time of calmReturn.
-	returnPause    = time.Second
-	maxReturnPause = 16 * time.Second
-	calmReturn     = time.Minute
 )
 
 // election is what a voter knows of attempts to change the view.
@@ -40,12 +34,6 @@
 	dropped  map[string]dropRecord
 }
 
-// dropRecord tells how often and when a machine was dropped from the chain.
-type dropRecord struct {
-	count int
-	at    time.Duration
-}
-
 // base is the view whose voters decide on the next one.
 func (m *Machine) base() *pb.View {
 	if view := m.View(); view != nil {
@@ -89,88 +77,10 @@
 	return m.config.Restless != nil && m.View() != nil && m.votes() && m.config.Restless()
 }
 
-// seesNeed reports whether this machine should have another view decided.
-func (m *Machine) seesNeed() bool {
-	if m.View() == nil {
-		return m.seesFounders()
-	}
-	if !m.isFit() || !m.hearsMajority() || m.now-m.started < listenFirst {
-		return false
-	}
-	if m.acceptor.HasAccepted() && m.now-m.election.accepted > leftoverAfter {
-		return true
-	}
-	if m.isComplete() {
-		return false
-	}
-	wanted, change := m.wantedView()
-	if wanted == nil {
-		return false
-	}
-	inChain := quorum.IndexOf(m.View().GetChain(), m.self.GetIdentity()) != quorum.NotFound
-	return change.Removal || (inChain && change.any())
-}
-
-// isComplete reports, at little cost, whether the view cannot be bettered: the chain is as long as it may be,
-// all its members are fit, all voters are live and nobody waits to join.
-func (m *Machine) isComplete() bool {
-	view := m.View()
-	if len(view.GetChain()) != min(len(view.GetVoters()), chain.MaxLength) {
-		return false
-	}
-	for _, voter := range view.GetVoters() {
-		identity := voter.GetIdentity()
-		if !m.isLive(identity) {
-			return false
-		}
-		found, known := m.peers.known[identity]
-		if known && !found.heartbeat.GetStorageHealthy() {
-			return false
-		}
-	}
-	return !m.hasJoiner()
-}
-
-// hasJoiner reports whether a live machine does not vote.
-func (m *Machine) hasJoiner() bool {
-	for identity := range m.peers.known {
-		if m.isLive(identity) && quorum.IndexOf(m.View().GetVoters(), identity) == quorum.NotFound {
-			return true
-		}
-	}
-	return false
-}
-
-// need tells how a wanted view differs from the one in force.
-type need struct {
-	chain.Change
-	Voters bool // other voters
-}
-
-func (n need) any() bool { return n.Removal || n.Addition || n.Voters }
-
-// wantedView returns the view that should follow as this machine sees it; nil when there can be none.
-func (m *Machine) wantedView() (*pb.View, need) {
-	view := m.View()
-	voters, changed := quorum.NextVoters(view, m.electorate())
-	members, change := chain.Next(view, voters, m.candidates(voters), m.config.Requirement)
-	if members == nil {
-		return nil, need{}
-	}
-	wanted := &pb.View{
-		Number:  view.GetNumber() + 1,
-		Cluster: view.GetCluster(),
-		Voters:  voters,
-		Chain:   members,
-	}
-	return wanted, need{Change: change, Voters: changed}
-}
-
-// rank is this machine's place among the live voters, those in the chain first.
+// rank is this machine's place among the live voters in the order in which they propose.
 func (m *Machine) rank() int {
-	base := m.base()
 	rank := 0
-	for _, voter := range slices.Concat(base.GetChain(), base.GetVoters()) {
+	for _, voter := range m.proposers() {
 		if m.isSelf(voter) {
 			return rank
 		}
@@ -181,6 +91,26 @@
 	return rank
 }
 
+// proposers lists the voters in the order in which they propose: first the members of the chain that were told to
+// end, which know best why another view is needed, then the other members, then the rest.
+func (m *Machine) proposers() []*pb.Replica {
+	base := m.base()
+	var leavers, members, others []*pb.Replica
+	for _, member := range base.GetChain() {
+		if m.isLeaving(member.GetIdentity()) {
+			leavers = append(leavers, member)
+		} else {
+			members = append(members, member)
+		}
+	}
+	for _, voter := range base.GetVoters() {
+		if quorum.IndexOf(base.GetChain(), voter.GetIdentity()) == quorum.NotFound {
+			others = append(others, voter)
+		}
+	}
+	return slices.Concat(leavers, members, others)
+}
+
 // isSelf also holds for this machine's entry among the seeds.
 func (m *Machine) isSelf(voter *pb.Replica) bool {
 	if voter.GetIdentity() == "" {
@@ -196,32 +126,6 @@
 	return m.isLive(voter.GetIdentity())
 }
 
-// mayReturn reports whether a machine that was dropped from the chain has been outside for long enough.
-func (m *Machine) mayReturn(identity string) bool {
-	record, known := m.election.dropped[identity]
-	if !known {
-		return true
-	}
-	pause := min(returnPause<<min(record.count-1, 10), maxReturnPause)
-	return m.now-record.at >= pause
-}
-
-// noteDropped remembers which machines a new view has left out of the chain.
-func (m *Machine) noteDropped(before, after *pb.View) {
-	for identity, record := range m.election.dropped {
-		if m.now-record.at > calmReturn {
-			delete(m.election.dropped, identity)
-		}
-	}
-	for _, member := range before.GetChain() {
-		identity := member.GetIdentity()
-		if quorum.IndexOf(after.GetChain(), identity) != quorum.NotFound {
-			continue
-		}
-		m.election.dropped[identity] = dropRecord{count: m.election.dropped[identity].count + 1, at: m.now}
-	}
-}
-
 func (m *Machine) beginAttempt() {
 	if !m.diskAccepts() {
 		return
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -37,6 +37,9 @@
 // founds the system.
 type SeedsChanged struct{ Seeds []string }
 
+// Leave tells the machine that it is to end. It goes on, for LeaveLimit at most, until the others go on without it.
+type Leave struct{}
+
 func (Started) isEvent()      {}
 func (Tick) isEvent()         {}
 func (Received) isEvent()     {}
@@ -45,6 +48,7 @@
 func (Submitted) isEvent()    {}
 func (Broadcast) isEvent()    {}
 func (SeedsChanged) isEvent() {}
+func (Leave) isEvent()        {}
 
 // Action is something that a Machine asks for.
 type Action interface{ isAction() }
@@ -89,6 +93,11 @@
 // ListHeard passes on a server list from another machine.
 type ListHeard struct{ List *pb.ServerList }
 
+// Left tells, once after Leave, that the machine need not run any longer.
+type Left struct {
+	Agreed bool // a view without it is in force, and the copies required are elsewhere
+}
+
 func (Send) isAction()           {}
 func (Persist) isAction()        {}
 func (Reply) isAction()          {}
@@ -96,3 +105,4 @@
 func (ViewChanged) isAction()    {}
 func (HeartbeatHeard) isAction() {}
 func (ListHeard) isAction()      {}
+func (Left) isAction()           {}
--- a/internal/control/head.go
+++ b/internal/control/head.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,12 +12,17 @@
 	"fieldrelay/internal/catalog"
 )
 
+// earlyLimit is how long an order is kept for the view that makes its receiver the head.
+const earlyLimit = resendOrder
+
 // headOrders are the orders that arrived at this machine as the head of the chain.
 type headOrders struct {
 	queue  []*headOrder
 	active *headOrder // its change is on its way through the chain; nil if there is none
 
 	confirmations []confirmation
+
+	early []*headOrder // came while another machine was the head; this one may become it
 }
 
 type headOrder struct {
@@ -39,6 +45,10 @@
 	if m.isKnownOrder(from, order.GetId()) {
 		return
 	}
+	if !m.isHead() && m.View() != nil {
+		m.keepEarly(from, order)
+		return
+	}
 	if !m.takesOrders() || len(m.head.queue) >= maxOrders {
 		m.result(from, unavailable(order.GetId()))
 		return
@@ -49,13 +59,32 @@
 	m.head.queue = append(m.head.queue, &headOrder{from: from, order: order, expires: m.now + limitOf(order)})
 }
 
+// keepEarly keeps an order that came before the view by which this machine is the head, and tells the origin of the
+// view in force, in case that is the one which lags.
+func (m *Machine) keepEarly(from *pb.Replica, order *pb.Order) {
+	if len(m.head.early) < maxOrders {
+		m.head.early = append(m.head.early, &headOrder{from: from, order: order, expires: m.now + earlyLimit})
+	}
+	m.send(from, &pb.Message{Body: &pb.Message_Decided{Decided: &pb.Decided{View: m.View()}}})
+}
+
+// takeEarly takes the orders that were kept, if this machine is the head now.
+func (m *Machine) takeEarly(early []*headOrder) {
+	for _, kept := range early {
+		if m.isHead() && m.now < kept.expires {
+			m.order(kept.from, kept.order)
+		}
+	}
+}
+
+func (m *Machine) isHead() bool {
+	return m.replica.Head().GetIdentity() == m.self.GetIdentity()
+}
+
 // takesOrders reports whether this machine is the head of a chain that is long and wide enough.
 func (m *Machine) takesOrders() bool {
 	view := m.View()
-	if view == nil || m.replica.Head().GetIdentity() != m.self.GetIdentity() {
-		return false
-	}
-	return m.config.Requirement.MetBy(view.GetChain(), view.GetVoters())
+	return view != nil && m.isHead() && m.config.Requirement.MetBy(view.GetChain(), view.GetVoters())
 }
 
 func (m *Machine) isKnownOrder(from *pb.Replica, id uint64) bool {
@@ -165,13 +194,12 @@
 }
 
 func (m *Machine) tickHead() {
-	kept := m.head.queue[:0]
-	for _, queued := range m.head.queue {
-		if m.now < queued.expires {
-			kept = append(kept, queued)
-		}
-	}
-	m.head.queue = kept
+	m.head.queue = m.unexpired(m.head.queue)
+	m.head.early = m.unexpired(m.head.early)
+}
+
+func (m *Machine) unexpired(orders []*headOrder) []*headOrder {
+	return slices.DeleteFunc(orders, func(order *headOrder) bool { return m.now >= order.expires })
 }
 
 // result tells an order's origin the outcome.
--- /dev/null
+++ b/internal/control/leaving.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/quorum"
+)
+
+// Times of leaving, after Leave.
+const (
+	// LeaveLimit is how long a machine goes on at most.
+	LeaveLimit = 2 * time.Second
+	// leaveUnmet is when a machine counts as unfit for the chain, even if the copies required are not elsewhere.
+	leaveUnmet = 1500 * time.Millisecond
+)
+
+// leaving is the way out of a machine that was told to end.
+type leaving struct {
+	begun bool
+	since time.Duration
+	told  bool // Left was
+}
+
+// leave announces that this machine is to end and has a view without it decided.
+func (m *Machine) leave() {
+	if m.leaving.begun {
+		return
+	}
+	m.leaving.begun = true
+	m.leaving.since = m.now
+	m.sendHeartbeats()
+	m.tickElection()
+}
+
+// tellLeft tells that this machine may end: when the others go on without it, when nobody is there who could, or
+// when it has stayed for as long as it may.
+func (m *Machine) tellLeft() {
+	if !m.leaving.begun || m.leaving.told {
+		return
+	}
+	agreed := m.hasLeft()
+	if agreed || !m.hasSuccessors() || m.now-m.leaving.since >= LeaveLimit {
+		m.leaving.told = true
+		m.actions = append(m.actions, Left{Agreed: agreed})
+	}
+}
+
+// hasLeft reports whether the others go on without this machine: it is not in the chain, the chain has the copies
+// required, and the voters are as they should be without it.
+func (m *Machine) hasLeft() bool {
+	view := m.View()
+	identity := m.self.GetIdentity()
+	if view == nil || quorum.IndexOf(view.GetVoters(), identity) == quorum.NotFound {
+		return true
+	}
+	if quorum.IndexOf(view.GetChain(), identity) != quorum.NotFound {
+		return false
+	}
+	candidates := m.candidates(view.GetChain())
+	holders := slices.DeleteFunc(slices.Clone(view.GetChain()), func(member *pb.Replica) bool {
+		candidate := candidates[member.GetIdentity()]
+		return !candidate.Fit || !candidate.Holds || candidate.Leaving
+	})
+	if !m.config.Requirement.MetBy(holders, view.GetVoters()) {
+		return false
+	}
+	voters, _ := quorum.NextVoters(view, m.electorate())
+	return quorum.IndexOf(voters, identity) != quorum.NotFound
+}
+
+// hasSuccessors reports whether a majority of the voters is heard and one of the others is to stay.
+func (m *Machine) hasSuccessors() bool {
+	if !m.hearsMajority() {
+		return false
+	}
+	return slices.ContainsFunc(m.View().GetVoters(), func(voter *pb.Replica) bool {
+		return m.isLive(voter.GetIdentity()) && !m.isLeaving(voter.GetIdentity())
+	})
+}
+
+// isLeaving reports whether a machine has said that it was told to end.
+func (m *Machine) isLeaving(identity string) bool {
+	if identity == m.self.GetIdentity() {
+		return m.leaving.begun
+	}
+	found, known := m.peers.known[identity]
+	return known && found.heartbeat.GetLeaving()
+}
+
+// hasLeftChain reports whether a machine that was told to end is outside of the chain in force.
+func (m *Machine) hasLeftChain(identity string) bool {
+	inChain := quorum.IndexOf(m.View().GetChain(), identity) != quorum.NotFound
+	return !inChain && m.isLeaving(identity)
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -62,6 +62,8 @@
 			if node.options.OnServerList != nil {
 				node.options.OnServerList(action.List)
 			}
+		case Left:
+			node.left <- action.Agreed
 		}
 	}
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -66,6 +66,7 @@
 	peers    peerTable
 	disk     diskQueue
 	election election
+	leaving  leaving
 	origin   originOrders
 	head     headOrders
 	checks   viewChecks
@@ -133,8 +134,11 @@
 		m.broadcast(event.List)
 	case SeedsChanged:
 		m.contacts = event.Seeds
+	case Leave:
+		m.leave()
 	}
 	m.pump()
+	m.tellLeft()
 	return m.actions
 }
 
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -24,6 +24,7 @@
 	held    []Persist
 	replies []*pb.OrderResult
 	sent    []Send
+	left    []Left
 	request uint64
 }
 
@@ -58,6 +59,8 @@
 			l.replies = append(l.replies, action.Result)
 		case Send:
 			l.sent = append(l.sent, action)
+		case Left:
+			l.left = append(l.left, action)
 		}
 	}
 	l.release()
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -50,8 +50,8 @@
 		return
 	}
 	found := m.peers.note(from, m.now)
-	if heartbeat := message.GetHeartbeat(); heartbeat != nil {
-		found.heartbeat = heartbeat
+	if heartbeat := message.GetHeartbeat(); heartbeat != nil && !found.take(heartbeat, m.now) {
+		return
 	}
 	m.handle(message)
 }
@@ -140,6 +140,7 @@
 		Synchronised:   published.Holds,
 		Bootstrap:      m.bootstrap && m.View() == nil,
 		Incarnation:    m.incarnation,
+		Leaving:        m.leaving.begun,
 	}}}
 	sent := make(map[string]bool)
 	for _, voter := range m.View().GetVoters() {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -26,6 +26,8 @@
 	eventQueue = 256
 	// submitSlack is added to an order's limit, to end the wait for a machine that does not answer at all.
 	submitSlack = time.Second
+	// leaveSlack is added to LeaveLimit, to end the wait for a machine that does not answer at all.
+	leaveSlack = 200 * time.Millisecond
 	// openPause is the wait before a disk that refuses is opened again.
 	openPause = 200 * time.Millisecond
 	// deliverWait is how long a delivery waits for a machine that is behind.
@@ -81,6 +83,7 @@
 	machine *Machine
 
 	status atomic.Pointer[Status]
+	left   chan bool // holds whether the others agreed, once the machine has left
 
 	mutex   sync.Mutex // guards what follows
 	changed chan struct{}
@@ -110,6 +113,7 @@
 		changed: make(chan struct{}),
 		history: catalog.NewHistory(0),
 		waiting: make(map[uint64]chan *pb.OrderResult),
+		left:    make(chan bool, 1),
 	}
 	node.outboxes = newOutboxes(ctx, &node.counters)
 	node.writer = newWriter(opened, node.post, &node.counters)
@@ -254,3 +258,18 @@
 	default: // the next list follows soon
 	}
 }
+
+// Leave tells the other control machines that this one is to end, and returns when it may: the others go on
+// without it, or cannot, or LeaveLimit is over. It reports whether they agreed on that. It is called once; the node
+// works on until its context ends.
+func (node *Node) Leave(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, LeaveLimit+leaveSlack)
+	defer cancel()
+	node.post(ctx, Leave{})
+	select {
+	case agreed := <-node.left:
+		return agreed
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -23,6 +23,27 @@
 	heard     time.Duration // last time
 	liveSince time.Duration
 	heartbeat *pb.Heartbeat // nil before the first
+	ended     uint64        // incarnation that has said that it was told to end; 0: none has
+}
+
+// take keeps a heartbeat; it returns false if that is an earlier one of a process that was told to end. A machine that
+// was told to end and is back serves in the chain as soon as it holds the state.
+func (p *peer) take(heartbeat *pb.Heartbeat, now time.Duration) bool {
+	incarnation := heartbeat.GetIncarnation()
+	if p.ended != 0 && incarnation == p.ended {
+		hasReturned := p.heartbeat.GetIncarnation() != p.ended
+		if hasReturned || !heartbeat.GetLeaving() {
+			return false
+		}
+	}
+	if p.heartbeat.GetLeaving() && incarnation != p.ended {
+		p.liveSince = now - steadyFor
+	}
+	if heartbeat.GetLeaving() {
+		p.ended = incarnation
+	}
+	p.heartbeat = heartbeat
+	return true
 }
 
 type peerTable struct {
@@ -89,9 +110,14 @@
 	return view != nil && m.liveVoters() >= quorum.Majority(view)
 }
 
-// isFit reports whether this machine can serve in the chain: its disk works and it is not cut off. One that
-// has just started, or knows no view, has had no time to hear the others.
+// isFit reports whether this machine can serve in the chain. One that was told to end can for a while.
 func (m *Machine) isFit() bool {
+	return m.isWell() && (!m.leaving.begun || m.now-m.leaving.since < leaveUnmet)
+}
+
+// isWell reports whether the disk works and the machine is not cut off. One that has just started, or knows no
+// view, has had no time to hear the others.
+func (m *Machine) isWell() bool {
 	hasHeard := m.View() == nil || m.now-m.started < SilenceLimit || m.hearsMajority()
 	return m.diskHealthy() && hasHeard
 }
@@ -113,7 +139,12 @@
 	peers := make(map[string]quorum.Peer, len(m.peers.known)+1)
 	for _, voter := range m.View().GetVoters() {
 		identity := voter.GetIdentity()
-		peers[identity] = quorum.Peer{Replica: voter, Silence: m.silence(identity), Live: m.isLive(identity)}
+		peers[identity] = quorum.Peer{
+			Replica: voter,
+			Silence: m.silence(identity),
+			Live:    m.isLive(identity),
+			Left:    m.hasLeftChain(identity),
+		}
 	}
 	for identity, found := range m.peers.known {
 		peers[identity] = quorum.Peer{
@@ -121,6 +152,7 @@
 			Silence:   m.silence(identity),
 			Live:      m.isLive(identity),
 			HoldsView: found.heartbeat.GetViewNumber() == m.View().GetNumber(),
+			Left:      m.hasLeftChain(identity),
 		}
 	}
 	return peers
@@ -148,17 +180,19 @@
 func (m *Machine) ownCandidate() chain.Candidate {
 	published := m.replica.Published()
 	return chain.Candidate{
-		Fit:    m.isFit(),
-		Holds:  published.Holds && published.ViewNumber == m.View().GetNumber(),
-		Steady: m.now-m.started >= steadyFor && m.mayReturn(m.self.GetIdentity()),
+		Fit:     m.isFit(),
+		Holds:   published.Holds && published.ViewNumber == m.View().GetNumber(),
+		Steady:  m.now-m.started >= steadyFor && m.mayReturn(m.self.GetIdentity()),
+		Leaving: m.leaving.begun,
 	}
 }
 
 func (m *Machine) peerCandidate(identity string, found *peer) chain.Candidate {
 	heartbeat := found.heartbeat
 	return chain.Candidate{
-		Fit:    m.isLive(identity) && heartbeat.GetStorageHealthy(),
-		Holds:  heartbeat.GetSynchronised() && heartbeat.GetViewNumber() == m.View().GetNumber(),
-		Steady: m.now-found.liveSince >= steadyFor && m.mayReturn(identity),
+		Fit:     m.isLive(identity) && heartbeat.GetStorageHealthy(),
+		Holds:   heartbeat.GetSynchronised() && heartbeat.GetViewNumber() == m.View().GetNumber(),
+		Steady:  m.now-found.liveSince >= steadyFor && m.mayReturn(identity),
+		Leaving: heartbeat.GetLeaving(),
 	}
 }
--- a/internal/control/voting.go
+++ b/internal/control/voting.go
@@ -156,6 +156,8 @@
 	m.election.highest = nil
 	m.perform(m.replica.Adopt(view))
 	m.actions = append(m.actions, ViewChanged{View: view})
+	early := m.head.early
 	m.dropHeadOrders()
+	m.takeEarly(early)
 	m.forwardAgain()
 }
--- a/internal/controlserver/fake_test.go
+++ b/internal/controlserver/fake_test.go
@@ -32,6 +32,8 @@
 	seeds     []string      // as last set
 	block     chan struct{} // orders wait for it, if set
 	waiting   atomic.Int64  // orders that do
+	stays     chan struct{} // Leave waits for it, if set
+	left      atomic.Int64  // calls of Leave
 }
 
 func newFakeNode() *fakeNode {
@@ -151,6 +153,14 @@
 	n.broadcast = append(n.broadcast, list)
 }
 
+func (n *fakeNode) Leave(context.Context) bool {
+	n.left.Add(1)
+	if n.stays != nil {
+		<-n.stays
+	}
+	return true
+}
+
 // testSettings are those of a control machine that serves on loopback.
 func testSettings() *settings.Settings {
 	return &settings.Settings{
--- /dev/null
+++ b/internal/controlserver/leave_test.go
@@ -0,0 +1,152 @@
+package controlserver
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"fieldrelay/internal/settings"
+)
+
+// The others need this machine's node and peer port until they have agreed to go on without it.
+func TestNodeRunsUntilTheOthersGoOnWithoutIt(t *testing.T) {
+	p, node := newTestProcess(t)
+	node.stays = make(chan struct{})
+	current := *testSettings()
+	current.Binds = settings.Binds{Control: "127.0.0.2:0", Directory: "127.0.0.3:0"}
+	p.settings.current.Store(&current)
+	servers, err := p.listenAll(t.Context())
+	require.NoError(t, err)
+	closed := make(map[bool]chan struct{})
+	for _, one := range servers {
+		if closed[one.peers] == nil {
+			closed[one.peers] = make(chan struct{}, len(servers))
+		}
+		go func() {
+			_ = one.Serve()
+			closed[one.peers] <- struct{}{}
+		}()
+	}
+	stopped := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		p.shutDown(servers, func() { close(stopped) })
+		close(ended)
+	}()
+	<-closed[false]
+	<-closed[false]
+	require.Eventually(t, func() bool { return node.left.Load() == 1 }, 5*time.Second, time.Millisecond)
+	select {
+	case <-stopped:
+		require.Fail(t, "the node was stopped before it had left")
+	case <-closed[true]:
+		require.Fail(t, "the peer port was closed before the node had left")
+	default:
+	}
+	close(node.stays)
+	<-ended
+	<-stopped
+	<-closed[true]
+}
+
+// system is a number of control processes that found a system together.
+type system struct {
+	t         *testing.T
+	machines  []*settings.Settings
+	addresses []string // of the operator's APIs
+	ends      []context.CancelFunc
+	ended     []chan error
+	lines     []*observer.ObservedLogs
+}
+
+// newSystem runs machines at loopback addresses of their own, all with the same peer port, as on their hosts.
+func newSystem(t *testing.T, size int) *system {
+	s := &system{t: t}
+	port := freePort(t)
+	zones := make(map[string]string)
+	for index := range size {
+		zones[fmt.Sprintf("zone-%d", index)] = "region"
+		s.addresses = append(s.addresses, fmt.Sprintf("127.0.1.%d:%d", index+1, port+1))
+	}
+	for index := range size {
+		own := testSettings()
+		own.Hostname = fmt.Sprintf("control-%d", index)
+		own.Address = fmt.Sprintf("127.0.1.%d", index+1)
+		own.Zone = fmt.Sprintf("zone-%d", index)
+		own.Zones = zones
+		own.PortRange = []int{port, port + 2}
+		own.Binds = settings.Binds{Control: s.addresses[index]}
+		own.Seeds = s.addresses
+		own.Bootstrap = true
+		own.QuorumMember = true
+		own.StateDir = filepath.Join(t.TempDir(), own.Hostname)
+		own.FaultBudget = settings.FaultBudget{Hosts: 1, Zones: 1}
+		s.machines = append(s.machines, own)
+		s.start(index)
+	}
+	for index := range size {
+		require.Eventually(t, func() bool {
+			return s.lines[index].FilterMessage("holds the agreed state").Len() > 0
+		}, 10*time.Second, 10*time.Millisecond)
+	}
+	return s
+}
+
+// freePort returns a port that is free, with the next one, at the loopback addresses of a system.
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.1.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func (s *system) start(index int) {
+	core, lines := observer.New(zap.InfoLevel)
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	own := *s.machines[index]
+	go func() { ended <- Run(ctx, &own, zap.New(core)) }()
+	s.t.Cleanup(end)
+	s.ends = append(s.ends, end)
+	s.ended = append(s.ended, ended)
+	s.lines = append(s.lines, lines)
+}
+
+// TestRunLeavesWhenItIsToldToEnd ends one of three processes, as SIGTERM does: it tells the others, which have a view
+// without it before it has ended, and take an order.
+func TestRunLeavesWhenItIsToldToEnd(t *testing.T) {
+	t.Setenv(settings.PathVariable, filepath.Join(t.TempDir(), "none"))
+	s := newSystem(t, 3)
+	until(t, "POST", "http://"+s.addresses[0]+"/api/conf/replace", "0", configuration(7, 5))
+	s.ends[0]()
+	require.NoError(t, <-s.ended[0])
+	leaves := s.lines[0].FilterMessage("leaves")
+	require.Equal(t, 1, leaves.Len())
+	require.Equal(t, true, leaves.All()[0].ContextMap()["agreed"])
+	require.NotContains(t, s.lastChain(1), "control-0")
+	until(t, "POST", "http://"+s.addresses[1]+"/api/conf/replace", "7", configuration(8, 5))
+	status, _ := request(t, http.MethodGet, "http://"+s.addresses[2]+"/api/conf/read", "", "")
+	require.Equal(t, http.StatusOK, status)
+	require.Zero(t, s.lines[1].FilterMessage("leaves").Len())
+}
+
+// lastChain names the hosts of the chain of the last view that a machine has logged.
+func (s *system) lastChain(index int) string {
+	views := s.lines[index].FilterMessage("view").All()
+	require.NotEmpty(s.t, views)
+	chain, _ := views[len(views)-1].ContextMap()["chain"].([]any)
+	var hosts []string
+	for _, host := range chain {
+		hosts = append(hosts, fmt.Sprint(host))
+	}
+	return strings.Join(hosts, " ")
+}
--- a/internal/controlserver/node.go
+++ b/internal/controlserver/node.go
@@ -29,4 +29,7 @@
 	SetSeeds(ctx context.Context, seeds []string)
 	// Broadcast sends a server list to the other control machines.
 	Broadcast(list *pb.ServerList)
+	// Leave tells the other control machines that this one is to end and returns when it may, within a bounded time;
+	// it reports whether they have agreed to go on without it.
+	Leave(ctx context.Context) bool
 }
--- a/internal/controlserver/run.go
+++ b/internal/controlserver/run.go
@@ -192,12 +192,13 @@
 	return mux
 }
 
-// shutDown lets the agents go, answers the calls that were taken, for which the node and its peers are needed,
-// then stops the node, whose silence lets the other control machines go on without it, and closes everything.
+// shutDown lets the agents go, has the other control machines go on without this one and answers the calls that
+// were taken, for which the node and its peers are needed; then it stops the node and closes everything.
 func (p *process) shutDown(servers []*listeningServer, stopNode func()) {
 	close(p.ending)
 	p.stopPolls()
 	var group sync.WaitGroup
+	group.Go(p.leave)
 	for _, one := range servers {
 		if !one.peers {
 			group.Go(func() { one.shutDown(shutdownLimit) })
@@ -213,6 +214,13 @@
 	p.polls.Wait()
 }
 
+// leave ends this machine's part in the replicated state.
+func (p *process) leave() {
+	began := time.Now()
+	agreed := p.node.Leave(context.Background())
+	p.logger.Info("leaves", zap.Bool("agreed", agreed), zap.Duration("after", time.Since(began)))
+}
+
 // shutDown lets the server's calls end within a limit.
 func (s *listeningServer) shutDown(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/internal/controlsim/faults_test.go
+++ b/internal/controlsim/faults_test.go
@@ -26,7 +26,7 @@
 		return
 	}
 	w := t.world
-	switch w.random.IntN(12) {
+	switch w.random.IntN(13) {
 	case 0, 1:
 		t.restart((*host).kill)
 	case 2:
@@ -43,6 +43,8 @@
 		t.fill()
 	case 9:
 		t.all()
+	case 10:
+		t.terminate()
 	default:
 		t.loseDisk()
 	}
@@ -92,6 +94,21 @@
 	})
 }
 
+// terminate tells a machine to end, and starts it again when it has.
+func (t *trouble) terminate() {
+	host := t.world.anyHost()
+	if host.machine == nil || host.frozen || host.ended != nil {
+		return
+	}
+	t.world.note("%s is told to end", host.name)
+	host.terminate(func(bool) {
+		t.during(t.span(), func() {
+			t.world.note("%s starts", host.name)
+			host.start()
+		})
+	})
+}
+
 func (t *trouble) freeze() {
 	host := t.world.anyHost()
 	if host.machine == nil || host.frozen {
--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -12,6 +12,9 @@
 	"fieldrelay/internal/ring/ringtest"
 )
 
+// maxMissed bounds the events that wait for a host that is frozen.
+const maxMissed = 1000
+
 // host is a machine of the world: its disk, and the process that runs on it.
 type host struct {
 	world   *world
@@ -20,6 +23,7 @@
 	control string // address of the operator's API
 	peer    string // address of the peer service
 	zone    string
+	region  string
 	disk    *ringtest.Disk
 	boot    bool     // the settings say bootstrap
 	seeds   []string // of the settings
@@ -32,19 +36,23 @@
 	stalled bool // the disk hangs
 	full    bool // the disk refuses
 	frozen  bool
-	missed  []control.Event // arrived while frozen
-	gone    bool            // taken away for good
+	missed  []control.Event   // arrived while frozen
+	gone    bool              // taken away for good
+	ended   func(agreed bool) // called when the process has ended, after it was told to
+	waiting int               // orders submitted here that were not answered
 }
 
 func newHost(w *world, index int, bootstrap bool) *host {
 	name := fmt.Sprintf("core-%d", index)
+	zone := index % w.plan.zones
 	return &host{
 		world:   w,
 		index:   index,
 		name:    name,
 		control: name + ":8146",
 		peer:    name + ":7660",
-		zone:    "zone-" + strconv.Itoa(index%w.plan.zones),
+		zone:    "zone-" + strconv.Itoa(zone),
+		region:  "region-" + strconv.Itoa(zone%max(1, w.plan.regions)),
 		disk:    ringtest.NewDisk(rand.New(rand.NewPCG(w.plan.seed, uint64(index)))),
 		boot:    bootstrap,
 	}
@@ -73,7 +81,7 @@
 			Host:           h.name,
 			Address:        h.peer,
 			Zone:           h.zone,
-			Region:         "region",
+			Region:         h.region,
 			ControlAddress: h.control,
 		},
 		Seeds:           h.seeds,
@@ -123,7 +131,7 @@
 		return
 	}
 	if h.frozen {
-		if _, tick := next.(control.Tick); !tick && len(h.missed) < 1000 {
+		if _, tick := next.(control.Tick); !tick && len(h.missed) < maxMissed {
 			h.missed = append(h.missed, next)
 		}
 		return
@@ -144,7 +152,10 @@
 			h.writes = append(h.writes, action)
 			h.writeNext()
 		case control.Reply:
+			h.waiting--
 			h.world.answer(action)
+		case control.Left:
+			h.leaves(action)
 		}
 	}
 }
@@ -207,12 +218,14 @@
 // die ends the process.
 func (h *host) die() {
 	h.machine = nil
+	h.tellEnded()
 	h.life++
 	h.ring = nil
 	h.writes = nil
 	h.writing = false
 	h.frozen = false
 	h.missed = nil
+	h.waiting = 0
 }
 
 func (h *host) kill() {
--- /dev/null
+++ b/internal/controlsim/leaving_test.go
@@ -0,0 +1,282 @@
+package controlsim
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/quorum"
+)
+
+const (
+	// shortestGap bounds the time without an acknowledgement when one machine of a calm system is told to end.
+	shortestGap = 300 * time.Millisecond
+	// answersLimit is how long a process that was told to end waits for the answers to the orders that it took.
+	answersLimit = time.Second
+	// longestStay bounds the time from the signal to the end of the process.
+	longestStay = control.LeaveLimit + 2*control.TickPeriod + answersLimit
+)
+
+// terminate tells a machine to end, as SIGTERM does; done is called when its process has ended.
+func (h *host) terminate(done func(agreed bool)) {
+	if h.machine == nil {
+		done(false)
+		return
+	}
+	h.ended = done
+	if h.world.plan.mutation.leaveSilently {
+		h.leaves(control.Left{})
+		return
+	}
+	h.deliver(control.Leave{})
+}
+
+// leaves ends the process of a machine that was told to end, once it has answered the orders that it has taken.
+func (h *host) leaves(left control.Left) {
+	life := h.life
+	told := h.world.now
+	h.world.every(time.Millisecond, func() bool {
+		if h.life != life {
+			return true
+		}
+		if h.waiting > 0 && h.world.now-told < answersLimit {
+			return false
+		}
+		h.world.note("%s has left, agreed: %v", h.name, left.Agreed)
+		h.kill()
+		return true
+	})
+}
+
+// tellEnded calls what waits for the end of a process that was told to end, however it has ended.
+func (h *host) tellEnded() {
+	done := h.ended
+	h.ended = nil
+	if done != nil {
+		h.world.after(0, func() { done(true) })
+	}
+}
+
+// spans are durations that were measured.
+type spans []time.Duration
+
+// percentile is the duration that a share of all does not exceed.
+func (s spans) percentile(share float64) time.Duration {
+	if len(s) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(s))
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
+
+func (s spans) worst() time.Duration { return s.percentile(1) }
+
+func (s spans) String() string {
+	return fmt.Sprintf("%d times, p50 %v, p99 %v, worst %v", len(s), s.percentile(0.5).Round(time.Millisecond),
+		s.percentile(0.99).Round(time.Millisecond), s.worst().Round(time.Millisecond))
+}
+
+// calmPlan has no faults but those that a test brings about.
+func calmPlan(seed uint64) plan {
+	plan := planOf(seed)
+	plan.restless = 0
+	plan.calm = true
+	return plan
+}
+
+// newCalmWorld is founded, and has one configuration acknowledged.
+func newCalmWorld(t *testing.T, plan plan) *world {
+	w := newWorld(plan)
+	require.True(t, w.acknowledgeOne(foundWithin))
+	w.run(2 * time.Second)
+	return w
+}
+
+// acknowledgements sends one order after the other to a machine for a while and returns when each was
+// acknowledged.
+func (w *world) acknowledgements(at *host, span time.Duration) spans {
+	end := w.now + span
+	var times spans
+	var next func()
+	next = func() {
+		if w.now >= end {
+			return
+		}
+		kind := []pb.Order_Kind{pb.Order_KIND_EVACUATE_BEGIN, pb.Order_KIND_EVACUATE_FINISH}[len(times)%2]
+		w.submit(at, &pb.Order{Kind: kind, Zone: staleZone}, func(result *pb.OrderResult) {
+			if result.GetStatus() == http.StatusOK {
+				times = append(times, w.now)
+			}
+			w.after(5*time.Millisecond, next)
+		})
+	}
+	next()
+	w.run(span)
+	return times
+}
+
+// longestGap is the longest time between two of the times, or from the beginning to the first.
+func longestGap(times spans, began time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, at := range times {
+		longest = max(longest, at-began)
+		began = at
+	}
+	return longest
+}
+
+// gapsAroundAnEnd measures the time without an acknowledgement around the end of one machine, at each place of the
+// chain and outside of it, and the time from the signal to the end of the process.
+func gapsAroundAnEnd(t *testing.T, planted mutation) (gaps, stays spans) {
+	for seed := range uint64(number("CONTROLSIM_SEEDS", defaultSeeds)) {
+		plan := calmPlan(seed)
+		plan.mutation = planted
+		w := newCalmWorld(t, plan)
+		victim := w.hosts[seed/8%uint64(plan.machines)]
+		began := w.now
+		w.after(0, func() { victim.terminate(func(bool) { stays = append(stays, w.now-began) }) })
+		gaps = append(gaps, longestGap(w.acknowledgements(w.otherThan(victim), 3*time.Second), began))
+		require.Nil(t, victim.machine, "seed %d", seed)
+		require.Empty(t, w.checker.failures, "seed %d", seed)
+	}
+	t.Logf("without an acknowledgement: %v", gaps)
+	t.Logf("from the signal to the end: %v", stays)
+	return gaps, stays
+}
+
+func TestOrdersGoOnWhenAMachineIsToldToEnd(t *testing.T) {
+	gaps, stays := gapsAroundAnEnd(t, mutation{})
+	require.Less(t, gaps.worst(), shortestGap)
+	require.Less(t, stays.worst(), time.Second)
+}
+
+func TestASilentEndIsFoundByItsGap(t *testing.T) {
+	gaps, _ := gapsAroundAnEnd(t, mutation{leaveSilently: true})
+	require.Greater(t, gaps.worst(), control.SilenceLimit)
+}
+
+// Orders that are under way when the machine that took them, or the head, is told to end, are answered.
+func TestOrdersUnderWayAreAnsweredWhenTheirMachineIsToldToEnd(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newCalmWorld(t, calmPlan(seed))
+		head := w.byPeer[w.hosts[0].machine.View().GetChain()[0].GetAddress()]
+		origin := w.hosts[int(seed)%len(w.hosts)]
+		answers := make(map[uint32]int)
+		for order := range 6 {
+			w.after(w.upTo(30*time.Millisecond), func() {
+				zone := fmt.Sprintf("zone-%d", order)
+				w.submit(origin, &pb.Order{Kind: pb.Order_KIND_EVACUATE_BEGIN, Zone: zone}, func(result *pb.OrderResult) {
+					answers[result.GetStatus()]++
+				})
+			})
+		}
+		w.run(31 * time.Millisecond)
+		head.terminate(func(bool) {})
+		w.run(control.LeaveLimit)
+		require.Equal(t, map[uint32]int{http.StatusOK: 6}, answers, "seed %d", seed)
+	}
+}
+
+// rollFigures are what a roll of all machines was measured to take.
+type rollFigures struct {
+	stays, returns spans
+}
+
+// roll tells all machines to end in turn, waiting for a while between one and the next, and starts each again.
+func (w *world) roll(pause time.Duration, figures *rollFigures) {
+	for index, host := range w.hosts {
+		w.after(time.Duration(index)*pause, func() {
+			told := w.now
+			host.terminate(func(bool) {
+				figures.stays = append(figures.stays, w.now-told)
+				w.after(w.between(200*time.Millisecond, 600*time.Millisecond), func() {
+					host.start()
+					w.awaitReturn(host, figures)
+				})
+			})
+		})
+	}
+}
+
+// awaitReturn measures how long a machine that was started takes until it votes, and holds the state as a member of
+// the chain, or outside of one that is full.
+func (w *world) awaitReturn(host *host, figures *rollFigures) {
+	began := w.now
+	life := host.life
+	w.every(20*time.Millisecond, func() bool {
+		if host.life != life {
+			return true
+		}
+		view := host.machine.View()
+		votes := quorum.IndexOf(view.GetVoters(), host.machine.Self().GetIdentity()) != quorum.NotFound
+		inChain := quorum.IndexOf(view.GetChain(), host.machine.Self().GetIdentity()) != quorum.NotFound
+		full := len(view.GetChain()) == chain.MaxLength
+		if !votes || !(inChain || full) || !host.machine.Authoritative() {
+			return false
+		}
+		figures.returns = append(figures.returns, w.now-began)
+		return true
+	})
+}
+
+// every calls a function again and again until it returns true.
+func (w *world) every(period time.Duration, done func() bool) {
+	w.after(period, func() {
+		if !done() {
+			w.every(period, done)
+		}
+	})
+}
+
+func TestMachinesAreToldToEndInTurn(t *testing.T) {
+	for _, pause := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+		var figures rollFigures
+		for seed := range uint64(40) {
+			w := newCalmWorld(t, calmPlan(seed))
+			operators := []*operator{w.addOperator(1), w.addOperator(2)}
+			w.roll(pause, &figures)
+			w.run(pause*time.Duration(len(w.hosts)) + 4*time.Second)
+			for _, operator := range operators {
+				operator.ended = true
+			}
+			w.checkLiveness()
+			w.checker.finish()
+			require.Empty(t, w.checker.failures, "pause %v seed %d", pause, seed)
+		}
+		t.Logf("pause %v: from the signal to the end: %v", pause, figures.stays)
+		t.Logf("pause %v: from the start to the chain: %v", pause, figures.returns)
+		require.LessOrEqual(t, figures.stays.worst(), longestStay)
+	}
+}
+
+func TestAllMachinesAreToldToEndAtOnce(t *testing.T) {
+	for _, spread := range []time.Duration{time.Millisecond, 300 * time.Millisecond} {
+		var stays spans
+		for seed := range uint64(60) {
+			w := newCalmWorld(t, calmPlan(seed))
+			for _, host := range w.hosts {
+				w.after(w.upTo(spread), func() {
+					told := w.now
+					host.terminate(func(bool) { stays = append(stays, w.now-told) })
+				})
+			}
+			w.run(longestStay + spread)
+			for _, host := range w.hosts {
+				require.Nil(t, host.machine, "seed %d", seed)
+				host.start()
+			}
+			w.checkLiveness()
+			w.checker.finish()
+			require.Empty(t, w.checker.failures, "seed %d", seed)
+		}
+		t.Logf("within %v: from the signal to the end: %v", spread, stays)
+		require.LessOrEqual(t, stays.worst(), longestStay)
+	}
+}
--- a/internal/controlsim/mutation_test.go
+++ b/internal/controlsim/mutation_test.go
@@ -14,6 +14,8 @@
 	reply      func(*pb.OrderResult) *pb.OrderResult
 	loseWrites bool // writes are told to be on disk but are not
 	wipeTwo    bool // more disks are lost at once than the budget allows
+
+	leaveSilently bool // a machine that is told to end just ends
 }
 
 func (m *mutation) onMessage(message *pb.Message) *pb.Message {
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -40,6 +40,7 @@
 	seed     uint64
 	machines int
 	zones    int
+	regions  int // 0: one
 	required chain.Requirement
 	mutation mutation
 	calm     bool    // no faults of the network
@@ -140,6 +141,9 @@
 func (w *world) submit(host *host, order *pb.Order, done func(*pb.OrderResult)) {
 	w.request++
 	w.requests[w.request] = done
+	if host.machine != nil && len(host.missed) < maxMissed {
+		host.waiting++
+	}
 	host.deliver(control.Submitted{Request: w.request, Order: order})
 }
 
--- a/internal/quorum/membership.go
+++ b/internal/quorum/membership.go
@@ -28,6 +28,8 @@
 	Live    bool          // heard lately
 	// HoldsView: it has told that it holds the view in force, so it hears this machine's side too.
 	HoldsView bool
+	// Left: it was told to end, and the chain goes on without it.
+	Left bool
 }
 
 // NextVoters returns the voters that the view after this one should have, and whether they differ from the
@@ -47,7 +49,7 @@
 func firstJoiner(voters []*pb.Replica, peers map[string]Peer) *pb.Replica {
 	var first *pb.Replica
 	for identity, peer := range peers {
-		if !peer.Live || !peer.HoldsView || IndexOf(voters, identity) != NotFound {
+		if !peer.Live || !peer.HoldsView || peer.Left || IndexOf(voters, identity) != NotFound {
 			continue
 		}
 		if first == nil || identity < first.GetIdentity() {
@@ -65,6 +67,10 @@
 		voters[sameHost] = joiner
 		return voters, true
 	}
+	if index := firstLeft(voters, peers); index != NotFound {
+		voters[index] = joiner
+		return voters, true
+	}
 	if index, silence := longestSilent(voters, peers); index != NotFound && silence >= ReplaceSilence {
 		voters[index] = joiner
 		return voters, true
@@ -77,6 +83,9 @@
 
 // dispensable returns the index of a voter that the others are better off without, or NotFound.
 func dispensable(voters []*pb.Replica, peers map[string]Peer) int {
+	if index := firstLeft(voters, peers); index != NotFound && mayLoseLeaver(voters, peers) {
+		return index
+	}
 	live := 0
 	longSilent := 0
 	for _, voter := range voters {
@@ -101,6 +110,29 @@
 	return NotFound
 }
 
+// firstLeft returns the first voter that has left, or NotFound.
+func firstLeft(voters []*pb.Replica, peers map[string]Peer) int {
+	return slices.IndexFunc(voters, func(voter *pb.Replica) bool {
+		return peers[voter.GetIdentity()].Left
+	})
+}
+
+// mayLoseLeaver reports whether a voter that has left is dropped. Out of an even number it is: the others need one
+// vote less. Out of an odd number it keeps its vote, as nothing is won: it may come back.
+func mayLoseLeaver(voters []*pb.Replica, peers map[string]Peer) bool {
+	others := len(voters) - 1
+	if len(voters)%2 != 0 || others < FewestLive {
+		return false
+	}
+	staying := 0
+	for _, voter := range voters {
+		if peer := peers[voter.GetIdentity()]; peer.Live && !peer.Left {
+			staying++
+		}
+	}
+	return staying > others/2
+}
+
 // longestSilent returns the voter that was not heard for the longest time, or NotFound if all are live.
 func longestSilent(voters []*pb.Replica, peers map[string]Peer) (int, time.Duration) {
 	found := NotFound
--- a/internal/quorum/membership_test.go
+++ b/internal/quorum/membership_test.go
@@ -24,6 +24,11 @@
 	return Peer{Replica: replica(name), Silence: silence}
 }
 
+// left was told to end, and the chain goes on without it.
+func left(name string) Peer {
+	return Peer{Replica: replica(name), Live: true, HoldsView: true, Left: true}
+}
+
 func onHost(peer Peer, host string) Peer {
 	peer.Replica.Host = host
 	return peer
@@ -115,6 +120,44 @@
 			},
 			want: "a b c d",
 		},
+		{
+			name:   "one that has left an even number is dropped at once",
+			voters: "a b c d",
+			peers:  []Peer{live("a"), left("b"), live("c"), live("d")},
+			want:   "a c d",
+		},
+		{
+			name:   "also when another one is leaving or silent, as long as the rest is a majority then",
+			voters: "a b c d",
+			peers:  []Peer{live("a"), left("b"), live("c"), silent("d", time.Second)},
+			want:   "a c d",
+		},
+		{
+			name:   "not when the rest would be no majority",
+			voters: "a b c d",
+			peers:  []Peer{live("a"), left("b"), silent("c", time.Second), silent("d", time.Second)},
+		},
+		{
+			name:   "one that has left an odd number keeps its vote",
+			voters: "a b c",
+			peers:  []Peer{live("a"), left("b"), live("c")},
+		},
+		{
+			name:   "two voters stay two",
+			voters: "a b",
+			peers:  []Peer{live("a"), left("b")},
+		},
+		{
+			name:   "a joiner takes the place of one that has left",
+			voters: "a b c",
+			peers:  []Peer{live("a"), left("b"), live("c"), live("d")},
+			want:   "a d c",
+		},
+		{
+			name:   "one that has left does not join",
+			voters: "a b c",
+			peers:  []Peer{live("a"), live("b"), live("c"), left("d")},
+		},
 		{
 			name:   "a voter that was never heard of counts as silent",
 			voters: "a b c d",
