--- a/internal/control/authority.go
+++ b/internal/control/authority.go
@@ -44,7 +44,7 @@
 	count := 0
 	for _, replica := range replicas {
 		found, known := m.peers.known[replica.GetIdentity()]
-		lately := known && found.heartbeat != nil && m.now-found.heartbeatAt <= SilenceLimit
+		lately := known && found.heartbeat != nil && m.now-found.inTouchAt <= SilenceLimit
 		if lately || m.isSelf(replica) {
 			count++
 		}
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -25,6 +25,7 @@
 	replies []*pb.OrderResult
 	sent    []Send
 	told    []*pb.Change // of the Committed actions
+	left    []Left
 	request uint64
 }
 
@@ -61,6 +62,8 @@
 			l.sent = append(l.sent, action)
 		case Committed:
 			l.told = append(l.told, action.Changes...)
+		case Left:
+			l.left = append(l.left, action)
 		}
 	}
 	l.release()
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -50,11 +50,8 @@
 		return
 	}
 	found := m.peers.note(from, m.now)
-	if heartbeat := message.GetHeartbeat(); heartbeat != nil {
-		found.heartbeat = heartbeat
-		if !m.wakesLate() {
-			found.heartbeatAt = m.now
-		}
+	if heartbeat := message.GetHeartbeat(); heartbeat != nil && !found.take(heartbeat, m.now, m.wakesLate()) {
+		return
 	}
 	m.handle(message)
 }
@@ -144,6 +141,7 @@
 		Synchronised:   published.Holds,
 		Bootstrap:      m.bootstrap && m.View() == nil,
 		Incarnation:    m.incarnation,
+		Leaving:        m.leaving.begun,
 	}}}
 	sent := make(map[string]bool)
 	for _, voter := range m.View().GetVoters() {
--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -12,6 +12,9 @@
 	"fieldrelay/internal/ring/ringtest"
 )
 
+// maxMissed bounds the events that wait for a host that is frozen.
+const maxMissed = 1000
+
 // host is a machine of the world: its disk, and the process that runs on it.
 type host struct {
 	world   *world
@@ -20,33 +23,37 @@
 	control string // address of the operator's API
 	peer    string // address of the peer service
 	zone    string
+	region  string
 	disk    *ringtest.Disk
 	boot    bool     // the settings say bootstrap
 	seeds   []string // of the settings
 
-	machine *control.Machine // nil while the process is dead
-	life    int              // counts starts
-	ring    *ring.Ring
-	writes  []control.Persist
-	writing bool
-	stalled bool // the disk hangs
-	full    bool // the disk refuses
-	frozen  bool
-	missed  []control.Event // arrived while frozen
-	gone    bool            // taken away for good
-
+	machine   *control.Machine // nil while the process is dead
+	life      int              // counts starts
+	ring      *ring.Ring
+	writes    []control.Persist
+	writing   bool
+	stalled   bool // the disk hangs
+	full      bool // the disk refuses
+	frozen    bool
+	missed    []control.Event   // arrived while frozen
+	gone      bool              // taken away for good
+	ended     func(agreed bool) // called when the process has ended, after it was told to
+	waiting   int               // orders submitted here that were not answered
 	processor processor
 }
 
 func newHost(w *world, index int, bootstrap bool) *host {
 	name := fmt.Sprintf("core-%d", index)
+	zone := index % w.plan.zones
 	return &host{
 		world:   w,
 		index:   index,
 		name:    name,
 		control: name + ":8146",
 		peer:    name + ":7660",
-		zone:    "zone-" + strconv.Itoa(index%w.plan.zones),
+		zone:    "zone-" + strconv.Itoa(zone),
+		region:  "region-" + strconv.Itoa(zone%max(1, w.plan.regions)),
 		disk:    ringtest.NewDisk(rand.New(rand.NewPCG(w.plan.seed, uint64(index)))),
 		boot:    bootstrap,
 
@@ -77,7 +84,7 @@
 			Host:           h.name,
 			Address:        h.peer,
 			Zone:           h.zone,
-			Region:         "region",
+			Region:         h.region,
 			ControlAddress: h.control,
 		},
 		Seeds:           h.seeds,
@@ -127,7 +134,7 @@
 		return
 	}
 	if h.frozen {
-		if _, tick := next.(control.Tick); !tick && len(h.missed) < 1000 {
+		if _, tick := next.(control.Tick); !tick && len(h.missed) < maxMissed {
 			h.missed = append(h.missed, next)
 		}
 		return
@@ -153,7 +160,10 @@
 			h.writes = append(h.writes, action)
 			h.writeNext()
 		case control.Reply:
+			h.waiting--
 			h.world.answer(action)
+		case control.Left:
+			h.leaves(action)
 		}
 	}
 }
@@ -216,6 +226,7 @@
 // die ends the process.
 func (h *host) die() {
 	h.machine = nil
+	h.tellEnded()
 	h.life++
 	h.ring = nil
 	h.writes = nil
@@ -223,6 +234,7 @@
 	h.frozen = false
 	h.missed = nil
 	h.processor = processor{share: h.processor.share}
+	h.waiting = 0
 }
 
 func (h *host) kill() {
--- a/internal/controlsim/mutation_test.go
+++ b/internal/controlsim/mutation_test.go
@@ -16,6 +16,8 @@
 	wipeTwo    bool // more disks are lost at once than the budget allows
 	// the checker does not compare the machines' records of taken orders, so that other checks must find the fault
 	looseRecords bool
+
+	leaveSilently bool // a machine that is told to end just ends
 }
 
 func (m *mutation) onMessage(message *pb.Message) *pb.Message {
