Simulate members that are away for hundreds of changes

The simulation's runs held some hundred changes, fewer than the 256 that catalog.History keeps.

New invariants in all runs: the head of the newest view holds all that was committed, and with the same disk a machine never tells an older state than in an earlier life.

--- a/internal/controlsim/checker_test.go
+++ b/internal/controlsim/checker_test.go
@@ -21,6 +21,8 @@
 	last      uint64                       // highest sequence committed anywhere
 	ofHost    map[*host]uint64             // committed sequence in the host's present life
 	votes     map[voteKey]*vote
+	told      map[string]uint64 // highest committed sequence told, by identity, in all lives
+	newest    uint64            // highest number of a view
 
 	inForce      map[string]bool   // keys of configurations that were committed
 	refused      map[string]uint32 // keys of those refused, with the status
@@ -32,6 +34,9 @@
 	evacuations  map[string]*evacuation
 }
 
+// notedKeys bounds the keys of one state in the lines of a run.
+const notedKeys = 4
+
 type voteKey struct {
 	identity string
 	number   uint64
@@ -50,6 +55,7 @@
 		committed:   make(map[uint64]*catalog.Snapshot),
 		ofHost:      make(map[*host]uint64),
 		votes:       make(map[voteKey]*vote),
+		told:        make(map[string]uint64),
 		inForce:     make(map[string]bool),
 		refused:     make(map[string]uint32),
 		ackedByBase: make(map[uint64]string),
@@ -73,6 +79,7 @@
 		c.commit(host, action)
 	case control.Send:
 		c.sent(action.Message)
+		c.leads(host, action.Message)
 	}
 }
 
@@ -88,6 +95,7 @@
 		c.fail("%s: a second view %d", host.name, view.GetNumber())
 	}
 	if !found {
+		c.newest = max(c.newest, view.GetNumber())
 		c.views[view.GetNumber()] = string(data)
 		c.world.note("view %d voters %s chain %s", view.GetNumber(), hosts(view.GetVoters()), hosts(view.GetChain()))
 	}
@@ -112,14 +120,16 @@
 		c.checkChanges(host, before, action)
 	}
 	c.ofHost[host] = sequence
+	c.tells(host, sequence)
 	known, found := c.committed[sequence]
 	if !found {
 		c.committed[sequence] = snapshot
 		c.last = max(c.last, sequence)
-		for _, key := range keysOf(snapshot) {
+		keys := newKeysOf(snapshot)
+		for _, key := range keys {
 			c.inForce[key] = true
 		}
-		c.world.note("%s commits %d generation %d %v %v", host.name, sequence, snapshot.Generation(), keysOf(snapshot), snapshot.EvacuatedZones())
+		c.world.note("%s commits %d generation %d %v %v", host.name, sequence, snapshot.Generation(), keys[:min(len(keys), notedKeys)], snapshot.EvacuatedZones())
 		return
 	}
 	if !sameState(known, snapshot) {
@@ -142,6 +152,28 @@
 	}
 }
 
+// tells: with the same disk, a machine never tells an older state than in an earlier life.
+func (c *checker) tells(host *host, sequence uint64) {
+	identity := host.machine.Self().GetIdentity()
+	if before := c.told[identity]; sequence < before {
+		c.fail("%s: tells the state %d, and told %d in an earlier life", host.name, sequence, before)
+	}
+	c.told[identity] = max(c.told[identity], sequence)
+}
+
+// leads: the head of the newest view holds all that was ever committed as soon as it says that it holds the
+// state of its view.
+func (c *checker) leads(host *host, message *pb.Message) {
+	heartbeat := message.GetHeartbeat()
+	if !heartbeat.GetSynchronised() || heartbeat.GetViewNumber() != c.newest || heartbeat.GetSequence() >= c.last {
+		return
+	}
+	view := host.machine.View()
+	if view.GetNumber() == c.newest && quorum.IndexOf(view.GetChain(), host.machine.Self().GetIdentity()) == 0 {
+		c.fail("%s heads view %d on the state %d, %d is committed", host.name, c.newest, heartbeat.GetSequence(), c.last)
+	}
+}
+
 func sameState(a, b *catalog.Snapshot) bool {
 	return a.Sequence() == b.Sequence() && proto.Equal(a.Digests(), b.Digests())
 }
--- a/internal/controlsim/doc.go
+++ b/internal/controlsim/doc.go
@@ -4,5 +4,6 @@
 // Messages are lost, delayed, doubled and reordered; machines are killed, frozen, cut off one way or both ways,
 // lose power with torn and missing writes, lose their disks, or are replaced; disks fill up and stall. While
 // this goes on, and after it, the checker looks at every action of every machine. The package holds tests
-// only. The environment variable CONTROLSIM_SEEDS sets the number of runs, CONTROLSIM_FIRST the first seed.
+// only. The environment variable CONTROLSIM_SEEDS sets the number of runs, CONTROLSIM_FIRST the first seed;
+// CONTROLSIM_FAR is the number of those in which a member is away for hundreds of changes.
 package controlsim
--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -1,8 +1,10 @@
 package controlsim
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +14,9 @@
 	"fieldrelay/internal/ring/ringtest"
 )
 
+// usualSnapshotRecords is so small that the ring wraps many times in a run.
+const usualSnapshotRecords = 40
+
 // host is a machine of the world: its disk, and the process that runs on it.
 type host struct {
 	world   *world
@@ -81,7 +86,7 @@
 		Requirement:     h.world.plan.required,
 		PeerAddress:     h.world.peerOf,
 		Random:          rand.New(rand.NewPCG(h.world.random.Uint64(), h.world.random.Uint64())),
-		SnapshotRecords: 40,
+		SnapshotRecords: cmp.Or(h.world.plan.snapshotRecords, usualSnapshotRecords),
 		Restless:        h.world.restless(),
 	}, recovered)
 	if err != nil {
@@ -142,6 +147,9 @@
 			h.world.network.send(h, action)
 		case control.Persist:
 			h.writes = append(h.writes, action)
+			if hook := h.world.hooks.onPersist; hook != nil {
+				hook(h, action)
+			}
 			h.writeNext()
 		case control.Reply:
 			h.world.answer(action)
@@ -231,6 +239,23 @@
 	h.die()
 }
 
+// tearSnapshot takes the power while the disk is at work on the oldest snapshot that waits; false if none does.
+func (h *host) tearSnapshot() bool {
+	waits := slices.IndexFunc(h.writes, func(write control.Persist) bool { return write.Snapshot != nil })
+	if h.machine == nil || waits < 0 {
+		return false
+	}
+	for _, write := range h.writes[:waits] {
+		_ = h.put(write)
+	}
+	h.disk.SetFaults(ringtest.Faults{Sync: 1})
+	_ = h.put(h.writes[waits])
+	h.disk.SetFaults(ringtest.Faults{})
+	h.disk.PowerLoss()
+	h.die()
+	return true
+}
+
 // wipe ends the process and empties the disk.
 func (h *host) wipe() {
 	h.die()
--- a/internal/controlsim/network_test.go
+++ b/internal/controlsim/network_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/control"
 )
@@ -38,6 +40,9 @@
 	if to == nil || n.world.chance(n.lose) {
 		return
 	}
+	if hook := n.world.hooks.onSend; hook != nil && !hook(from, action) {
+		return
+	}
 	n.carry(from, to, action)
 	if n.world.chance(n.double) {
 		n.carry(from, to, action)
@@ -49,6 +54,9 @@
 	if n.world.chance(n.linger) {
 		delay = n.world.upTo(3 * time.Second)
 	}
+	if bandwidth := n.world.plan.bandwidth; bandwidth > 0 {
+		delay += time.Duration(proto.Size(action.Message)) * time.Second / time.Duration(bandwidth)
+	}
 	life := to.life
 	n.world.after(delay, func() {
 		blocked := n.blocked[[2]int{from.index, to.index}]
--- a/internal/controlsim/operator_test.go
+++ b/internal/controlsim/operator_test.go
@@ -32,20 +32,27 @@
 	return &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: c.base, Body: []byte(body)}
 }
 
-// keysOf returns the keys of the configurations that a state holds.
-func keysOf(snapshot *catalog.Snapshot) []string {
+// newKeysOf returns the keys of the configurations that came with the last change of a state.
+func newKeysOf(snapshot *catalog.Snapshot) []string {
 	var keys []string
 	for _, item := range snapshot.Items(catalog.KindRoutes) {
-		var route struct {
-			Prefix string `json:"path-prefix"`
-		}
-		if json.Unmarshal(item.GetBody(), &route) == nil {
-			keys = append(keys, route.Prefix)
+		if item.GetSequence() == snapshot.Sequence() {
+			keys = append(keys, keyOf(item)...)
 		}
 	}
 	return keys
 }
 
+func keyOf(item *pb.Item) []string {
+	var route struct {
+		Prefix string `json:"path-prefix"`
+	}
+	if json.Unmarshal(item.GetBody(), &route) != nil {
+		return nil
+	}
+	return []string{route.Prefix}
+}
+
 // operator sends configurations, evacuations and reads, one at a time, as the operator's API tells it to.
 type operator struct {
 	world *world
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -44,6 +44,10 @@
 	mutation mutation
 	calm     bool    // no faults of the network
 	restless float64 // probability that a voter proposes without need at a tick
+	// bandwidth of each way between two machines in bytes a second, without queues; 0: no limit
+	bandwidth int
+	// snapshotRecords is the number of records after which a ring gets a snapshot; 0: usualSnapshotRecords
+	snapshotRecords int
 }
 
 // world is a set of machines with everything around them.
@@ -63,6 +67,15 @@
 	request  uint64
 	lastHurt time.Duration // end of the last trouble
 	trace    []string
+	hooks    hooks
+}
+
+// hooks let a test act at a certain step of a run; those that are nil do nothing.
+type hooks struct {
+	// onSend is told of each message; false loses it.
+	onSend func(from *host, send control.Send) bool
+	// onPersist is told of each write when it is queued.
+	onPersist func(host *host, write control.Persist)
 }
 
 func newWorld(plan plan) *world {
