Come back as another replica from a corrupt ring, and notice one more kind of it

A ring that is corrupt at the start ended the process with an error, at each start anew: the machine was lost until somebody emptied its disk. Now the ring is left as it is, the state goes on in another folder beside it, and the machine comes back as one that has lost its disk: under a new identity, which promises nothing in the name of the old one, and without the right to found. It is bounded: after the fourth corrupt ring the start fails with a *RingsCorruptError. A ring of another version is not damage and still ends the start.

TestAnyFlippedByteIsNoticed allows that error, and only that one, where it took a fresh disk or an older state before.

The ring's own folder is made to last in the state folder, and the disk of the tests no longer lets a new file last by a sync of the file alone: a file that was made without a sync of its folder may be kept or lost.

The simulation damages rings in the place of some lost disks.

--- a/internal/control/inspect.go
+++ b/internal/control/inspect.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,7 +37,7 @@
 // Inspect reads a control machine's state folder. The error is a *NoStateError or tells that the folder cannot
 // be read at all.
 func Inspect(stateDir string) (*Inspection, error) {
-	folder := filepath.Join(stateDir, ringFolder)
+	folder := ringPath(stateDir, currentRing(stateDir))
 	if _, err := os.Stat(folder); errors.Is(err, fs.ErrNotExist) {
 		return nil, &NoStateError{Folder: stateDir}
 	}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -5,7 +5,6 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,14 +25,8 @@
 	eventQueue = 256
 	// submitSlack is added to an order's limit, to end the wait for a machine that does not answer at all.
 	submitSlack = time.Second
-	// openPause is the wait before a disk that refuses is opened again.
-	openPause = 200 * time.Millisecond
 	// deliverWait is how long a delivery waits for a machine that is behind.
 	deliverWait = 300 * time.Millisecond
-	// ringFolder is the folder of the ring under the state folder.
-	ringFolder = "control"
-	ringFiles  = 2
-	ringBytes  = 512 << 10
 )
 
 // Options configures a Node.
@@ -90,14 +83,17 @@
 }
 
 // Start opens the ring, again and again while the disk refuses, and starts the goroutines of the node; they
-// end with ctx. The error tells that ctx ended, that there is no state folder, or that what is on disk cannot
-// be read.
+// end with ctx. On a disk that holds no state that can be read, it comes back as another replica. The error tells
+// that ctx ended, that there is no state folder, that what is on disk is of another version of this program, or
+// that too many rings on it were corrupt.
 func Start(ctx context.Context, options Options) (*Node, error) {
-	opened, recovered, err := openRing(ctx, options)
+	opened, recovered, replaced, err := openRing(ctx, options)
 	if err != nil {
 		return nil, err
 	}
-	machine, err := NewMachine(machineConfig(options), recovered)
+	config := machineConfig(options)
+	config.Bootstrap = config.Bootstrap && !replaced
+	machine, err := NewMachine(config, recovered)
 	if err != nil {
 		return nil, errors.Wrap(err, "recover the control state")
 	}
@@ -119,27 +115,6 @@
 	return node, nil
 }
 
-func openRing(ctx context.Context, options Options) (*ring.Ring, *ring.Recovered, error) {
-	if options.Storage == nil && options.Settings.StateDir == "" {
-		return nil, nil, errors.New("a control machine needs a state-dir")
-	}
-	folder := filepath.Join(options.Settings.StateDir, ringFolder)
-	ringOptions := ring.Options{Files: ringFiles, FileBytes: ringBytes, Storage: options.Storage}
-	for {
-		opened, recovered, err := ring.Open(folder, ringOptions)
-		var corrupt *ring.CorruptError
-		if err == nil || errors.As(err, &corrupt) {
-			return opened, recovered, errors.Wrap(err, "open the ring")
-		}
-		options.Logger.Warn("the disk refuses", zap.Error(err))
-		select {
-		case <-ctx.Done():
-			return nil, nil, errors.Wrap(err, "open the ring")
-		case <-time.After(openPause):
-		}
-	}
-}
-
 func machineConfig(options Options) Config {
 	own := options.Settings
 	peerAddress := options.PeerAddress
--- /dev/null
+++ b/internal/control/openring.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"fieldrelay/internal/ring"
+)
+
+const (
+	// ringFolder is the folder of the ring under the state folder. Those that take its place when it is corrupt
+	// have a number behind it.
+	ringFolder = "control"
+	// maxRingFolders bounds the rings under a state folder, the corrupt ones included.
+	maxRingFolders = 4
+	ringFiles      = 2
+	ringBytes      = 512 << 10
+	// openPause is the wait before a disk that refuses is opened again.
+	openPause = 200 * time.Millisecond
+)
+
+// RingsCorruptError tells that as many rings as are kept are corrupt: the disk needs a look before another one is
+// begun.
+type RingsCorruptError struct {
+	Folder string // of the last one
+	Err    error
+}
+
+func (e *RingsCorruptError) Error() string {
+	return fmt.Sprintf("%s and %d rings before it are corrupt: %v", e.Folder, maxRingFolders-1, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *RingsCorruptError) Unwrap() error { return e.Err }
+
+// openRing opens the ring in use, again and again while the disk refuses. A ring that is corrupt is left as it is,
+// and another one is begun beside it: the machine then comes back as one that has lost its disk, with a new
+// identity, which promises nothing in the name of the old one. Replaced tells that the ring is not the first on its
+// disk: such a machine founds nothing.
+func openRing(ctx context.Context, options Options) (opened *ring.Ring, recovered *ring.Recovered, replaced bool, err error) {
+	if options.Storage != nil {
+		opened, recovered, err = openPatiently(ctx, "", options)
+		return opened, recovered, false, err
+	}
+	if options.Settings.StateDir == "" {
+		return nil, nil, false, errors.New("a control machine needs a state-dir")
+	}
+	number := currentRing(options.Settings.StateDir)
+	for {
+		folder := ringPath(options.Settings.StateDir, number)
+		opened, recovered, err = openPatiently(ctx, folder, options)
+		if !isDamage(err) {
+			return opened, recovered, number > 1, err
+		}
+		if number == maxRingFolders {
+			return nil, nil, false, &RingsCorruptError{Folder: folder, Err: err}
+		}
+		number++
+		options.Logger.Error("the ring is corrupt; this machine comes back as another replica",
+			zap.String("corrupt", folder),
+			zap.String("begun", ringPath(options.Settings.StateDir, number)),
+			zap.Error(err))
+	}
+}
+
+// isDamage reports whether a ring holds no state that can be read. One of another version is not damaged.
+func isDamage(err error) bool {
+	var corrupt *ring.CorruptError
+	return errors.As(err, &corrupt) && corrupt.Version == 0
+}
+
+// openPatiently opens a ring; the error is a *ring.CorruptError, or tells that ctx ended.
+func openPatiently(ctx context.Context, folder string, options Options) (*ring.Ring, *ring.Recovered, error) {
+	ringOptions := ring.Options{Files: ringFiles, FileBytes: ringBytes, Storage: options.Storage}
+	for {
+		opened, recovered, err := ring.Open(folder, ringOptions)
+		var corrupt *ring.CorruptError
+		if err == nil || errors.As(err, &corrupt) {
+			return opened, recovered, errors.Wrap(err, "open the ring")
+		}
+		options.Logger.Warn("the disk refuses", zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return nil, nil, errors.Wrap(err, "open the ring")
+		case <-time.After(openPause):
+		}
+	}
+}
+
+// currentRing is the number of the last ring under a state folder, from 1; also 1 if there is none.
+func currentRing(stateDir string) int {
+	for number := maxRingFolders; number > 1; number-- {
+		if _, err := os.Stat(ringPath(stateDir, number)); !errors.Is(err, fs.ErrNotExist) {
+			return number
+		}
+	}
+	return 1
+}
+
+func ringPath(stateDir string, number int) string {
+	if number == 1 {
+		return filepath.Join(stateDir, ringFolder)
+	}
+	return filepath.Join(stateDir, fmt.Sprintf("%s-%d", ringFolder, number))
+}
--- a/internal/controlsim/distance_test.go
+++ b/internal/controlsim/distance_test.go
@@ -18,7 +18,7 @@
 
 const (
 	// defaultFarRuns is the number of runs with a member far behind; CONTROLSIM_FAR sets another one.
-	defaultFarRuns = 63
+	defaultFarRuns = 70
 	// caughtUpWithin is the limit for a member to hold all that was committed when it returned, from its return
 	// or from the end of the last trouble on its way: sync-s of the sites.
 	caughtUpWithin = 4 * time.Second
@@ -44,11 +44,12 @@
 	absentFull
 	absentStalled
 	absentWiped
+	absentCorrupt
 	absences
 )
 
 func (a absence) String() string {
-	return [...]string{"killed", "without power", "frozen", "cut off", "deaf", "mute", "full", "stalled", "wiped"}[a]
+	return [...]string{"killed", "without power", "frozen", "cut off", "deaf", "mute", "full", "stalled", "wiped", "corrupt"}[a]
 }
 
 // obstacle is what comes in the way of a member that catches up.
@@ -181,6 +182,8 @@
 		member.setStalled(true)
 	case absentWiped:
 		member.wipe()
+	case absentCorrupt:
+		member.corrupt()
 	}
 }
 
@@ -206,7 +209,7 @@
 	w.calm = w.now
 	w.note("%s is back", w.member.name)
 	switch member := w.member; w.far.absence {
-	case absentKilled, absentPower, absentWiped:
+	case absentKilled, absentPower, absentWiped, absentCorrupt:
 		member.start()
 	case absentFrozen:
 		member.thaw()
--- a/internal/controlsim/faults_test.go
+++ b/internal/controlsim/faults_test.go
@@ -204,7 +204,11 @@
 			}
 		}
 	}
-	host.wipe()
+	if t.world.chance(0.3) {
+		host.corrupt()
+	} else {
+		host.wipe()
+	}
 	t.during(t.span(), host.start)
 	if t.world.plan.mutation.wipeTwo {
 		other := t.world.anyHost()
--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/control"
 	"fieldrelay/internal/ring"
@@ -63,12 +65,14 @@
 	if !h.boot {
 		h.seeds = h.world.seedsFor(h)
 	}
-	opened, recovered, err := ring.Open("", ring.Options{
-		Files:     2,
-		FileBytes: 4 << 10,
-		Storage:   h.disk,
-		Nonce:     h.world.random.Uint64,
-	})
+	opened, recovered, err := h.openRing()
+	var corrupt *ring.CorruptError
+	if errors.As(err, &corrupt) {
+		h.world.note("%s has a corrupt ring and comes back as another replica", h.name)
+		h.boot = false
+		h.disk.Wipe()
+		opened, recovered, err = h.openRing()
+	}
 	if err != nil {
 		h.world.after(200*time.Millisecond, h.start)
 		return
@@ -100,6 +104,15 @@
 	h.scheduleTick(h.life)
 }
 
+func (h *host) openRing() (*ring.Ring, *ring.Recovered, error) {
+	return ring.Open("", ring.Options{
+		Files:     2,
+		FileBytes: 4 << 10,
+		Storage:   h.disk,
+		Nonce:     h.world.random.Uint64,
+	})
+}
+
 func (w *world) peerOf(controlAddress string) string {
 	for _, host := range w.hosts {
 		if host.control == controlAddress {
@@ -263,6 +276,25 @@
 	h.boot = false
 }
 
+// snapshotOffset lies in the first snapshot frame of a ring's file.
+const snapshotOffset = 60
+
+// corrupt ends the process and damages the snapshots on its disk.
+func (h *host) corrupt() {
+	h.disk.Kill()
+	h.die()
+	names, err := h.disk.List()
+	if err != nil {
+		h.world.checker.fail("%s: %v", h.name, err)
+	}
+	for _, name := range names {
+		if file, err := h.disk.Open(name, false); err == nil {
+			_, _ = file.WriteAt([]byte("!!!!"), snapshotOffset)
+			_ = file.Sync()
+		}
+	}
+}
+
 func (h *host) thaw() {
 	h.frozen = false
 	missed := h.missed
--- a/internal/ring/errors.go
+++ b/internal/ring/errors.go
@@ -40,6 +40,9 @@
 type CorruptError struct {
 	File   string // empty if it concerns all
 	Reason string
+	// Version is that of the file if this program does not know it: nothing need be wrong with the file then.
+	// Otherwise it is 0.
+	Version uint32
 }
 
 func (e *CorruptError) Error() string {
--- a/internal/ring/files.go
+++ b/internal/ring/files.go
@@ -36,7 +36,8 @@
 
 // Folder is a folder of the operating system. It implements Files.
 type Folder struct {
-	path string
+	path       string
+	nameSynced bool // the folder's own name lasts in the folder that holds it
 }
 
 // NewFolder returns the folder with a path. It is made when the first file is.
@@ -82,17 +83,31 @@
 	return folderFile{file}, nil
 }
 
-// Sync makes the folder's list of files last. A folder that is missing has nothing to sync.
+// Sync makes the folder's list of files last, and the first time the folder's own name. A folder that is missing
+// has nothing to sync.
 func (f *Folder) Sync() error {
-	folder, err := os.Open(f.path)
+	found, err := syncFolder(f.path)
+	if err != nil || !found || f.nameSynced {
+		return err
+	}
+	if _, err := syncFolder(filepath.Dir(f.path)); err != nil {
+		return err
+	}
+	f.nameSynced = true
+	return nil
+}
+
+// syncFolder reports whether the folder is there.
+func syncFolder(path string) (found bool, err error) {
+	folder, err := os.Open(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	syncErr := folder.Sync()
-	return errors.CombineErrors(syncErr, folder.Close())
+	return true, errors.CombineErrors(syncErr, folder.Close())
 }
 
 type folderFile struct {
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -259,13 +259,49 @@
 		}
 		require.True(t, disk.Corrupt("ring-0"))
 		_, recovered, err := ring.Open("", options)
-		require.NoError(t, err)
+		if err != nil {
+			var corrupt *ring.CorruptError
+			require.ErrorAs(t, err, &corrupt)
+			continue
+		}
 		for index, record := range recovered.Records {
 			require.Equal(t, want[index], string(record.Payload))
 		}
 	}
 }
 
+// TestDamagedSnapshotDoesNotBringBackTheOneBefore: records were acknowledged behind the newest snapshot, so that the
+// older file is no state to go on with. Only where the very bytes that place the snapshot are damaged (the file's
+// header and the frame's epoch, sequence and length) it looks like one that was never finished.
+func TestDamagedSnapshotDoesNotBringBackTheOneBefore(t *testing.T) {
+	const frame = 40 // offset of the snapshot's frame
+	for offset := int64(frame); offset < frame+32+4; offset++ {
+		if offset >= frame+8 && offset < frame+20 {
+			continue
+		}
+		random := newRandom(uint64(offset))
+		disk := ringtest.NewDisk(random)
+		options := smallRing(disk, random)
+		opened, _, err := ring.Open("", options)
+		require.NoError(t, err)
+		for _, payload := range []string{"older", "newer"} {
+			require.NoError(t, opened.Snapshot([]byte(payload)))
+			require.NoError(t, opened.Append(ring.Record{Kind: 1, Payload: []byte("behind " + payload)}))
+		}
+		file, err := disk.Open("ring-1", false)
+		require.NoError(t, err)
+		var was [1]byte
+		_, err = file.ReadAt(was[:], offset)
+		require.NoError(t, err)
+		_, err = file.WriteAt([]byte{was[0] ^ 0x55}, offset)
+		require.NoError(t, err)
+		_, _, err = ring.Open("", options)
+		var corrupt *ring.CorruptError
+		require.ErrorAs(t, err, &corrupt, "offset %d", offset)
+		require.Zero(t, corrupt.Version)
+	}
+}
+
 func TestFolderAndCheck(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "state")
 	opened, recovered, err := ring.Open(dir, ring.Options{})
@@ -324,6 +360,7 @@
 	var corrupt *ring.CorruptError
 	_, _, err = ring.Open(dir, ring.Options{})
 	require.ErrorAs(t, err, &corrupt)
+	require.EqualValues(t, 2, corrupt.Version)
 	report, err := ring.Check(dir)
 	require.NoError(t, err)
 	require.ErrorAs(t, report.Failure, &corrupt)
--- a/internal/ring/ringtest/disk.go
+++ b/internal/ring/ringtest/disk.go
@@ -3,7 +3,7 @@
 //
 // It behaves as a disk of the deployment does. When a process dies, files stay as they are. When power is
 // lost, a file holds what its last sync covered; each later write may be there, missing or torn, and at some
-// losses of power all of them are gone. A new file lasts once it is synced itself or its folder is.
+// losses of power all of them are gone. A new file may be kept or lost until its folder is synced.
 package ringtest
 
 import (
@@ -125,7 +125,7 @@
 		file = &content{}
 		d.files[name] = file
 	}
-	return &handle{disk: d, name: name, file: file, generation: d.generation}, nil
+	return &handle{disk: d, file: file, generation: d.generation}, nil
 }
 
 // Sync makes all new files last.
--- a/internal/ring/ringtest/handle.go
+++ b/internal/ring/ringtest/handle.go
@@ -9,7 +9,6 @@
 // handle is an open file. It is dead after its process died.
 type handle struct {
 	disk       *Disk
-	name       string
 	file       *content
 	generation int
 	closed     bool
@@ -89,7 +88,8 @@
 	return nil
 }
 
-// Sync puts the file on disk. When it fails, a part may be there: the rest stays to be written.
+// Sync puts the file's bytes on disk; its name lasts once the folder is synced. When it fails, a part may be
+// there: the rest stays to be written.
 func (h *handle) Sync() error {
 	h.disk.access("sync")
 	h.disk.mutex.Lock()
@@ -104,7 +104,6 @@
 		return syscall.EIO
 	}
 	h.file.sync()
-	h.disk.lasting[h.name] = h.file
 	return nil
 }
 
--- a/internal/ring/scan.go
+++ b/internal/ring/scan.go
@@ -39,6 +39,7 @@
 	headerValid   bool
 	chain         uint64 // checksum of the header
 	snapshotValid bool
+	wasComplete   bool // the snapshot is not valid but was on disk once: a record follows it
 	snapshot      []byte
 	records       []Record
 	position      position
@@ -106,6 +107,9 @@
 			result.best = one
 			break
 		}
+		if one.wasComplete {
+			return nil, &CorruptError{File: fileName(one.slot), Reason: "records follow a snapshot that is not valid"}
+		}
 	}
 	if err := result.checkBest(); err != nil {
 		return nil, err
@@ -167,7 +171,11 @@
 	}
 	c.header, c.chain, c.headerValid = parseHeader(data[:read])
 	if c.headerValid && c.header.version != formatVersion {
-		return &CorruptError{File: fileName(c.slot), Reason: versionReason(c.header.version)}
+		return &CorruptError{
+			File:    fileName(c.slot),
+			Reason:  versionReason(c.header.version),
+			Version: c.header.version,
+		}
 	}
 	return nil
 }
@@ -194,10 +202,36 @@
 			return errors.Wrapf(err, "read %s", fileName(c.slot))
 		}
 		if !valid {
-			return nil
+			break
 		}
 		c.accept(record)
 	}
+	if c.snapshotValid {
+		return nil
+	}
+	return errors.Wrapf(c.lookBehindSnapshot(file), "read %s", fileName(c.slot))
+}
+
+// lookBehindSnapshot looks for the first record behind a snapshot that is not valid. A record is only appended
+// once the snapshot is on disk, so that no loss of power leaves such a file.
+func (c *candidate) lookBehindSnapshot(file File) error {
+	var data [frameBytes]byte
+	whole, err := readFull(io.NewSectionReader(file, headerBytes, frameBytes), data[:])
+	if !whole {
+		return err
+	}
+	snapshot := parseFrame(data[:])
+	if snapshot.epoch != uint32(c.header.epoch) || snapshot.sequence != 0 || snapshot.length > maximumPayload {
+		return nil
+	}
+	behind := headerBytes + frameBytes + int64(snapshot.length)
+	whole, err = readFull(io.NewSectionReader(file, behind, frameBytes), data[:])
+	if !whole {
+		return err
+	}
+	record := parseFrame(data[:])
+	c.wasComplete = record.epoch == uint32(c.header.epoch) && record.sequence == 1
+	return nil
 }
 
 // accept takes a valid frame in, whose checksum is already the chain's.
