--- /dev/null
+++ b/internal/controlsim/distance_planted_test.go
@@ -0,0 +1,205 @@
+package controlsim
+
+import (
+	"encoding/binary"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/chain"
+	"fieldrelay/internal/ring"
+)
+
+// plantedDistance is the number of changes in runs with a planted fault: the ring wraps, history does not.
+const plantedDistance = 100
+
+func TestCheckerFindsPlantedFaultsFarBehind(t *testing.T) {
+	faults := []struct {
+		name     string
+		mutation mutation
+		finding  string // part of one of the findings
+	}{
+		{
+			name:     "a member that is behind never asks",
+			mutation: mutation{message: withoutLateRequests()},
+			finding:  "has not caught up",
+		},
+		{
+			name:     "a member is answered late",
+			mutation: mutation{message: withoutFirstAnswers()},
+			finding:  "has caught up after",
+		},
+		{
+			name:     "a repair lacks what differs",
+			mutation: mutation{message: emptyRepairs},
+			finding:  "two states of sequence",
+		},
+		{
+			name:     "a snapshot on disk lacks the state",
+			mutation: mutation{snapshots: identityOnly},
+			finding:  "cannot recover",
+		},
+		{
+			name:     "all disks come back older than they promised",
+			mutation: mutation{oldDisks: true},
+			finding:  "in an earlier life",
+		},
+		{
+			name:     "all disks come back older than they promised, as the operator sees it",
+			mutation: mutation{oldDisks: true},
+			finding:  "was acknowledged",
+		},
+	}
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			require.True(t, isFoundFar(fault.mutation, fault.finding), "%q was not found", fault.finding)
+		})
+	}
+}
+
+func isFoundFar(planted mutation, finding string) bool {
+	for seed := range uint64(absences) * uint64(obstacles) {
+		run := farPlan(seed)
+		run.distance = plantedDistance
+		run.routes = 0
+		run.plan.mutation = planted
+		if strings.Contains(strings.Join(playFar(run).checker.failures, "; "), finding) {
+			return true
+		}
+	}
+	return false
+}
+
+// A machine that takes the newest view for held, whatever it holds, heads a chain on old state.
+func TestCheckerFindsAHeadOnOldState(t *testing.T) {
+	require.True(t, isFound(mutation{records: holdsNewestView()}, "heads view"))
+}
+
+// Kinds of records that begin with the basis, as package control writes them.
+const (
+	viewKind   = 3
+	repairKind = 5
+	basisKind  = 6
+)
+
+// holdsNewestView makes all records say that the state of the newest view is held.
+func holdsNewestView() func([]ring.Record) []ring.Record {
+	newest := uint64(0)
+	return func(records []ring.Record) []ring.Record {
+		changed := append([]ring.Record(nil), records...)
+		for index, record := range changed {
+			if record.Kind < viewKind || record.Kind > basisKind {
+				continue
+			}
+			_, size := binary.Uvarint(record.Payload)
+			view := &pb.View{}
+			if record.Kind == viewKind && proto.Unmarshal(record.Payload[size:], view) == nil {
+				newest = max(newest, view.GetNumber())
+			}
+			payload := binary.AppendUvarint(nil, newest)
+			changed[index].Payload = append(payload, record.Payload[size:]...)
+		}
+		return changed
+	}
+}
+
+// withoutLateRequests makes requests for the state that come from far behind name a view that nobody is in.
+func withoutLateRequests() func(*pb.Message) *pb.Message {
+	newest := uint64(0)
+	return func(message *pb.Message) *pb.Message {
+		newest = max(newest, message.GetHeartbeat().GetCommitted())
+		request := message.GetSyncRequest()
+		if request == nil || request.GetDigests().GetSequence()+plantedDistance/2 > newest {
+			return message
+		}
+		changed := proto.CloneOf(message)
+		changed.GetSyncRequest().ViewNumber = 0
+		return changed
+	}
+}
+
+// withoutFirstAnswers loses the first answers with a state after some time.
+func withoutFirstAnswers() func(*pb.Message) *pb.Message {
+	const answers = 12
+	count := 0
+	return func(message *pb.Message) *pb.Message {
+		if message.GetSyncResponse() == nil || message.GetSyncResponse().GetRepair().GetSequence() < plantedDistance {
+			return message
+		}
+		if count++; count > answers {
+			return message
+		}
+		changed := proto.CloneOf(message)
+		changed.GetSyncResponse().ViewNumber = 0
+		return changed
+	}
+}
+
+// identityOnly keeps the first record of a snapshot: kind, length and payload.
+func identityOnly(snapshot []byte) []byte {
+	length, size := binary.Uvarint(snapshot[1:])
+	return snapshot[:1+size+int(length)]
+}
+
+// A disk that keeps what it has synced is what everything rests on. One that does not is found when its machine is
+// the head and is back before the others have gone on without it.
+func TestCheckerFindsADiskThatLies(t *testing.T) {
+	w := headWithOldDisk(t, 1)
+	require.Contains(t, strings.Join(w.checker.failures, "; "), "heads view")
+}
+
+func headWithOldDisk(t *testing.T, seed uint64) *world {
+	w := newWorld(plan{
+		seed:     seed,
+		machines: 3,
+		zones:    3,
+		required: chain.Requirement{Replicas: 2, Zones: 2},
+		calm:     true,
+	})
+	require.True(t, w.acknowledgeOne(foundWithin))
+	w.run(foundWithin)
+	head := w.byPeer[w.hosts[0].machine.View().GetChain()[0].GetAddress()]
+	restore := head.disk.Save()
+	for range 3 {
+		require.True(t, w.acknowledgeOne(foundWithin))
+	}
+	head.kill()
+	restore()
+	head.start()
+	w.run(foundWithin)
+	for range 3 {
+		w.acknowledgeOne(foundWithin)
+	}
+	return w
+}
+
+// A member whose disk lied may come back late without harm to the state: the view has changed, and it takes the state
+// of the new one before it takes part. Until it hears of that view it may tell what its disk holds as committed,
+// which is older than what it told before.
+func TestMemberWithAnOldDiskIsRepairedInALaterView(t *testing.T) {
+	for seed := range uint64(20) {
+		run := farPlan(seed)
+		run.absence, run.obstacle = absentKilled, obstacleNone
+		run.distance, run.routes = plantedDistance, 0
+		w := &farWorld{world: newWorld(run.plan), far: run}
+		w.writer = w.addWriter(0)
+		require.True(t, w.reach(beforeAbsence, beforeAbsence*changeWithin))
+		w.member = w.anyMember()
+		restore := w.member.disk.Save()
+		require.True(t, w.reach(beforeAbsence, beforeAbsence*changeWithin))
+		w.leave()
+		restore()
+		require.True(t, w.reach(plantedDistance, plantedDistance*changeWithin))
+		w.comeBack()
+		w.writer.ended = true
+		w.checkLiveness()
+		w.checker.finish()
+		for _, failure := range w.checker.failures {
+			require.Contains(t, failure, "in an earlier life", "seed %d", seed)
+		}
+	}
+}
--- a/internal/controlsim/distance_test.go
+++ b/internal/controlsim/distance_test.go
@@ -122,13 +122,14 @@
 // farWorld is a world while a far run is under way.
 type farWorld struct {
 	*world
-	far    far
-	writer *writer
-	member *host
-	struck bool          // the obstacle has come
-	lost   int           // answers that were lost
-	calm   time.Duration // when the member returned, or the last trouble on its way ended
-	caught time.Duration // what it needed from then on
+	far      far
+	writer   *writer
+	member   *host
+	struck   bool          // the obstacle has come
+	lost     int           // answers that were lost
+	restores []func()      // put the disks back, for a planted fault
+	calm     time.Duration // when the member returned, or the last trouble on its way ended
+	caught   time.Duration // what it needed from then on
 }
 
 // playFar runs a world and returns it with the checker's findings.
@@ -166,6 +167,11 @@
 func (w *farWorld) anyMember() *host { return w.hosts[w.random.IntN(w.plan.machines)] }
 
 func (w *farWorld) leave() {
+	if w.plan.mutation.oldDisks {
+		for _, host := range w.hosts {
+			w.restores = append(w.restores, host.disk.Save())
+		}
+	}
 	w.note("%s is away: %v", w.member.name, w.far.absence)
 	switch member := w.member; w.far.absence {
 	case absentKilled:
@@ -320,6 +326,9 @@
 	for _, host := range w.living() {
 		w.restart(host, end)
 	}
+	for _, restore := range w.restores {
+		restore()
+	}
 }
 
 // replace takes a machine away for good; another one starts soon.
--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -220,7 +220,7 @@
 		return nil
 	}
 	if write.Snapshot != nil {
-		return h.ring.Snapshot(write.Snapshot)
+		return h.ring.Snapshot(h.world.plan.mutation.onSnapshot(write.Snapshot))
 	}
 	return h.ring.Append(h.world.plan.mutation.onRecords(write.Records)...)
 }
--- a/internal/controlsim/mutation_test.go
+++ b/internal/controlsim/mutation_test.go
@@ -12,6 +12,8 @@
 	records    func([]ring.Record) []ring.Record
 	commits    func(control.Committed) control.Committed
 	reply      func(*pb.OrderResult) *pb.OrderResult
+	snapshots  func([]byte) []byte
+	oldDisks   bool // where all machines end at once, the disks come back as they were long before
 	loseWrites bool // writes are told to be on disk but are not
 	wipeTwo    bool // more disks are lost at once than the budget allows
 }
@@ -43,3 +45,10 @@
 	}
 	return m.commits(committed)
 }
+
+func (m *mutation) onSnapshot(snapshot []byte) []byte {
+	if m.snapshots == nil {
+		return snapshot
+	}
+	return m.snapshots(snapshot)
+}
--- a/internal/ring/ringtest/disk.go
+++ b/internal/ring/ringtest/disk.go
@@ -7,6 +7,7 @@
 package ringtest
 
 import (
+	"bytes"
 	"io/fs"
 	"math/rand/v2"
 	"slices"
@@ -94,6 +95,27 @@
 	}
 }
 
+// Save returns a function that puts the disk back to what it holds now, as no disk does that keeps what it has
+// synced.
+func (d *Disk) Save() (restore func()) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	saved := make(map[string][]byte, len(d.lasting))
+	for name, file := range d.lasting {
+		saved[name] = bytes.Clone(file.synced)
+	}
+	return func() {
+		d.Wipe()
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		for name, data := range saved {
+			file := &content{seen: bytes.Clone(data), synced: bytes.Clone(data)}
+			d.files[name] = file
+			d.lasting[name] = file
+		}
+	}
+}
+
 // Wipe replaces the disk by an empty one.
 func (d *Disk) Wipe() {
 	d.mutex.Lock()
