--- a/internal/controlsim/host_test.go
+++ b/internal/controlsim/host_test.go
@@ -1,11 +1,15 @@
 package controlsim
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/control"
 	"fieldrelay/internal/ring"
@@ -15,6 +19,9 @@
 // maxMissed bounds the events that wait for a host that is frozen.
 const maxMissed = 1000
 
+// usualSnapshotRecords is so small that the ring wraps many times in a run.
+const usualSnapshotRecords = 40
+
 // host is a machine of the world: its disk, and the process that runs on it.
 type host struct {
 	world   *world
@@ -69,12 +76,14 @@
 	if !h.boot {
 		h.seeds = h.world.seedsFor(h)
 	}
-	opened, recovered, err := ring.Open("", ring.Options{
-		Files:     2,
-		FileBytes: 4 << 10,
-		Storage:   h.disk,
-		Nonce:     h.world.random.Uint64,
-	})
+	opened, recovered, err := h.openRing()
+	var corrupt *ring.CorruptError
+	if errors.As(err, &corrupt) {
+		h.world.note("%s has a corrupt ring and comes back as another replica", h.name)
+		h.boot = false
+		h.disk.Wipe()
+		opened, recovered, err = h.openRing()
+	}
 	if err != nil {
 		h.world.after(200*time.Millisecond, h.start)
 		return
@@ -92,7 +101,7 @@
 		Requirement:     h.world.plan.required,
 		PeerAddress:     h.world.peerOf,
 		Random:          rand.New(rand.NewPCG(h.world.random.Uint64(), h.world.random.Uint64())),
-		SnapshotRecords: 40,
+		SnapshotRecords: cmp.Or(h.world.plan.snapshotRecords, usualSnapshotRecords),
 		Restless:        h.world.restless(),
 	}, recovered)
 	if err != nil {
@@ -106,6 +115,15 @@
 	h.scheduleTick(h.life)
 }
 
+func (h *host) openRing() (*ring.Ring, *ring.Recovered, error) {
+	return ring.Open("", ring.Options{
+		Files:     2,
+		FileBytes: 4 << 10,
+		Storage:   h.disk,
+		Nonce:     h.world.random.Uint64,
+	})
+}
+
 func (w *world) peerOf(controlAddress string) string {
 	for _, host := range w.hosts {
 		if host.control == controlAddress {
@@ -158,6 +176,9 @@
 			h.world.network.send(h, action)
 		case control.Persist:
 			h.writes = append(h.writes, action)
+			if hook := h.world.hooks.onPersist; hook != nil {
+				hook(h, action)
+			}
 			h.writeNext()
 		case control.Reply:
 			h.waiting--
@@ -218,7 +239,7 @@
 		return nil
 	}
 	if write.Snapshot != nil {
-		return h.ring.Snapshot(write.Snapshot)
+		return h.ring.Snapshot(h.world.plan.mutation.onSnapshot(write.Snapshot))
 	}
 	return h.ring.Append(h.world.plan.mutation.onRecords(write.Records)...)
 }
@@ -253,6 +274,23 @@
 	h.die()
 }
 
+// tearSnapshot takes the power while the disk is at work on the oldest snapshot that waits; false if none does.
+func (h *host) tearSnapshot() bool {
+	waits := slices.IndexFunc(h.writes, func(write control.Persist) bool { return write.Snapshot != nil })
+	if h.machine == nil || waits < 0 {
+		return false
+	}
+	for _, write := range h.writes[:waits] {
+		_ = h.put(write)
+	}
+	h.disk.SetFaults(ringtest.Faults{Sync: 1})
+	_ = h.put(h.writes[waits])
+	h.disk.SetFaults(ringtest.Faults{})
+	h.disk.PowerLoss()
+	h.die()
+	return true
+}
+
 // wipe ends the process and empties the disk.
 func (h *host) wipe() {
 	h.die()
@@ -260,6 +298,25 @@
 	h.boot = false
 }
 
+// snapshotOffset lies in the first snapshot frame of a ring's file.
+const snapshotOffset = 60
+
+// corrupt ends the process and damages the snapshots on its disk.
+func (h *host) corrupt() {
+	h.disk.Kill()
+	h.die()
+	names, err := h.disk.List()
+	if err != nil {
+		h.world.checker.fail("%s: %v", h.name, err)
+	}
+	for _, name := range names {
+		if file, err := h.disk.Open(name, false); err == nil {
+			_, _ = file.WriteAt([]byte("!!!!"), snapshotOffset)
+			_ = file.Sync()
+		}
+	}
+}
+
 func (h *host) thaw() {
 	h.frozen = false
 	missed := h.missed
--- a/internal/ring/ringtest/disk.go
+++ b/internal/ring/ringtest/disk.go
@@ -3,10 +3,11 @@
 //
 // It behaves as a disk of the deployment does. When a process dies, files stay as they are. When power is
 // lost, a file holds what its last sync covered; each later write may be there, missing or torn, and at some
-// losses of power all of them are gone. A new file lasts once it is synced itself or its folder is.
+// losses of power all of them are gone. A new file may be kept or lost until its folder is synced.
 package ringtest
 
 import (
+	"bytes"
 	"io/fs"
 	"math/rand/v2"
 	"slices"
@@ -94,6 +95,27 @@
 	}
 }
 
+// Save returns a function that puts the disk back to what it holds now, as no disk does that keeps what it has
+// synced.
+func (d *Disk) Save() (restore func()) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	saved := make(map[string][]byte, len(d.lasting))
+	for name, file := range d.lasting {
+		saved[name] = bytes.Clone(file.synced)
+	}
+	return func() {
+		d.Wipe()
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		for name, data := range saved {
+			file := &content{seen: bytes.Clone(data), synced: bytes.Clone(data)}
+			d.files[name] = file
+			d.lasting[name] = file
+		}
+	}
+}
+
 // Wipe replaces the disk by an empty one.
 func (d *Disk) Wipe() {
 	d.mutex.Lock()
@@ -125,7 +147,7 @@
 		file = &content{}
 		d.files[name] = file
 	}
-	return &handle{disk: d, name: name, file: file, generation: d.generation}, nil
+	return &handle{disk: d, file: file, generation: d.generation}, nil
 }
 
 // Sync makes all new files last.
