Take an order's result only from the machine that it was forwarded to last

Cause: orderResult matched a result to its order by the id alone: any machine that ever learnt the id could answer for the chain. Change: a pending order remembers its target; results of others, and confirmations, are dropped. A planted fault of the simulation gives results to another caller.

--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -148,7 +148,7 @@
 	l.now += limitOf(pending.order)
 	l.machine.now = l.now
 	before := len(l.sent)
-	l.machine.orderResult(&pb.OrderResult{Id: pending.order.GetId(), Status: statusConfirm, Body: []byte("1")})
+	l.machine.orderResult(l.machine.Self(), &pb.OrderResult{Id: pending.order.GetId(), Status: statusConfirm, Body: []byte("1")})
 	require.Len(t, l.sent, before)
 	require.Equal(t, body, pending.order.GetBody())
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -86,7 +86,7 @@
 	case *pb.Message_Order:
 		m.order(from, body.Order)
 	case *pb.Message_OrderResult:
-		m.orderResult(body.OrderResult)
+		m.orderResult(from, body.OrderResult)
 	case *pb.Message_ViewCheck:
 		m.viewCheck(from, body.ViewCheck)
 	case *pb.Message_ViewCheckResult:
--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -30,6 +31,7 @@
 	order    *pb.Order
 	deadline time.Duration
 	sent     time.Duration
+	target   string // identity of the machine that it was forwarded to last; empty: there was none
 }
 
 // sendingTime is how long a body may need on one link.
@@ -75,6 +77,7 @@
 	if pending.order.GetKind() == pb.Order_KIND_READ {
 		target = m.replica.Tail()
 	}
+	pending.target = target.GetIdentity()
 	if target != nil {
 		m.send(target, &pb.Message{Body: &pb.Message_Order{Order: pending.order}})
 	}
@@ -82,34 +85,50 @@
 
 // forwardAgain sends all pending orders to the chain of a new view.
 func (m *Machine) forwardAgain() {
-	for _, pending := range append([]*pendingOrder(nil), m.origin.pending...) {
+	for _, pending := range slices.Clone(m.origin.pending) {
 		m.forward(pending)
 	}
 }
 
 func (m *Machine) tickOrigin() {
-	for _, pending := range append([]*pendingOrder(nil), m.origin.pending...) {
+	for _, pending := range slices.Clone(m.origin.pending) {
 		switch {
 		case m.now >= pending.deadline:
-			m.orderResult(unavailable(pending.order.GetId()))
+			m.answer(pending, unavailable(pending.order.GetId()))
 		case m.now-pending.sent >= resendOrder+sendingTime(len(pending.order.GetBody())):
 			m.forward(pending)
 		}
 	}
 }
 
-// orderResult answers the operator, or confirms the order if the head asks for that. A result that comes twice, or too late, is dropped.
-func (m *Machine) orderResult(result *pb.OrderResult) {
-	for index, pending := range m.origin.pending {
-		if pending.order.GetId() != result.GetId() {
-			continue
-		}
-		if result.GetStatus() == statusConfirm {
-			m.confirm(pending, result.GetBody())
-			return
+// orderResult answers the operator, or confirms the order if the head asks for that. A result that comes twice or
+// too late is dropped, as is one of another machine than the order was forwarded to last: a machine that was the
+// head or the tail of an earlier view no longer speaks for the chain. Ids begin at random in each life of this
+// machine, so that results of orders of an earlier life match none.
+func (m *Machine) orderResult(from *pb.Replica, result *pb.OrderResult) {
+	pending := m.origin.find(result.GetId())
+	switch {
+	case pending == nil || pending.target != from.GetIdentity():
+	case result.GetStatus() == statusConfirm:
+		m.confirm(pending, result.GetBody())
+	default:
+		m.answer(pending, result)
+	}
+}
+
+// find returns the order with the given id, nil if there is none.
+func (o *originOrders) find(id uint64) *pendingOrder {
+	for _, pending := range o.pending {
+		if pending.order.GetId() == id {
+			return pending
 		}
-		m.origin.pending = append(m.origin.pending[:index], m.origin.pending[index+1:]...)
-		m.actions = append(m.actions, Reply{Request: pending.request, Result: result})
-		return
 	}
+	return nil
+}
+
+// answer gives the operator the result of an order, which is no longer pending from then on.
+func (m *Machine) answer(pending *pendingOrder, result *pb.OrderResult) {
+	index := slices.Index(m.origin.pending, pending)
+	m.origin.pending = slices.Delete(m.origin.pending, index, index+1)
+	m.actions = append(m.actions, Reply{Request: pending.request, Result: result})
 }
--- a/internal/controlsim/planted_test.go
+++ b/internal/controlsim/planted_test.go
@@ -85,6 +85,11 @@
 			mutation: mutation{commits: withoutFirstChange},
 			finding:  "changes ",
 		},
+		{
+			name:     "a result goes to another caller than its own",
+			mutation: mutation{message: swapResults()},
+			finding:  "was never committed",
+		},
 		{
 			name:     "every view is proposed twice",
 			mutation: mutation{message: otherValue()},
@@ -217,3 +222,20 @@
 		return changed
 	}
 }
+
+// swapResults gives each result the id of the newest order of its origin.
+func swapResults() func(*pb.Message) *pb.Message {
+	newest := make(map[string]uint64) // order of each origin
+	return func(message *pb.Message) *pb.Message {
+		if order := message.GetOrder(); order != nil {
+			newest[message.GetFrom().GetIdentity()] = order.GetId()
+		}
+		newer, known := newest[message.GetToIdentity()]
+		if message.GetOrderResult() == nil || !known {
+			return message
+		}
+		changed := proto.CloneOf(message)
+		changed.GetOrderResult().Id = newer
+		return changed
+	}
+}
