Pass on answers without a length, which end with their connection

Ruled out: holding it whole in memory (bounded as before at 1 MiB, the rest goes on in chunks); counting its closing as a sign that the server leaves. Change: FaultUnsized is gone, HEAD without a length too; a stream without a length that ends in an event was cut; a stream is not taken up behind an event without an id; a cut answer to a client of HTTP/1.0 is reset; a large answer that breaks off counts as broken, not as a client that left, and its server's fault is told by kind.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fieldrelay/internal/placement"
 	"fieldrelay/internal/proxy/upstream"
 	"fieldrelay/internal/route"
@@ -44,7 +46,9 @@
 
 // noteHints takes in what the head tells about the server.
 func (a *attempt) noteHints() {
-	a.handler.dispatcher.answered(a.decision.ServerID, a.response.Close)
+	if !upstream.EndsWithConnection(a.response) {
+		a.handler.dispatcher.answered(a.decision.ServerID, a.response.Close)
+	}
 	if values := a.response.Header[headerWarmup]; len(values) > 0 {
 		if milliseconds, err := strconv.ParseUint(values[0], 10, 31); err == nil && milliseconds > 0 {
 			a.handler.dispatcher.serverCold(a.decision.ServerID, time.Duration(milliseconds)*time.Millisecond)
@@ -193,7 +197,8 @@
 	}
 }
 
-// passLarge hands the client an answer in pieces. If it breaks off, so does the client's.
+// passLarge hands the client an answer in pieces, in chunks if its length is not known. If it breaks off, so does
+// the client's.
 func (a *attempt) passLarge(begun *chargedBuffer) verdict {
 	header := a.client.Header()
 	copyAnswerHeader(header, a.response.Header)
@@ -201,25 +206,50 @@
 		header["Content-Length"] = told
 	}
 	a.beginAnswer()
-	var err error
-	if begun != nil {
-		_, err = a.client.Write(begun.bytes)
-	}
-	if err == nil {
-		_, err = io.CopyBuffer(onlyWriter{a.client}, a.response.Body, make([]byte, copyBuffer))
-	}
-	if err != nil {
-		a.handler.counters.broken.Add(1)
-		a.close(fateUnknown, outcomeOfError(err), false)
+	err := a.passPieces(begun)
+	var writeError *clientWriteError
+	switch {
+	case err == nil:
+		a.close(fateRan, outcomeOfAnswer(a.response, fateRan), true)
+		a.success = isSuccess(a.response.StatusCode)
+		return verdictDelivered
+	case errors.As(err, &writeError):
+		a.close(fateRan, placement.ClientGone, false)
 		return verdictGone
+	default:
+		a.close(fateUnknown, outcomeOfError(a.conn.BodyError(err)), false)
+		if a.gone() {
+			return verdictGone
+		}
+		return verdictBroken
 	}
-	a.close(fateRan, outcomeOfAnswer(a.response, fateRan), true)
-	a.success = isSuccess(a.response.StatusCode)
-	return verdictDelivered
 }
 
-// onlyWriter hides the other methods of a writer, so that a copy goes through the buffer it was given.
-type onlyWriter struct{ io.Writer }
+// passPieces passes on what was read of the body and then the rest. Its error is a *clientWriteError if the
+// client no longer takes it, and otherwise that of the server's connection.
+func (a *attempt) passPieces(begun *chargedBuffer) error {
+	if begun != nil {
+		if _, err := a.client.Write(begun.bytes); err != nil {
+			return &clientWriteError{err}
+		}
+	}
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, readError := a.response.Body.Read(buffer)
+		if n > 0 {
+			if _, err := a.client.Write(buffer[:n]); err != nil {
+				return &clientWriteError{err}
+			}
+		}
+		switch readError {
+		case nil:
+		case io.EOF:
+			return nil
+		default:
+			return readError
+		}
+	}
+}
 
 // outcomeOfAnswer tells placement what an answer says about the server.
 func outcomeOfAnswer(response *http.Response, f fate) placement.Outcome {
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -11,7 +11,10 @@
 	line      []byte // beginning of the line that is being read, bounded
 	pendingID string // id of the event that is being read
 	hasID     bool
+	hasField  bool   // the event that is being read is more than comments
 	lastID    string // id of the last whole event that had one
+	// unnumbered tells that a whole event without an id came after that one.
+	unnumbered bool
 }
 
 // maxIDLine bounds how much of a line is looked at for an id.
@@ -53,14 +56,19 @@
 		s.noteID(line)
 		return false
 	}
-	if s.hasID {
+	switch {
+	case s.hasID:
 		s.lastID = s.pendingID
+		s.unnumbered = false
+	case s.hasField:
+		s.unnumbered = true
 	}
-	s.hasID = false
+	s.hasID, s.hasField = false, false
 	return true
 }
 
 func (s *eventScanner) noteID(line []byte) {
+	s.hasField = s.hasField || line[0] != ':'
 	value, found := bytes.CutPrefix(line, []byte("id:"))
 	if !found {
 		return
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -45,6 +45,7 @@
 	verdictFailed                   // no answer was passed on, or a stream was cut
 	verdictUnplaced                 // there was no server to send it to
 	verdictGone                     // the client left, or the process is ending
+	verdictBroken                   // an answer that was being passed on broke off and can't be taken up
 )
 
 // run answers the request and tells whether the answer is whole; if not, the client's connection must end.
@@ -65,6 +66,8 @@
 		case verdictUnplaced:
 			x.handler.counters.unplaced.Add(1)
 			return x.conclude()
+		case verdictBroken:
+			return x.conclude()
 		case verdictFailed:
 			if !x.mayRepeat() {
 				return x.conclude()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -52,10 +53,25 @@
 	}
 	defer exchange.free()
 	if !exchange.run() {
-		panic(http.ErrAbortHandler)
+		endVisibly(writer, request)
 	}
 }
 
+// endVisibly ends a client's connection in the middle of an answer. An answer with a length or in chunks is seen
+// to be cut; one that a client of HTTP/1.0 gets may end with the connection, so that this must be reset.
+func endVisibly(writer http.ResponseWriter, request *http.Request) {
+	if !request.ProtoAtLeast(1, 1) {
+		conn, _, err := http.NewResponseController(writer).Hijack()
+		if err == nil {
+			if socket, ok := conn.(*net.TCPConn); ok {
+				_ = socket.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refusal is an answer of the proxy's own to a request that was not passed on.
 type refusal struct {
 	status     int
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -207,6 +207,14 @@
 	}
 }
 
+// rawReset is like raw but ends the connection hard.
+func rawReset(answer string) reply {
+	return func(conn *net.TCPConn, request arrival) bool {
+		raw(answer)(conn, request)
+		return resets(conn, request)
+	}
+}
+
 // resets ends the connection hard without an answer.
 func resets(conn *net.TCPConn, _ arrival) bool {
 	_ = conn.SetLinger(0)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldrelay/internal/placement"
+	"fieldrelay/internal/proxy/upstream"
 )
 
 const (
@@ -31,9 +32,10 @@
 	continuing bool // the next event must follow on the last one
 }
 
-// resumable tells whether another server can go on where the stream was cut.
+// resumable tells whether another server can go on where the stream was cut: after the event that was passed on
+// last, which the id of an earlier one would bring again.
 func (s *clientStream) resumable() bool {
-	return s.mayResume && (!s.anyPassed || s.scanner.lastID != "")
+	return s.mayResume && (!s.anyPassed || (s.scanner.lastID != "" && !s.scanner.unnumbered))
 }
 
 // lastID is the id of the last event that was passed on, empty if there was none.
@@ -170,10 +172,14 @@
 	return nil
 }
 
-// passRest passes on what follows the last event at the proper end of a stream.
+// passRest passes on what follows the last event at the proper end of a stream. A stream that ends with its
+// connection has no proper end within an event: its server broke off.
 func (a *attempt) passRest(stream *clientStream, rest []byte) error {
 	if len(rest) == 0 {
 		return nil
 	}
+	if upstream.EndsWithConnection(a.response) {
+		return io.ErrUnexpectedEOF
+	}
 	return a.passBatch(stream, rest)
 }
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -119,10 +119,6 @@
 		c.broken = true
 		return nil, &AnswerError{Server: c.server, Fault: FaultForeign}
 	}
-	if unsized(response) {
-		c.broken = true
-		return nil, &AnswerError{Server: c.server, Fault: FaultUnsized}
-	}
 	if response.Close {
 		c.broken = true
 	}
@@ -147,9 +143,10 @@
 	return nil, errors.New("too many interim answers")
 }
 
-// unsized tells whether the body lasts until the connection ends, so that a cut looks like the end.
-func unsized(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+// EndsWithConnection tells whether the body of an answer lasts until the server closes the connection. It is
+// whole then, and not if the connection was reset. Such an answer to HEAD has no body.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
 func (c *Conn) answerError(err error) error {
--- a/internal/proxy/upstream/errors.go
+++ b/internal/proxy/upstream/errors.go
@@ -40,7 +40,6 @@
 	FaultTimeout              // nothing came until the deadline
 	FaultGarbage              // the bytes form no answer
 	FaultForeign              // the answer belongs to another request
-	FaultUnsized              // the answer's end can't be told from a cut
 )
 
 // String returns the name of the fault.
@@ -56,8 +55,6 @@
 		return "garbage"
 	case FaultForeign:
 		return "foreign"
-	case FaultUnsized:
-		return "unsized"
 	default:
 		return "unknown"
 	}
