See answers that come before a long request was sent whole, and take back what is given up

Cause: a request was written whole before its answer was read. A server that answers early without reading on was waited for until the deadline (its promise lost); and a connection that was given up was closed gently, so that the system went on sending what it held of the request after the client had left. Ruled out: a goroutine for each body (one only for what the system does not take at once); keeping a connection whose request was not sent whole. While a request is on its way the end of the connection is no end of an answer: the sending side may have taken note of a reset, which the reading side then sees as an end.

--- /dev/null
+++ b/internal/proxy/bench_long_test.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
+
+// BenchmarkForwardLongBody is BenchmarkForward with bodies that go out apart from the head.
+func BenchmarkForwardLongBody(b *testing.B) {
+	for _, size := range []int{32 << 10, 256 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			t := &testing.T{}
+			server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+				return good("ok")(conn, request)
+			})
+			r := newRig(t, server)
+			conn, err := net.Dial("tcp4", r.address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer conn.Close()
+			request := []byte("POST /m/x HTTP/1.1\r\nHost: h.example\r\n" + headerAttemptID + ": id1\r\nContent-Length: " +
+				fmt.Sprint(size) + "\r\n\r\n" + strings.Repeat("b", size))
+			reader := bufio.NewReader(conn)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := conn.Write(request); err != nil {
+					b.Fatal(err)
+				}
+				for {
+					line, err := reader.ReadSlice('\n')
+					if err != nil {
+						b.Fatal(err)
+					}
+					if len(line) == 2 {
+						break
+					}
+				}
+				if _, err := io.ReadFull(reader, make([]byte, 2)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -37,6 +37,7 @@
 	socket *net.TCPConn
 	raw    syscall.RawConn
 	reader *bufio.Reader // nil while idle
+	rest   *remainder    // of the request being sent; nil: the system has taken all of it
 	reused bool
 	broken bool
 	// headLeft is how much may still be read for the head; negative outside of heads.
@@ -80,30 +81,16 @@
 	}
 }
 
-// Abort closes the connection at once, so that the server stops working on the request. It may be called
-// while another goroutine uses the connection.
-func (c *Conn) Abort() { _ = c.socket.Close() }
-
-// Send writes one whole request: its head, ending with an empty line, and its body.
-func (c *Conn) Send(head, body []byte) error {
-	c.attachReader()
-	var written int64
-	var err error
-	if len(body) == 0 {
-		var n int
-		n, err = c.socket.Write(head)
-		written = int64(n)
-	} else {
-		parts := net.Buffers{head, body}
-		written, err = parts.WriteTo(c.socket)
-	}
-	if err == nil {
-		return nil
-	}
-	c.broken = true
-	return &SendError{Server: c.server, Written: written, Err: err}
+// Abort resets the connection, so that the server stops working on the request and what the system still holds of
+// it does not reach the server any more. It may be called while another goroutine uses the connection.
+func (c *Conn) Abort() {
+	_ = c.socket.SetLinger(0)
+	_ = c.socket.Close()
 }
 
+// close ends a connection on which nothing is due.
+func (c *Conn) close() { _ = c.socket.Close() }
+
 // Receive reads the head of the answer to the request that was sent and checks that it belongs to it. The
 // body is read from the response's Body; Finish tells whether it ended whole.
 func (c *Conn) Receive(method, attemptID string) (*http.Response, error) {
@@ -112,8 +99,7 @@
 	response, err := c.receiveFinal(method)
 	c.headLeft = -1
 	if err != nil {
-		c.broken = true
-		return nil, c.answerError(err)
+		return nil, c.noAnswer(err)
 	}
 	if ids := response.Header[AttemptIDHeader]; len(ids) != 1 || ids[0] != attemptID {
 		c.broken = true
@@ -149,6 +135,16 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
+// noAnswer tells what became of a request to which no answer came.
+func (c *Conn) noAnswer(err error) error {
+	c.broken = true
+	c.stopSending()
+	if c.sentNothing() {
+		return &SendError{Server: c.server, Err: err}
+	}
+	return c.answerError(err)
+}
+
 func (c *Conn) answerError(err error) error {
 	return &AnswerError{Server: c.server, Fault: faultOf(err), Err: err}
 }
@@ -175,7 +171,8 @@
 	}
 }
 
-// Read reads from the socket; it bounds the head of an answer.
+// Read reads from the socket; it bounds the head of an answer. The end of the connection is no proper end while the
+// request is being sent: the sending side may have taken note of a reset already, which then looks like an end here.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	if c.headLeft == 0 {
 		return 0, errHeadTooLarge
@@ -187,6 +184,9 @@
 	if c.headLeft > 0 {
 		c.headLeft -= n
 	}
+	if err == io.EOF && !c.sentWhole() {
+		err = io.ErrUnexpectedEOF
+	}
 	return n, err
 }
 
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -100,14 +100,14 @@
 		}
 		age := time.Since(conn.idleFrom)
 		if age >= conn.idleTime {
-			conn.Abort()
+			conn.close()
 			continue
 		}
 		conn.SetDeadline(deadline)
 		if conn.look() == conditionQuiet {
 			return conn
 		}
-		conn.Abort()
+		conn.close()
 		p.noteStale(server, age)
 	}
 }
@@ -176,8 +176,10 @@
 }
 
 // Release gives a connection back after an answer was read to its end. It is kept when it can be reused
-// and closed otherwise.
+// and closed otherwise: also when the answer came before the server had read the whole request, the rest of which
+// is due before anything else.
 func (p *Pool) Release(conn *Conn) {
+	conn.stopSending()
 	surplus := conn.MoreBuffered()
 	reusable := !conn.broken && !surplus && conn.idleTime >= minIdleTime
 	conn.detachReader()
@@ -187,7 +189,7 @@
 			return
 		}
 	}
-	conn.Abort()
+	conn.close()
 	if surplus {
 		p.mu.Lock()
 		p.stats.Surplus++
@@ -210,6 +212,7 @@
 		return false
 	}
 	conn.reused = true
+	conn.rest = nil
 	conn.idleTime = min(conn.idleTime, known.idleTime)
 	conn.idleFrom = time.Now()
 	known.idle = append(known.idle, conn)
@@ -220,6 +223,7 @@
 // Discard closes a connection that must not be reused.
 func (p *Pool) Discard(conn *Conn) {
 	conn.Abort()
+	conn.stopSending()
 	conn.detachReader()
 }
 
@@ -254,7 +258,7 @@
 				silent = true
 			}
 		}
-		conn.Abort()
+		conn.close()
 		p.idle--
 	}
 	clear(known.idle[len(kept):])
@@ -277,7 +281,7 @@
 
 func (p *Pool) dropIdle(known *host) {
 	for _, conn := range known.idle {
-		conn.Abort()
+		conn.close()
 	}
 	p.idle -= len(known.idle)
 	clear(known.idle)
--- /dev/null
+++ b/internal/proxy/upstream/send_test.go
@@ -0,0 +1,206 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// longBody is more than the systems of both ends take while the server does not read.
+const longBody = 32 << 20
+
+func longRequest() (head, body []byte) {
+	body = bytes.Repeat([]byte("0123456789abcdef"), longBody/16)
+	head = fmt.Appendf(nil, "POST /a HTTP/1.1\r\nHost: h\r\n%s: id1\r\nContent-Length: %d\r\n\r\n", AttemptIDHeader, len(body))
+	return head, body
+}
+
+// early reads the head of a request, answers, and calls then with what is read from then on.
+func early(answer string, then func(conn *net.TCPConn, rest *bufio.Reader)) func(*net.TCPConn) {
+	return func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+		then(conn, reader)
+	}
+}
+
+// sendLong sends a long request to a server and reads the head of its answer.
+func sendLong(t *testing.T, pool *Pool, server Server) (*Conn, []byte, *http.Response, error) {
+	t.Helper()
+	conn := connect(t, pool, server)
+	head, body := longRequest()
+	require.NoError(t, conn.Send(head, body))
+	clear(head) // it is used for other requests
+	response, err := conn.Receive(http.MethodPost, "id1")
+	return conn, body, response, err
+}
+
+// A server that answers before it has read a long body gets the rest of that body or nothing: never the bytes of
+// another request.
+func TestEarlyAnswerEndsAConnectionWhoseRequestWasNotSentWhole(t *testing.T) {
+	answered := make(chan struct{})
+	got := make(chan []byte, 1)
+	server := scriptedServer(t, early(goodAnswer, func(_ *net.TCPConn, rest *bufio.Reader) {
+		<-answered
+		all, _ := io.ReadAll(rest)
+		got <- all
+	}))
+	pool := NewPool()
+	conn, body, response, err := sendLong(t, pool, server)
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, response))
+	pool.Release(conn)
+	require.Zero(t, pool.Stats().IdleNow)
+	close(answered)
+	rest := <-got
+	require.Less(t, len(rest), len(body))
+	require.True(t, bytes.HasPrefix(body, rest))
+}
+
+// Once the whole request was sent, an early answer leaves the connection as good as any other.
+func TestEarlyAnswerToARequestThatIsSentWholeInTheEnd(t *testing.T) {
+	read := make(chan []byte, 1)
+	server := scriptedServer(t, early(goodAnswer, func(conn *net.TCPConn, rest *bufio.Reader) {
+		all := make([]byte, longBody)
+		_, _ = io.ReadFull(rest, all)
+		read <- all
+		answering(goodAnswer)(conn)
+		_, _ = io.Copy(io.Discard, conn)
+	}))
+	pool := NewPool()
+	conn, body, response, err := sendLong(t, pool, server)
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, response))
+	require.True(t, bytes.Equal(body, <-read))
+	require.Eventually(t, conn.sentWhole, patience, pause)
+	pool.Release(conn)
+	require.Equal(t, 1, pool.Stats().IdleNow)
+	_, response, err = exchange(t, pool, server)
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, response))
+	require.EqualValues(t, 1, pool.Stats().Dialled)
+}
+
+// A server that declines a long request without reading it closes with bytes unread, which resets the connection.
+func TestEarlyAnswerBeforeAResetIsSeen(t *testing.T) {
+	server := scriptedServer(t, early(goodAnswer, func(conn *net.TCPConn, _ *bufio.Reader) { _ = conn.Close() }))
+	pool := NewPool()
+	conn, _, response, err := sendLong(t, pool, server)
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, response))
+	pool.Release(conn)
+	require.Zero(t, pool.Stats().IdleNow)
+}
+
+// Whichever side of the connection takes note of a reset, the answer does not look whole.
+func TestEarlyAnswerWithoutALengthThatIsReset(t *testing.T) {
+	unsized := "HTTP/1.1 200 OK\r\nX-Fieldrelay-Attempt-Id: id1\r\n\r\nbody"
+	server := scriptedServer(t, early(unsized, func(conn *net.TCPConn, _ *bufio.Reader) { _ = conn.SetLinger(0) }))
+	for range 20 {
+		pool := NewPool()
+		conn, _, response, err := sendLong(t, pool, server)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		var answerError *AnswerError
+		require.ErrorAs(t, conn.BodyError(err), &answerError)
+		require.Equal(t, FaultBroken, answerError.Fault)
+		pool.Discard(conn)
+	}
+}
+
+// The system holds bytes of a request for a server that does not read. They must not reach it once the request
+// was given up.
+func TestAbortTakesBackWhatIsOnItsWay(t *testing.T) {
+	begun, aborted := make(chan struct{}), make(chan struct{})
+	got := make(chan error, 1)
+	server := scriptedServer(t, func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		close(begun)
+		<-aborted
+		_, err := io.Copy(io.Discard, reader)
+		got <- err
+	})
+	pool := NewPool()
+	conn := connect(t, pool, server)
+	head, body := longRequest()
+	require.NoError(t, conn.Send(head, body))
+	<-begun
+	require.Eventually(t, func() bool { return unacknowledged(t, conn) > 0 }, patience, pause)
+	pool.Discard(conn)
+	close(aborted)
+	require.ErrorContains(t, <-got, "reset")
+	require.False(t, conn.sentWhole())
+}
+
+// A connection of which the system took nothing carried no request.
+func TestLongRequestOfWhichNothingWasSent(t *testing.T) {
+	pool := NewPool()
+	conn := connect(t, pool, scriptedServer(t, holding()))
+	head, body := longRequest()
+	conn.Abort()
+	var sendError *SendError
+	require.ErrorAs(t, conn.Send(head, body), &sendError)
+	require.Zero(t, sendError.Written)
+	pool.Discard(conn)
+
+	conn = connect(t, pool, scriptedServer(t, holding()))
+	conn.attachReader()
+	conn.Abort()
+	conn.writeRest(head, body, 0)
+	_, err := conn.Receive(http.MethodPost, "id1")
+	require.ErrorAs(t, err, &sendError)
+	require.Zero(t, sendError.Written)
+	pool.Discard(conn)
+}
+
+func TestLongRequestThatIsNotReadEndsAtTheDeadline(t *testing.T) {
+	stays := make(chan struct{})
+	t.Cleanup(func() { close(stays) })
+	server := scriptedServer(t, func(*net.TCPConn) { <-stays })
+	pool := NewPool()
+	conn := connect(t, pool, server)
+	head, body := longRequest()
+	require.NoError(t, conn.Send(head, body))
+	conn.SetDeadline(time.Now().Add(20 * time.Millisecond))
+	_, err := conn.Receive(http.MethodPost, "id1")
+	var answerError *AnswerError
+	require.ErrorAs(t, err, &answerError)
+	require.Equal(t, FaultTimeout, answerError.Fault)
+	require.False(t, errors.As(err, new(*SendError)), "some of it was sent")
+	pool.Discard(conn)
+}
+
+// The parts of a request go out in order and once, wherever the system stops taking them.
+func TestRequestIsWrittenOnceWhereverItIsSplit(t *testing.T) {
+	head, body := []byte("the head"), []byte("and the body")
+	whole := string(head) + string(body)
+	for taken := range len(whole) {
+		got := make(chan string, 1)
+		pool := NewPool()
+		conn := connect(t, pool, scriptedServer(t, func(conn *net.TCPConn) {
+			all := make([]byte, len(whole)-taken)
+			_, _ = io.ReadFull(conn, all)
+			got <- string(all)
+		}))
+		conn.writeRest(head, body, taken)
+		require.Equal(t, whole[taken:], <-got)
+		<-conn.rest.ended
+		require.EqualValues(t, len(whole), conn.rest.written)
+		require.True(t, conn.sentWhole())
+		pool.Discard(conn)
+	}
+}
