Name proxies of other regions only where the client's region needs them

Cause: the directory named all proxies to the clients of a region with a single one, or with one left of two, also in planned work. A control machine that had just started did so too before it had heard of the client's region. And a late report of another control machine, whose age leaves out its way, made a draining proxy ready again for up to 3 s.

Ruled out: naming the region alone always (the one that is left of a killed pair would take all; such trouble is exempt for 15 s); asking the configuration which hosts have homes (the directory holds no table).

Change: a region's own proxies are named as long as there is one, others beside them only for 12 s after one fell silent without having drained. While a control machine settles it answers only where it knows a proxy of the region. Of two records heard within 500 ms the one that drains wins.

The test case 'one in the region: all' demanded the fault; 'one in the region' demands that one alone, and a table and a simulated edge (20 seeds, kills, ends, cuts of control machines) hold both this and that no machine is named that has not run for over 3 s and a report's way.

--- a/internal/controlserver/softstate.go
+++ b/internal/controlserver/softstate.go
@@ -19,7 +19,8 @@
 	startTicksFor = 3 * time.Second
 
 	// directorySettling is the time after a start, or after a standstill, in which clients get no addresses
-	// unless most of the proxies that are known take requests: a few early ones would draw all clients.
+	// unless most of the proxies that are known take requests, one of their region among them: a few early ones
+	// would draw all clients, and proxies of other regions those whose own ones have not been heard of yet.
 	directorySettling = 1500 * time.Millisecond
 
 	// membersSettling is the time after a start, or after a standstill, in which agents are not told the
@@ -162,7 +163,7 @@
 	settling := now < s.settlingFrom+directorySettling
 	s.mutex.Unlock()
 	members := s.Picture().members
-	if settling && !members.MostlyServing(now) {
+	if settling && !(members.MostlyServing(now) && members.Serves(now, region)) {
 		return nil
 	}
 	return members.Endpoints(now, region, zone, rotation)
--- a/internal/controlserver/softstate_test.go
+++ b/internal/controlserver/softstate_test.go
@@ -60,6 +60,21 @@
 	require.True(t, p.soft.Picture().settled)
 }
 
+// TestEarlyAddressesAreOfTheClientsRegion: a control machine that has just started has not heard of all proxies.
+func TestEarlyAddressesAreOfTheClientsRegion(t *testing.T) {
+	p, _ := newTestProcess(t)
+	p.tick()
+	for _, host := range []string{"edge-1", "edge-2"} {
+		record := testAgent(host)
+		record.Region = "west"
+		p.soft.Heard(record, nil)
+	}
+	require.Len(t, p.soft.Endpoints("west", "", 0), 2)
+	require.Empty(t, p.soft.Endpoints("east", "", 0), "its own proxies may not have been heard of yet")
+	pass(p, directorySettling)
+	require.Len(t, p.soft.Endpoints("east", "", 0), 2, "it has none")
+}
+
 // TestManyAgentsWakeTheOthersOnce: members that change together are told together.
 func TestManyAgentsWakeTheOthersOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/registry/agents.go
+++ b/internal/registry/agents.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// incarnationTolerance is how much less fresh the record of a higher incarnation may be and still win: the
-	// ages that other control machines tell leave out the time that the message was under way. Beyond it the
-	// fresher record wins, since incarnations need not rise after a machine's time of day has jumped back.
-	incarnationTolerance = 500 * time.Millisecond
+	// recordTolerance is how much less fresh the record of a higher incarnation, or of a machine that drains, may
+	// be and still win: the ages that other control machines tell leave out the time that the message was under
+	// way. Beyond it the fresher record wins, since incarnations need not rise after a machine's time of day has
+	// jumped back, and a proxy may start anew beside its agent.
+	recordTolerance = 500 * time.Millisecond
 
 	// reportEvery is the time after which an unchanged agent is reported again to the other control machines.
 	reportEvery = 800 * time.Millisecond
@@ -87,13 +88,17 @@
 	return changed
 }
 
-// yieldsTo reports whether a record heard at a time says more than the one that is known: the higher
-// incarnation of two heard at about the same time, else the fresher one.
+// yieldsTo reports whether a record heard at a time says more than the one that is known: of two heard at about the
+// same time the higher incarnation, then the one that drains, which comes last in a life; else the fresher one.
 func (agent *knownAgent) yieldsTo(heardAt time.Duration, record *pb.AgentRecord) bool {
 	difference := heardAt - agent.heardAt
-	closeBy := difference.Abs() <= incarnationTolerance
-	if closeBy && record.Incarnation != agent.record.Incarnation {
-		return record.Incarnation > agent.record.Incarnation
+	if difference.Abs() <= recordTolerance {
+		if record.Incarnation != agent.record.Incarnation {
+			return record.Incarnation > agent.record.Incarnation
+		}
+		if record.Draining != agent.record.Draining {
+			return record.Draining
+		}
 	}
 	return difference >= 0
 }
--- a/internal/registry/agents_test.go
+++ b/internal/registry/agents_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -187,109 +186,24 @@
 	}
 }
 
-func TestEndpointsPreferTheClientsPlace(t *testing.T) {
-	place := func(host, zone, region string) *pb.AgentRecord {
-		record := agentRecord(host, 1)
-		record.Zone, record.Region = zone, region
-		return record
-	}
-	records := []*pb.AgentRecord{
-		place("a1", "a", "west"), place("a2", "a", "west"),
-		place("b1", "b", "west"),
-		place("c1", "c", "east"),
-		place("d1", "d", "north"), place("d2", "d", "north"), place("d3", "d", "north"),
-	}
-	cases := map[string]struct {
-		region, zone string
-		want         []string
-	}{
-		"two in the zone":        {"west", "a", []string{"a1:80", "a2:80"}},
-		"one of many: region":    {"west", "b", []string{"a1:80", "a2:80", "b1:80"}},
-		"one in the region: all": {"east", "c", []string{"a1:80", "a2:80", "b1:80", "c1:80", "d1:80", "d2:80", "d3:80"}},
-		"unknown place: all":     {"", "", []string{"a1:80", "a2:80", "b1:80", "c1:80", "d1:80", "d2:80", "d3:80"}},
-		"unknown zone: region":   {"north", "x", []string{"d1:80", "d2:80", "d3:80"}},
-	}
-	for name, one := range cases {
-		t.Run(name, func(t *testing.T) {
-			agents := NewAgents(0)
-			for _, record := range records {
-				agents.Heard(0, record)
-			}
-			got := agents.Refresh(0).Endpoints(0, one.region, one.zone, 3)
-			slices.Sort(got)
-			require.Equal(t, one.want, got)
-		})
-	}
-}
+// TestADrainingAgentIsNotReadyAgainByALateReport: the age of what another control machine heard before leaves out
+// the time that its report was under way.
+func TestADrainingAgentIsNotReadyAgainByALateReport(t *testing.T) {
+	const told, late = 10 * time.Second, 200 * time.Millisecond
+	draining := agentRecord("a1", 1)
+	draining.Draining = true
+	before := agentRecord("a1", 1)
+	before.AgeMs = 100
 
-func TestEndpointsOfASmallSystem(t *testing.T) {
 	agents := NewAgents(0)
-	agents.Heard(0, agentRecord("a1", 1))
-	agents.Heard(0, agentRecord("b1", 1))
-	agents.Heard(0, agentRecord("c1", 1))
-	members := agents.Refresh(0)
-	require.Equal(t, []string{"b1:80"}, members.Endpoints(0, "region", "zone-b", 0), "a third of all suffices")
-}
+	agents.Heard(told, draining)
+	require.False(t, agents.Merge(told+late, []*pb.AgentRecord{before}))
+	require.Empty(t, agents.Refresh(told+late).Endpoints(told+late, "region", "zone-a", 0))
 
-func TestEndpointsLeaveOutWhatTakesNoRequests(t *testing.T) {
-	agents := NewAgents(0)
-	for host, change := range map[string]func(*pb.AgentRecord){
-		"a1": func(r *pb.AgentRecord) { r.Draining = true },
-		"a2": func(r *pb.AgentRecord) { r.Ready = false },
-		"a3": func(r *pb.AgentRecord) { r.EdgeAddress = "" },
-		"a4": func(*pb.AgentRecord) {},
-	} {
-		record := agentRecord(host, 1)
-		change(record)
-		agents.Heard(0, record)
-	}
-	members := agents.Refresh(0)
-	require.Equal(t, []string{"a4:80"}, members.Endpoints(0, "region", "zone-a", 0))
-	require.Empty(t, members.Endpoints(LiveFor, "region", "zone-a", 0), "an old picture shows nobody")
-}
+	agents = NewAgents(0)
+	agents.Merge(told+late, []*pb.AgentRecord{before})
+	require.True(t, agents.Heard(told, draining), "whichever comes first")
 
-func TestEndpointsRotateAndAreBounded(t *testing.T) {
-	agents := NewAgents(0)
-	for index := range 100 {
-		agents.Heard(0, agentRecord(fmt.Sprintf("a%02d", index), 1))
-	}
-	members := agents.Refresh(0)
-	firsts := make(map[string]bool)
-	for rotation := range uint64(100) {
-		endpoints := members.Endpoints(0, "region", "zone-a", rotation)
-		require.Len(t, endpoints, MaxEndpoints)
-		slices.Sort(endpoints[1:])
-		require.Len(t, slices.Compact(endpoints), MaxEndpoints)
-		firsts[endpoints[0]] = true
-	}
-	require.Len(t, firsts, 100)
-}
-
-func TestMostlyServing(t *testing.T) {
-	cases := map[string]struct {
-		ready, starting, lost int
-		enough                bool
-	}{
-		"none":                     {0, 3, 0, false},
-		"one of one":               {1, 0, 0, false},
-		"two of two":               {2, 0, 0, true},
-		"half":                     {2, 2, 0, true},
-		"less than half":           {2, 3, 0, false},
-		"lost ones are not missed": {2, 0, 9, true},
-	}
-	for name, one := range cases {
-		t.Run(name, func(t *testing.T) {
-			agents := NewAgents(0)
-			for index := range one.ready + one.starting + one.lost {
-				record := agentRecord(fmt.Sprintf("a%d", index), 1)
-				record.Ready = index >= one.starting
-				heardAt := LiveFor
-				if index >= one.ready+one.starting {
-					heardAt = 0
-				}
-				agents.Heard(heardAt, record)
-			}
-			require.Equal(t, one.enough, agents.Refresh(LiveFor).MostlyServing(LiveFor))
-		})
-	}
+	// A proxy that starts anew beside its agent is ready again, a little later.
+	require.True(t, agents.Heard(told+recordTolerance+time.Millisecond, agentRecord("a1", 1)))
 }
--- /dev/null
+++ b/internal/registry/edge_sim_test.go
@@ -0,0 +1,229 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Figures of the simulated edge.
+const (
+	edgeHosts    = 12
+	edgeRegions  = 4
+	controlHosts = 3
+	stepTime     = 100 * time.Millisecond
+	// watchTime is the longest time between two calls of a running agent.
+	watchTime = time.Second
+	// heartbeatTime is the longest time that a report is under way here.
+	heartbeatTime = 300 * time.Millisecond
+	// warmUp is the time in which control machines have not heard of all agents yet.
+	warmUp = 2 * time.Second
+	// cutsUntil ends the time in which control machines are cut off.
+	cutsUntil = 30 * time.Second
+)
+
+// simulatedEdge is an edge whose machines are killed, ended and started, heard by control machines of which some
+// are cut off from the others.
+type simulatedEdge struct {
+	random   *rand.Rand
+	now      time.Duration
+	control  []*Agents
+	cut      []bool
+	running  []bool
+	told     []*pb.AgentRecord // what each machine says of itself
+	heardAt  []time.Duration
+	linkedTo []int
+	ended    []time.Duration // when a machine that does not run stopped running
+	killed   []time.Duration // when a machine was last killed, long ago if never
+	transit  []report
+}
+
+// report is a report of a control machine on its way.
+type report struct {
+	arrives time.Duration
+	from    int
+	records []*pb.AgentRecord
+}
+
+const longAgo = -time.Hour
+
+func newSimulatedEdge(seed uint64) *simulatedEdge {
+	e := &simulatedEdge{random: rand.New(rand.NewPCG(seed, 7))}
+	for range controlHosts {
+		e.control = append(e.control, NewAgents(uint64(len(e.control))<<32))
+		e.cut = append(e.cut, false)
+	}
+	for host := range edgeHosts {
+		// The last region has a single machine.
+		region := min(host/3, edgeRegions-1)
+		if host >= 3*(edgeRegions-1) && host < edgeHosts-1 {
+			region = 0
+		}
+		zone := fmt.Sprintf("r%d-z%d", region, host%2)
+		e.told = append(e.told, placed(fmt.Sprintf("e%02d", host), zone, fmt.Sprintf("r%d", region)))
+		e.running = append(e.running, true)
+		e.heardAt = append(e.heardAt, longAgo)
+		e.ended = append(e.ended, 0)
+		e.killed = append(e.killed, longAgo)
+		e.linkedTo = append(e.linkedTo, host%controlHosts)
+	}
+	return e
+}
+
+// hear lets a machine's agent speak to its control machine.
+func (e *simulatedEdge) hear(host int) {
+	e.heardAt[host] = e.now
+	e.control[e.linkedTo[host]].Heard(e.now, e.told[host])
+}
+
+// step lets time pass and something happen.
+func (e *simulatedEdge) step() {
+	e.now += stepTime
+	e.happen(e.random.IntN(edgeHosts))
+	for host := range e.told {
+		due := e.now-e.heardAt[host] >= watchTime || e.random.IntN(5) == 0
+		if e.running[host] && due {
+			e.hear(host)
+		}
+	}
+	e.exchange()
+	for _, agents := range e.control {
+		agents.Refresh(e.now)
+	}
+}
+
+// happen may kill, end, start or link anew one machine, and cut or join a control machine.
+func (e *simulatedEdge) happen(host int) {
+	switch draw := e.random.IntN(30); {
+	case draw == 0 && e.running[host]:
+		e.running[host], e.ended[host], e.killed[host] = false, e.now, e.now
+	case draw == 1 && e.running[host]: // SIGTERM: control is told at once
+		e.told[host].Draining, e.told[host].Ready = true, false
+		e.hear(host)
+		e.running[host], e.ended[host] = false, e.now
+	case draw <= 4 && !e.running[host]:
+		e.told[host] = placed(e.told[host].Host, e.told[host].Zone, e.told[host].Region)
+		e.told[host].Incarnation = uint64(e.now)
+		e.running[host] = true
+		e.hear(host)
+	case draw == 5 && e.running[host]:
+		e.linkedTo[host] = e.random.IntN(controlHosts)
+		e.hear(host)
+	case draw == 6 && e.now < cutsUntil:
+		which := e.random.IntN(controlHosts)
+		e.cut[which] = !e.cut[which]
+	case e.now >= cutsUntil:
+		clear(e.cut)
+	}
+}
+
+// exchange sends the reports of control machines that are not cut off to one another.
+func (e *simulatedEdge) exchange() {
+	for from, agents := range e.control {
+		records := agents.Report(e.now)
+		if !e.cut[from] {
+			e.transit = append(e.transit, report{e.now + time.Duration(e.random.Int64N(int64(heartbeatTime))), from, records})
+		}
+	}
+	e.transit = slices.DeleteFunc(e.transit, func(one report) bool {
+		if one.arrives > e.now {
+			return false
+		}
+		for to, agents := range e.control {
+			if to != one.from && !e.cut[to] {
+				agents.Merge(e.now, one.records)
+			}
+		}
+		return true
+	})
+}
+
+// TestTheDirectoryNamesNoMachineThatIsGoneAndNoneTooFar: whatever is killed, ended or cut off, a control machine,
+// a cut-off one too, names no machine that has not run for longer than agents count as live, and machines of
+// other regions only if the client's region has none, or has just lost one by a kill or by the cut.
+func TestTheDirectoryNamesNoMachineThatIsGoneAndNoneTooFar(t *testing.T) {
+	var near, far, spilt, gone int
+	for seed := range uint64(20) {
+		e := newSimulatedEdge(seed)
+		anyCut := warmUp - lossFresh - LiveFor
+		for range 600 {
+			e.step()
+			if slices.Contains(e.cut, true) {
+				anyCut = e.now
+			}
+			for index, agents := range e.control {
+				for region := range edgeRegions {
+					name := fmt.Sprintf("r%d", region)
+					answer := agents.Refresh(e.now).Endpoints(e.now, name, name+"-z0", uint64(e.now))
+					gone += e.checkRunning(t, seed, answer)
+					switch e.checkNear(t, seed, index, name, answer, anyCut) {
+					case reachNear:
+						near++
+					case reachFar:
+						far++
+					case reachSpilt:
+						spilt++
+					}
+				}
+			}
+		}
+	}
+	require.Positive(t, near)
+	require.Positive(t, far, "regions without a proxy")
+	require.Positive(t, spilt, "regions that have just lost one")
+	require.Positive(t, gone, "a machine is named until it counts as lost")
+}
+
+// checkRunning wants no machine among the addresses that has not run for long; it counts those that do not run.
+func (e *simulatedEdge) checkRunning(t *testing.T, seed uint64, addresses []string) (gone int) {
+	for host, record := range e.told {
+		if e.running[host] || !slices.Contains(addresses, record.EdgeAddress) {
+			continue
+		}
+		gone++
+		require.Less(t, e.now-e.ended[host], LiveFor+heartbeatTime+stepTime, "seed %d: %s", seed, record.Host)
+	}
+	return gone
+}
+
+// reach tells which machines an answer of the directory names, in calm times.
+type reach int
+
+const (
+	reachUnsettled reach = iota // control machines were cut off just before
+	reachNear                   // all are of the client's region
+	reachFar                    // others too; none of the region's takes requests
+	reachSpilt                  // others too, beside those of the region
+)
+
+// checkNear wants a reason if addresses of other regions than the client's are named beside its own.
+func (e *simulatedEdge) checkNear(t *testing.T, seed uint64, index int, region string, addresses []string, anyCut time.Duration) reach {
+	if e.now-anyCut <= lossFresh+LiveFor {
+		return reachUnsettled
+	}
+	near, own := true, false
+	killed := time.Duration(longAgo)
+	for host, record := range e.told {
+		named := slices.Contains(addresses, record.EdgeAddress)
+		if record.Region != region {
+			near = near && !named
+			continue
+		}
+		own = own || named
+		killed = max(killed, e.killed[host])
+	}
+	switch {
+	case near:
+		return reachNear
+	case !own:
+		return reachFar
+	}
+	require.Less(t, e.now-killed, lossFresh+heartbeatTime+stepTime, "seed %d, control machine %d: %v", seed, index, addresses)
+	return reachSpilt
+}
--- /dev/null
+++ b/internal/registry/endpoints_test.go
@@ -0,0 +1,176 @@
+package registry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// placed is the record of an agent at a place.
+func placed(host, zone, region string) *pb.AgentRecord {
+	record := agentRecord(host, 1)
+	record.Zone, record.Region = zone, region
+	return record
+}
+
+// threeRegions are edge machines of which one region has a single one.
+func threeRegions() []*pb.AgentRecord {
+	return []*pb.AgentRecord{
+		placed("a1", "a", "west"), placed("a2", "a", "west"),
+		placed("b1", "b", "west"),
+		placed("c1", "c", "east"),
+		placed("d1", "d", "north"), placed("d2", "d", "north"), placed("d3", "d", "north"),
+	}
+}
+
+func TestEndpointsPreferTheClientsPlace(t *testing.T) {
+	everyone := []string{"a1:80", "a2:80", "b1:80", "c1:80", "d1:80", "d2:80", "d3:80"}
+	cases := map[string]struct {
+		region, zone string
+		want         []string
+	}{
+		"two in the zone":      {"west", "a", []string{"a1:80", "a2:80"}},
+		"one of many: region":  {"west", "b", []string{"a1:80", "a2:80", "b1:80"}},
+		"one in the region":    {"east", "c", []string{"c1:80"}},
+		"none in the region":   {"south", "e", everyone},
+		"unknown place: all":   {"", "", everyone},
+		"unknown zone: region": {"north", "x", []string{"d1:80", "d2:80", "d3:80"}},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			agents := NewAgents(0)
+			for _, record := range threeRegions() {
+				agents.Heard(0, record)
+			}
+			got := agents.Refresh(0).Endpoints(0, one.region, one.zone, 3)
+			slices.Sort(got)
+			require.Equal(t, one.want, got)
+		})
+	}
+}
+
+// TestOtherRegionsHelpOnlyAfterAnUnplannedLoss: what a region has left takes its clients, unless it has just lost
+// a proxy that said nothing of it.
+func TestOtherRegionsHelpOnlyAfterAnUnplannedLoss(t *testing.T) {
+	const now = time.Minute
+	cases := map[string]struct {
+		silent   time.Duration // of the region's other proxy
+		draining bool
+		region   string // of the other proxy
+		helped   bool
+	}{
+		"both are there":            {0, false, "east", false},
+		"one drains":                {0, true, "east", false},
+		"one drained and ended":     {LiveFor, true, "east", false},
+		"one fell silent":           {LiveFor, false, "east", true},
+		"one fell silent a while":   {lossFresh - time.Millisecond, false, "east", true},
+		"one fell silent long ago":  {lossFresh, false, "east", false},
+		"one fell silent elsewhere": {LiveFor, false, "north", false},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			agents := NewAgents(0)
+			other := placed("c2", "c", one.region)
+			other.Draining = one.draining
+			agents.Heard(now-one.silent, other)
+			for _, record := range threeRegions() {
+				agents.Heard(now, record)
+			}
+			got := agents.Refresh(now).Endpoints(now, "east", "c", 0)
+			require.Contains(t, got, "c1:80")
+			outside := slices.ContainsFunc(got, func(address string) bool { return address[0] != 'c' })
+			require.Equal(t, one.helped, outside, "%v", got)
+		})
+	}
+}
+
+func TestEndpointsOfASmallSystem(t *testing.T) {
+	agents := NewAgents(0)
+	agents.Heard(0, agentRecord("a1", 1))
+	agents.Heard(0, agentRecord("b1", 1))
+	agents.Heard(0, agentRecord("c1", 1))
+	members := agents.Refresh(0)
+	require.Equal(t, []string{"b1:80"}, members.Endpoints(0, "region", "zone-b", 0), "a third of all suffices")
+}
+
+func TestServes(t *testing.T) {
+	agents := NewAgents(0)
+	starting := placed("a1", "a", "west")
+	starting.Ready = false
+	agents.Heard(0, starting)
+	require.False(t, agents.Refresh(0).Serves(0, ""))
+	agents.Heard(0, placed("c1", "c", "east"))
+	members := agents.Refresh(0)
+	require.True(t, members.Serves(0, "east"))
+	require.True(t, members.Serves(0, ""))
+	require.False(t, members.Serves(0, "west"), "its proxy is not ready")
+	require.False(t, members.Serves(LiveFor, "east"), "an old picture shows nobody")
+}
+
+func TestEndpointsLeaveOutWhatTakesNoRequests(t *testing.T) {
+	agents := NewAgents(0)
+	for host, change := range map[string]func(*pb.AgentRecord){
+		"a1": func(r *pb.AgentRecord) { r.Draining = true },
+		"a2": func(r *pb.AgentRecord) { r.Ready = false },
+		"a3": func(r *pb.AgentRecord) { r.EdgeAddress = "" },
+		"a4": func(*pb.AgentRecord) {},
+	} {
+		record := agentRecord(host, 1)
+		change(record)
+		agents.Heard(0, record)
+	}
+	members := agents.Refresh(0)
+	require.Equal(t, []string{"a4:80"}, members.Endpoints(0, "region", "zone-a", 0))
+	require.Empty(t, members.Endpoints(LiveFor, "region", "zone-a", 0), "an old picture shows nobody")
+}
+
+func TestEndpointsRotateAndAreBounded(t *testing.T) {
+	agents := NewAgents(0)
+	for index := range 100 {
+		agents.Heard(0, agentRecord(fmt.Sprintf("a%02d", index), 1))
+	}
+	members := agents.Refresh(0)
+	firsts := make(map[string]bool)
+	for rotation := range uint64(100) {
+		endpoints := members.Endpoints(0, "region", "zone-a", rotation)
+		require.Len(t, endpoints, MaxEndpoints)
+		slices.Sort(endpoints[1:])
+		require.Len(t, slices.Compact(endpoints), MaxEndpoints)
+		firsts[endpoints[0]] = true
+	}
+	require.Len(t, firsts, 100)
+}
+
+func TestMostlyServing(t *testing.T) {
+	cases := map[string]struct {
+		ready, starting, lost int
+		enough                bool
+	}{
+		"none":                     {0, 3, 0, false},
+		"one of one":               {1, 0, 0, false},
+		"two of two":               {2, 0, 0, true},
+		"half":                     {2, 2, 0, true},
+		"less than half":           {2, 3, 0, false},
+		"lost ones are not missed": {2, 0, 9, true},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			agents := NewAgents(0)
+			for index := range one.ready + one.starting + one.lost {
+				record := agentRecord(fmt.Sprintf("a%d", index), 1)
+				record.Ready = index >= one.starting
+				heardAt := LiveFor
+				if index >= one.ready+one.starting {
+					heardAt = 0
+				}
+				agents.Heard(heardAt, record)
+			}
+			require.Equal(t, one.enough, agents.Refresh(LiveFor).MostlyServing(LiveFor))
+		})
+	}
+}
--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -19,6 +20,11 @@
 
 	// endpointShare is the part of all proxies (one in so many) that suffices though it is a single one.
 	endpointShare = 3
+
+	// lossFresh is how long after a proxy was last heard of its region counts as in unplanned trouble, if it fell
+	// silent without having said that it drains. Until then the proxies of other regions may help out: the rules
+	// leave such requests out for 15 s, of which clients may hold an answer for the last three.
+	lossFresh = 12 * time.Second
 )
 
 // Members are the edge machines that are live or were lost lately, as of one moment. It never changes.
@@ -67,18 +73,43 @@
 }
 
 // Endpoints returns the edge addresses that a client in a region and zone is to use: those of its zone if there
-// are at least two or a third of all, else those of its region by the same measure, else all. Only proxies that
-// are live, ready and not draining count. The order is turned by rotation, so that clients that take the first
-// ones spread. The result is empty if no proxy takes requests.
+// are at least two or a third of all, else those of its region. Other regions are named only if the region has
+// none, or has few because it has just lost some: a request that has homes must not be sent further than it needs
+// to. Only proxies that are live, ready and not draining count. The order is turned by rotation, so that clients
+// that take the first ones spread. The result is empty if no proxy takes requests.
 func (m *Members) Endpoints(now time.Duration, region, zone string, rotation uint64) []string {
 	all := m.serving(now)
-	chosen := all
-	if inZone := matching(all, func(record *pb.AgentRecord) bool { return record.Zone == zone }); suffices(inZone, all) {
-		chosen = inZone
-	} else if inRegion := matching(all, func(record *pb.AgentRecord) bool { return record.Region == region }); suffices(inRegion, all) {
-		chosen = inRegion
+	inZone := matching(all, func(record *pb.AgentRecord) bool { return record.Zone == zone })
+	if suffices(inZone, all) {
+		return rotated(inZone, rotation)
+	}
+	inRegion := matching(all, func(record *pb.AgentRecord) bool { return record.Region == region })
+	if len(inRegion) > 0 && (suffices(inRegion, all) || !m.lossIn(now, region)) {
+		return rotated(inRegion, rotation)
+	}
+	return rotated(all, rotation)
+}
+
+// Serves reports whether a proxy of the region takes requests. Clients that tell no region are served by any.
+func (m *Members) Serves(now time.Duration, region string) bool {
+	serving := m.serving(now)
+	if region == "" {
+		return len(serving) > 0
+	}
+	return slices.ContainsFunc(serving, func(record *pb.AgentRecord) bool { return record.Region == region })
+}
+
+// lossIn reports whether a proxy of the region has just fallen silent without having said that it drains.
+func (m *Members) lossIn(now time.Duration, region string) bool {
+	for _, member := range m.list {
+		if member.record.Region != region || member.record.Draining {
+			continue
+		}
+		if silent := now - member.heardAt; silent >= LiveFor && silent < lossFresh {
+			return true
+		}
 	}
-	return rotated(chosen, rotation)
+	return false
 }
 
 // serving returns the members that take requests from clients.
