--- /dev/null
+++ b/internal/tools/drawdays/limits.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// siteFigures are the fields of a site file that bound its days.
+type siteFigures struct {
+	LeadS   float64 `toml:"lead_s"`
+	LengthS float64 `toml:"length_s"`
+	Timing  struct {
+		CatchUpS float64 `toml:"catch_up_s"`
+	} `toml:"timing"`
+	Tolerate struct {
+		Machines int `toml:"machines"`
+	} `toml:"tolerate"`
+	Zones []struct {
+		Name string `toml:"name"`
+	} `toml:"zones"`
+	Machines []struct {
+		Class string `toml:"class"`
+		Count int    `toml:"count"`
+	} `toml:"machines"`
+}
+
+// MissingFigureError tells that a site file lacks a figure that days can't be drawn without.
+type MissingFigureError struct{ Figure string }
+
+func (e *MissingFigureError) Error() string { return fmt.Sprintf("the site has no %s", e.Figure) }
+
+// limitsOf reads the limits out of a decoded site.
+func limitsOf(site map[string]any) (limits, error) {
+	content, err := toml.Marshal(site)
+	if err != nil {
+		return limits{}, errors.Wrap(err, "reading the site's figures")
+	}
+	var figures siteFigures
+	if err := toml.Unmarshal(content, &figures); err != nil {
+		return limits{}, errors.Wrap(err, "reading the site's figures")
+	}
+	if figures.LengthS <= 0 {
+		return limits{}, errors.WithStack(&MissingFigureError{Figure: "length_s"})
+	}
+	if figures.Tolerate.Machines <= 0 {
+		return limits{}, errors.WithStack(&MissingFigureError{Figure: "tolerate.machines"})
+	}
+	return figures.limits(), nil
+}
+
+func (f *siteFigures) limits() limits {
+	found := limits{lengthS: f.LengthS, leadS: f.LeadS, syncS: f.Timing.CatchUpS, machines: f.Tolerate.Machines}
+	for _, machines := range f.Machines {
+		if machines.Class == "core" {
+			found.coreCount += machines.Count
+		}
+	}
+	for _, zone := range f.Zones {
+		found.zones = append(found.zones, zone.Name)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/tools/drawdays/points.go
@@ -0,0 +1,165 @@
+package main
+
+// point is one of the things that days are drawn about: its entries come first, crossings are laid over them.
+type point struct {
+	name string
+	draw func(*drawer, *day)
+}
+
+const (
+	longCutS     = 20.0
+	afterSync    = 0.05 // seconds after the fault budget is free again
+	plannedStepS = 3.0  // between the planned entries that follow one another
+)
+
+// allPoints lists what days can be drawn about, in the order of docs/control-review.md.
+func allPoints() []point {
+	return []point{
+		{"cut", drawLongCut},
+		{"races", drawRaces},
+		{"second-loss", drawSecondLoss},
+		{"many-changes", drawManyChanges},
+		{"servers", drawServers},
+	}
+}
+
+// drawLongCut cuts a machine off for twenty seconds while orders come in.
+func drawLongCut(d *drawer, into *day) {
+	cuts := cutVariants(span{longCutS, longCutS})
+	cut := cuts[d.random.IntN(len(cuts))]
+	start := d.between(span{0.5, 6})
+	if d.random.IntN(2) == 0 {
+		start = d.precede(into, start)
+	}
+	d.placeAt(into, cut, start)
+	d.ordersDuring(into, start, longCutS)
+	if d.random.IntN(2) == 0 {
+		away := variant{kind: "node_cut", how: d.oneOf("", "all"), share: half, forS: span{longCutS, longCutS}}
+		d.placeAt(into, away, start+d.between(span{0, 1}))
+	}
+}
+
+// precede lets another loss come before the cut, and returns when the cut may follow: straight after a machine
+// that joined, or in the election that a kill brought about where the budget bears both.
+func (d *drawer) precede(into *day, start float64) float64 {
+	first := variant{kind: "replace_core", how: d.oneOf("", "planned", "oldest"), x: span{0.3, 0.3},
+		takes: machineLoss, planned: true}
+	if d.site.machines > 1 {
+		first = variant{kind: "node_kill", on: "core", how: "power leader", forS: span{1, 3}, count: span{1, 1},
+			takes: machineLoss}
+	}
+	entry := d.entry(first, startMargin)
+	entry.Count = min(entry.Count, 1)
+	if !d.budget.take(first.takes, startMargin, entry) {
+		return start
+	}
+	into.add(entry)
+	if d.site.machines > 1 {
+		return startMargin + d.between(span{0.2, 2})
+	}
+	return d.budget.freeFrom(startMargin) + afterSync
+}
+
+// ordersDuring keeps the operator busy through the span, with some of the answers lost.
+func (d *drawer) ordersDuring(into *day, from, length float64) {
+	storm := variant{kind: "config_storm", forS: span{length, length}, gapS: span{0.2, 0.8}, planned: true}
+	races := variant{kind: "config_race", count: span{4, 12}, gapS: span{0.4, 1.5}, planned: true}
+	evacuation := variant{kind: "evacuate", how: d.oneOf("", "warm"), forS: span{2, length / 2}, planned: true}
+	lost := variant{kind: "ack_lost", forS: span{length / 2, length}, x: span{0.5, 0.9}}
+	d.placeAt(into, []variant{storm, races}[d.random.IntN(2)], from+d.between(span{0, 1}))
+	if d.random.IntN(2) == 0 {
+		d.placeAt(into, evacuation, from+d.between(span{1, length / 2}))
+	}
+	if d.random.IntN(2) == 0 {
+		d.placeAt(into, lost, from)
+	}
+}
+
+// drawRaces has changes race, storm and be repeated, and zones be evacuated, while machines are killed or rolled.
+func drawRaces(d *drawer, into *day) {
+	length := d.site.lengthS
+	races := variant{kind: "config_race", count: span{5, 15}, gapS: span{0.2, 0.7}, planned: true}
+	storm := variant{kind: "config_storm", forS: span{length / 3, length - 6}, gapS: span{0.1, 0.5}, planned: true}
+	lost := variant{kind: "ack_lost", forS: span{length / 2, length - 4}, x: span{0.6, 0.9}}
+	evacuation := variant{kind: "evacuate", how: d.oneOf("", "warm"), forS: span{2, 6}, planned: true}
+	for _, entry := range []variant{races, storm, lost, evacuation, evacuation, races} {
+		d.place(into, entry, length/2)
+	}
+	rolls := rollVariants()
+	d.place(into, rolls[d.random.IntN(len(rolls))], length/2)
+	kill := variant{kind: "node_kill", on: "core", count: oneOrMore, forS: brief, takes: machineLoss,
+		how: joinWords(d.oneOf(targets...), d.oneOf(returns...))}
+	d.place(into, kill, length-endMargin)
+	d.place(into, kill, length-endMargin)
+}
+
+// drawSecondLoss lets losses follow one another as soon as the fault budget is free again, through the whole day.
+func drawSecondLoss(d *drawer, into *day) {
+	losses := []variant{
+		{kind: "after_ack_wipe", forS: span{0.2, 1}, count: oneOrMore, takes: machineLoss},
+		{kind: "after_ack_wipe", how: "oldest", forS: span{0.2, 1}, count: oneOrMore, takes: machineLoss},
+		{kind: "replace_core", x: span{0.3, 1}, takes: machineLoss, planned: true},
+		{kind: "replace_core", how: "planned", x: span{0.3, 1}, takes: machineLoss, planned: true},
+		{kind: "replace_core", how: "oldest", x: span{0.3, 1}, takes: machineLoss, planned: true},
+		{kind: "after_ack_kill", how: "timed", forS: span{0.2, 1}, count: oneOrMore, takes: machineLoss},
+		coreRemoval(),
+	}
+	storm := variant{kind: "config_storm", forS: span{15, 28}, gapS: span{0.3, 0.9}, planned: true}
+	d.placeAt(into, storm, d.between(span{startMargin, 3}))
+	d.placeAt(into, variant{kind: "big_config", count: span{100, 350}, planned: true}, startMargin)
+	herd := variant{kind: "herd_kill", on: "core", how: d.oneOf("power", "taken", "taken all"), share: span{1, 1},
+		forS: span{0.2, 0.8}}
+	for next := d.between(span{0.5, 4}); next < d.site.lengthS-endMargin; next = d.budget.freeFrom(next) + afterSync {
+		for range placingTries {
+			if d.placeAt(into, losses[d.random.IntN(len(losses))], next) {
+				break
+			}
+		}
+		if d.random.IntN(3) == 0 {
+			d.placeAt(into, herd, next+d.between(span{0, 1}))
+		}
+	}
+	into.Closing = &closing{Kind: "wipe_after_ack", How: d.oneOf("", "aimed", "timed", "taken", "oldest"),
+		DownS: d.between(span{0.3, 1})}
+}
+
+// drawManyChanges brings hundreds of changes while machines are away for long, and then a loss.
+func drawManyChanges(d *drawer, into *day) {
+	length := d.site.lengthS
+	d.placeAt(into, variant{kind: "big_config", count: span{100, 400}, planned: true}, startMargin)
+	d.placeAt(into, variant{kind: "config_storm", forS: span{length * 0.6, length - 5}, gapS: span{0.06, 0.1},
+		planned: true}, 1)
+	long := span{length * 0.5, length * 0.65}
+	away := []variant{
+		{kind: "node_kill", on: "core", how: d.oneOf("", "power", "leader", "power leader meet"), forS: long,
+			count: oneOrMore, takes: machineLoss},
+		{kind: "node_freeze", on: "core", how: d.oneOf("", "leader"), forS: long, count: oneOrMore, takes: machineLoss},
+		{kind: "disk_full", how: d.oneOf("", "leader"), forS: long, count: oneOrMore, takes: machineLoss},
+		{kind: "herd_kill", on: "core", how: d.oneOf("", "power"), share: span{1, 1}, forS: span{4, 10}, takes: coreHerd},
+		{kind: "replace_core", x: span{length * 0.3, length * 0.6}, takes: machineLoss, planned: true},
+	}
+	d.placeAt(into, away[d.random.IntN(len(away))], d.between(span{2, 4}))
+	edge := []variant{
+		{kind: "node_kill", share: half, forS: long},
+		{kind: "node_cut", share: half, forS: long, how: d.oneOf("", "all")},
+		{kind: "node_freeze", share: few, forS: long},
+	}
+	d.placeAt(into, edge[d.random.IntN(len(edge))], d.between(span{2, 4}))
+	after := d.budget.freeFrom(0) + afterSync
+	d.placeAt(into, variant{kind: "after_ack_wipe", how: d.oneOf("", "oldest"), forS: brief, count: oneOrMore,
+		takes: machineLoss}, min(after, length-1))
+}
+
+// drawServers has servers misbehave in several ways at once while servers and machines are renewed.
+func drawServers(d *drawer, into *day) {
+	ill := serverVariants()
+	for range 5 {
+		chosen := ill[d.random.IntN(len(ill))]
+		d.place(into, chosen, d.site.lengthS*0.7)
+		d.place(into, chosen, d.site.lengthS*0.7)
+	}
+	d.place(into, variant{kind: "release", share: most, x: span{1, 3}, gapS: span{0.4, 1.2}, planned: true}, plannedStepS)
+	rolls := rollVariants()
+	d.place(into, rolls[d.random.IntN(len(rolls))], d.site.lengthS/2)
+	d.place(into, variant{kind: "give_up", share: half, x: span{50, 400}, forS: span{5, 15}}, d.site.lengthS/2)
+}
--- a/internal/tools/overlay/main.go
+++ b/internal/tools/overlay/main.go
@@ -10,19 +10,14 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
-	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
-)
 
-const (
-	argumentCount  = 4
-	filePermission = 0o644
-	folderMode     = 0o755
+	"fieldrelay/internal/tools/sitefile"
 )
 
+const argumentCount = 4
+
 // edits is one file of edits.
 type edits struct {
 	Name   string `toml:"name"`   // of the new site
@@ -53,21 +48,21 @@
 // overlay writes the edited site and its companions and returns the path of the site file.
 func overlay(editsPath, sitePath, folder string) (string, error) {
 	var changes edits
-	if err := readTOML(editsPath, &changes); err != nil {
+	if err := sitefile.Read(editsPath, &changes); err != nil {
 		return "", err
 	}
 	if changes.Name == "" {
 		return "", errors.Newf("%s: name is missing", editsPath)
 	}
 	site := map[string]any{}
-	if err := readTOML(sitePath, &site); err != nil {
+	if err := sitefile.Read(sitePath, &site); err != nil {
 		return "", err
 	}
 	site["name"] = changes.Name
 	if err := apply(site, &changes); err != nil {
 		return "", errors.Wrap(err, editsPath)
 	}
-	return write(site, changes.Name, sitePath, folder)
+	return sitefile.Write(site, changes.Name, sitePath, folder)
 }
 
 // apply makes all changes to the site, in the order set, append, remove.
@@ -89,45 +84,3 @@
 	}
 	return nil
 }
-
-func write(site map[string]any, name, sitePath, folder string) (string, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return "", errors.Wrap(err, "making the output folder")
-	}
-	content, err := toml.Marshal(site)
-	if err != nil {
-		return "", errors.Wrap(err, "writing the site")
-	}
-	path := filepath.Join(folder, name+".toml")
-	if err := os.WriteFile(path, content, filePermission); err != nil {
-		return "", errors.Wrap(err, "writing the site")
-	}
-	recordings := strings.TrimSuffix(sitePath, ".toml") + ".days"
-	companions := map[string]string{
-		recordings: name + ".days",
-		filepath.Join(filepath.Dir(sitePath), "CUT"):       "CUT",
-		filepath.Join(filepath.Dir(sitePath), "wire.json"): "wire.json",
-	}
-	for from, to := range companions {
-		if err := copyFile(from, filepath.Join(folder, to)); err != nil {
-			return "", err
-		}
-	}
-	return path, nil
-}
-
-func copyFile(from, to string) error {
-	content, err := os.ReadFile(from)
-	if err != nil {
-		return errors.Wrap(err, "copying a companion file")
-	}
-	return errors.Wrap(os.WriteFile(to, content, filePermission), "copying a companion file")
-}
-
-func readTOML(path string, into any) error {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.Wrap(toml.Unmarshal(content, into), path)
-}
