--- a/internal/tools/drawdays/budget.go
+++ b/internal/tools/drawdays/budget.go
@@ -51,6 +51,9 @@
 	if takes == noLoss {
 		return true
 	}
+	if takes == zoneLoss && b.site.zones == 0 {
+		return false
+	}
 	wanted := lossSpan{from: at, to: at + b.away(takes, entry) + b.site.syncS, machines: b.machines(takes, entry)}
 	if b.lostDuring(wanted)+wanted.machines > b.site.machines {
 		return false
