Keep evacuations that a cut has held up from undoing newer ones

Cause: an evacuation leaves no record. One whose bytes a cut held up for 20 s was taken when it arrived, long after its caller had given it up and ordered the opposite elsewhere. The number that the head gives each order guards the way from origin to head alone, was good for longer than it said, and still served after another order on the zone had been taken. A zone that the settings lack got 404 from machines that may have missed it.

Ruled out: an interim answer (callers need not read one); the last receipt as TCP tells it (held bytes look fresh); refusing what comes on an old connection (it may be proper); the machine's own contact with its peers (says nothing of the caller).

Change: an evacuation that is not certain to be young (100 ms since its connection was accepted or brought its last answer) is taken only if its caller is still connected 0.3 s later. An order whose caller leaves is withdrawn at its origin: it is neither sent again nor confirmed. A number expires, and does not serve once another order on its zone was taken. Out of touch, an unknown zone gets 503.

--- a/internal/control/confirm.go
+++ b/internal/control/confirm.go
@@ -12,7 +12,8 @@
 // An evacuation leaves no record of having been taken. A copy of an order that was answered long ago, late on
 // its way, would undo what was ordered since. So the head gives each evacuation a number that serves once, in
 // a result of status 100, and takes the order only when it comes back with that number: an origin sends it
-// again only if it has given no answer yet.
+// again only while its caller waits for the answer. A number is of no use any more once another order on the
+// same zone was taken after it was given: the caller of that one may have waited for this one in vain before.
 
 // statusConfirm is the status of a result that asks an origin to confirm its order.
 const statusConfirm = http.StatusContinue
@@ -43,12 +44,13 @@
 	kept := m.head.confirmations[:0]
 	confirmed := false
 	for _, given := range m.head.confirmations {
-		same := given.origin == from.GetIdentity() && given.id == order.GetId()
-		if same && bytes.Equal(given.number, order.GetBody()) {
-			confirmed = true
+		if m.now >= given.expires {
+			continue
 		}
-		if !same && m.now < given.expires {
+		if given.origin != from.GetIdentity() || given.id != order.GetId() {
 			kept = append(kept, given)
+		} else if bytes.Equal(given.number, order.GetBody()) {
+			confirmed = true
 		}
 	}
 	m.head.confirmations = kept
@@ -58,6 +60,22 @@
 	return confirmed
 }
 
+// isOvertaken reports whether another order on the zone was taken after the number of this one was given.
+func (m *Machine) isOvertaken(order *pb.Order) bool {
+	return isEvacuation(order) && binary.BigEndian.Uint64(order.GetBody()) <= m.head.taken[order.GetZone()]
+}
+
+// noteTaken makes all numbers given so far for a zone useless.
+func (m *Machine) noteTaken(order *pb.Order) {
+	if !isEvacuation(order) {
+		return
+	}
+	if m.head.taken == nil {
+		m.head.taken = make(map[string]uint64)
+	}
+	m.head.taken[order.GetZone()] = m.checks.next
+}
+
 func (m *Machine) askConfirmation(from *pb.Replica, order *pb.Order) {
 	if len(m.head.confirmations) >= maxOrders {
 		return
--- /dev/null
+++ b/internal/control/confirm_test.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// confirming is a machine that is the whole chain, and an origin elsewhere that is asked for confirmations.
+type confirming struct {
+	*lone
+	origin *pb.Replica
+}
+
+func newConfirming(t *testing.T) *confirming {
+	return &confirming{
+		lone:   newLone(t),
+		origin: &pb.Replica{Host: "origin", Identity: "origin", Address: "10.0.0.2:7660"},
+	}
+}
+
+// forward passes an order of the origin and returns the head's answer, nil if there is none.
+func (c *confirming) forward(id uint64, kind pb.Order_Kind, number []byte) *pb.OrderResult {
+	before := len(c.sent)
+	c.step(Received{Message: &pb.Message{
+		From: c.origin,
+		Body: &pb.Message_Order{Order: &pb.Order{Id: id, Kind: kind, Zone: "z", Body: number}},
+	}})
+	for _, send := range c.sent[before:] {
+		if result := send.Message.GetOrderResult(); result.GetId() == id {
+			return result
+		}
+	}
+	return nil
+}
+
+func (c *confirming) number(t *testing.T, id uint64, kind pb.Order_Kind) []byte {
+	asked := c.forward(id, kind, nil)
+	require.EqualValues(t, statusConfirm, asked.GetStatus())
+	return asked.GetBody()
+}
+
+func TestNumberOfAnEvacuationServesOnce(t *testing.T) {
+	c := newConfirming(t)
+	number := c.number(t, 1, pb.Order_KIND_EVACUATE_BEGIN)
+	require.EqualValues(t, http.StatusOK, c.forward(1, pb.Order_KIND_EVACUATE_BEGIN, number).GetStatus())
+	require.EqualValues(t, statusConfirm, c.forward(1, pb.Order_KIND_EVACUATE_BEGIN, number).GetStatus())
+}
+
+func TestNumberOfAnEvacuationServesNotForLong(t *testing.T) {
+	c := newConfirming(t)
+	number := c.number(t, 1, pb.Order_KIND_EVACUATE_BEGIN)
+	c.now += confirmLimit
+	require.EqualValues(t, statusConfirm, c.forward(1, pb.Order_KIND_EVACUATE_BEGIN, number).GetStatus())
+}
+
+// The caller of the first order has given it up: it has ordered the opposite since.
+func TestEvacuationThatWasOvertakenIsConfirmedAnew(t *testing.T) {
+	c := newConfirming(t)
+	begin := c.number(t, 1, pb.Order_KIND_EVACUATE_BEGIN)
+	finish := c.number(t, 2, pb.Order_KIND_EVACUATE_FINISH)
+	require.EqualValues(t, http.StatusOK, c.forward(2, pb.Order_KIND_EVACUATE_FINISH, finish).GetStatus())
+	again := c.forward(1, pb.Order_KIND_EVACUATE_BEGIN, begin)
+	require.EqualValues(t, statusConfirm, again.GetStatus())
+	require.False(t, c.machine.Committed().Evacuated("z"))
+	require.EqualValues(t, http.StatusOK, c.forward(1, pb.Order_KIND_EVACUATE_BEGIN, again.GetBody()).GetStatus())
+	require.True(t, c.machine.Committed().Evacuated("z"))
+}
+
+func TestEvacuationThatWasWithdrawnIsNotConfirmed(t *testing.T) {
+	l := newLone(t)
+	l.hold = true
+	l.step(Submitted{Request: 98, Order: replaceOrder(0, 3)})
+	l.step(Submitted{Request: 99, Order: &pb.Order{Kind: pb.Order_KIND_EVACUATE_BEGIN, Zone: "z"}})
+	require.Len(t, l.machine.origin.pending, 2)
+	l.step(Withdrawn{Request: 99})
+	require.Len(t, l.machine.origin.pending, 1)
+	before := len(l.sent)
+	l.machine.orderResult(&pb.OrderResult{Id: l.machine.origin.next, Status: statusConfirm, Body: []byte("1")})
+	require.Len(t, l.sent, before)
+	require.EqualValues(t, 98, l.machine.origin.pending[0].request)
+}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -30,6 +30,10 @@
 	Order   *pb.Order
 }
 
+// Withdrawn tells that nobody waits for the Reply to a Submitted order any more. The order may be carried out all
+// the same if it is on its way; this machine does no more for it.
+type Withdrawn struct{ Request uint64 }
+
 // Broadcast asks for a server list to be sent to the other control machines.
 type Broadcast struct{ List *pb.ServerList }
 
@@ -46,6 +50,7 @@
 func (Persisted) isEvent()    {}
 func (WriteFailed) isEvent()  {}
 func (Submitted) isEvent()    {}
+func (Withdrawn) isEvent()    {}
 func (Broadcast) isEvent()    {}
 func (SeedsChanged) isEvent() {}
 func (Leave) isEvent()        {}
@@ -67,7 +72,7 @@
 	Snapshot []byte
 }
 
-// Reply answers a Submitted order. Each is answered exactly once.
+// Reply answers a Submitted order. Each is answered exactly once unless it is Withdrawn.
 type Reply struct {
 	Request uint64
 	Result  *pb.OrderResult
--- a/internal/control/head.go
+++ b/internal/control/head.go
@@ -23,6 +23,7 @@
 	overtakes int // orders in a row that were taken before an older one
 
 	confirmations []confirmation
+	taken         map[string]uint64 // the last number given before an order on a zone was taken
 
 	early []*headOrder // came while another machine was the head; this one may become it
 }
@@ -137,6 +138,11 @@
 
 // execute validates an order on the newest state, which is committed, and appends its change.
 func (m *Machine) execute(next *headOrder) {
+	if m.isOvertaken(next.order) {
+		m.askConfirmation(next.from, next.order)
+		return
+	}
+	m.noteTaken(next.order)
 	change, err := prepareChange(m.replica.Newest(), next.order)
 	if err != nil {
 		m.refuse(next, err)
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -112,7 +112,7 @@
 	machine.election.dropped = make(map[string]dropRecord)
 	// answers to an earlier life of this machine must not be taken for answers to this one
 	machine.origin.next = config.Random.Uint64()
-	machine.checks.next = config.Random.Uint64()
+	machine.checks.next = config.Random.Uint64() >> 1 // it must not wrap
 	return machine, nil
 }
 
@@ -134,6 +134,8 @@
 		m.disk.failed = true
 	case Submitted:
 		m.submit(event)
+	case Withdrawn:
+		m.withdraw(event.Request)
 	case Broadcast:
 		m.broadcast(event.List)
 	case SeedsChanged:
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -170,10 +170,19 @@
 	case result := <-answer:
 		return result
 	case <-ctx.Done():
+		node.withdraw(request)
 		return unavailable(0)
 	}
 }
 
+// withdraw tells the machine that nobody waits for an order any more.
+func (node *Node) withdraw(request uint64) {
+	select {
+	case node.events <- Withdrawn{Request: request}:
+	default: // the order ends at its deadline
+	}
+}
+
 func (node *Node) expect(answer chan *pb.OrderResult) uint64 {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -70,6 +70,13 @@
 	m.forward(pending)
 }
 
+// withdraw forgets an order whose caller has gone: it is neither sent again nor confirmed.
+func (m *Machine) withdraw(request uint64) {
+	m.origin.pending = slices.DeleteFunc(m.origin.pending, func(pending *pendingOrder) bool {
+		return pending.request == request
+	})
+}
+
 // forward sends an order to the head, or to the tail if it is a read.
 func (m *Machine) forward(pending *pendingOrder) {
 	pending.sent = m.now
--- a/internal/controlserver/listen.go
+++ b/internal/controlserver/listen.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"fieldrelay/internal/operatorapi"
 )
 
 const (
@@ -66,6 +68,7 @@
 	protocols.SetHTTP1(true)
 	return &http.Server{
 		Handler:           handler,
+		ConnContext:       operatorapi.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -80,6 +80,7 @@
 	return operatorapi.Options{
 		Orders:    p.node,
 		Ready:     func() bool { return p.node.Status().Founded },
+		InTouch:   func() bool { return p.node.Status().Authoritative },
 		ZoneKnown: func(zone string) bool { return p.settings.Current().KnowsZone(zone) },
 		Endpoints: func(region, zone string) []string {
 			return p.soft.Endpoints(region, zone, p.rotation.Add(1))
--- a/internal/controlsim/cutplanted_test.go
+++ b/internal/controlsim/cutplanted_test.go
@@ -15,8 +15,14 @@
 		name    string
 		message func(*pb.Message) *pb.Message
 		passes  func(*pb.Message) bool // messages that no cut holds up
+		trusts  bool                   // evacuations are handed over at any age
 		finding string
 	}{
+		{
+			name:    "evacuations are handed over whatever their age",
+			trusts:  true,
+			finding: "was acknowledged and is undone",
+		},
 		{
 			name:    "heartbeats do not tell what is committed",
 			message: withoutCommitted,
@@ -38,11 +44,11 @@
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(plantedSeeds) {
-				plan := planOf(seed)
+				plan := cutPlan{plan: planOf(seed), passes: fault.passes, trustsCopies: fault.trusts}
 				plan.mutation.message = fault.message
 				plan.restless = plantedRestless
-				w := playCutsPassing(plan, fault.passes)
-				if strings.Contains(strings.Join(w.checker.failures, "; "), fault.finding) {
+				run := playCuts(plan)
+				if strings.Contains(strings.Join(run.checker.failures, "; "), fault.finding) {
 					return
 				}
 			}
--- a/internal/controlsim/cutrun_test.go
+++ b/internal/controlsim/cutrun_test.go
@@ -20,14 +20,23 @@
 	aimedAtTarget = 0.6
 )
 
-// playCutsPassing runs a world through a storm of cuts that some messages pass.
-func playCutsPassing(plan plan, passes func(*pb.Message) bool) *world {
-	w, _, _ := playCuts(plan, passes)
-	return w
+// cutPlan is a plan with what is planted in a storm of cuts.
+type cutPlan struct {
+	plan
+	passes       func(*pb.Message) bool // messages that no cut holds up; nil: none
+	trustsCopies bool                   // evacuations are handed over at any age
 }
 
-// playCuts runs a world through a storm of cuts; passes tells what goes through all the same, nil: nothing.
-func playCuts(plan plan, passes func(*pb.Message) bool) (*world, *cutStorm, *authorityWatch) {
+// cutRun is a world after a storm of cuts.
+type cutRun struct {
+	*world
+	storm      *cutStorm
+	authority  *authorityWatch
+	evacuators []*evacuator
+}
+
+// playCuts runs a world through a storm of cuts.
+func playCuts(plan cutPlan) *cutRun {
 	var storm *cutStorm
 	planted := plan.mutation.message
 	plan.mutation.message = func(message *pb.Message) *pb.Message {
@@ -39,10 +48,15 @@
 		}
 		return planted(message)
 	}
-	w := newWorld(plan)
-	w.network.passes = passes
+	w := newWorld(plan.plan)
+	w.network.passes = plan.passes
 	storm = w.addCuts()
-	authority := w.watchAuthority()
+	run := &cutRun{world: w, storm: storm, authority: w.watchAuthority()}
+	for name := range 2 {
+		evacuator := w.addEvacuator(storm, name)
+		evacuator.trusts = plan.trustsCopies
+		run.evacuators = append(run.evacuators, evacuator)
+	}
 	operators := []*operator{w.addOperator(1), w.addOperator(2), w.addOperator(5)}
 	for _, operator := range operators[1:] {
 		storm.aim(operator)
@@ -53,9 +67,12 @@
 	for _, operator := range operators {
 		operator.ended = true
 	}
+	for _, evacuator := range run.evacuators {
+		evacuator.ended = true
+	}
 	w.checkLiveness()
 	w.checker.finish()
-	return w, storm, authority
+	return run
 }
 
 // aim has an operator ask, every now and then, only the machine that was cut off last.
@@ -72,38 +89,53 @@
 	figures
 	cuts, joinedInElection, cutAgain, restarts, freezes, learners atomic.Int64
 	claims, longestStale                                          atomic.Int64
+	evacuations, held, keptBack, withdrawn                        atomic.Int64
 }
 
-func (f *cutFigures) addCuts(w *world, storm *cutStorm, authority *authorityWatch) {
-	f.add(w)
-	f.cuts.Add(int64(storm.cuts))
-	f.joinedInElection.Add(int64(storm.joinedInElection))
-	f.cutAgain.Add(int64(storm.cutAgain))
-	f.restarts.Add(int64(storm.restarts))
-	f.freezes.Add(int64(storm.freezes))
-	f.learners.Add(int64(storm.roles["learner"]))
-	f.claims.Add(int64(authority.claims))
+func (f *cutFigures) addRun(run *cutRun) {
+	f.add(run.world)
+	f.cuts.Add(int64(run.storm.cuts))
+	f.joinedInElection.Add(int64(run.storm.joinedInElection))
+	f.cutAgain.Add(int64(run.storm.cutAgain))
+	f.restarts.Add(int64(run.storm.restarts))
+	f.freezes.Add(int64(run.storm.freezes))
+	f.learners.Add(int64(run.storm.roles["learner"]))
+	f.claims.Add(int64(run.authority.claims))
+	for _, evacuator := range run.evacuators {
+		f.evacuations.Add(int64(evacuator.acknowledged))
+		f.held.Add(int64(evacuator.held))
+		f.keptBack.Add(int64(evacuator.keptBack))
+		f.withdrawn.Add(int64(evacuator.withdrawn))
+	}
 	for {
 		longest := f.longestStale.Load()
-		if int64(authority.longest) <= longest || f.longestStale.CompareAndSwap(longest, int64(authority.longest)) {
+		stale := int64(run.authority.longest)
+		if stale <= longest || f.longestStale.CompareAndSwap(longest, stale) {
 			return
 		}
 	}
 }
 
+func (f *cutFigures) log(t *testing.T, count int) {
+	t.Logf("%d runs, %d failed: %d cuts (%d of learners), %d ended by an election, %d straight after a join, %d restarts and %d standstills behind a cut",
+		count, f.failed.Load(), f.cuts.Load(), f.learners.Load(), f.joinedInElection.Load(), f.cutAgain.Load(),
+		f.restarts.Load(), f.freezes.Load())
+	t.Logf("%d acknowledged, %d refused, %d reads, %d views; %d claims of authority, the oldest state %v behind",
+		f.acknowledged.Load(), f.refused.Load(), f.reads.Load(), f.views.Load(), f.claims.Load(),
+		time.Duration(f.longestStale.Load()))
+	t.Logf("%d evacuations acknowledged, %d copies held up, %d kept back, %d withdrawn",
+		f.evacuations.Load(), f.held.Load(), f.keptBack.Load(), f.withdrawn.Load())
+}
+
 func TestCutOffMachinesTellNothingWrong(t *testing.T) {
 	first := number("CUTSIM_FIRST", 1)
 	count := number("CUTSIM_SEEDS", defaultCutSeeds)
 	var total cutFigures
 	t.Cleanup(func() {
-		t.Logf("%d runs: %d cuts (%d of learners), %d ended by an election, %d straight after a join, %d restarts and %d standstills behind a cut",
-			count, total.cuts.Load(), total.learners.Load(), total.joinedInElection.Load(), total.cutAgain.Load(),
-			total.restarts.Load(), total.freezes.Load())
-		t.Logf("%d acknowledged, %d refused, %d reads, %d views, %d failed; %d claims of authority, the oldest state %v behind",
-			total.acknowledged.Load(), total.refused.Load(), total.reads.Load(), total.views.Load(), total.failed.Load(),
-			total.claims.Load(), time.Duration(total.longestStale.Load()))
+		total.log(t, count)
 		require.Positive(t, total.acknowledged.Load())
 		require.Positive(t, total.claims.Load())
+		require.Positive(t, total.keptBack.Load())
 	})
 	for shard := range shards {
 		t.Run(strconv.Itoa(shard), func(t *testing.T) {
@@ -116,13 +148,13 @@
 }
 
 func playCutsAndReport(t *testing.T, seed uint64, total *cutFigures) {
-	w, storm, authority := playCuts(planOf(seed), nil)
-	total.addCuts(w, storm, authority)
-	if len(w.checker.failures) == 0 {
+	run := playCuts(cutPlan{plan: planOf(seed)})
+	total.addRun(run)
+	if len(run.checker.failures) == 0 {
 		return
 	}
-	t.Errorf("seed %d: %s", seed, strings.Join(w.checker.failures, "; "))
+	t.Errorf("seed %d: %s", seed, strings.Join(run.checker.failures, "; "))
 	if total.failed.Add(1) == 1 {
-		t.Log(strings.Join(w.trace, "\n"))
+		t.Log(strings.Join(run.trace, "\n"))
 	}
 }
--- /dev/null
+++ b/internal/operatorapi/caller_test.go
@@ -0,0 +1,116 @@
+package operatorapi
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// heldFor is how long a cut holds the bytes of a request up in these tests.
+const heldFor = 20 * time.Second
+
+const beginEvacuation = "POST /api/drain/brno-hala/begin HTTP/1.1\r\nHost: core\r\n"
+
+// heldServer serves over TCP as if every request had reached it heldFor after its connection was ready.
+type heldServer struct {
+	*httptest.Server
+	orders *recordedOrders
+	done   chan struct{} // gets one element for each call that has ended
+}
+
+func newHeldServer(t *testing.T, held time.Duration) *heldServer {
+	s := &heldServer{orders: answering(http.StatusOK, "{}"), done: make(chan struct{}, 8)}
+	calls := New(optionsWith(s.orders)).Handler(everything)
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connectionOf(r).readyAt.Add(-int64(held))
+		calls.ServeHTTP(w, r)
+		s.done <- struct{}{}
+	}))
+	s.Config.ConnContext = ConnContext
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// sendAndGiveUp sends a request and closes the connection.
+func (s *heldServer) sendAndGiveUp(t *testing.T, request string) {
+	connection, err := net.Dial("tcp", s.Listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(connection, request)
+	require.NoError(t, err)
+	require.NoError(t, connection.Close())
+	<-s.done
+}
+
+func TestHeldEvacuationWhoseCallerHasGoneIsNotHandedOver(t *testing.T) {
+	for name, request := range map[string]string{
+		"without a body":    beginEvacuation + "\r\n",
+		"with a length":     beginEvacuation + "Content-Length: 2\r\n\r\n{}",
+		"in chunks":         beginEvacuation + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"in chunks, broken": beginEvacuation + "Transfer-Encoding: chunked\r\n\r\n2\r\n{",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newHeldServer(t, heldFor)
+			server.sendAndGiveUp(t, request)
+			require.Empty(t, server.orders.orders)
+		})
+	}
+}
+
+// The planted fault: a request of any age counts as young.
+func TestAgeIsWhatKeepsHeldEvacuationsBack(t *testing.T) {
+	server := newHeldServer(t, 0)
+	server.sendAndGiveUp(t, beginEvacuation+"\r\n")
+	require.Len(t, server.orders.orders, 1)
+}
+
+func TestHeldEvacuationWhoseCallerWaitsIsTaken(t *testing.T) {
+	server := newHeldServer(t, heldFor)
+	for range 2 { // on one connection
+		answer, err := server.Client().Post(server.URL+"/api/drain/brno-hala/begin", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		answer.Body.Close()
+	}
+	require.Len(t, server.orders.orders, 2)
+}
+
+func TestYoungEvacuationIsNotDelayed(t *testing.T) {
+	server := newHeldServer(t, 0)
+	began := time.Now()
+	answer, err := server.Client().Post(server.URL+"/api/drain/brno-hala/begin", "", nil)
+	require.NoError(t, err)
+	answer.Body.Close()
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Less(t, time.Since(began), CallerProof)
+}
+
+func TestOrderOfACallerThatLeavesIsWithdrawn(t *testing.T) {
+	server := newHeldServer(t, 0)
+	ended := make(chan error, 1)
+	server.orders.answer = func(ctx context.Context, _ *pb.Order) *pb.OrderResult {
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		return &pb.OrderResult{Status: http.StatusServiceUnavailable}
+	}
+	server.sendAndGiveUp(t, beginEvacuation+"\r\n")
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
+
+func TestOutOfTouchUnknownZoneIsNotRefused(t *testing.T) {
+	options := optionsWith(answering(http.StatusOK, ""))
+	options.InTouch = func() bool { return false }
+	recorder := call(options, "POST", "/api/drain/nowhere/begin", "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+	require.Equal(t, "out_of_touch", refusalIn(t, recorder).Code)
+}
--- a/internal/operatorapi/errors.go
+++ b/internal/operatorapi/errors.go
@@ -25,6 +25,17 @@
 // Code is not_ready.
 func (*NotReadyError) Code() string { return "not_ready" }
 
+// OutOfTouchError refuses a call because what this machine knows may be old.
+type OutOfTouchError struct{}
+
+func (*OutOfTouchError) Error() string { return "this machine is out of touch with the others" }
+
+// Status is 503.
+func (*OutOfTouchError) Status() int { return http.StatusServiceUnavailable }
+
+// Code is out_of_touch.
+func (*OutOfTouchError) Code() string { return "out_of_touch" }
+
 // BusyError refuses an order because as many as allowed are under way.
 type BusyError struct{}
 
@@ -36,6 +47,17 @@
 // Code is busy.
 func (*BusyError) Code() string { return "busy" }
 
+// CallerGoneError refuses an order whose caller closed the connection before the order was taken.
+type CallerGoneError struct{}
+
+func (*CallerGoneError) Error() string { return "the caller has given the order up" }
+
+// Status is 503.
+func (*CallerGoneError) Status() int { return http.StatusServiceUnavailable }
+
+// Code is caller_gone.
+func (*CallerGoneError) Code() string { return "caller_gone" }
+
 // NoEndpointsError refuses a lookup because no proxy is known to take requests.
 type NoEndpointsError struct{}
 
--- a/internal/operatorapi/orders.go
+++ b/internal/operatorapi/orders.go
@@ -62,12 +62,25 @@
 
 func (s *Server) evacuate(w http.ResponseWriter, r *http.Request, order *pb.Order) {
 	if !s.options.ZoneKnown(order.Zone) {
-		s.refuse(w, &UnknownZoneError{Zone: order.Zone})
+		s.refuse(w, s.unknownZone(order.Zone))
+		return
+	}
+	if !isYoung(r) && !awaitCaller(r) {
+		s.refuse(w, &CallerGoneError{})
 		return
 	}
 	s.submit(w, r, order)
 }
 
+// unknownZone is what an order on a zone that is not known here is refused with. A machine that is out of touch
+// may only have missed that it was added.
+func (s *Server) unknownZone(zone string) RefusalError {
+	if !s.options.InTouch() {
+		return &OutOfTouchError{}
+	}
+	return &UnknownZoneError{Zone: zone}
+}
+
 // configure reads the body of a configuration order and submits it.
 func (s *Server) configure(w http.ResponseWriter, r *http.Request, kind pb.Order_Kind, base *uint64) {
 	if base == nil {
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -35,6 +35,8 @@
 	Orders Orders
 	// Ready reports whether orders can be handed over at all; they are answered 503 at once otherwise.
 	Ready func() bool
+	// InTouch reports whether this machine holds the agreed state.
+	InTouch func() bool
 	// ZoneKnown reports whether a zone of this name exists.
 	ZoneKnown func(zone string) bool
 	// Endpoints returns the edge addresses for clients of a region and zone, none if none is known.
@@ -87,6 +89,7 @@
 			http.NotFound(w, r)
 			return
 		}
+		defer answered(r)
 		all.ServeHTTP(w, r)
 	})
 }
--- a/internal/operatorapi/server_test.go
+++ b/internal/operatorapi/server_test.go
@@ -46,6 +46,7 @@
 	return Options{
 		Orders:            orders,
 		Ready:             func() bool { return true },
+		InTouch:           func() bool { return true },
 		ZoneKnown:         func(zone string) bool { return zone == "brno-hala" },
 		Endpoints:         func(region, zone string) []string { return []string{region + "/" + zone} },
 		EndpointsLifetime: func() time.Duration { return time.Second },
@@ -58,6 +59,7 @@
 // call sends one request to a server with these options.
 func call(options Options, method, path, base string, body io.Reader) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(method, path, body)
+	request = request.WithContext(ConnContext(request.Context(), nil))
 	if base != "" {
 		request.Header.Set("X-Fieldrelay-Base-Rev", base)
 	}
