Let no server list of a machine that was cut off replace one read later

Cause: a control machine that is cut off takes the duty of the platform's list for its side, under a higher epoch. If it then cannot read the platform, the list that it holds at the join is as old as its last reading, up to the whole cut, and it replaced the one that the others had just read: epochs compare, not readings.

Ruled out: comparing the ages of readings where a list arrives (a message that a cut or a standstill held up makes its list look young, and the right one would be refused until the platform changes); no duty without a majority (the agents on that side would go on with servers that are gone).

A machine that does not hear a majority uses a quarter of the share of the platform's rate, so that a core in many parts keeps within the rate.

--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -13,6 +13,7 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/control"
 	"fieldrelay/internal/operatorapi"
+	"fieldrelay/internal/quorum"
 	"fieldrelay/internal/registry"
 	"fieldrelay/internal/settings"
 )
@@ -131,6 +132,7 @@
 	if status.Founded && p.settings.Current().CloudAPI.Address != "" {
 		tick.Order = status.Live
 		tick.Place = placeOf(status)
+		tick.Apart = len(status.Live) < quorum.Majority(status.View)
 	}
 	p.soft.Tick(tick)
 	p.logChanges(status.Authoritative)
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -92,7 +92,11 @@
 func (i *Inventory) period() time.Duration {
 	period := PollPeriod
 	if i.rate > 0 {
-		seconds := float64(i.lastPages) * rateShare / i.rate
+		share := rateShare
+		if i.apart {
+			share *= apartShare
+		}
+		seconds := float64(i.lastPages*share) / i.rate
 		period = max(period, time.Duration(seconds*float64(time.Second)))
 	}
 	if i.Holder() {
@@ -209,10 +213,19 @@
 	if difference == 0 || !seen.Peer || now < i.sentAt+pause {
 		return nil
 	}
+	if i.isStale(now) && seen.Version != nil {
+		return nil
+	}
 	i.sentAt = now
 	return []Action{SendList{List: i.current.Message(now)}}
 }
 
+// isStale reports whether this machine has had the duty in vain for some time. Another machine may hold a list
+// that was read later, under a lower epoch, if they were cut off from one another.
+func (i *Inventory) isStale(now time.Duration) bool {
+	return i.Holder() && now-i.current.news >= staleAfter
+}
+
 // seeHigher takes note that someone holds a version above that of this machine, which has the duty. If it is
 // another control machine, that one or a third one took the duty over and its list is under way. Otherwise it
 // is a version that outlived its holder, and this machine has to go above it: with a list that it reads now, for
--- a/internal/registry/inventory.go
+++ b/internal/registry/inventory.go
@@ -65,6 +65,10 @@
 
 	// rateShare is the part of the platform's rate (one call in so many) that the machine in the duty uses.
 	rateShare = 3
+
+	// apartShare is how much less of the rate a machine uses that does not hear most of the others: each part of a
+	// core that is cut into many reads the list for itself.
+	apartShare = 4
 )
 
 // Event is something that an Inventory is told.
@@ -77,6 +81,8 @@
 	Order []string
 	// Place is the place of this machine in that order if all machines were live.
 	Place int
+	// Apart: this machine does not hear a majority of the control machines.
+	Apart bool
 }
 
 // PollDone ends the reading that the last StartPoll asked for.
@@ -136,9 +142,11 @@
 
 	startedAt  time.Duration
 	started    bool
-	promised   bool // another control machine holds a list that has not come yet
+	now        time.Duration // of the last step
+	promised   bool          // another control machine holds a list that has not come yet
 	order      []string
 	place      int           // in order if all machines were live
+	apart      bool          // a majority is not heard
 	firstSince time.Duration // since when this machine was the first in order and another one had the duty
 	isFirst    bool
 	jitter     time.Duration
@@ -167,9 +175,9 @@
 }
 
 // Told is the version to tell the other control machines: the one held, or only an epoch, without a holder, if
-// a higher one was seen.
+// a higher one was seen, or if this machine has had the duty in vain: whoever can read the list then goes above it.
 func (i *Inventory) Told() *pb.ListVersion {
-	if i.highest > i.current.Version().GetEpoch() {
+	if i.highest > i.current.Version().GetEpoch() || i.isStale(i.now) {
 		return &pb.ListVersion{Epoch: i.highest}
 	}
 	return i.current.Version()
@@ -184,9 +192,10 @@
 		i.started = true
 		i.startedAt = now
 	}
+	i.now = now
 	switch event := event.(type) {
 	case Tick:
-		i.order, i.place = event.Order, event.Place
+		i.order, i.place, i.apart = event.Order, event.Place, event.Apart
 		return i.tick(now)
 	case PollDone:
 		return i.pollDone(now, event)
--- a/internal/registry/inventory_sim_test.go
+++ b/internal/registry/inventory_sim_test.go
@@ -22,7 +22,8 @@
 	host      string
 	inventory *Inventory
 	frozen    bool
-	cut       bool // from the other machines and the platform
+	cut       bool // from the other machines
+	blind     bool // cut from the platform
 	pollEnds  time.Duration
 	poll      *PollDone
 	last      *pb.ListVersion
@@ -107,7 +108,7 @@
 	s.calls = append(s.calls, s.now)
 	machine.poll = &PollDone{SentAt: s.now, Pages: 1, Servers: slices.Clone(s.servers)}
 	machine.pollEnds = s.now + time.Duration(s.random.IntN(300))*time.Millisecond
-	if s.down || machine.cut {
+	if s.down || machine.blind {
 		machine.poll.Failed = true
 		machine.pollEnds = s.now + time.Second
 	}
@@ -135,7 +136,8 @@
 			s.step(index, done)
 		}
 		if s.now%(250*time.Millisecond) == 0 {
-			s.step(index, Tick{Order: s.order(index), Place: index})
+			order := s.order(index)
+			s.step(index, Tick{Order: order, Place: index, Apart: 2*len(order) <= len(s.machines)})
 		}
 		if s.now%(500*time.Millisecond) == 0 {
 			s.send(index, VersionSeen{Version: machine.inventory.Told(), Peer: true})
@@ -160,6 +162,7 @@
 		machine.frozen = !machine.frozen
 	case 1:
 		machine.cut = !machine.cut
+		machine.blind = machine.cut
 	case 2:
 		s.down = !s.down
 	case 3:
@@ -185,7 +188,7 @@
 	s.down = false
 	s.lossy = false
 	for _, machine := range s.machines {
-		machine.frozen, machine.cut = false, false
+		machine.frozen, machine.cut, machine.blind = false, false, false
 	}
 }
 
