--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -232,6 +232,9 @@
 func (c *core) learn(now time.Duration, done watchDone) ([]action, watchOutcome) {
 	response := done.response
 	sequence, list := c.held.Sequence(), c.held.ListVersion()
+	if response.GetSequence() < sequence {
+		c.counters.olderAnswers++
+	}
 	wanted := c.gossip.Step(now, gossip.Learned{
 		Changes: response.GetChanges(),
 		Base:    done.call.base,
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -13,6 +13,7 @@
 type counters struct {
 	watches        uint64
 	watchFailures  uint64
+	olderAnswers   uint64 // of control machines that held less than this agent
 	notices        uint64
 	probes         uint64
 	exchanges      uint64 // with the proxy
@@ -42,6 +43,7 @@
 	return []zap.Field{
 		zap.Uint64("watches", c.watches),
 		zap.Uint64("watch_failures", c.watchFailures),
+		zap.Uint64("older_answers", c.olderAnswers),
 		zap.Uint64("notices", c.notices),
 		zap.Uint64("probes", c.probes),
 		zap.Uint64("proxy_exchanges", c.exchanges),
--- a/internal/controlsim/distance_test.go
+++ b/internal/controlsim/distance_test.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// defaultFarRuns is the number of runs with a member far behind; CONTROLSIM_FAR sets another one.
+	// defaultFarRuns is the number of runs with a member far behind; CONTROLSIM_FAR sets another one,
+	// CONTROLSIM_DISTANCE and CONTROLSIM_ROUTES what they would draw otherwise.
 	defaultFarRuns = 70
 	// caughtUpWithin is the limit for a member to hold all that was committed when it returned, from its return
 	// or from the end of the last trouble on its way: sync-s of the sites.
@@ -461,6 +462,8 @@
 			t.Parallel()
 			for seed := first + shard; seed < first+count; seed += shards {
 				run := farPlan(uint64(seed))
+				run.distance = uint64(number("CONTROLSIM_DISTANCE", int(run.distance)))
+				run.routes = number("CONTROLSIM_ROUTES", run.routes)
 				w := playFar(run)
 				if len(w.checker.failures) > 0 {
 					t.Errorf("%v: %s", run, strings.Join(w.checker.failures, "; "))
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -30,6 +30,8 @@
 	overloaded  atomic.Uint64 // requests not admitted
 	unplaced    atomic.Uint64 // requests for which there was no server
 	lateChanges atomic.Uint64 // attempts given up because the state changed just before sending
+	olderStates atomic.Uint64 // states and changes from the agent that were no newer than what was held
+	gaps        atomic.Uint64 // exchanges with the agent whose changes did not follow on what was held
 }
 
 func (c *counters) countOwn(status int) {
@@ -43,6 +45,14 @@
 	}
 }
 
+// countFed counts what an exchange with the agent brought in vain.
+func (c *counters) countFed(done update) {
+	c.olderStates.Add(uint64(done.older))
+	if done.gap {
+		c.gaps.Add(1)
+	}
+}
+
 func (c *counters) countFate(f fate) {
 	switch f {
 	case fateNotSent:
@@ -77,6 +87,8 @@
 		zap.Uint64("overloaded", c.overloaded.Load()),
 		zap.Uint64("unplaced", c.unplaced.Load()),
 		zap.Uint64("late-changes", c.lateChanges.Load()),
+		zap.Uint64("older-states", c.olderStates.Load()),
+		zap.Uint64("gaps", c.gaps.Load()),
 		zap.Uint64("dialled", connections.Dialled),
 		zap.Uint64("dials-failed", connections.Refused),
 		zap.Uint64("reused", connections.Reused),
--- /dev/null
+++ b/internal/proxy/distance_test.go
@@ -0,0 +1,213 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/route"
+)
+
+const (
+	// defaultFarRuns is the number of runs in which a proxy is fed at random; PROXY_FAR sets another one.
+	defaultFarRuns = 20
+	// farChanges is the number of changes of a run.
+	farChanges = 600
+	farRoutes  = 12
+	// farExchanges is the number of exchanges of a run.
+	farExchanges = 60
+)
+
+// fedState is a proxy's state with the history that it is fed from.
+type fedState struct {
+	t       *testing.T
+	random  *rand.Rand
+	truth   []*catalog.Snapshot // by sequence
+	changes []*pb.Change        // by sequence - 1
+	state   *state
+	alter   func(*pb.ApplyRequest) // a planted fault
+}
+
+func newFedState(t *testing.T, seed uint64) *fedState {
+	f := &fedState{t: t, random: rand.New(rand.NewPCG(seed, 8)), truth: []*catalog.Snapshot{catalog.Empty()}, state: newState()}
+	for sequence := uint64(1); sequence <= farChanges; sequence++ {
+		made := f.makeChange(sequence)
+		next, err := f.truth[sequence-1].Apply(made)
+		require.NoError(t, err)
+		f.changes = append(f.changes, made)
+		f.truth = append(f.truth, next)
+	}
+	return f
+}
+
+// makeChange gives some routes other paths, at times all of them, or takes some away, or evacuates.
+func (f *fedState) makeChange(sequence uint64) *pb.Change {
+	made := &pb.Change{Sequence: sequence, Generation: sequence}
+	if sequence == 1 || f.random.IntN(50) == 0 {
+		made.ReplacesAll = true
+		made.Upserts = append(made.Upserts, serviceItem(sequence))
+	}
+	for _, index := range f.random.Perm(farRoutes)[:1+f.random.IntN(4)] {
+		made.Upserts = append(made.Upserts, &pb.Item{
+			Kind:     catalog.KindRoutes,
+			Name:     fmt.Sprint("r", index),
+			Sequence: sequence,
+			Body: fmt.Appendf(nil, `{"name":"r%d","vhost":"h.example","path-prefix":"/%d-%d/","route-kind":"idempotent","deadline-ms":2000,"target-ms":500,"backend":"s1","tries":2}`,
+				index, index, sequence),
+		})
+	}
+	if f.random.IntN(4) == 0 {
+		made.Removals = append(made.Removals, &pb.ItemKey{Kind: catalog.KindRoutes, Name: fmt.Sprint("gone", sequence)})
+	}
+	zone := &pb.Item{Kind: catalog.KindEvacuation, Name: fmt.Sprint("z", f.random.IntN(3)), Sequence: sequence}
+	if f.random.IntN(2) == 0 {
+		made.Upserts = append(made.Upserts, zone)
+	} else {
+		made.Removals = append(made.Removals, &pb.ItemKey{Kind: zone.GetKind(), Name: zone.GetName()})
+	}
+	return made
+}
+
+// feed hands the state what an agent could hand it that is new, old, of an earlier life, or lost its beginning. It
+// returns what is wrong afterwards, or nothing.
+func (f *fedState) feed() string {
+	before := f.state.load()
+	request := f.request()
+	if f.alter != nil {
+		f.alter(request)
+	}
+	held, done := f.state.apply(request)
+	switch {
+	case held.sequence < before.sequence:
+		return "an older state"
+	case held.sequence > before.sequence != done.tableChanged:
+		return "a change that is not told"
+	case !before.confirmed && held.confirmed && f.state.gap:
+		return "what was confirmed is not held"
+	}
+	return f.difference(held)
+}
+
+func (f *fedState) request() *pb.ApplyRequest {
+	at := uint64(f.random.IntN(farChanges)) + 1
+	if f.random.IntN(2) == 0 { // near what is held
+		at = min(f.state.load().sequence+1, farChanges)
+	}
+	to := min(at+uint64(f.random.IntN(300)), farChanges)
+	request := &pb.ApplyRequest{Confirmed: f.random.IntN(5) == 0}
+	switch draw := f.random.IntN(10); {
+	case draw < 7:
+		request.Changes = f.changes[at-1 : to]
+	case draw < 8:
+		request.Repair = f.truth[to].RepairFor(f.truth[at].Digests()) // of some ranges only
+	default:
+		request.Repair = f.truth[at].RepairFor(nil)
+	}
+	return request
+}
+
+// difference tells how the table differs from that of the state that the sequence number stands for.
+func (f *fedState) difference(held *snapshot) string {
+	var items []*pb.Item
+	for _, part := range f.truth[held.sequence].RepairFor(nil).GetRanges() {
+		items = append(items, part.GetItems()...)
+	}
+	wanted, faults := route.FromItems(items)
+	require.Empty(f.t, faults)
+	switch {
+	case wanted.Routes() != held.table.Routes():
+		return "another number of routes"
+	case !slices.Equal(wanted.Services(), held.table.Services()):
+		return "other services"
+	case !slices.Equal(wanted.Evacuated(), held.table.Evacuated()):
+		return "other evacuations"
+	}
+	for index := range farRoutes {
+		name := fmt.Sprint("r", index)
+		other, found := wanted.Route(name)
+		if !found {
+			continue
+		}
+		looked, found := held.table.Lookup("h.example", other.PathPrefix+"x")
+		if !found || looked.Name != name {
+			return fmt.Sprintf("another path of %s at %d", name, held.sequence)
+		}
+	}
+	return ""
+}
+
+func runsOf(name string, otherwise int) int {
+	value, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return otherwise
+	}
+	return value
+}
+
+// A proxy that missed hundreds of changes, and is fed in any order, never falls back and holds what its sequence
+// number stands for. It has caught up with the first exchange that brings changes that follow, or the whole.
+func TestProxyFedInAnyOrderNeverFallsBack(t *testing.T) {
+	for seed := range uint64(runsOf("PROXY_FAR", defaultFarRuns)) {
+		f := newFedState(t, seed)
+		for range farExchanges {
+			require.Empty(t, f.feed(), "seed %d", seed)
+		}
+		held := f.state.load().sequence
+		last := &pb.ApplyRequest{Changes: f.changes[held:]}
+		if f.state.wantsWhole() {
+			last = &pb.ApplyRequest{Repair: f.truth[farChanges].RepairFor(nil)}
+		}
+		f.state.apply(last)
+		require.EqualValues(t, farChanges, f.state.load().sequence)
+		require.False(t, f.state.wantsWhole())
+		require.Empty(t, f.difference(f.state.load()))
+	}
+}
+
+func TestPlantedFaultsOfFeedingAreFound(t *testing.T) {
+	faults := map[string]struct {
+		alter   func(*pb.ApplyRequest)
+		finding string
+	}{
+		"a change is lost but its number is not": {loseChange, "another path"},
+		"an old state under a new number":        {renumberRepair, "another"},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(defaultFarRuns) {
+				f := newFedState(t, seed)
+				f.alter = fault.alter
+				for range farExchanges {
+					if strings.Contains(f.feed(), fault.finding) {
+						return
+					}
+				}
+			}
+			require.Fail(t, "not found")
+		})
+	}
+}
+
+func loseChange(request *pb.ApplyRequest) {
+	if len(request.GetChanges()) < 2 {
+		return
+	}
+	changes := slices.Clone(request.GetChanges())
+	lost := changes[len(changes)-1]
+	changes[len(changes)-1] = &pb.Change{Sequence: lost.GetSequence(), Generation: lost.GetGeneration()}
+	request.Changes = changes
+}
+
+func renumberRepair(request *pb.ApplyRequest) {
+	if repair := request.GetRepair(); repair != nil {
+		request.Repair = &pb.Repair{Sequence: min(repair.GetSequence()+100, farChanges), Ranges: repair.GetRanges()}
+	}
+}
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -21,6 +21,7 @@
 	state       *state
 	dispatcher  *dispatcher
 	lifecycle   *lifecycle
+	counters    *counters
 	shares      atomic.Pointer[pb.SharesVersion] // in force
 	logger      *zap.Logger
 	// changed is told of each new snapshot.
@@ -37,6 +38,7 @@
 	defer f.mu.Unlock()
 	before := f.state.load()
 	held, done := f.state.apply(request.Msg)
+	f.counters.countFed(done)
 	if done.tableChanged {
 		f.dispatcher.setTable(held.table)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -164,6 +164,7 @@
 		state:       p.state,
 		dispatcher:  p.dispatcher,
 		lifecycle:   p.lifecycle,
+		counters:    p.counters,
 		logger:      p.logger,
 		changed:     p.snapshotChanged,
 	}
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -32,6 +32,8 @@
 	tableChanged bool
 	listChanged  bool
 	faults       []error // of items that could not be used
+	older        int     // states and changes no newer than what is held, which were left
+	gap          bool    // changes came that do not follow on what is held, and were left
 }
 
 // state holds the snapshot in force. Readers load it without waiting; writers come one at a time.
@@ -75,8 +77,8 @@
 	if repair == nil || len(repair.GetRanges()) != catalog.RangeCount {
 		return
 	}
-	newer := repair.GetSequence() > next.sequence
-	if !newer {
+	if repair.GetSequence() <= next.sequence {
+		done.older++
 		return
 	}
 	var items []*pb.Item
@@ -95,9 +97,11 @@
 func (s *state) applyChange(next *snapshot, change *pb.Change, done *update) {
 	switch {
 	case change.GetSequence() <= next.sequence:
+		done.older++
 		return
 	case change.GetSequence() > next.sequence+1:
 		s.gap = true
+		done.gap = true
 		return
 	}
 	table, faults := next.table.With(change.GetUpserts(), change.GetRemovals(), change.GetReplacesAll())
