--- /dev/null
+++ b/internal/proxy/admission_test.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/route"
+)
+
+// TestAProxyWithoutAConfigurationDeniesNothing: what it knows too little of to serve it answers 503, never 4xx.
+func TestAProxyWithoutAConfigurationDeniesNothing(t *testing.T) {
+	states := map[string]*pb.ApplyRequest{
+		"nothing":                  {},
+		"a list alone":             {List: &pb.ServerList{Version: &pb.ListVersion{Epoch: 1}}, Confirmed: true},
+		"an evacuation alone":      {Changes: []*pb.Change{{Sequence: 1, Upserts: []*pb.Item{{Kind: catalog.KindEvacuation, Name: "z1"}}}}},
+		"a change after a gap":     {Changes: []*pb.Change{{Sequence: 2, Generation: 8}}, Confirmed: true},
+		"a part of a whole repair": {Repair: &pb.Repair{Sequence: 1, Generation: 7, Ranges: []*pb.Range{{Index: 1}}}, Confirmed: true},
+	}
+	const soon = headerDeadline + ": 40\r\n"
+	requests := map[string]func(c *client){
+		"plain":      func(c *client) { c.ask("GET", "/m/x", soon, "") },
+		"body":       func(c *client) { c.ask("POST", "/m/x", soon, "body") },
+		"large head": func(c *client) { c.ask("GET", "/m/x", soon+"X-Long: "+repeated("x", 30_000)+"\r\n", "") },
+		"large body": func(c *client) {
+			c.ask("POST", "/m/x", soon+fmt.Sprintf("Content-Length: %d\r\n", defaultMaxBody+1), "")
+		},
+	}
+	for name, state := range states {
+		t.Run(name, func(t *testing.T) {
+			r := startProcess(t, 1)
+			r.apply(state)
+			for kind, send := range requests {
+				c := r.dial()
+				send(c)
+				response, _ := c.answer("POST")
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, kind)
+				require.NotEmpty(t, response.Header.Get("Retry-After"), kind)
+				require.Equal(t, kind == "large body", response.Close, kind)
+			}
+			require.Zero(t, r.process.memory.used.Load())
+		})
+	}
+}
+
+// TestALateRequestOfADrainIsTakenOnlyIfItEndsInTime: one that is broken off at the end counts as lost if it was sent
+// later than 3 s after SIGTERM.
+func TestALateRequestOfADrainIsTakenOnlyIfItEndsInTime(t *testing.T) {
+	const route = 4 * time.Second // the deadline of /m/
+	now := time.Now()
+	cases := map[string]struct {
+		times   drainTimes
+		headers string
+		taken   bool
+	}{
+		"early":                        {drainTimes{now.Add(time.Hour), now}, "", true},
+		"late":                         {drainTimes{now, now.Add(route / 2)}, "", false},
+		"late, with a short deadline":  {drainTimes{now, now.Add(route / 2)}, headerDeadline + ": 1000\r\n", true},
+		"late, with a longer deadline": {drainTimes{now, now.Add(route / 2)}, headerDeadline + ": 9000\r\n", false},
+		"late, with much grace left":   {drainTimes{now, now.Add(time.Hour)}, "", true},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := newStandIn(t, "i-1", good("ok"))
+			r := newRig(t, server)
+			r.handler.lifecycle.leave(one.times)
+			c := r.dial()
+			c.ask("POST", "/m/x", one.headers, "body")
+			response, body := c.answer("POST")
+			require.True(t, response.Close)
+			if one.taken {
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				require.Equal(t, "ok", body)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.Empty(t, server.got(), "it has not run and will not")
+			eventually(t, func() bool { return r.handler.memory.used.Load() == 0 }, "its body is freed")
+		})
+	}
+}
+
+// TestRequestsThatMayBeBrokenOffAreSentEarly: whatever the grace period, what is taken without regard to its deadline
+// was sent within the 3 s in which the rules forgive that it is broken off.
+func TestRequestsThatMayBeBrokenOffAreSentEarly(t *testing.T) {
+	const forgiven = 3 * time.Second
+	for grace := 100 * time.Millisecond; grace < 2*time.Minute; grace += 100 * time.Millisecond {
+		plan := planDrain(grace)
+		require.Less(t, plan.late, forgiven)
+		require.LessOrEqual(t, plan.late, plan.refuse)
+		require.LessOrEqual(t, plan.refuse, plan.abandon)
+		require.Less(t, plan.abandon, grace)
+	}
+}
+
+// TestConnectionsThatRestAreKept: clients take connections up that have rested for four fifths of keepalive-ms.
+func TestConnectionsThatRestAreKept(t *testing.T) {
+	for _, keepAlive := range []time.Duration{0, 100 * time.Millisecond, 15 * time.Second, time.Hour} {
+		limits := frontLimitsOf(route.RequestLimits{KeepAlive: keepAlive})
+		server := (&front{}).newServer(limits, nil)
+		require.GreaterOrEqual(t, server.IdleTimeout, keepAlive+limitSlack)
+		require.Zero(t, server.ReadTimeout)
+		require.Zero(t, server.WriteTimeout)
+	}
+}
+
+// TestConnectionsWithNarrowerLimitsEnd: a connection that was accepted before the limits were widened is left by its
+// client, which may go by the new ones; one with wider limits stays.
+func TestConnectionsWithNarrowerLimitsEnd(t *testing.T) {
+	server := newStandIn(t, "i-1", good("ok"))
+	r := startProcess(t, 1)
+	r.fill(server)
+	sequence := uint64(1)
+	limit := func(setting string) {
+		sequence++
+		r.apply(&pb.ApplyRequest{Changes: []*pb.Change{{Sequence: sequence, Generation: sequence + 6, Upserts: []*pb.Item{{
+			Kind: catalog.KindSetting, Name: "req-limits", Sequence: sequence, Body: []byte(setting),
+		}}}}})
+	}
+	asks := func(c *client) *http.Response {
+		c.ask("GET", "/m/x", "", "")
+		response, body := c.answer("GET")
+		require.Equal(t, "ok", body)
+		return response
+	}
+	limit(`{"keepalive-ms":5000,"max-header-bytes":9000}`)
+	narrow := r.dial()
+	require.False(t, asks(narrow).Close)
+	limit(`{"keepalive-ms":4000,"max-header-bytes":9000}`)
+	require.False(t, asks(narrow).Close, "it allows what the new limits do")
+	limit(`{"keepalive-ms":4000,"max-header-bytes":9001}`)
+	require.True(t, asks(narrow).Close)
+	fresh := r.dial()
+	require.False(t, asks(fresh).Close)
+	limit(`{"keepalive-ms":4000,"max-header-bytes":9001}`)
+	require.False(t, asks(fresh).Close)
+}
+
+// TestWhatDescribesARequestReachesItsServer: no option of a connection takes the protocol's own headers away.
+func TestWhatDescribesARequestReachesItsServer(t *testing.T) {
+	server := newStandIn(t, "i-1", text(200, seal+"Connection: "+headerServerSeal+"\r\nVersions: 4\r\n", "ok"))
+	r := newRig(t, server)
+	described := http.Header{
+		headerModel:        {"m, with \"all\" of it; q=1"},
+		headerTokenCount:   {"1460,80"},
+		headerPromptPrefix: {"5c1e07a2:800,91bd3f06:410"},
+		"Expect-Version":   {"3"},
+	}
+	var headers strings.Builder
+	for name, values := range described {
+		fmt.Fprintf(&headers, "%s: %s\r\n", name, values[0])
+	}
+	headers.WriteString("Connection: keep-alive, " + headerModel + ", x-fieldrelay-token-count\r\n")
+	headers.WriteString("Connection: " + headerPromptPrefix + "\r\n")
+	c := r.dial()
+	c.ask("GET", "/m/x", headers.String(), "")
+	response, _ := c.answer("GET")
+	require.Equal(t, "seal", response.Header.Get(headerServerSeal))
+	require.Equal(t, "4", response.Header.Get("Versions"))
+	for name, values := range described {
+		require.Equal(t, values, server.got()[0].header[name], name)
+	}
+}
--- /dev/null
+++ b/internal/proxy/deadline_test.go
@@ -0,0 +1,318 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/placement"
+)
+
+// addRoutes puts more routes in force beside those of the rig.
+func addRoutes(r *rig, routes ...string) {
+	r.t.Helper()
+	change := &pb.Change{Sequence: r.handler.state.load().sequence + 1, Generation: 8}
+	for index, body := range routes {
+		change.Upserts = append(change.Upserts, &pb.Item{
+			Kind: catalog.KindRoutes, Name: fmt.Sprintf("added-%d", index), Sequence: change.Sequence, Body: []byte(body),
+		})
+	}
+	_, done := r.handler.state.apply(&pb.ApplyRequest{Changes: []*pb.Change{change}})
+	require.Empty(r.t, done.faults)
+}
+
+const (
+	shortStream = `{"name":"added-0","vhost":"h.example","path-prefix":"/ts/","route-kind":"streaming","resumable":true,"deadline-ms":60,"target-ms":50,"backend":"s1","tries":3}`
+	shortRepeat = `{"name":"added-1","vhost":"h.example","path-prefix":"/ti/","route-kind":"idempotent","deadline-ms":60,"target-ms":50,"backend":"s1","tries":3}`
+)
+
+// fullPlacer finds no server with a place until it is told otherwise.
+type fullPlacer struct {
+	*fakePlacer
+	free   atomic.Bool
+	looked atomic.Int64
+}
+
+func (f *fullPlacer) Pick(now time.Duration, request *placement.Request) (placement.Decision, error) {
+	f.looked.Add(1)
+	if !f.free.Load() {
+		return placement.Decision{}, &placement.NoServerError{Reason: placement.ReasonFull, RetryAfter: pause}
+	}
+	return f.fakePlacer.Pick(now, request)
+}
+
+// fill lets the rig's servers have no place.
+func (r *rig) fill() *fullPlacer {
+	full := &fullPlacer{fakePlacer: r.placer}
+	r.handler.dispatcher.placer = full
+	return full
+}
+
+// TestEveryRequestEndsAtItsRoutesDeadline: whatever a request waits for, its client, which would wait for longer, has
+// the final answer, or sees it end, within half a second after the deadline of the route.
+func TestEveryRequestEndsAtItsRoutesDeadline(t *testing.T) {
+	const deadline, allowed = 60 * time.Millisecond, 500 * time.Millisecond
+	longer := headerDeadline + ": 30000\r\n"
+	plain := func(target string) func(*client) {
+		return func(c *client) { c.ask("GET", target, longer, "") }
+	}
+	opens := func(conn *net.TCPConn, request arrival) bool {
+		streamHead(conn, request, "x")
+		chunk(conn, event(1))
+		return true
+	}
+	begins := func(length int, body string) reply {
+		return func(conn *net.TCPConn, request arrival) bool {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: id1\r\n%sContent-Length: %d\r\n\r\n%s", headerAttemptID, seal, length, body)
+			return err == nil
+		}
+	}
+	interim := func(conn *net.TCPConn, _ arrival) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		return err == nil
+	}
+	cases := map[string]struct {
+		servers []reply
+		send    func(*client)
+		full    bool
+		noList  bool
+		want    int // 0: the answer ends early
+	}{
+		"a silent server":             {servers: []reply{silent}, send: plain("/t/x"), want: 504},
+		"interim answers":             {servers: []reply{interim}, send: plain("/t/x"), want: 504},
+		"half an answer":              {servers: []reply{begins(9, "half")}, send: plain("/t/x"), want: 504},
+		"half a large answer":         {servers: []reply{begins(4<<20, repeated("x", 2<<20))}, send: plain("/t/x")},
+		"a silent stream":             {servers: []reply{opens}, send: plain("/ts/x")},
+		"a stream without a head":     {servers: []reply{silent}, send: plain("/ts/x"), want: 504},
+		"a stream cut, then silence":  {servers: []reply{streams("one", 2, "id: 3\n"), silent}, send: plain("/ts/x")},
+		"a reset, then silence":       {servers: []reply{resets, silent}, send: plain("/ti/x"), want: 504},
+		"no place":                    {servers: []reply{silent}, send: plain("/t/x"), full: true, want: 503},
+		"no place in a second life":   {servers: []reply{silent}, send: returned("/t/x"), full: true, want: 503},
+		"no list of servers":          {servers: []reply{silent}, send: plain("/t/x"), noList: true, full: true, want: 503},
+		"the client's body is late":   {servers: []reply{silent}, send: halfBody("/t/x"), want: 408},
+		"a late body, and no list":    {servers: []reply{silent}, send: halfBody("/t/x"), noList: true, want: 408},
+		"a client that tells nothing": {servers: []reply{silent}, send: func(c *client) { c.ask("GET", "/t/x", "", "") }, want: 504},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			var servers []*standIn
+			for index, answer := range one.servers {
+				servers = append(servers, newStandIn(t, fmt.Sprintf("i-%d", index), answer))
+			}
+			r := newRig(t, servers...)
+			addRoutes(r, shortStream, shortRepeat)
+			if one.full {
+				r.fill()
+			}
+			if one.noList {
+				held := *r.handler.state.load()
+				held.list = nil
+				r.handler.state.current.Store(&held)
+			}
+			c := r.dial()
+			began := time.Now()
+			one.send(c)
+			response := c.head("GET")
+			_, err := io.ReadAll(response.Body)
+			require.Less(t, time.Since(began), deadline+allowed)
+			if one.want == 0 {
+				require.Error(t, err, "it ends visibly early")
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, one.want, response.StatusCode)
+		})
+	}
+}
+
+// returned asks as a client does that was refused before: it has a little less time.
+func returned(target string) func(*client) {
+	return func(c *client) { c.ask("GET", target, headerDeadline+": 59\r\n", "") }
+}
+
+// halfBody begins a request whose body never comes whole.
+func halfBody(target string) func(*client) {
+	return func(c *client) {
+		c.ask("POST", target, "Content-Length: 9\r\n", "")
+		c.write("half")
+	}
+}
+
+// TestTheTimeHandedOnOnlyShrinks: no server is told a longer deadline than the client told or the route has, and a
+// repeat none that ends later than that of the first try.
+func TestTheTimeHandedOnOnlyShrinks(t *testing.T) {
+	const rounding = 20 * time.Millisecond
+	cases := map[string]struct {
+		target string
+		told   string
+		most   time.Duration
+	}{
+		"the client's":               {"/i/x", "1500", 1500 * time.Millisecond},
+		"the route's":                {"/i/x", "", 4 * time.Second},
+		"the route's, the shorter":   {"/r/x", "90000", 4 * time.Second},
+		"the client's, of a stream":  {"/r/x", "700.5", 701 * time.Millisecond},
+		"the client's is not a time": {"/m/x", "soon", 4 * time.Second},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			var arrivals [2]time.Time
+			arriving := func(index int, answer reply) reply {
+				return func(conn *net.TCPConn, request arrival) bool {
+					arrivals[index] = time.Now()
+					return answer(conn, request)
+				}
+			}
+			first := newStandIn(t, "i-1", arriving(0, text(503, declines, "")))
+			second := newStandIn(t, "i-2", arriving(1, good("ok")))
+			r := newRig(t, first, second)
+			headers := ""
+			if one.told != "" {
+				headers = headerDeadline + ": " + one.told + "\r\n"
+			}
+			c := r.dial()
+			c.ask("GET", one.target, headers, "")
+			response, _ := c.answer("GET")
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			var ends [2]time.Time
+			for index, server := range []*standIn{first, second} {
+				values := server.got()[0].header[headerDeadline]
+				require.Len(t, values, 1)
+				milliseconds, err := strconv.Atoi(values[0])
+				require.NoError(t, err)
+				left := time.Duration(milliseconds) * time.Millisecond
+				require.LessOrEqual(t, left, one.most)
+				require.Positive(t, left)
+				ends[index] = arrivals[index].Add(left)
+			}
+			// What is under way between two arrivals moves their ends apart by as much.
+			require.True(t, ends[1].Before(ends[0].Add(rounding+arrivals[1].Sub(arrivals[0]))))
+		})
+	}
+}
+
+// TestTheDeadlineIsThatOfTheFirstTry: all tries of a request share one instant, from which what is left is told.
+func TestTheDeadlineIsThatOfTheFirstTry(t *testing.T) {
+	x := &exchange{deadline: time.Now().Add(time.Minute)}
+	before := x.left()
+	require.LessOrEqual(t, before, time.Minute)
+	require.LessOrEqual(t, x.left(), before)
+}
+
+// TestNoTryRunsOnMoreServersThanItsRouteAllows: whatever servers answer, a request of a client reaches no more of them
+// than its route's tries, and none twice.
+func TestNoTryRunsOnMoreServersThanItsRouteAllows(t *testing.T) {
+	tries := map[string]int{"/m/x": 3, "/i/x": 2, "/o/x": 1, "/s/x": 3, "/r/x": 3}
+	answers := []reply{resets, text(503, declines, ""), text(421, "", ""), text(500, seal, "why"), text(429, "", "")}
+	for _, broken := range brokenReplies {
+		answers = append(answers, broken)
+	}
+	for cut := range 3 {
+		answers = append(answers, streams(fmt.Sprint(cut), cut, "id: 9\n"))
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	most := make(map[string]int)
+	for round := range 40 {
+		var servers []*standIn
+		for index := range 5 {
+			answer := answers[random.IntN(len(answers))]
+			if round == 0 {
+				answer = text(503, declines, "") // the bounds are reached
+			}
+			servers = append(servers, newStandIn(t, fmt.Sprintf("i-%d", index), answer))
+		}
+		r := newRig(t, servers...)
+		for target, allowed := range tries {
+			before := countArrivals(servers)
+			c := r.dial()
+			c.ask("GET", target, "", "")
+			// An answer that breaks off may end before its head.
+			if response, err := http.ReadResponse(c.reader, nil); err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+			eventually(t, func() bool { return r.handler.counters.active.Load() == 0 }, "the request ends")
+			reached := 0
+			for index, count := range countArrivals(servers) {
+				require.LessOrEqual(t, count-before[index], 1, "twice at one server")
+				reached += count - before[index]
+			}
+			require.LessOrEqual(t, reached, allowed, target)
+			most[target] = max(most[target], reached)
+		}
+	}
+	require.Equal(t, tries, most)
+}
+
+func countArrivals(servers []*standIn) []int {
+	var counts []int
+	for _, server := range servers {
+		counts = append(counts, len(server.got()))
+	}
+	return counts
+}
+
+// TestNothingReachesAServerOnceTheClientLeft: at whatever step the client leaves, no server gets its request from then
+// on, and one that works on it sees its connection end.
+func TestNothingReachesAServerOnceTheClientLeft(t *testing.T) {
+	t.Run("waiting for a place", func(t *testing.T) {
+		server := newStandIn(t, "i-1", good("ok"))
+		r := newRig(t, server)
+		full := r.fill()
+		c := r.dial()
+		// A client that was refused before waits for long.
+		c.ask("GET", "/m/x", headerDeadline+": 3000\r\n", "")
+		eventually(t, func() bool { return full.looked.Load() > 0 }, "it looks for a place")
+		require.NoError(t, c.conn.Close())
+		eventually(t, func() bool { return r.handler.counters.active.Load() == 0 }, "the request ends")
+		full.free.Store(true)
+		require.Empty(t, server.got())
+		require.EqualValues(t, 1, r.handler.counters.clientsGone.Load())
+	})
+	t.Run("before the first byte is sent", func(t *testing.T) {
+		server := newStandIn(t, "i-1", good("ok"))
+		r := newRig(t, server)
+		response, _ := r.get("/m/x") // so that a connection is there
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		request := httptest.NewRequestWithContext(left, http.MethodGet, "http://h.example/m/x", nil)
+		request.RequestURI = "/m/x"
+		request.Header.Set(headerAttemptID, "id2")
+		require.PanicsWithValue(t, http.ErrAbortHandler, func() {
+			r.handler.ServeHTTP(httptest.NewRecorder(), request)
+		})
+		require.Len(t, server.got(), 1)
+		require.Equal(t, []placement.Outcome{placement.Done, placement.NotSent}, r.placer.seenOutcomes())
+	})
+	for _, target := range []string{"/m/x", "/i/x", "/s/x", "/r/x"} {
+		t.Run("at a server, "+target, func(t *testing.T) {
+			left := make(chan struct{})
+			first := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+				<-left // then it declines: another server might be tried
+				return text(503, declines, "")(conn, request)
+			})
+			second := newStandIn(t, "i-2", good("ok"))
+			r := newRig(t, first, second)
+			c := r.dial()
+			c.ask("GET", target, "", "")
+			eventually(t, func() bool { return len(first.got()) == 1 }, "the request arrives")
+			require.NoError(t, c.conn.Close())
+			eventually(t, func() bool { return r.handler.counters.active.Load() == 0 }, "the request ends")
+			close(left)
+			<-first.closed
+			require.Empty(t, second.got())
+			require.Equal(t, []placement.Outcome{placement.ClientGone}, r.placer.seenOutcomes())
+		})
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,12 +15,13 @@
 )
 
 const (
-	// defaultMaxHeader bounds the head of a request while the configuration names no bound.
-	defaultMaxHeader = 16 << 10
-	// defaultHeaderRead is how long the head of a request may take while the configuration names no bound.
-	defaultHeaderRead = 5 * time.Second
-	// defaultKeepAlive is how long a connection may stay idle while the configuration names no bound.
-	defaultKeepAlive = 15 * time.Second
+	// defaultMaxHeader bounds the head of a request while no configuration names a bound. It is generous, as the
+	// next two are: the connections that come before the configuration keep them, and it may allow much.
+	defaultMaxHeader = 64 << 10
+	// defaultHeaderRead is how long the head of a request may take while no configuration names a bound.
+	defaultHeaderRead = 10 * time.Second
+	// defaultKeepAlive is how long a connection may stay idle while no configuration names a bound.
+	defaultKeepAlive = time.Minute
 	// limitSlack is added to the times that clients are held to, so that the client ends first.
 	limitSlack = time.Second
 	// headerSlack is added to the bound on heads, which counts the request line and line ends as well.
@@ -51,8 +54,29 @@
 	return limits
 }
 
+// narrowerThan tells whether other limits allow a client anything that these do not.
+func (l frontLimits) narrowerThan(other frontLimits) bool {
+	return l.maxHeader < other.maxHeader || l.headerRead < other.headerRead || l.keepAlive < other.keepAlive
+}
+
+// limitedHandler serves the connections that were accepted under some limits.
+type limitedHandler struct {
+	http.Handler
+	limits   frontLimits
+	outgrown atomic.Bool // later limits allow more
+}
+
+// ServeHTTP asks the clients of connections whose limits are too narrow by now to open others.
+func (h *limitedHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if h.outgrown.Load() {
+		askToLeave(writer.Header())
+	}
+	h.Handler.ServeHTTP(writer, request)
+}
+
 // front accepts the connections of clients. The limits of an http.Server can't change while it runs, so new
-// limits make a new one: it gets the connections accepted from then on, the older ones keep their limits.
+// limits make a new one: it gets the connections accepted from then on. The older ones keep their limits, and end
+// with their next answer if the new ones are wider.
 type front struct {
 	listener net.Listener
 	handler  http.Handler
@@ -64,6 +88,7 @@
 	mu      sync.Mutex
 	limits  frontLimits
 	current *handoff
+	served  []*limitedHandler // one for the connections of each limits so far that are not outgrown
 	closed  bool
 	idle    map[net.Conn]struct{} // connections on which no request is being served
 }
@@ -94,15 +119,35 @@
 	}
 	f.limits = limits
 	f.current = newHandoff(f.listener.Addr())
-	server := f.newServer(limits)
+	server := f.newServer(limits, f.handlerFor(limits))
 	go func(accepted *handoff) { _ = server.Serve(accepted) }(f.current)
 }
 
-func (f *front) newServer(limits frontLimits) *http.Server {
+// handlerFor makes the handler of the connections under new limits, and lets those under narrower ones end. The
+// caller holds the lock.
+func (f *front) handlerFor(limits frontLimits) *limitedHandler {
+	f.served = slices.DeleteFunc(f.served, func(earlier *limitedHandler) bool {
+		narrower := earlier.limits.narrowerThan(limits)
+		if narrower {
+			earlier.outgrown.Store(true)
+		}
+		return narrower
+	})
+	for _, earlier := range f.served {
+		if earlier.limits == limits {
+			return earlier
+		}
+	}
+	made := &limitedHandler{Handler: f.handler, limits: limits}
+	f.served = append(f.served, made)
+	return made
+}
+
+func (f *front) newServer(limits frontLimits, handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Server{
-		Handler:           f.handler,
+		Handler:           handler,
 		ReadHeaderTimeout: limits.headerRead,
 		IdleTimeout:       limits.keepAlive,
 		MaxHeaderBytes:    limits.maxHeader,
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -79,6 +79,9 @@
 	ends       bool          // the connection can't be used any longer
 }
 
+// refusalToLeave is the answer to a request that comes too late in a drain.
+var refusalToLeave = &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, ends: true}
+
 // refuse writes an answer of the proxy's own.
 func (h *handler) refuse(writer http.ResponseWriter, own *refusal) {
 	h.counters.countOwn(own.status)
@@ -106,13 +109,17 @@
 		return nil, &refusal{status: http.StatusBadRequest}
 	}
 	if h.lifecycle.phase() >= phaseRefusing {
-		return nil, &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, ends: true}
+		return nil, refusalToLeave
 	}
 	control := http.NewResponseController(writer)
 	taken, err := h.takeIn(control, request, target, arrived)
 	if err != nil {
 		return nil, refusalOf(err)
 	}
+	if !h.lifecycle.takes(time.Now(), taken.deadline) {
+		taken.body.free()
+		return nil, refusalToLeave
+	}
 	found := taken.route
 	return &exchange{
 		handler:   h,
@@ -143,7 +150,7 @@
 	taken.at = arrived
 	early := !held.usable()
 	if early {
-		if held, taken.body, err = h.holdUntilUsable(control, request, arrived); err != nil {
+		if held, taken.body, err = h.holdUntilUsable(control, request, target, arrived); err != nil {
 			return taken, err
 		}
 		taken.at = time.Now()
@@ -172,6 +179,7 @@
 var (
 	errNoConfiguration = errors.New("no configuration is held")
 	errNoRoute         = errors.New("no route")
+	errNoBounds        = errors.New("the request is larger than is taken before a configuration tells its bounds")
 )
 
 // refusalOf is the answer to a request that was not taken in.
@@ -181,6 +189,8 @@
 		return &refusal{status: http.StatusNotFound}
 	case errors.Is(err, errNoConfiguration):
 		return &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterSetup}
+	case errors.Is(err, errNoBounds):
+		return &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterSetup, ends: true}
 	case errors.Is(err, errBodyTooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, ends: true}
 	case errors.Is(err, errNoMemory):
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -51,13 +51,17 @@
 	}
 }
 
-// namedByConnection returns the headers that a Connection header names, in canonical form.
+// protocolPrefix begins the names of the protocol's own headers.
+const protocolPrefix = "X-Fieldrelay-"
+
+// namedByConnection returns the headers that a Connection header names, in canonical form. The protocol's own
+// are for the other end whatever a connection says of them.
 func namedByConnection(header http.Header) []string {
 	var named []string
 	for _, value := range header["Connection"] {
 		for option := range strings.SplitSeq(value, ",") {
 			name := textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(option))
-			if name != "" && name != "Close" && name != "Keep-Alive" {
+			if name != "" && name != "Close" && name != "Keep-Alive" && !strings.HasPrefix(name, protocolPrefix) {
 				named = append(named, name)
 			}
 		}
--- a/internal/proxy/hold.go
+++ b/internal/proxy/hold.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -17,18 +19,41 @@
 // usable tells whether requests can be passed on by a snapshot.
 func (s *snapshot) usable() bool { return s.configured() && s.list != nil }
 
+// deadlineOf is when a request that came at a moment has to be answered: by its route, if that is known, and by what
+// its client told.
+func (s *snapshot) deadlineOf(request *http.Request, target string, arrived time.Time) time.Time {
+	if found, ok := s.table.Lookup(request.Host, pathOf(target)); ok {
+		return arrived.Add(holdFor(request.Header, found))
+	}
+	return arrived.Add(deadlineTold(request.Header))
+}
+
 // holdUntilUsable keeps a request that came before the proxy has what it serves by: after a loss of power or a
 // kill, clients come as soon as the port is open, and most have no other try left. Its body is read first, so
 // that the client sees it taken. The snapshot it returns may still be unusable.
-func (h *handler) holdUntilUsable(control *http.ResponseController, request *http.Request, arrived time.Time) (*snapshot, *chargedBuffer, error) {
-	left := deadlineTold(request.Header)
-	body, err := h.readBody(control, request, 0, arrived.Add(left))
+func (h *handler) holdUntilUsable(control *http.ResponseController, request *http.Request, target string, arrived time.Time) (*snapshot, *chargedBuffer, error) {
+	held := h.state.load()
+	body, err := h.readEarlyBody(control, request, held, held.deadlineOf(request, target, arrived))
 	if err != nil {
-		return h.state.load(), nil, err
+		return held, nil, err
 	}
 	h.counters.held.Add(1)
-	end := arrived.Add(min(left/holdShare, longestHold))
-	return h.state.await(request.Context(), end, (*snapshot).usable), body, nil
+	for _, enough := range []func(*snapshot) bool{(*snapshot).configured, (*snapshot).usable} {
+		left := held.deadlineOf(request, target, arrived).Sub(arrived)
+		end := arrived.Add(min(left/holdShare, longestHold))
+		held = h.state.await(request.Context(), end, enough)
+	}
+	return held, body, nil
+}
+
+// readEarlyBody reads a body within the bounds in force. A proxy that knows no configuration refuses no body as too
+// large for good: the configuration may allow it.
+func (h *handler) readEarlyBody(control *http.ResponseController, request *http.Request, held *snapshot, deadline time.Time) (*chargedBuffer, error) {
+	body, err := h.readBody(control, request, held.table.RequestLimits().MaxBodyBytes, deadline)
+	if errors.Is(err, errBodyTooLarge) && !held.configured() {
+		err = errNoBounds
+	}
+	return body, err
 }
 
 // await returns the snapshot in force as soon as a condition holds for it, and at the given end in any case.
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -20,12 +20,32 @@
 type lifecycle struct {
 	current atomic.Int32
 	held    func() *snapshot
+	ending  atomic.Pointer[drainTimes] // nil: not told to end
+}
+
+// drainTimes are the instants of a drain.
+type drainTimes struct {
+	late    time.Time // from which on only requests are taken that end before abandon
+	abandon time.Time // when what is still being served is broken off
 }
 
 func (l *lifecycle) phase() phase { return phase(l.current.Load()) }
 
 func (l *lifecycle) enter(next phase) { l.current.Store(int32(next)) }
 
+// leave begins the drain: the process was told to end.
+func (l *lifecycle) leave(times drainTimes) {
+	l.ending.Store(&times)
+	l.enter(phaseLeaving)
+}
+
+// takes tells whether a request may be taken that lasts until its deadline at most. Shortly after the process was
+// told to end, every request may be: clients have hardly heard of it. Later ones must not be broken off.
+func (l *lifecycle) takes(now, deadline time.Time) bool {
+	ending := l.ending.Load()
+	return ending == nil || now.Before(ending.late) || deadline.Before(ending.abandon)
+}
+
 // draining tells whether the process was told to end.
 func (l *lifecycle) draining() bool { return l.phase() >= phaseLeaving }
 
@@ -48,21 +68,30 @@
 	// maxLinger is how long a proxy that was told to end goes on taking requests: clients keep its address
 	// for up to three times the directory's time to live.
 	maxLinger = 3500 * time.Millisecond
+	// maxLate is how long it takes requests whatever their deadline. The rules forgive that requests are broken off
+	// which were sent up to 3 s after SIGTERM; the rest of these is for the time that the signal takes.
+	maxLate = 2800 * time.Millisecond
 	// lingerReserve is the part of the grace period that is left for requests begun while lingering.
 	lingerReserve = 2500 * time.Millisecond
 	// exitReserve is the part of the grace period that is left for the process to end.
 	exitReserve = 500 * time.Millisecond
 )
 
-// drainPlan tells, from the moment at which the process is told to end, when it stops taking requests and
-// when it breaks off those that are left.
+// drainPlan tells, from the moment at which the process is told to end, from when on it takes only requests that
+// end in time, when it stops taking requests and when it breaks off those that are left.
 type drainPlan struct {
+	late    time.Duration
 	refuse  time.Duration
 	abandon time.Duration
 }
 
+// from gives the instants of a plan that begins at a moment.
+func (p drainPlan) from(began time.Time) drainTimes {
+	return drainTimes{late: began.Add(p.late), abandon: began.Add(p.abandon)}
+}
+
 func planDrain(grace time.Duration) drainPlan {
 	abandon := max(grace-exitReserve, grace/2)
 	refuse := min(maxLinger, max(grace-lingerReserve, grace/3))
-	return drainPlan{refuse: refuse, abandon: abandon}
+	return drainPlan{late: min(maxLate, refuse), refuse: refuse, abandon: abandon}
 }
--- a/internal/proxy/process_test.go
+++ b/internal/proxy/process_test.go
@@ -193,6 +193,38 @@
 	require.Less(t, time.Since(began), 3*time.Second)
 }
 
+// TestManyProxiesToldToEndAtOnceAreNotReadyAtOnce: each that still runs, with requests at work, answers two questions
+// in a row without a 200 well before 4 s have passed since SIGTERM.
+func TestManyProxiesToldToEndAtOnceAreNotReadyAtOnce(t *testing.T) {
+	server := newStandIn(t, "i-1", silent)
+	const proxies, soon = 6, time.Second
+	var all []*running
+	for range proxies {
+		r := startProcess(t, 4)
+		r.fill(server)
+		require.Equal(t, 200, r.ready())
+		r.dial().ask("GET", "/m/x", "", "")
+		all = append(all, r)
+	}
+	eventually(t, func() bool { return len(server.got()) == proxies }, "all are at work")
+	began := time.Now()
+	for _, r := range all {
+		r.terminate()
+	}
+	for _, r := range all {
+		eventually(t, func() bool {
+			first, second := r.ready(), r.ready()
+			return first != 200 && second != 200
+		}, "it is not ready")
+		require.Less(t, time.Since(began), soon)
+		require.EqualValues(t, 1, r.process.counters.active.Load(), "it still runs")
+		require.True(t, r.status().GetDraining())
+	}
+	for _, r := range all {
+		r.process.abandon()
+	}
+}
+
 func TestProcessBreaksOffWhatIsLeftAtTheEnd(t *testing.T) {
 	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
 		if request.target == "/r/x" {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -241,8 +241,8 @@
 func (p *process) drain() {
 	began := time.Now()
 	plan := planDrain(time.Duration(p.grace.Load()))
+	p.lifecycle.leave(plan.from(began))
 	p.logger.Info("told to end", zap.Duration("refuse-after", plan.refuse), zap.Duration("abandon-after", plan.abandon))
-	p.lifecycle.enter(phaseLeaving)
 	time.Sleep(time.Until(began.Add(plan.refuse)))
 	p.front.close()
 	p.lifecycle.enter(phaseRefusing)
--- a/internal/proxy/pure_test.go
+++ b/internal/proxy/pure_test.go
@@ -183,9 +183,9 @@
 }
 
 func TestPlanDrain(t *testing.T) {
-	require.Equal(t, drainPlan{refuse: 3500 * time.Millisecond, abandon: 7500 * time.Millisecond}, planDrain(8*time.Second))
-	require.Equal(t, drainPlan{refuse: 1500 * time.Millisecond, abandon: 3500 * time.Millisecond}, planDrain(4*time.Second))
-	require.Equal(t, drainPlan{refuse: 300 * time.Millisecond, abandon: 450 * time.Millisecond}, planDrain(900*time.Millisecond))
+	require.Equal(t, drainPlan{late: 2800 * time.Millisecond, refuse: 3500 * time.Millisecond, abandon: 7500 * time.Millisecond}, planDrain(8*time.Second))
+	require.Equal(t, drainPlan{late: 1500 * time.Millisecond, refuse: 1500 * time.Millisecond, abandon: 3500 * time.Millisecond}, planDrain(4*time.Second))
+	require.Equal(t, drainPlan{late: 300 * time.Millisecond, refuse: 300 * time.Millisecond, abandon: 450 * time.Millisecond}, planDrain(900*time.Millisecond))
 }
 
 // splitEvents runs the scanner over data in pieces of the given sizes.
