Name proxies of home regions beside the client's own where these are too few

The rule binds requests on routes with homes alone, and allows homes as well as the client's region.

Change: catalog.HomeIndex tells for each host the regions that are homes of all its bound routes; a control machine out of touch takes every host for bound. registry.Client carries them, and Endpoints names proxies of all near regions before those of others.

--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
 	"fieldrelay/internal/control"
 	"fieldrelay/internal/operatorapi"
 	"fieldrelay/internal/quorum"
@@ -38,6 +39,7 @@
 	platform *platformClient
 	calls    operatorapi.Counters
 	rotation atomic.Uint64
+	homes    atomic.Pointer[homes] // of the newest configuration that a client asked for; nil: none did
 	ending   chan struct{}
 	started  time.Time
 
@@ -51,6 +53,12 @@
 	wasAuthoritative bool
 }
 
+// homes are the home regions of hosts in one state of the configuration.
+type homes struct {
+	snapshot *catalog.Snapshot
+	index    *catalog.HomeIndex
+}
+
 // newProcess returns a process that knows nothing yet. seed draws its epochs, its waits and the first version
 // of its members, and has to differ from start to start.
 func newProcess(watch *settingsWatch, logger *zap.Logger, seed uint64) *process {
@@ -83,8 +91,10 @@
 		Ready:     func() bool { return p.node.Status().Founded },
 		InTouch:   func() bool { return p.node.Status().Authoritative },
 		ZoneKnown: func(zone string) bool { return p.settings.Current().KnowsZone(zone) },
-		Endpoints: func(region, zone string) []string {
-			return p.soft.Endpoints(region, zone, p.rotation.Add(1))
+		Endpoints: func(host, region, zone string) []string {
+			homes := p.homesOf(host)
+			client := registry.Client{Region: region, Zone: zone, Bound: homes.Bound, Homes: homes.Regions}
+			return p.soft.Endpoints(client, p.rotation.Add(1))
 		},
 		EndpointsLifetime: func() time.Duration {
 			return lifetimeOfEndpoints(p.settings.Current())
@@ -93,6 +103,21 @@
 	}
 }
 
+// homesOf tells where requests to a host may be served. While this machine is out of touch, its configuration may
+// be old: any host may be bound then.
+func (p *process) homesOf(host string) catalog.Homes {
+	status := p.node.Status()
+	if !status.Authoritative || status.Committed == nil {
+		return catalog.Homes{Bound: true}
+	}
+	known := p.homes.Load()
+	if known == nil || known.snapshot != status.Committed {
+		known = &homes{snapshot: status.Committed, index: status.Committed.HomeIndex()}
+		p.homes.Store(known)
+	}
+	return known.index.Of(host)
+}
+
 func lifetimeOfEndpoints(current *settings.Settings) time.Duration {
 	longest := current.Bounds.TTLMax()
 	if longest <= 0 {
--- a/internal/controlserver/softstate.go
+++ b/internal/controlserver/softstate.go
@@ -19,8 +19,9 @@
 	startTicksFor = 3 * time.Second
 
 	// directorySettling is the time after a start, or after a standstill, in which clients get no addresses
-	// unless most of the proxies that are known take requests, one of their region among them: a few early ones
-	// would draw all clients, and proxies of other regions those whose own ones have not been heard of yet.
+	// unless most of the proxies that are known take requests, and one of their region if they are bound to it:
+	// a few early ones would draw all clients, and proxies of other regions those whose own ones have not been heard
+	// of yet.
 	directorySettling = 1500 * time.Millisecond
 
 	// membersSettling is the time after a start, or after a standstill, in which agents are not told the
@@ -157,16 +158,17 @@
 }
 
 // Endpoints returns the edge addresses for a client, none while too little is known.
-func (s *softState) Endpoints(region, zone string, rotation uint64) []string {
+func (s *softState) Endpoints(client registry.Client, rotation uint64) []string {
 	now := s.now()
 	s.mutex.Lock()
 	settling := now < s.settlingFrom+directorySettling
 	s.mutex.Unlock()
 	members := s.Picture().members
-	if settling && !(members.MostlyServing(now) && members.Serves(now, region)) {
+	served := members.MostlyServing(now) && (!client.Bound || members.Serves(now, client.Region))
+	if settling && !served {
 		return nil
 	}
-	return members.Endpoints(now, region, zone, rotation)
+	return members.Endpoints(now, client, rotation)
 }
 
 // Holder reports whether this machine reads the platform's list.
--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -72,21 +72,41 @@
 	return &pb.Members{Version: m.version, Agents: records}
 }
 
-// Endpoints returns the edge addresses that a client in a region and zone is to use: those of its zone if there
-// are at least two or a third of all, else those of its region. Other regions are named only if the region has
-// none, or has few because it has just lost some: a request that has homes must not be sent further than it needs
-// to. Only proxies that are live, ready and not draining count. The order is turned by rotation, so that clients
-// that take the first ones spread. The result is empty if no proxy takes requests.
-func (m *Members) Endpoints(now time.Duration, region, zone string, rotation uint64) []string {
+// Client is who asks for edge addresses.
+type Client struct {
+	Region string // empty: not told
+	Zone   string // empty: not told
+	// Bound: some requests to the host that it asks for may be served in home regions only, and must not be sent to
+	// proxies in regions that are neither homes nor the client's.
+	Bound bool
+	// Homes are the regions in which all requests to that host may be served; of no importance if it is not bound.
+	Homes []string
+}
+
+// isNear reports whether requests of the client may be sent to a region in any case.
+func (c *Client) isNear(region string) bool {
+	return !c.Bound || region == c.Region || slices.Contains(c.Homes, region)
+}
+
+// Endpoints returns the edge addresses that a client is to use: those of its zone if there are at least two or a
+// third of all, else those of its region by the same measure, else those of all regions that are near. Other regions
+// are named only if these have none, or if the client's has few because it has just lost some. Only proxies that are
+// live, ready and not draining count. The order is turned by rotation, so that clients that take the first ones
+// spread. The result is empty if no proxy takes requests.
+func (m *Members) Endpoints(now time.Duration, client Client, rotation uint64) []string {
 	all := m.serving(now)
-	inZone := matching(all, func(record *pb.AgentRecord) bool { return record.Zone == zone })
+	inZone := matching(all, func(record *pb.AgentRecord) bool { return record.Zone == client.Zone })
 	if suffices(inZone, all) {
 		return rotated(inZone, rotation)
 	}
-	inRegion := matching(all, func(record *pb.AgentRecord) bool { return record.Region == region })
-	if len(inRegion) > 0 && (suffices(inRegion, all) || !m.lossIn(now, region)) {
+	inRegion := matching(all, func(record *pb.AgentRecord) bool { return record.Region == client.Region })
+	if suffices(inRegion, all) {
 		return rotated(inRegion, rotation)
 	}
+	near := matching(all, func(record *pb.AgentRecord) bool { return client.isNear(record.Region) })
+	if suffices(near, all) || (len(near) > 0 && !m.lossIn(now, client.Region)) {
+		return rotated(near, rotation)
+	}
 	return rotated(all, rotation)
 }
 
