Name no edge machine that only something held up tells of

Cause: what edge machines and other control machines had sent to a control machine that stood still counted as news when it woke, and was passed on: a proxy that had been killed in the meantime was named for three seconds more, everywhere.

Change: records of edge machines that arrive between a standstill of 2 s and 0.5 s after its end are left; agents speak again within a second.

TestMembersSettleAgainAfterAStandstill waits for these 0.5 s before the agent speaks: a record before that does not count any more, which the new test asks for.

--- a/internal/controlserver/softstate.go
+++ b/internal/controlserver/softstate.go
@@ -33,6 +33,10 @@
 
 	// standstill is a time between two ticks that shows that this process was frozen or starved.
 	standstill = 2 * time.Second
+
+	// standstillCalm is the time after a standstill in which nothing that is told of edge machines counts: it may
+	// have waited here, and they may be gone since.
+	standstillCalm = 500 * time.Millisecond
 )
 
 // softPicture is what the soft state shows to readers. It never changes.
@@ -60,6 +64,7 @@
 	agents       *registry.Agents
 	inventory    *registry.Inventory
 	settlingFrom time.Duration
+	calmFrom     time.Duration // what comes before may have waited for this process
 	lastTick     time.Duration
 	toldAt       time.Duration // when toldVersion changed last
 	notified     *softPicture  // that the last closing of changed told of
@@ -96,7 +101,7 @@
 // Heard takes what an agent says of itself and of the list that it holds.
 func (s *softState) Heard(record *pb.AgentRecord, held *pb.ListVersion) {
 	s.update(func(now time.Duration) []registry.Action {
-		if s.agents.Heard(now, record) {
+		if !s.mayHaveWaited(now) && s.agents.Heard(now, record) {
 			s.refresh(now)
 		}
 		return s.inventory.Step(now, registry.VersionSeen{Version: held})
@@ -106,7 +111,7 @@
 // Heartbeat takes the soft part of another control machine's heartbeat.
 func (s *softState) Heartbeat(heartbeat *pb.Heartbeat) {
 	s.update(func(now time.Duration) []registry.Action {
-		if s.agents.Merge(now, heartbeat.GetAgents()) {
+		if !s.mayHaveWaited(now) && s.agents.Merge(now, heartbeat.GetAgents()) {
 			s.refresh(now)
 		}
 		return s.inventory.Step(now, registry.VersionSeen{Version: heartbeat.GetList(), Peer: true})
@@ -139,6 +144,7 @@
 	s.update(func(now time.Duration) []registry.Action {
 		if now-s.lastTick >= standstill {
 			s.settlingFrom = now
+			s.calmFrom = now + standstillCalm
 		}
 		s.lastTick = now
 		s.refresh(now)
@@ -176,6 +182,11 @@
 	return s.inventory.Holder()
 }
 
+// mayHaveWaited reports whether what arrives now may have waited while this process did not run. The lock is held.
+func (s *softState) mayHaveWaited(now time.Duration) bool {
+	return now < s.calmFrom || now-s.lastTick >= standstill
+}
+
 // update runs one step under the lock and then acts on what it asks for.
 func (s *softState) update(step func(now time.Duration) []registry.Action) {
 	s.mutex.Lock()
--- a/internal/controlserver/softstate_test.go
+++ b/internal/controlserver/softstate_test.go
@@ -51,6 +51,7 @@
 
 	p.started = p.started.Add(-standstill)
 	p.tick()
+	pass(p, standstillCalm)
 	p.soft.Heard(testAgent("edge-1"), nil)
 	require.False(t, p.soft.Picture().settled)
 	require.Empty(t, p.soft.Endpoints("", "", 0), "early addresses would draw all clients")
@@ -60,6 +61,26 @@
 	require.True(t, p.soft.Picture().settled)
 }
 
+// What has waited while this process stood still tells of machines that may be gone since.
+func TestWhatWaitedDuringAStandstillBringsNoAddresses(t *testing.T) {
+	p, _ := newTestProcess(t)
+	p.tick()
+	pass(p, membersSettling)
+	p.started = p.started.Add(-20 * time.Second)
+	told := func() {
+		p.soft.Heard(testAgent("edge-1"), nil)
+		p.soft.Heartbeat(&pb.Heartbeat{Agents: []*pb.AgentRecord{testAgent("edge-2")}})
+	}
+	told()
+	require.Zero(t, p.soft.Picture().members.Len(), "before the first tick")
+	p.tick()
+	told()
+	require.Zero(t, p.soft.Picture().members.Len())
+	pass(p, standstillCalm)
+	told()
+	require.Equal(t, 2, p.soft.Picture().members.Len())
+}
+
 // TestEarlyAddressesAreOfTheClientsRegion: a control machine that has just started has not heard of all proxies.
 func TestEarlyAddressesAreOfTheClientsRegion(t *testing.T) {
 	p, _ := newTestProcess(t)
