--- a/internal/controlsim/checker_test.go
+++ b/internal/controlsim/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"google.golang.org/protobuf/proto"
 
@@ -237,6 +238,13 @@
 func (c *checker) refuse(order *configuration, status uint32) {
 	c.refusals++
 	c.refused[order.key] = status
+	if status == http.StatusBadRequest && !order.invalid {
+		c.fail("%s is valid and was refused (400)", order.key)
+	}
+	newest := c.committed[c.last]
+	if status == http.StatusPreconditionFailed && (newest == nil || newest.Generation() <= order.base) {
+		c.fail("%s on base %d was refused (412) though nothing later was committed", order.key, order.base)
+	}
 }
 
 // read notes a read's answer; least is the newest generation acknowledged before the read began.
--- a/internal/controlsim/cut_test.go
+++ b/internal/controlsim/cut_test.go
@@ -26,6 +26,13 @@
 	freezeBehindCut  = 0.1
 )
 
+// Probabilities and bounds of machines that join during the storm.
+const (
+	addMachine  = 0.04 // at each cut
+	mostAdded   = 2
+	cutAtJoinIn = 100 * time.Millisecond // how soon after the vote that admits it a new machine is cut off
+)
+
 // cutStorm cuts machines off: one in a certain part, alone or with others, from all, some or its zone, in one
 // direction or both.
 type cutStorm struct {
@@ -36,9 +43,11 @@
 	proposer *host   // that asked for promises last
 	inBallot []*aCut // that end at the next attempt to change the view
 
+	admitted map[*host]bool // machines that were new, and that a vote has been called on
+
 	// counts of what the storm has done
-	cuts, joinedInElection, cutAgain, restarts, freezes int
-	roles                                               map[string]int
+	cuts, joinedInElection, cutAgain, restarts, freezes, cutAtJoin int
+	roles                                                          map[string]int
 }
 
 // aCut is one cut under way.
@@ -48,13 +57,16 @@
 }
 
 func (w *world) addCuts() *cutStorm {
-	storm := &cutStorm{world: w, roles: make(map[string]int)}
+	storm := &cutStorm{world: w, roles: make(map[string]int), admitted: make(map[*host]bool)}
 	w.after(w.between(2*time.Second, 4*time.Second), storm.next)
 	return storm
 }
 
 // watch is told of all messages that are sent.
 func (s *cutStorm) watch(message *pb.Message) {
+	if value := message.GetAccept().GetValue(); value != nil {
+		s.cutJoiners(s.world.hostsOf(value.GetVoters()))
+	}
 	if message.GetPrepare() == nil {
 		return
 	}
@@ -71,75 +83,35 @@
 	}
 }
 
+// cutJoiners cuts new machines off while they are voted in, or just after.
+func (s *cutStorm) cutJoiners(voters []*host) {
+	for _, voter := range voters {
+		if voter.index < s.world.plan.machines || s.admitted[voter] {
+			continue
+		}
+		s.admitted[voter] = true
+		s.world.after(s.world.upTo(cutAtJoinIn), func() {
+			if !s.ended {
+				s.cutAtJoin++
+				s.cutOff(voter, "new")
+			}
+		})
+	}
+}
+
 func (s *cutStorm) next() {
 	if s.ended {
 		return
 	}
+	if s.world.chance(addMachine) && len(s.world.hosts) < s.world.plan.machines+mostAdded {
+		s.world.addHost(false).start()
+	}
 	role, target := s.drawTarget()
 	s.roles[role]++
 	s.cutOff(target, role)
 	s.world.after(s.world.between(100*time.Millisecond, cutsPause), s.next)
 }
 
-// drawTarget picks a machine by its part in the newest view.
-func (s *cutStorm) drawTarget() (string, *host) {
-	roles := s.hostsByRole()
-	names := []string{"head", "middle", "tail", "learner", "proposer", "voter"}
-	name := names[s.world.random.IntN(len(names))]
-	if hosts := roles[name]; len(hosts) > 0 {
-		return name, hosts[s.world.random.IntN(len(hosts))]
-	}
-	return "any", s.world.anyHost()
-}
-
-func (s *cutStorm) hostsByRole() map[string][]*host {
-	roles := make(map[string][]*host)
-	view := s.world.newestView()
-	if view == nil {
-		return roles
-	}
-	members := s.world.hostsOf(view.GetChain())
-	if len(members) > 1 {
-		roles["head"] = members[:1]
-		roles["middle"] = members[1 : len(members)-1]
-		roles["tail"] = members[len(members)-1:]
-	}
-	roles["voter"] = s.world.hostsOf(view.GetVoters())
-	inChain := make(map[*host]bool)
-	for _, member := range members {
-		inChain[member] = true
-	}
-	for _, voter := range roles["voter"] {
-		if !inChain[voter] {
-			roles["learner"] = append(roles["learner"], voter)
-		}
-	}
-	if s.proposer != nil {
-		roles["proposer"] = []*host{s.proposer}
-	}
-	return roles
-}
-
-func (w *world) newestView() *pb.View {
-	var newest *pb.View
-	for _, host := range w.living() {
-		if host.machine != nil && host.machine.View().GetNumber() > newest.GetNumber() {
-			newest = host.machine.View()
-		}
-	}
-	return newest
-}
-
-func (w *world) hostsOf(replicas []*pb.Replica) []*host {
-	var hosts []*host
-	for _, replica := range replicas {
-		if host := w.byPeer[replica.GetAddress()]; host != nil {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
-}
-
 // cutOff cuts a machine, perhaps with others, off from some machines.
 func (s *cutStorm) cutOff(target *host, role string) {
 	w := s.world
@@ -202,61 +174,6 @@
 	s.world.after(s.world.upTo(time.Second), target.start)
 }
 
-// drawSide is the target alone, with a few others, or with its whole zone.
-func (s *cutStorm) drawSide(target *host) []*host {
-	side := []*host{target}
-	zone := s.world.chance(0.15)
-	others := 0.0
-	if s.world.chance(0.3) {
-		others = 0.4
-	}
-	for _, other := range s.world.living() {
-		if other != target && (zone && other.zone == target.zone || s.world.chance(others)) {
-			side = append(side, other)
-		}
-	}
-	return side
-}
-
-// drawRest is all others, those of the target's zone or of other zones, or a single machine.
-func (s *cutStorm) drawRest(target *host, side []*host) []*host {
-	within := make(map[*host]bool)
-	for _, host := range side {
-		within[host] = true
-	}
-	shape := s.world.random.IntN(6)
-	var rest []*host
-	for _, other := range s.world.living() {
-		sameZone := other.zone == target.zone
-		if within[other] || shape == 0 && !sameZone || shape == 1 && sameZone {
-			continue
-		}
-		rest = append(rest, other)
-	}
-	if shape == 2 && len(rest) > 0 {
-		place := s.world.random.IntN(len(rest))
-		rest = rest[place : place+1]
-	}
-	return rest
-}
-
-// drawPairs is the ways that are blocked: out of the side, into it, or both.
-func (s *cutStorm) drawPairs(side, rest []*host) [][2]*host {
-	direction := s.world.random.IntN(4)
-	var pairs [][2]*host
-	for _, a := range side {
-		for _, b := range rest {
-			if direction != 0 {
-				pairs = append(pairs, [2]*host{a, b})
-			}
-			if direction != 1 {
-				pairs = append(pairs, [2]*host{b, a})
-			}
-		}
-	}
-	return pairs
-}
-
 func (s *cutStorm) join(cut *aCut) {
 	if cut.joined {
 		return
--- a/internal/controlsim/cutplanted_test.go
+++ b/internal/controlsim/cutplanted_test.go
@@ -1,6 +1,7 @@
 package controlsim
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 
@@ -14,6 +15,7 @@
 	faults := []struct {
 		name    string
 		message func(*pb.Message) *pb.Message
+		reply   func(*pb.OrderResult) *pb.OrderResult
 		passes  func(*pb.Message) bool // messages that no cut holds up
 		trusts  bool                   // evacuations are handed over at any age
 		calm    bool                   // nobody proposes without need
@@ -30,6 +32,16 @@
 			calm:    true,
 			finding: "claims to hold the agreed state",
 		},
+		{
+			name:    "an order of unknown fate is answered 412",
+			reply:   refuseUnclear,
+			finding: "was refused (412) though nothing later was committed",
+		},
+		{
+			name:    "the loser of a race is told that its order is invalid",
+			reply:   refuseAsInvalid,
+			finding: "is valid and was refused (400)",
+		},
 		{
 			name:    "a voter agrees to every check of the view, behind every cut",
 			message: alwaysCurrent,
@@ -48,6 +60,7 @@
 			for seed := range uint64(plantedSeeds) {
 				plan := cutPlan{plan: planOf(seed), passes: fault.passes, trustsCopies: fault.trusts}
 				plan.mutation.message = fault.message
+				plan.mutation.reply = fault.reply
 				if !fault.calm {
 					plan.restless = plantedRestless
 				}
@@ -71,6 +84,14 @@
 	return changed
 }
 
+// refuseAsInvalid answers 400 in the place of 412.
+func refuseAsInvalid(result *pb.OrderResult) *pb.OrderResult {
+	if result.GetStatus() != http.StatusPreconditionFailed {
+		return result
+	}
+	return &pb.OrderResult{Status: http.StatusBadRequest}
+}
+
 func isViewCheck(message *pb.Message) bool {
 	return message.GetViewCheck() != nil || message.GetViewCheckResult() != nil
 }
--- a/internal/controlsim/cutrun_test.go
+++ b/internal/controlsim/cutrun_test.go
@@ -15,7 +15,7 @@
 const (
 	// defaultCutSeeds is the number of runs; the environment variable CUTSIM_SEEDS sets another, CUTSIM_FIRST the
 	// first seed.
-	defaultCutSeeds = 60
+	defaultCutSeeds = 100
 	// aimedAtTarget is the part of an aimed operator's orders that go to the machine that was cut off last.
 	aimedAtTarget = 0.6
 )
@@ -87,9 +87,9 @@
 // cutFigures add up what happened in many runs.
 type cutFigures struct {
 	figures
-	cuts, joinedInElection, cutAgain, restarts, freezes, learners atomic.Int64
-	claims, longestStale                                          atomic.Int64
-	evacuations, held, keptBack, withdrawn                        atomic.Int64
+	cuts, joinedInElection, cutAgain, restarts, freezes, learners, cutAtJoin atomic.Int64
+	claims, longestStale                                                     atomic.Int64
+	evacuations, held, keptBack, withdrawn                                   atomic.Int64
 }
 
 func (f *cutFigures) addRun(run *cutRun) {
@@ -99,6 +99,7 @@
 	f.cutAgain.Add(int64(run.storm.cutAgain))
 	f.restarts.Add(int64(run.storm.restarts))
 	f.freezes.Add(int64(run.storm.freezes))
+	f.cutAtJoin.Add(int64(run.storm.cutAtJoin))
 	f.learners.Add(int64(run.storm.roles["learner"]))
 	f.claims.Add(int64(run.authority.claims))
 	for _, evacuator := range run.evacuators {
@@ -117,9 +118,9 @@
 }
 
 func (f *cutFigures) log(t *testing.T, count int) {
-	t.Logf("%d runs, %d failed: %d cuts (%d of learners), %d ended by an election, %d straight after a join, %d restarts and %d standstills behind a cut",
+	t.Logf("%d runs, %d failed: %d cuts (%d of learners), %d ended by an election, %d straight after a join, %d of machines just voted in, %d restarts and %d standstills behind a cut",
 		count, f.failed.Load(), f.cuts.Load(), f.learners.Load(), f.joinedInElection.Load(), f.cutAgain.Load(),
-		f.restarts.Load(), f.freezes.Load())
+		f.cutAtJoin.Load(), f.restarts.Load(), f.freezes.Load())
 	t.Logf("%d acknowledged, %d refused, %d reads, %d views; %d claims of authority, the oldest state %v behind",
 		f.acknowledged.Load(), f.refused.Load(), f.reads.Load(), f.views.Load(), f.claims.Load(),
 		time.Duration(f.longestStale.Load()))
