--- a/internal/agent/cutstart_test.go
+++ b/internal/agent/cutstart_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -171,8 +170,8 @@
 		stales = append(stales, s.stale)
 	}
 	slices.Sort(waits)
-	t.Log(fmt.Sprintf("confirmed after %v (p50), %v (p99), %v at most; the state was %v old at most",
-		waits[len(waits)/2], waits[len(waits)*99/100], waits[len(waits)-1], slices.Max(stales)))
+	t.Logf("confirmed after %v (p50), %v (p99), %v at most; the state was %v old at most",
+		waits[len(waits)/2], waits[len(waits)*99/100], waits[len(waits)-1], slices.Max(stales))
 }
 
 func TestACutMachineThatCallsItsStateAgreedIsFound(t *testing.T) {
