--- a/internal/controlsim/cut_test.go
+++ b/internal/controlsim/cut_test.go
@@ -14,6 +14,8 @@
 	cutsFor = 70 * time.Second
 	// cutAgainWithin is how soon after the join the next cut of the same machine may come.
 	cutAgainWithin = 300 * time.Millisecond
+	// holdCopy is the probability that a copy of a configuration arrives late.
+	holdCopy = 0.15
 	// cutsPause is the longest wait for the next cut.
 	cutsPause = 4 * time.Second
 	// joinInElection is the probability that the next attempt to change the view ends a cut.
@@ -46,8 +48,8 @@
 	admitted map[*host]bool // machines that were new, and that a vote has been called on
 
 	// counts of what the storm has done
-	cuts, joinedInElection, cutAgain, restarts, freezes, cutAtJoin int
-	roles                                                          map[string]int
+	cuts, joinedInElection, cutAgain, restarts, freezes, cutAtJoin, heldCopies int
+	roles                                                                      map[string]int
 }
 
 // aCut is one cut under way.
@@ -204,3 +206,16 @@
 	s.world.run(time.Second + 10*time.Millisecond) // machines that start anew are there again
 	s.world.note("all is well")
 }
+
+// holdCopy lets a copy of a configuration that is sent to a machine arrive there once more, up to the longest cut
+// later: the caller has long had its answer, or given up.
+func (s *cutStorm) holdCopy(target *host, order *pb.Order) {
+	isConfiguration := order.GetKind() == pb.Order_KIND_REPLACE || order.GetKind() == pb.Order_KIND_AMEND
+	if !isConfiguration || !s.world.chance(holdCopy) {
+		return
+	}
+	s.heldCopies++
+	s.world.after(s.world.upTo(longestCut), func() {
+		s.world.submit(target, order, func(*pb.OrderResult) {})
+	})
+}
--- a/internal/controlsim/cutplanted_test.go
+++ b/internal/controlsim/cutplanted_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/quorum"
 )
 
 func TestStormOfCutsFindsPlantedFaults(t *testing.T) {
@@ -18,7 +19,7 @@
 		reply   func(*pb.OrderResult) *pb.OrderResult
 		passes  func(*pb.Message) bool // messages that no cut holds up
 		trusts  bool                   // evacuations are handed over at any age
-		calm    bool                   // nobody proposes without need
+		crowd   bool                   // many voters outside of the chain, of whom none proposes without need
 		finding string
 	}{
 		{
@@ -29,7 +30,7 @@
 		{
 			name:    "heartbeats do not tell what is committed",
 			message: withoutCommitted,
-			calm:    true,
+			crowd:   true,
 			finding: "claims to hold the agreed state",
 		},
 		{
@@ -61,8 +62,10 @@
 				plan := cutPlan{plan: planOf(seed), passes: fault.passes, trustsCopies: fault.trusts}
 				plan.mutation.message = fault.message
 				plan.mutation.reply = fault.reply
-				if !fault.calm {
-					plan.restless = plantedRestless
+				plan.restless = plantedRestless
+				if fault.crowd {
+					plan.restless = 0
+					plan.machines = quorum.MaxVoters
 				}
 				run := playCuts(plan)
 				if strings.Contains(strings.Join(run.checker.failures, "; "), fault.finding) {
--- a/internal/controlsim/cutrun_test.go
+++ b/internal/controlsim/cutrun_test.go
@@ -51,6 +51,7 @@
 	w := newWorld(plan.plan)
 	w.network.passes = plan.passes
 	storm = w.addCuts()
+	w.onSubmit = storm.holdCopy
 	run := &cutRun{world: w, storm: storm, authority: w.watchAuthority()}
 	for name := range 2 {
 		evacuator := w.addEvacuator(storm, name)
@@ -89,7 +90,7 @@
 	figures
 	cuts, joinedInElection, cutAgain, restarts, freezes, learners, cutAtJoin atomic.Int64
 	claims, longestStale                                                     atomic.Int64
-	evacuations, held, keptBack, withdrawn                                   atomic.Int64
+	evacuations, held, keptBack, withdrawn, heldCopies                       atomic.Int64
 }
 
 func (f *cutFigures) addRun(run *cutRun) {
@@ -101,6 +102,7 @@
 	f.freezes.Add(int64(run.storm.freezes))
 	f.cutAtJoin.Add(int64(run.storm.cutAtJoin))
 	f.learners.Add(int64(run.storm.roles["learner"]))
+	f.heldCopies.Add(int64(run.storm.heldCopies))
 	f.claims.Add(int64(run.authority.claims))
 	for _, evacuator := range run.evacuators {
 		f.evacuations.Add(int64(evacuator.acknowledged))
@@ -124,8 +126,8 @@
 	t.Logf("%d acknowledged, %d refused, %d reads, %d views; %d claims of authority, the oldest state %v behind",
 		f.acknowledged.Load(), f.refused.Load(), f.reads.Load(), f.views.Load(), f.claims.Load(),
 		time.Duration(f.longestStale.Load()))
-	t.Logf("%d evacuations acknowledged, %d copies held up, %d kept back, %d withdrawn",
-		f.evacuations.Load(), f.held.Load(), f.keptBack.Load(), f.withdrawn.Load())
+	t.Logf("%d evacuations acknowledged, %d copies held up, %d kept back, %d withdrawn; %d copies of configurations late",
+		f.evacuations.Load(), f.held.Load(), f.keptBack.Load(), f.withdrawn.Load(), f.heldCopies.Load())
 }
 
 func TestCutOffMachinesTellNothingWrong(t *testing.T) {
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -69,6 +69,7 @@
 	request  uint64
 	lastHurt time.Duration // end of the last trouble
 	trace    []string
+	onSubmit func(*host, *pb.Order) // is told of each order that an operator sends; nil: nothing
 
 	stateBytes int // size of the configuration, for the cost of checking an amendment
 	hooks      hooks
@@ -162,6 +163,9 @@
 func (w *world) submit(host *host, order *pb.Order, done func(*pb.OrderResult)) {
 	w.request++
 	w.requests[w.request] = done
+	if w.onSubmit != nil {
+		w.onSubmit(host, order)
+	}
 	if host.machine != nil && len(host.missed) < maxMissed {
 		host.waiting++
 	}
