--- a/internal/controlsim/cutplanted_test.go
+++ b/internal/controlsim/cutplanted_test.go
@@ -1,6 +1,7 @@
 package controlsim
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 
@@ -8,15 +9,17 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/quorum"
 )
 
 func TestStormOfCutsFindsPlantedFaults(t *testing.T) {
 	faults := []struct {
 		name    string
 		message func(*pb.Message) *pb.Message
+		reply   func(*pb.OrderResult) *pb.OrderResult
 		passes  func(*pb.Message) bool // messages that no cut holds up
 		trusts  bool                   // evacuations are handed over at any age
-		calm    bool                   // nobody proposes without need
+		crowd   bool                   // many voters outside of the chain, of whom none proposes without need
 		finding string
 	}{
 		{
@@ -27,9 +30,19 @@
 		{
 			name:    "heartbeats do not tell what is committed",
 			message: withoutCommitted,
-			calm:    true,
+			crowd:   true,
 			finding: "claims to hold the agreed state",
 		},
+		{
+			name:    "an order of unknown fate is answered 412",
+			reply:   refuseUnclear,
+			finding: "was refused (412) though nothing later was committed",
+		},
+		{
+			name:    "the loser of a race is told that its order is invalid",
+			reply:   refuseAsInvalid,
+			finding: "is valid and was refused (400)",
+		},
 		{
 			name:    "a voter agrees to every check of the view, behind every cut",
 			message: alwaysCurrent,
@@ -48,8 +61,11 @@
 			for seed := range uint64(plantedSeeds) {
 				plan := cutPlan{plan: planOf(seed), passes: fault.passes, trustsCopies: fault.trusts}
 				plan.mutation.message = fault.message
-				if !fault.calm {
-					plan.restless = plantedRestless
+				plan.mutation.reply = fault.reply
+				plan.restless = plantedRestless
+				if fault.crowd {
+					plan.restless = 0
+					plan.machines = quorum.MaxVoters
 				}
 				run := playCuts(plan)
 				if strings.Contains(strings.Join(run.checker.failures, "; "), fault.finding) {
@@ -71,6 +87,14 @@
 	return changed
 }
 
+// refuseAsInvalid answers 400 in the place of 412.
+func refuseAsInvalid(result *pb.OrderResult) *pb.OrderResult {
+	if result.GetStatus() != http.StatusPreconditionFailed {
+		return result
+	}
+	return &pb.OrderResult{Status: http.StatusBadRequest}
+}
+
 func isViewCheck(message *pb.Message) bool {
 	return message.GetViewCheck() != nil || message.GetViewCheckResult() != nil
 }
--- a/internal/controlsim/cutrun_test.go
+++ b/internal/controlsim/cutrun_test.go
@@ -15,7 +15,7 @@
 const (
 	// defaultCutSeeds is the number of runs; the environment variable CUTSIM_SEEDS sets another, CUTSIM_FIRST the
 	// first seed.
-	defaultCutSeeds = 60
+	defaultCutSeeds = 100
 	// aimedAtTarget is the part of an aimed operator's orders that go to the machine that was cut off last.
 	aimedAtTarget = 0.6
 )
@@ -51,6 +51,7 @@
 	w := newWorld(plan.plan)
 	w.network.passes = plan.passes
 	storm = w.addCuts()
+	w.onSubmit = storm.holdCopy
 	run := &cutRun{world: w, storm: storm, authority: w.watchAuthority()}
 	for name := range 2 {
 		evacuator := w.addEvacuator(storm, name)
@@ -87,9 +88,9 @@
 // cutFigures add up what happened in many runs.
 type cutFigures struct {
 	figures
-	cuts, joinedInElection, cutAgain, restarts, freezes, learners atomic.Int64
-	claims, longestStale                                          atomic.Int64
-	evacuations, held, keptBack, withdrawn                        atomic.Int64
+	cuts, joinedInElection, cutAgain, restarts, freezes, learners, cutAtJoin atomic.Int64
+	claims, longestStale                                                     atomic.Int64
+	evacuations, held, keptBack, withdrawn, heldCopies                       atomic.Int64
 }
 
 func (f *cutFigures) addRun(run *cutRun) {
@@ -99,7 +100,9 @@
 	f.cutAgain.Add(int64(run.storm.cutAgain))
 	f.restarts.Add(int64(run.storm.restarts))
 	f.freezes.Add(int64(run.storm.freezes))
+	f.cutAtJoin.Add(int64(run.storm.cutAtJoin))
 	f.learners.Add(int64(run.storm.roles["learner"]))
+	f.heldCopies.Add(int64(run.storm.heldCopies))
 	f.claims.Add(int64(run.authority.claims))
 	for _, evacuator := range run.evacuators {
 		f.evacuations.Add(int64(evacuator.acknowledged))
@@ -117,14 +120,14 @@
 }
 
 func (f *cutFigures) log(t *testing.T, count int) {
-	t.Logf("%d runs, %d failed: %d cuts (%d of learners), %d ended by an election, %d straight after a join, %d restarts and %d standstills behind a cut",
+	t.Logf("%d runs, %d failed: %d cuts (%d of learners), %d ended by an election, %d straight after a join, %d of machines just voted in, %d restarts and %d standstills behind a cut",
 		count, f.failed.Load(), f.cuts.Load(), f.learners.Load(), f.joinedInElection.Load(), f.cutAgain.Load(),
-		f.restarts.Load(), f.freezes.Load())
+		f.cutAtJoin.Load(), f.restarts.Load(), f.freezes.Load())
 	t.Logf("%d acknowledged, %d refused, %d reads, %d views; %d claims of authority, the oldest state %v behind",
 		f.acknowledged.Load(), f.refused.Load(), f.reads.Load(), f.views.Load(), f.claims.Load(),
 		time.Duration(f.longestStale.Load()))
-	t.Logf("%d evacuations acknowledged, %d copies held up, %d kept back, %d withdrawn",
-		f.evacuations.Load(), f.held.Load(), f.keptBack.Load(), f.withdrawn.Load())
+	t.Logf("%d evacuations acknowledged, %d copies held up, %d kept back, %d withdrawn; %d copies of configurations late",
+		f.evacuations.Load(), f.held.Load(), f.keptBack.Load(), f.withdrawn.Load(), f.heldCopies.Load())
 }
 
 func TestCutOffMachinesTellNothingWrong(t *testing.T) {
