Do not refuse an evacuation that was taken at a machine whose settings lack its zone

Cause: a zone is known by the settings alone; an order that was taken elsewhere and comes again got 404 at a machine whose settings do not name the zone (yet). Change: a zone that is evacuated is known. Left: the end of an evacuation, sent again after it was taken, still gets 404 there; nothing tells it from a wrong name.

--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -82,7 +82,7 @@
 		Orders:    p.node,
 		Ready:     func() bool { return p.node.Status().Founded },
 		InTouch:   func() bool { return p.node.Status().Authoritative },
-		ZoneKnown: func(zone string) bool { return p.settings.Current().KnowsZone(zone) },
+		ZoneKnown: p.knowsZone,
 		Endpoints: func(region, zone string) []string {
 			return p.soft.Endpoints(region, zone, p.rotation.Add(1))
 		},
@@ -93,6 +93,16 @@
 	}
 }
 
+// knowsZone reports whether the deployment has a zone of this name. One that is evacuated is known wherever the
+// order for it arrives again, also to a machine whose settings do not name it, or not yet.
+func (p *process) knowsZone(zone string) bool {
+	if p.settings.Current().KnowsZone(zone) {
+		return true
+	}
+	committed := p.node.Status().Committed
+	return committed != nil && committed.Evacuated(zone)
+}
+
 func lifetimeOfEndpoints(current *settings.Settings) time.Duration {
 	longest := current.Bounds.TTLMax()
 	if longest <= 0 {
--- a/internal/controlserver/serve_test.go
+++ b/internal/controlserver/serve_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"fieldrelay/internal/catalog"
 	"fieldrelay/internal/settings"
 )
 
@@ -46,6 +47,25 @@
 	return response.StatusCode, string(answer)
 }
 
+// An evacuation that was taken at a machine whose settings name the zone is not refused by one whose do not.
+func TestAnEvacuationThatWasTakenIsNotRefusedElsewhere(t *testing.T) {
+	p, node := newTestProcess(t)
+	server := operatorServer(t, p)
+	const zone = "olomouc-hala"
+	require.False(t, p.settings.Current().KnowsZone(zone))
+	status, _ := request(t, "POST", server.URL+"/api/drain/"+zone+"/begin", "", "")
+	require.Equal(t, 404, status)
+	change, err := catalog.PrepareEvacuation(node.Status().Committed, zone, true)
+	require.NoError(t, err)
+	node.mutex.Lock()
+	node.commit(change)
+	node.mutex.Unlock()
+	for _, call := range []string{"/begin", "/begin", "/finish"} {
+		status, _ = request(t, "POST", server.URL+"/api/drain/"+zone+call, "", "")
+		require.Equal(t, 200, status, call)
+	}
+}
+
 func TestAConfigurationIsTakenAndReadBack(t *testing.T) {
 	p, _ := newTestProcess(t)
 	server := operatorServer(t, p)
