Show that repairs bring only the orders that are lacking, and let storms of repeats be longer

Tests of the chain: a member that was away, learners new and old, a head that takes over. CONTROLSIM_REPEAT_SECONDS sets the length of the storms.

--- /dev/null
+++ b/internal/chain/taken_test.go
@@ -0,0 +1,115 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// takenOrderBytes is what one taken order needs in a repair.
+const takenOrderBytes = 24
+
+// takeOrders has the head take so many orders.
+func (c *cluster) takeOrders(head string, count int, names ...string) {
+	for range count {
+		newest := c.replicas[head].Newest()
+		base := newest.Generation()
+		change, err := catalog.PrepareReplace(newest, base, fmt.Appendf(nil, `{"gen":%d}`, base+1))
+		require.NoError(c.t, err)
+		require.True(c.t, c.replicas[head].IsOpen())
+		output, err := c.replicas[head].Propose(change)
+		require.NoError(c.t, err)
+		c.take(head, output)
+		c.settle(names...)
+	}
+}
+
+// watchRepairs collects the taken orders that the replicas send each other in repairs.
+func (c *cluster) watchRepairs() *[]*pb.TakenOrders {
+	var seen []*pb.TakenOrders
+	c.holdBack = func(message *pb.Message) bool {
+		if repair := message.GetSyncResponse().GetRepair(); repair != nil {
+			seen = append(seen, repair.GetTaken())
+		}
+		return false
+	}
+	return &seen
+}
+
+func (c *cluster) requireSameState(names ...string) {
+	for _, name := range names {
+		require.True(c.t, c.replicas[names[0]].Newest().SameAs(c.replicas[name].Newest()), name)
+		require.True(c.t, c.replicas[names[0]].Newest().SameAs(c.disk(name).Newest), "disk of %s", name)
+	}
+}
+
+// A member that was away gets the orders that it lacks, whole chunks of them, and not the others.
+func TestRepairsBringTheOrdersThatAreLacking(t *testing.T) {
+	c := founded(t)
+	c.takeOrders("a", 1000, three...)
+	c.requireSameState(three...)
+	c.cut["c"] = true
+	c.adopt(viewNamed(2, three, "a", "b"), "a", "b")
+	c.settle("a", "b")
+	c.takeOrders("a", 300, "a", "b")
+	c.cut["c"] = false
+	repairs := c.watchRepairs()
+	c.adopt(viewNamed(3, three, "a", "b", "c"), three...)
+	c.settle(three...)
+	c.tick(8, three...)
+	c.requireSameState(three...)
+	require.NotEmpty(t, *repairs)
+	for _, repair := range *repairs {
+		require.LessOrEqual(t, len(repair.GetOrders()), (300+64)*takenOrderBytes)
+	}
+}
+
+// A learner gets each order with its change, and a new one all of them.
+func TestLearnersHoldTheOrders(t *testing.T) {
+	c := founded(t)
+	c.takeOrders("a", 10, three...)
+	c.adopt(viewNamed(2, three, "a", "b"), three...)
+	c.settle(three...)
+	c.tick(8, three...)
+	c.takeOrders("a", 10, three...)
+	c.requireSameState(three...)
+	require.EqualValues(t, 20, c.replicas["c"].Committed().Generation())
+	c.disks["c"] = nil
+	c.restart("c", 99_000)
+	c.adopt(viewNamed(2, three, "a", "b"), "c")
+	c.settle(three...)
+	c.tick(8, three...)
+	c.requireSameState(three...)
+}
+
+// A head that takes over knows the orders of the one before, and a change that only that one had is dropped with
+// its order.
+func TestTheNextHeadKnowsTheOrders(t *testing.T) {
+	c := founded(t)
+	c.takeOrders("a", 100, three...)
+	c.cut["a"] = true
+	change, err := catalog.PrepareReplace(c.replicas["a"].Newest(), 100, []byte(`{"gen":101,"only":"a"}`))
+	require.NoError(t, err)
+	output, err := c.replicas["a"].Propose(change)
+	require.NoError(t, err)
+	c.take("a", output)
+	c.settle(three...)
+	c.adopt(viewNamed(2, three, "b", "c"), "b", "c")
+	c.settle("b", "c")
+	c.takeOrders("b", 5, "b", "c")
+	c.cut["a"] = false
+	c.adopt(viewNamed(2, three, "b", "c"), "a")
+	c.settle(three...)
+	c.tick(8, three...)
+	c.requireSameState("b", "c", "a")
+	var taken *catalog.AlreadyTakenError
+	var lost *catalog.ConflictError
+	_, err = catalog.PrepareReplace(c.replicas["a"].Newest(), 0, []byte(`{"gen":1}`))
+	require.ErrorAs(t, err, &taken)
+	_, err = catalog.PrepareReplace(c.replicas["a"].Newest(), 100, []byte(`{"gen":101,"only":"a"}`))
+	require.ErrorAs(t, err, &lost)
+}
--- a/internal/controlsim/repeats_test.go
+++ b/internal/controlsim/repeats_test.go
@@ -16,11 +16,11 @@
 
 // Eight operators send configurations and amendments in quick succession, often two of them on one version and
 // under one number, and send again what was acknowledged at any time before. CONTROLSIM_REPEAT_SEEDS sets the
-// number of runs, CONTROLSIM_REPEAT_FIRST the first seed.
+// number of runs, CONTROLSIM_REPEAT_FIRST the first seed, CONTROLSIM_REPEAT_SECONDS the length of a storm.
 const (
 	defaultRepeatSeeds = 12
 	repeatOperators    = 8
-	repeatStormFor     = 90 * time.Second
+	repeatStormSeconds = 90
 	// finalRepeats is the number of acknowledged orders that are sent again after the storm.
 	finalRepeats = 200
 	// finalRepeatsWithin is the limit for their answers.
@@ -92,7 +92,7 @@
 func playRepeats(plan plan) *repeatWorld {
 	r := newRepeatWorld(plan)
 	storm := r.addTrouble()
-	r.run(repeatStormFor)
+	r.run(time.Duration(number("CONTROLSIM_REPEAT_SECONDS", repeatStormSeconds)) * time.Second)
 	storm.heal()
 	r.plan.restless = 0
 	r.storm = false
