--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -115,7 +115,7 @@
 	for _, item := range change.GetUpserts() {
 		editor.upsert(item)
 	}
-	editor.next.taken = s.taken.after(s.generation, change.GetGeneration(), change.GetTaken())
+	editor.next.taken = s.taken.after(change.GetGeneration(), change.GetTaken())
 	return editor.snapshot(change.GetSequence(), change.GetGeneration()), nil
 }
 
--- a/internal/catalog/taken.go
+++ b/internal/catalog/taken.go
@@ -45,8 +45,9 @@
 }
 
 // takenOrders is the record of the orders that were taken, the oldest first. It is an immutable value: a later
-// record shares the full chunks of the earlier one. Chunks are numbered from the first that there was, so that
-// replicas can compare them. The zero value is the record before the first order.
+// record shares the full chunks of the earlier one. Chunks are numbered, and keep their numbers when older ones are
+// dropped, so that replicas can compare them. The newest generation of the record is that of the snapshot that holds it. The zero
+// value is the record before the first order.
 type takenOrders struct {
 	base  uint64 // generation that the oldest order builds on
 	first uint64 // number of the oldest chunk
@@ -94,28 +95,20 @@
 	return t.at(next), true
 }
 
-// after returns the record after a change from one generation to another. Without the digest of an order, and
-// where the record does not lead up to the change, nothing before is known any more.
-func (t *takenOrders) after(base, generation uint64, digest []byte) takenOrders {
-	if base == generation && len(digest) == 0 {
+// after returns the record after a change from the newest generation to another. Without the digest of an order,
+// nothing before the other generation is known any more.
+func (t *takenOrders) after(generation uint64, digest []byte) takenOrders {
+	if generation == t.newest() && len(digest) == 0 {
 		return *t
 	}
-	if len(digest) != orderDigestBytes {
-		return t.restarted(generation)
+	if generation <= t.newest() || len(digest) != orderDigestBytes {
+		return takenOrders{base: generation}
 	}
 	next := *t
-	if t.newest() != base {
-		next = t.restarted(base)
-	}
 	next.add(takenOrder{generation: generation, digest: orderDigest(digest)})
 	return next
 }
 
-// restarted returns an empty record that begins at a generation.
-func (t *takenOrders) restarted(base uint64) takenOrders {
-	return takenOrders{base: base, first: t.end()}
-}
-
 // end is the number after that of the newest chunk.
 func (t *takenOrders) end() uint64 {
 	end := t.first + uint64(len(t.full))
--- a/internal/catalog/taken_test.go
+++ b/internal/catalog/taken_test.go
@@ -218,19 +218,32 @@
 	require.Same(t, same, catalog.ForAgents(same))
 }
 
-// A change of generation that names no order, or one that does not follow what is known, begins the record anew.
+// A change of generation that names no order, or does not rise, begins the record anew.
 func TestARecordWithAGapIsNotTrusted(t *testing.T) {
 	snapshot, orders := takeOrders(t, catalog.Empty(), 200, "a")
 	change, err := orderOn(200, "a").prepare(snapshot)
 	require.NoError(t, err)
-	gap, err := snapshot.Apply(catalog.ForAgents(change))
-	require.NoError(t, err)
-	gap, later := takeOrders(t, gap, 3, "a")
-	require.Equal(t, http.StatusServiceUnavailable, answerTo(t, gap, orders[0]))
-	require.Equal(t, http.StatusServiceUnavailable, answerTo(t, gap, orderOn(200, "a")))
-	require.Equal(t, http.StatusOK, answerTo(t, gap, later[0]))
-	repaired, _ := repairReplica(t, snapshot, gap)
-	require.True(t, repaired.SameAs(gap))
+	gaps := map[string]*pb.Change{
+		"no order":      catalog.ForAgents(change),
+		"an odd digest": {Sequence: 201, Generation: 201, Taken: make([]byte, 15)},
+		"no rise":       {Sequence: 201, Generation: 200, Taken: make([]byte, 16)},
+		"a fall":        {Sequence: 201, Generation: 150},
+	}
+	for name, change := range gaps {
+		t.Run(name, func(t *testing.T) {
+			gap, err := snapshot.Apply(change)
+			require.NoError(t, err)
+			for range 3 {
+				require.Equal(t, http.StatusServiceUnavailable, answerTo(t, gap, orders[0]))
+				require.Equal(t, http.StatusServiceUnavailable, answerTo(t, gap, orderOn(change.GetGeneration()-1, "a")))
+				var later []takenOrder
+				gap, later = takeOrders(t, gap, 1, "a")
+				require.Equal(t, http.StatusOK, answerTo(t, gap, later[0]))
+			}
+			repaired, _ := repairReplica(t, snapshot, gap)
+			require.True(t, repaired.SameAs(gap))
+		})
+	}
 }
 
 func TestRecordsThatAreMalformed(t *testing.T) {
--- a/internal/chain/taken_test.go
+++ b/internal/chain/taken_test.go
@@ -113,3 +113,20 @@
 	_, err = catalog.PrepareReplace(c.replicas["a"].Newest(), 100, []byte(`{"gen":101,"only":"a"}`))
 	require.ErrorAs(t, err, &lost)
 }
+
+// A member whose record differs, though it holds the same items at the same sequence, gets the orders.
+func TestAMemberThatLacksOnlyTheOrdersGetsThem(t *testing.T) {
+	c := founded(t)
+	c.takeOrders("a", 10, three...)
+	for index, write := range c.disks["c"] {
+		if write.Change != nil {
+			c.disks["c"][index].Change = catalog.ForAgents(write.Change)
+		}
+	}
+	c.restart("c", 99_000)
+	require.False(t, c.replicas["c"].Newest().SameAs(c.replicas["a"].Newest()))
+	c.adopt(viewNamed(2, three, "a", "b", "c"), three...)
+	c.settle(three...)
+	c.tick(8, three...)
+	c.requireSameState(three...)
+}
