--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -90,7 +90,7 @@
 		Orders:    p.node,
 		Ready:     func() bool { return p.node.Status().Founded },
 		InTouch:   func() bool { return p.node.Status().Authoritative },
-		ZoneKnown: func(zone string) bool { return p.settings.Current().KnowsZone(zone) },
+		ZoneKnown: p.knowsZone,
 		Endpoints: func(host, region, zone string) []string {
 			homes := p.homesOf(host)
 			client := registry.Client{Region: region, Zone: zone, Bound: homes.Bound, Homes: homes.Regions}
@@ -118,6 +118,16 @@
 	return known.index.Of(host)
 }
 
+// knowsZone reports whether the deployment has a zone of this name. One that is evacuated is known wherever the
+// order for it arrives again, also to a machine whose settings do not name it, or not yet.
+func (p *process) knowsZone(zone string) bool {
+	if p.settings.Current().KnowsZone(zone) {
+		return true
+	}
+	committed := p.node.Status().Committed
+	return committed != nil && committed.Evacuated(zone)
+}
+
 func lifetimeOfEndpoints(current *settings.Settings) time.Duration {
 	longest := current.Bounds.TTLMax()
 	if longest <= 0 {
