--- a/internal/controlsim/cutrun_test.go
+++ b/internal/controlsim/cutrun_test.go
@@ -1,8 +1,6 @@
 package controlsim
 
 import (
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -137,24 +135,9 @@
 		require.Positive(t, total.claims.Load())
 		require.Positive(t, total.keptBack.Load())
 	})
-	for shard := range shards {
-		t.Run(strconv.Itoa(shard), func(t *testing.T) {
-			t.Parallel()
-			for seed := first + shard; seed < first+count && total.failed.Load() < maxFailed; seed += shards {
-				playCutsAndReport(t, uint64(seed), &total)
-			}
-		})
-	}
-}
-
-func playCutsAndReport(t *testing.T, seed uint64, total *cutFigures) {
-	run := playCuts(cutPlan{plan: planOf(seed)})
-	total.addRun(run)
-	if len(run.checker.failures) == 0 {
-		return
-	}
-	t.Errorf("seed %d: %s", seed, strings.Join(run.checker.failures, "; "))
-	if total.failed.Add(1) == 1 {
-		t.Log(strings.Join(run.trace, "\n"))
-	}
+	total.each(t, first, count, func(seed uint64) *world {
+		run := playCuts(cutPlan{plan: planOf(seed)})
+		total.addRun(run)
+		return run.world
+	})
 }
--- a/internal/controlsim/founding_test.go
+++ b/internal/controlsim/founding_test.go
@@ -1,7 +1,6 @@
 package controlsim
 
 import (
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -59,15 +58,8 @@
 func TestFoundingOutlivesTheLossOfASeed(t *testing.T) {
 	first := number("CONTROLSIM_FIRST", 1)
 	count := number("CONTROLSIM_FOUNDING", defaultFoundingRuns)
-	for shard := range shards {
-		t.Run(strconv.Itoa(shard), func(t *testing.T) {
-			t.Parallel()
-			for seed := first + shard; seed < first+count; seed += shards {
-				w := playFounding(planOf(uint64(seed)))
-				require.Empty(t, w.checker.failures, "seed %d\n%s", seed, strings.Join(w.trace, "\n"))
-			}
-		})
-	}
+	var total figures
+	total.each(t, first, count, func(seed uint64) *world { return playFounding(planOf(seed)) })
 }
 
 // Two of three seeds that lose their disks while the system is founded are more than the budget allows: what they
--- a/internal/controlsim/repeats_test.go
+++ b/internal/controlsim/repeats_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -287,16 +286,11 @@
 			total.refused.Load(), total.views.Load(), total.failed.Load())
 		require.Positive(t, total.repeats.Load())
 	})
-	for shard := range shards {
-		t.Run(strconv.Itoa(shard), func(t *testing.T) {
-			t.Parallel()
-			for seed := first + shard; seed < first+count && total.failed.Load() < maxFailed; seed += shards {
-				r := playRepeats(repeatPlan(uint64(seed)))
-				total.addRepeats(r)
-				total.report(t, uint64(seed), r.world)
-			}
-		})
-	}
+	total.each(t, first, count, func(seed uint64) *world {
+		r := playRepeats(repeatPlan(seed))
+		total.addRepeats(r)
+		return r.world
+	})
 }
 
 func (f *figures) addRepeats(r *repeatWorld) {
--- a/internal/controlsim/sim_test.go
+++ b/internal/controlsim/sim_test.go
@@ -143,22 +143,25 @@
 			total.acknowledged.Load(), total.refused.Load(), total.reads.Load(), total.views.Load(), total.failed.Load())
 		require.Positive(t, total.acknowledged.Load())
 	})
+	total.each(t, first, count, func(seed uint64) *world {
+		w := play(planOf(seed))
+		total.add(w)
+		return w
+	})
+}
+
+// each plays so many seeds from the first one on, some at a time, until too many have failed.
+func (f *figures) each(t *testing.T, first, count int, play func(seed uint64) *world) {
 	for shard := range shards {
 		t.Run(strconv.Itoa(shard), func(t *testing.T) {
 			t.Parallel()
-			for seed := first + shard; seed < first+count && total.failed.Load() < maxFailed; seed += shards {
-				playAndReport(t, uint64(seed), &total)
+			for seed := first + shard; seed < first+count && f.failed.Load() < maxFailed; seed += shards {
+				f.report(t, uint64(seed), play(uint64(seed)))
 			}
 		})
 	}
 }
 
-func playAndReport(t *testing.T, seed uint64, total *figures) {
-	w := play(planOf(seed))
-	total.add(w)
-	total.report(t, seed, w)
-}
-
 // report fails the test if the checker found something, and prints the trace of the first such run.
 func (f *figures) report(t *testing.T, seed uint64, w *world) {
 	if len(w.checker.failures) == 0 {
