--- /dev/null
+++ b/internal/agent/model_agent_test.go
@@ -0,0 +1,189 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/shuffle"
+)
+
+// modelAgent is an agent process on its machine.
+type modelAgent struct {
+	model  *model
+	self   shuffle.Neighbour
+	seeds  []string
+	proxy  *modelProxy
+	core   *core // nil while the process is dead
+	life   uint64
+	wakeAt time.Duration
+	pushes []*pb.PushRequest // that reached it, to come once more in a later life
+}
+
+func (a *modelAgent) start() {
+	a.life++
+	who := identity{neighbour: a.self, incarnation: a.life}
+	a.core = newCore(who, a.seeds, time.Second, rand.New(rand.NewPCG(a.model.random.Uint64(), 1)), zap.NewNop())
+	a.wakeAt = 0
+	a.deliver(tick{})
+}
+
+func (a *modelAgent) kill() { a.core = nil }
+
+// ofLife returns what delivers an event to this life of the process only.
+func (a *modelAgent) ofLife() func(event) {
+	life := a.life
+	return func(happened event) {
+		if a.life == life {
+			a.deliver(happened)
+		}
+	}
+}
+
+func (a *modelAgent) deliver(happened event) {
+	if a.core == nil {
+		return
+	}
+	before := a.core.held.Sequence()
+	for _, wanted := range a.core.step(a.model.now, happened) {
+		a.call(wanted)
+	}
+	if a.core.held.Sequence() != before {
+		a.model.check(a.self.Host, a.core.held.Snapshot())
+	}
+	wake := max(a.core.wake(a.model.now), a.model.now+shortestTick)
+	if a.wakeAt <= a.model.now || wake < a.wakeAt {
+		a.wakeAt = wake
+		deliver := a.ofLife()
+		a.model.after(wake-a.model.now, func() {
+			if a.wakeAt == wake {
+				deliver(tick{})
+			}
+		})
+	}
+}
+
+var errModelTimeout = errors.New("no answer in time")
+
+func (a *modelAgent) call(wanted action) {
+	switch wanted := wanted.(type) {
+	case watchCall:
+		a.watch(wanted)
+	case feedCall:
+		a.exchange(wanted)
+	case pushCall:
+		answer := make(chan *pb.PushResponse, 1)
+		request := &pb.PushRequest{From: toMessage(a.self), Changes: wanted.Changes, List: wanted.List}
+		a.callPeer(wanted.To.Address, pushAsked{request, answer},
+			func() event { return pushDone{call: wanted, response: <-answer} }, pushDone{call: wanted, err: errModelTimeout})
+	case compareCall:
+		answer := make(chan *pb.CompareResponse, 1)
+		request := &pb.CompareRequest{From: toMessage(a.self), Digests: wanted.Digests, List: wanted.List}
+		a.callPeer(wanted.To.Address, compareAsked{request, answer},
+			func() event { return compareDone{call: wanted, response: <-answer} }, compareDone{call: wanted, err: errModelTimeout})
+	case shuffleCall:
+		answer := make(chan *pb.ShuffleResponse, 1)
+		request := &pb.ShuffleRequest{From: toMessage(a.self), Sample: toMessages(wanted.Sample)}
+		a.callPeer(wanted.To.Address, shuffleAsked{request, answer},
+			func() event { return shuffleDone{call: wanted, response: <-answer} }, shuffleDone{call: wanted, err: errModelTimeout})
+	}
+}
+
+func (a *modelAgent) isCut(address string) bool {
+	return a.model.cut[a.self.Address] || a.model.cut[address] || a.model.cut[a.self.Host+">"+address]
+}
+
+func (a *modelAgent) watch(call watchCall) {
+	m, deliver := a.model, a.ofLife()
+	failed := func(after time.Duration, err error) {
+		m.after(after, func() { deliver(watchDone{call: call, err: err}) })
+	}
+	if a.isCut(call.address) {
+		failed(call.dial, errNoConnection)
+		return
+	}
+	ended := false
+	m.after(call.timeout, func() {
+		if !ended {
+			ended = true
+			deliver(watchDone{call: call, err: errModelTimeout})
+		}
+	})
+	m.after(m.latency(), func() {
+		m.control(call.address).watch(call.request, func(response *pb.WatchResponse) {
+			m.after(m.latency(), func() {
+				if !ended && !a.isCut(call.address) {
+					ended = true
+					deliver(watchDone{call: call, response: response})
+				}
+			})
+		})
+	})
+}
+
+func (m *model) control(address string) *modelControl {
+	for _, control := range m.controls {
+		if control.address == address {
+			return control
+		}
+	}
+	return nil
+}
+
+func (m *model) agent(address string) *modelAgent {
+	for _, one := range m.agents {
+		if one.self.Address == address {
+			return one
+		}
+	}
+	return nil
+}
+
+// callPeer brings a call to another agent and its answer back.
+func (a *modelAgent) callPeer(address string, asked event, answer func() event, failed event) {
+	m, deliver := a.model, a.ofLife()
+	m.after(m.latency(), func() {
+		other := m.agent(address)
+		if other == nil || other.core == nil || a.isCut(address) {
+			m.after(peerTimeout, func() { deliver(failed) })
+			return
+		}
+		if push, isPush := asked.(pushAsked); isPush && len(other.pushes) < 100 {
+			other.pushes = append(other.pushes, push.request)
+		}
+		other.deliver(asked)
+		done := answer()
+		m.after(m.latency(), func() {
+			if a.isCut(address) {
+				m.after(peerTimeout, func() { deliver(failed) })
+				return
+			}
+			deliver(done)
+		})
+	})
+}
+
+// repeatPushes brings pushes once more that reached this machine long ago, from neighbours of earlier lives.
+func (a *modelAgent) repeatPushes() {
+	for _, request := range a.pushes {
+		a.deliver(pushAsked{request: request, answer: make(chan *pb.PushResponse, 1)})
+	}
+}
+
+func (a *modelAgent) exchange(call feedCall) {
+	m, deliver := a.model, a.ofLife()
+	if m.plant.feed != nil {
+		m.plant.feed(&call)
+	}
+	m.after(m.upTo(2*time.Millisecond), func() {
+		if a.proxy.dead {
+			deliver(feedDone{call: call, err: errModelTimeout})
+			return
+		}
+		status := a.proxy.apply(call.apply)
+		m.after(m.upTo(2*time.Millisecond), func() { deliver(feedDone{call: call, status: status}) })
+	})
+}
--- /dev/null
+++ b/internal/agent/model_proxy_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/gossip"
+)
+
+// modelProxy takes in what it is fed as package proxy does: changes that follow, or a whole state.
+type modelProxy struct {
+	model *model
+	held  *gossip.Copy
+	life  uint64
+	gap   bool
+	dead  bool
+}
+
+func (p *modelProxy) restart() {
+	p.held = gossip.NewCopy()
+	p.life += 2
+	p.gap = false
+	p.dead = false
+}
+
+func (p *modelProxy) apply(request *pb.ApplyRequest) *pb.ProxyStatus {
+	if request.GetProxyIncarnation() == p.life {
+		p.take(request)
+	}
+	status := &pb.ProxyStatus{Incarnation: p.life, Sequence: p.held.Sequence(), Generation: p.held.Snapshot().Generation()}
+	if p.gap || p.held.Sequence() == 0 {
+		status.Digests = &pb.RangeDigests{Sequence: p.held.Sequence()}
+	}
+	return status
+}
+
+// take also checks that nothing in a call is older than what the proxy held when it told its status last.
+func (p *modelProxy) take(request *pb.ApplyRequest) {
+	before := p.held.Sequence()
+	if repair := request.GetRepair(); repair != nil {
+		if repair.GetSequence() < before {
+			p.model.fail("a proxy that holds %d is handed the state %d", before, repair.GetSequence())
+		}
+		if len(repair.GetRanges()) == catalog.RangeCount {
+			_, err := p.held.Restore(nil, repair)
+			p.gap = p.gap && err != nil
+		}
+	}
+	for _, change := range request.GetChanges() {
+		if change.GetSequence() > p.held.Sequence()+1 {
+			p.gap = true
+		}
+		p.held.ApplyChanges([]*pb.Change{change})
+	}
+	if last := len(request.GetChanges()) - 1; last >= 0 && request.GetChanges()[last].GetSequence() < before {
+		p.model.fail("a proxy that holds %d is handed changes up to %d", before, request.GetChanges()[last].GetSequence())
+	}
+	p.model.check("a proxy", p.held.Snapshot())
+}
