Try the proxy with servers that misbehave at any byte, and mend what that found

Cause: found by the trials: bytes of another answer that end in its head, directly before a server's own answer, gave that answer the other's status (a failure passed on as a success); an event's id that no header can carry was sent as Last-Event-Id; a connection was used again while the system still held most of a long request that the server had answered early. Ruled out: looking for the id only in the first lines (the order of headers is free). The bound on bodies in the tests' configuration is 8 MB instead of 3.

--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -17,7 +17,7 @@
 	unnumbered bool
 }
 
-// maxIDLine bounds how much of a line is looked at for an id.
+// maxIDLine bounds how much of a line is looked at for an id; a longer id is none that can be used.
 const maxIDLine = 256
 
 func newEventScanner() *eventScanner {
@@ -73,10 +73,24 @@
 	if !found {
 		return
 	}
-	s.pendingID = string(bytes.TrimPrefix(value, []byte{' '}))
+	value = bytes.TrimPrefix(value, []byte{' '})
+	if !fitsHeader(value) || len(line) >= maxIDLine {
+		return
+	}
+	s.pendingID = string(value)
 	s.hasID = true
 }
 
+// fitsHeader tells whether an id can be sent as the value of a header.
+func fitsHeader(id []byte) bool {
+	for _, character := range id {
+		if character < ' ' || character > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // follows tells whether an event id comes after another one. Ids of a stream rise.
 func follows(previous, id string) bool {
 	before, errBefore := strconv.ParseUint(previous, 10, 64)
--- /dev/null
+++ b/internal/proxy/planted_test.go
@@ -0,0 +1,174 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// planted is a fault that stands between the clients and a proxy without one.
+type planted struct {
+	name    string
+	between func(*handler) http.Handler
+	deeds   []misdeed // trials among which it must be found
+	finding string    // part of one of the findings
+}
+
+func plantedFaults() []planted {
+	wellBehaved := []misdeed{repeatsLater}
+	return []planted{
+		{"each request is passed on twice", sentTwice, wellBehaved, "ran 2 times"},
+		{"a request that may run once is taken for another", targetsChanged("/long/m/", "/long/i/"), []misdeed{resetsThere}, "ran 2 times"},
+		{"a stream is taken up that may not be", targetsChanged("/long/s/", "/long/r/"), []misdeed{resetsThere}, "ran 2 times"},
+		{"bodies are changed", bodiesChanged, wellBehaved, "that no client sent"},
+		{"an answer that was cut is ended well", cutsHidden, []misdeed{resetsThere}, "looks whole after"},
+		{"what may have run is refused", failuresRefused, []misdeed{resetsThere}, "answered 503 but ran"},
+		{"answers go to the next caller", answersDelayed(), wellBehaved, "got the answer to"},
+		{"answers lack a byte", answersShortened, wellBehaved, "as a whole answer"},
+		{"a client's leaving is not seen", leavingUnseen, []misdeed{clientLeaves}, "goes on"},
+	}
+}
+
+// Each rule of the trials is seen to fail where a fault breaks it.
+func TestTrialsFindPlantedFaults(t *testing.T) {
+	lengths := newWorker(t, plainly).lengths
+	for _, fault := range plantedFaults() {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			all := slices.DeleteFunc(allTrials(trialStride, lengths), func(tr trial) bool {
+				return !slices.Contains(fault.deeds, tr.misdeed)
+			})
+			found := strings.Join(runTrials(t, all, plantedPatience, fault.between).found, "\n")
+			require.Contains(t, found, fault.finding)
+		})
+	}
+}
+
+// again is a request with another target or body.
+func again(request *http.Request, target string, body []byte) *http.Request {
+	changed := request.Clone(request.Context())
+	changed.RequestURI = target
+	changed.Body = io.NopCloser(bytes.NewReader(body))
+	return changed
+}
+
+// quietly serves a request and hides that its answer broke off.
+func quietly(h http.Handler, writer http.ResponseWriter, request *http.Request) (cut bool) {
+	defer func() { cut = recover() != nil }()
+	h.ServeHTTP(writer, request)
+	return false
+}
+
+func sentTwice(h *handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		quietly(h, httptest.NewRecorder(), again(request, request.RequestURI, body))
+		h.ServeHTTP(writer, again(request, request.RequestURI, body))
+	})
+}
+
+func targetsChanged(from, to string) func(*handler) http.Handler {
+	return func(h *handler) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			request.RequestURI = strings.Replace(request.RequestURI, from, to, 1)
+			h.ServeHTTP(writer, request)
+		})
+	}
+}
+
+func bodiesChanged(h *handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		body[len(body)/2]++
+		h.ServeHTTP(writer, again(request, request.RequestURI, body))
+	})
+}
+
+func cutsHidden(h *handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { quietly(h, writer, request) })
+}
+
+func leavingUnseen(h *handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		// It ends in the end, or the test would not.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(request.Context()), 2*plantedPatience)
+		defer cancel()
+		h.ServeHTTP(writer, request.WithContext(ctx))
+	})
+}
+
+// plantedPatience is how long trials of planted faults wait for what must end.
+const plantedPatience = 300 * time.Millisecond
+
+// recorded serves a request and returns the answer; cut tells whether it broke off.
+func recorded(h http.Handler, request *http.Request) (answer *httptest.ResponseRecorder, cut bool) {
+	answer = httptest.NewRecorder()
+	cut = quietly(h, answer, request)
+	return answer, cut
+}
+
+// write passes a recorded answer on.
+func write(writer http.ResponseWriter, status int, header http.Header, body []byte) {
+	for name, values := range header {
+		if name != "Content-Length" {
+			writer.Header()[name] = values
+		}
+	}
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body)
+}
+
+func failuresRefused(h *handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		answer, cut := recorded(h, request)
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		if answer.Code == http.StatusBadGateway {
+			answer.Code = http.StatusServiceUnavailable
+		}
+		write(writer, answer.Code, answer.Header(), answer.Body.Bytes())
+	})
+}
+
+func answersShortened(h *handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		answer, cut := recorded(h, request)
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		body := answer.Body.Bytes()
+		write(writer, answer.Code, answer.Header(), body[:max(len(body)-1, 0)])
+	})
+}
+
+// answersDelayed gives each client the answer to the request before.
+func answersDelayed() func(*handler) http.Handler {
+	return func(h *handler) http.Handler {
+		var mu sync.Mutex
+		var last *httptest.ResponseRecorder
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			answer, cut := recorded(h, request)
+			if cut {
+				panic(http.ErrAbortHandler)
+			}
+			mu.Lock()
+			given := last
+			last = answer
+			mu.Unlock()
+			if given == nil {
+				given = answer
+			}
+			write(writer, given.Code, given.Header(), given.Body.Bytes())
+		})
+	}
+}
--- a/internal/proxy/pure_test.go
+++ b/internal/proxy/pure_test.go
@@ -223,6 +223,8 @@
 		"version line":     {"versions: 3\nid: 1\ndata: a\n\n", 1, "1"},
 		"id in the data":   {"id: 1\ndata: id: 9\n\n", 1, "1"},
 		"comment":          {": ping\n\n", 1, ""},
+		"return in the id": {"id: 1\n\nid: 2\rX-Other: 3\n\n", 2, "1"},
+		"id no header has": {"id: 1\n\nid: \x00\xff\n\n", 2, "1"},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -242,6 +244,19 @@
 	}
 }
 
+func TestEventWithAnEndlessIDIsUnnumbered(t *testing.T) {
+	for _, length := range []int{maxIDLine - len("id: ") - 1, maxIDLine, 2 * maxIDLine} {
+		scanner := newEventScanner()
+		data := []byte("id: 1\n\nid: " + strings.Repeat("9", length) + "\n\n")
+		taken, whole := scanner.scan(data)
+		require.True(t, whole)
+		_, whole = scanner.scan(data[taken:])
+		require.True(t, whole)
+		require.Equal(t, length >= maxIDLine, scanner.unnumbered)
+		require.Equal(t, length >= maxIDLine, scanner.lastID == "1")
+	}
+}
+
 func TestEventScannerTakesEventsWholeHoweverCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		event := rapid.StringMatching(`(id: ?[0-9]{1,3}\r?\n)?(data: [a-z]{0,9}\r?\n){1,3}\r?\n`)
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -238,6 +238,11 @@
 once:{"name":"o","vhost":"h.example","path-prefix":"/o/","route-kind":"idempotent","deadline-ms":4000,"target-ms":100,"backend":"s1","tries":1}
 stream:{"name":"s","vhost":"h.example","path-prefix":"/s/","route-kind":"streaming","deadline-ms":4000,"target-ms":100,"backend":"s1","tries":3}
 resumable:{"name":"r","vhost":"h.example","path-prefix":"/r/","route-kind":"streaming","resumable":true,"deadline-ms":4000,"target-ms":100,"backend":"s1","tries":3}
+long-mutating:{"name":"lm","vhost":"h.example","path-prefix":"/long/m/","route-kind":"mutating","deadline-ms":60000,"target-ms":100,"backend":"s1","tries":3}
+long-idempotent:{"name":"li","vhost":"h.example","path-prefix":"/long/i/","route-kind":"idempotent","deadline-ms":60000,"target-ms":100,"backend":"s1","tries":2}
+long-stream:{"name":"ls","vhost":"h.example","path-prefix":"/long/s/","route-kind":"streaming","deadline-ms":60000,"target-ms":100,"backend":"s1","tries":3}
+long-resumable:{"name":"lr","vhost":"h.example","path-prefix":"/long/r/","route-kind":"streaming","resumable":true,"deadline-ms":60000,"target-ms":100,"backend":"s1","tries":3}
+long-once:{"name":"lo","vhost":"h.example","path-prefix":"/long/o/","route-kind":"idempotent","deadline-ms":60000,"target-ms":100,"backend":"s1","tries":1}
 short:{"name":"t","vhost":"h.example","path-prefix":"/t/","route-kind":"mutating","deadline-ms":60,"target-ms":50,"backend":"s1","tries":3}`
 
 func rigChange() *pb.Change {
@@ -249,7 +254,7 @@
 		})
 	}
 	change.Upserts = append(change.Upserts, &pb.Item{
-		Kind: catalog.KindSetting, Name: "req-limits", Sequence: 1, Body: []byte(`{"max-body-bytes":3000000}`),
+		Kind: catalog.KindSetting, Name: "req-limits", Sequence: 1, Body: []byte(`{"max-body-bytes":8000000}`),
 	})
 	return change
 }
@@ -260,6 +265,12 @@
 	for _, server := range servers {
 		placer.servers = append(placer.servers, server.server)
 	}
+	return newRigWith(t, placer, func(h *handler) http.Handler { return h })
+}
+
+// newRigWith lets a test stand between the clients and the handler.
+func newRigWith(t *testing.T, placer *fakePlacer, between func(*handler) http.Handler) *rig {
+	t.Helper()
 	budget := limits.NewRetryBudget(limits.RetryConfig{Ratio: 1, Extra: 100, Window: 10 * time.Second}, "self")
 	budget.SetShares(&pb.Shares{Proxies: 1, Members: []*pb.Neighbour{{Host: "self"}}})
 	h := &handler{
@@ -276,7 +287,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	base, abandon := context.WithCancel(context.Background())
-	front := newFront(base, listener, h, 100, h.counters, zap.NewNop())
+	front := newFront(base, listener, between(h), 100, h.counters, zap.NewNop())
 	go front.serve()
 	t.Cleanup(func() {
 		front.close()
--- /dev/null
+++ b/internal/proxy/saboteur_test.go
@@ -0,0 +1,222 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fieldrelay/internal/proxy/upstream"
+)
+
+// saboteur is a server of trials. It misbehaves once, as its current trial asks, and serves well otherwise.
+type saboteur struct {
+	server  upstream.Server
+	books   *books
+	current atomic.Pointer[trial]
+	arrived chan struct{} // gets a value when a trial with clientLeaves is at its place
+	release atomic.Pointer[chan struct{}]
+	busy    atomic.Int64 // connections on which it has begun to read a request and not yet answered
+	length  atomic.Int64 // bytes of the last request that it read whole
+}
+
+func newSaboteur(t *testing.T, name string, account *books) *saboteur {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &saboteur{
+		server:  upstream.Server{ID: name, Address: listener.Addr().String()},
+		books:   account,
+		arrived: make(chan struct{}, 1),
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return s
+}
+
+// smallWindow is how much of a request the system takes in, at most, for a server that does not read.
+const smallWindow = 256 << 10
+
+// visit is one connection to a saboteur.
+type visit struct {
+	*saboteur
+	conn    *net.TCPConn
+	surplus string // is written before the next answer
+}
+
+func (s *saboteur) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	_ = conn.SetReadBuffer(smallWindow)
+	v := &visit{saboteur: s, conn: conn}
+	if tr := s.current.Load(); tr != nil && !tr.reused && tr.stage == inRequest && tr.offset == 0 && s.current.CompareAndSwap(tr, nil) {
+		s.busy.Add(1)
+		defer s.busy.Add(-1)
+		v.misbehave(tr, nil)
+		return
+	}
+	for v.request() {
+	}
+}
+
+// request reads one request and answers it; it returns false when the connection is over.
+func (v *visit) request() bool {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(v.conn, first); err != nil {
+		return false
+	}
+	v.busy.Add(1)
+	defer v.busy.Add(-1)
+	tr := v.current.Swap(nil)
+	if tr != nil && tr.stage == inRequest {
+		read := make([]byte, max(tr.offset, 1))
+		read[0] = first[0]
+		if _, err := io.ReadFull(v.conn, read[1:]); err != nil {
+			return false
+		}
+		return v.misbehave(tr, read)
+	}
+	got, ok := v.readWhole(first)
+	if !ok {
+		return false
+	}
+	id := got.Header.Get(headerAttemptID)
+	v.books.reached(id, v.server.ID)
+	if tr != nil {
+		return v.misbehaveInAnswer(tr, got)
+	}
+	after, _ := strconv.Atoi(got.Header.Get(headerLastEventID))
+	v.books.run(id, v.server.ID)
+	head, body := answerOf(v.server.ID, id, isStreamTarget(got.RequestURI), after, framedByLength, reactsWell)
+	surplus := v.surplus
+	v.surplus = ""
+	v.books.answered(id, v.server.ID, head+body, true)
+	_, err := io.WriteString(v.conn, surplus+head+body)
+	return err == nil && surplus == ""
+}
+
+// readWhole reads a request of which some bytes were read, checks it and notes its length.
+func (v *visit) readWhole(begun []byte) (*http.Request, bool) {
+	seen := bytes.NewBuffer(bytes.Clone(begun))
+	source := io.MultiReader(bytes.NewReader(begun), io.TeeReader(v.conn, seen))
+	got, err := http.ReadRequest(bufio.NewReader(source))
+	if err != nil {
+		if err != io.EOF && err != io.ErrUnexpectedEOF {
+			v.books.checkBytes(seen.String())
+		}
+		return nil, false
+	}
+	body, err := io.ReadAll(got.Body)
+	if err != nil {
+		v.books.checkBytes(seen.String())
+		return nil, false
+	}
+	v.length.Store(int64(seen.Len()))
+	v.books.checkRequest(got, string(body))
+	return got, true
+}
+
+// misbehave acts once so many bytes of a request were read.
+func (v *visit) misbehave(tr *trial, read []byte) bool {
+	v.books.reached(tr.id, v.server.ID)
+	switch tr.misdeed {
+	case answersEarly, answersLater, answersCloses:
+		return v.answerEarly(tr, read)
+	}
+	if int64(len(read)) >= v.length.Load() {
+		v.books.run(tr.id, v.server.ID) // it may have begun to work
+	}
+	switch tr.misdeed {
+	case resetsThere:
+		_ = v.conn.SetLinger(0)
+	case fallsSilent, clientLeaves:
+		v.stayUntilClosed(tr)
+	}
+	return false
+}
+
+// stayUntilClosed keeps the connection without a word until the other side ends it.
+func (v *visit) stayUntilClosed(tr *trial) {
+	if tr.misdeed == clientLeaves {
+		v.arrived <- struct{}{}
+	}
+	_, _ = io.Copy(io.Discard, v.conn)
+}
+
+func (v *visit) answerEarly(tr *trial, read []byte) bool {
+	later := *v.release.Load()
+	head, body := answerOf(v.server.ID, tr.id, tr.kind.stream, 0, tr.framing, tr.reaction)
+	if tr.reaction != reactsDeclined {
+		v.books.run(tr.id, v.server.ID)
+	}
+	ends := tr.misdeed == answersCloses || tr.framing == framedByEnd
+	v.books.answered(tr.id, v.server.ID, head+body, ends)
+	_, _ = io.WriteString(v.conn, head+body)
+	if ends {
+		return false
+	}
+	if tr.misdeed == answersLater {
+		<-later
+	}
+	_, ok := v.readWhole(read)
+	return ok
+}
+
+// misbehaveInAnswer acts once so many bytes of the answer to a request were written.
+func (v *visit) misbehaveInAnswer(tr *trial, got *http.Request) bool {
+	after, _ := strconv.Atoi(got.Header.Get(headerLastEventID))
+	head, body := answerOf(v.server.ID, tr.id, tr.kind.stream, after, tr.framing, tr.reaction)
+	wire := head + body
+	if tr.reaction != reactsDeclined {
+		v.books.run(tr.id, v.server.ID)
+	}
+	other, otherBody := answerOf(v.server.ID, "other", false, 0, framedByLength, reactsWell)
+	other += otherBody
+	begun := wire[:min(tr.offset, len(wire))]
+	switch tr.misdeed {
+	case resetsThere, fallsSilent, clientLeaves:
+		v.books.answered(tr.id, v.server.ID, begun, false)
+		_, _ = io.WriteString(v.conn, begun)
+		if tr.misdeed == resetsThere {
+			_ = v.conn.SetLinger(0)
+		} else {
+			v.stayUntilClosed(tr)
+		}
+		return false
+	case closesThere:
+		v.books.answered(tr.id, v.server.ID, begun, true)
+		_, _ = io.WriteString(v.conn, begun)
+		return false
+	case writesGarbage:
+		garbage := begun + "\x00\xff no answer at all\r\n\r\n"
+		v.books.answered(tr.id, v.server.ID, garbage, true)
+		_, _ = io.WriteString(v.conn, garbage)
+		return false
+	}
+	v.books.answered(tr.id, v.server.ID, wire, tr.framing == framedByEnd)
+	switch tr.misdeed {
+	case answersTwice:
+		_, _ = io.WriteString(v.conn, wire+wire[:min(tr.offset, len(wire))])
+	case repeatsLater:
+		v.surplus = wire[:min(tr.offset, len(wire))]
+		_, _ = io.WriteString(v.conn, wire)
+	case answersOther:
+		_, _ = io.WriteString(v.conn, other+wire)
+	case splices:
+		_, _ = io.WriteString(v.conn, other[:min(tr.offset, len(other)-1)]+wire)
+	}
+	return tr.framing != framedByEnd
+}
--- /dev/null
+++ b/internal/proxy/trial_list_test.go
@@ -0,0 +1,88 @@
+package proxy
+
+import "strings"
+
+// longPayload is the size of bodies that are longer than what the system takes for a server that does not read.
+const longPayload = 6_000_000
+
+// allTrials are the trials at every stride-th byte.
+func allTrials(stride int, lengths map[string]int64) []trial {
+	var all []trial
+	add := func(tr trial, first, last int) {
+		for offset := first + len(all)%stride; offset <= last; offset += stride {
+			tr.offset = offset
+			all = append(all, tr)
+		}
+	}
+	for _, kind := range requestKinds {
+		for _, reused := range []bool{false, true} {
+			first := 0
+			if reused {
+				first = 1
+			}
+			request := trial{kind: kind, reused: reused, stage: inRequest}
+			for _, request.misdeed = range []misdeed{resetsThere, closesThere, fallsSilent} {
+				add(request, first, int(lengths[kind.name]))
+			}
+			add(trialWith(request, clientLeaves), 1, int(lengths[kind.name])) // before that, nothing was sent
+			for framed := range framings {
+				for react := range reactions {
+					early := trial{kind: kind, reused: reused, stage: inRequest, framing: framed, reaction: react}
+					for _, early.misdeed = range []misdeed{answersEarly, answersLater, answersCloses} {
+						add(early, first, int(lengths[kind.name]))
+					}
+					addInAnswer(trial{kind: kind, reused: reused, stage: inAnswer, framing: framed, reaction: react}, add)
+				}
+			}
+		}
+	}
+	return all
+}
+
+func addInAnswer(tr trial, add func(tr trial, first, last int)) {
+	head, body := answerOf("one", "t-000000", tr.kind.stream, 0, tr.framing, tr.reaction)
+	length := len(head) + len(body)
+	for _, tr.misdeed = range []misdeed{resetsThere, closesThere, repeatsLater, splices} {
+		add(tr, 0, length)
+	}
+	if tr.kind.resume {
+		add(trialWith(tr, writesGarbage), 0, len(head)) // within an event nobody can tell
+	} else {
+		add(trialWith(tr, writesGarbage), 0, length)
+	}
+	add(trialWith(tr, answersOther), 0, 0)
+	if tr.framing != framedByEnd {
+		add(trialWith(tr, answersTwice), 1, length)
+	}
+	if tr.reaction == reactsWell {
+		add(trialWith(tr, fallsSilent), 0, length-1)
+		add(trialWith(tr, clientLeaves), 0, length-1)
+	}
+}
+
+func trialWith(tr trial, deed misdeed) trial {
+	tr.misdeed = deed
+	return tr
+}
+
+// longTrials are some with a body that does not go out before the server reads it.
+func longTrials(lengths map[string]int64) []trial {
+	payload := strings.Repeat("payload\n", longPayload/8)
+	var all []trial
+	for _, kind := range requestKinds {
+		whole := int(lengths[kind.name]) + len(payload)
+		head := int(lengths[kind.name]) - len("payload of t-000000")
+		for _, offset := range []int{1, head + 10, whole / 2, whole - 100} {
+			tr := trial{kind: kind, stage: inRequest, offset: offset, payload: payload, reused: offset > head}
+			for _, tr.misdeed = range []misdeed{resetsThere, closesThere, clientLeaves} {
+				all = append(all, tr)
+			}
+			for _, tr.reaction = range []reaction{reactsWell, reactsDeclined} {
+				for _, tr.misdeed = range []misdeed{answersEarly, answersLater, answersCloses} {
+					all = append(all, tr)
+				}
+			}
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/proxy/trial_test.go
@@ -0,0 +1,150 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+)
+
+// requestKind is a kind of request, by the rules that hold for its runs.
+type requestKind struct {
+	name   string
+	target string
+	stream bool
+	most   int // runs that are allowed
+	resume bool
+}
+
+var requestKinds = []requestKind{
+	{name: "mutating", target: "/long/m/x", most: 1},
+	{name: "idempotent", target: "/long/i/x", most: 2},
+	{name: "plain stream", target: "/long/s/x", stream: true, most: 1},
+	{name: "resumable stream", target: "/long/r/x", stream: true, most: 3, resume: true},
+}
+
+func isStreamTarget(target string) bool {
+	return strings.HasPrefix(target, "/long/s/") || strings.HasPrefix(target, "/long/r/")
+}
+
+// framing is how the end of an answer is told.
+type framing int
+
+const (
+	framedByLength framing = iota
+	framedByChunks
+	framedByEnd // the connection's
+	framings
+)
+
+// reaction is what a server does with a request that it has read.
+type reaction int
+
+const (
+	reactsWell      reaction = iota // 200
+	reactsFailed                    // 500
+	reactsDeclined                  // 503 with the promise that the request has not run
+	reactsUnclearly                 // 503 without
+	reactions
+)
+
+// stage is where a server does something else than it should.
+type stage int
+
+const (
+	inRequest stage = iota // so many bytes of the request were read
+	inAnswer               // so many bytes of the answer were written
+)
+
+// misdeed is what it does there.
+type misdeed int
+
+const (
+	resetsThere   misdeed = iota
+	closesThere           // both ways
+	fallsSilent           // and keeps the connection
+	answersEarly          // then reads on
+	answersLater          // like answersEarly, but reads on when its client has its answer
+	answersCloses         // answers early, then closes
+	writesGarbage         // then closes
+	answersTwice          // at once
+	repeatsLater          // answers once more where the answer to the next request is due
+	answersOther          // with the id of another request, then with its own
+	splices               // bytes of another answer directly before its own
+	clientLeaves          // it falls silent, and the client leaves
+)
+
+var misdeedNames = map[misdeed]string{
+	resetsThere: "resets", closesThere: "closes", fallsSilent: "falls silent", answersEarly: "answers early",
+	answersLater: "answers early, reads on later", answersCloses: "answers early and closes", writesGarbage: "writes garbage",
+	answersTwice: "answers twice", repeatsLater: "repeats its answer later", answersOther: "answers another first",
+	splices: "splices answers", clientLeaves: "is left by the client",
+}
+
+// trial is one request that meets a server which misbehaves at one place.
+type trial struct {
+	kind     requestKind
+	framing  framing
+	reaction reaction
+	reused   bool // the connection to the server has served before
+	stage    stage
+	offset   int // bytes
+	misdeed  misdeed
+	id       string
+	payload  string
+}
+
+func (tr *trial) String() string {
+	where := "of the request"
+	if tr.stage == inAnswer {
+		where = "of the answer"
+	}
+	return fmt.Sprintf("%s, framing %d, reaction %d, reused %v: server %s at byte %d %s",
+		tr.kind.name, tr.framing, tr.reaction, tr.reused, misdeedNames[tr.misdeed], tr.offset, where)
+}
+
+// pieces is the number of events of a stream.
+const pieces = 4
+
+func pieceOf(id, server string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s by %s\n\n", number, id, server)
+}
+
+// answerOf is the head and the framed body with which a server answers a request.
+func answerOf(server, id string, stream bool, after int, framed framing, react reaction) (head, body string) {
+	var parts []string
+	switch {
+	case react != reactsWell:
+		parts = []string{"why not"}
+	case stream:
+		for number := after + 1; number <= pieces; number++ {
+			parts = append(parts, pieceOf(id, server, number))
+		}
+	default:
+		parts = []string{id, " by ", server}
+	}
+	whole := strings.Join(parts, "")
+	// An ordinary header comes first: bytes of another answer may end within it.
+	header := "Content-Type: text/plain\r\n"
+	if stream && react == reactsWell {
+		header = "Content-Type: text/event-stream\r\n"
+	}
+	header += headerAttemptID + ": " + id + "\r\n"
+	status := map[reaction]string{reactsWell: "200 OK", reactsFailed: "500 Failed", reactsDeclined: "503 Full", reactsUnclearly: "503 Full"}[react]
+	if react == reactsDeclined {
+		header += headerNotExecuted + ": 1\r\n"
+	} else {
+		header += headerServerSeal + ": " + server + "\r\n"
+	}
+	body = whole
+	switch framed {
+	case framedByLength:
+		header += fmt.Sprintf("Content-Length: %d\r\n", len(whole))
+	case framedByChunks:
+		header += "Transfer-Encoding: chunked\r\n"
+		body = ""
+		for _, part := range parts {
+			body += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		body += "0\r\n\r\n"
+	}
+	return "HTTP/1.1 " + status + "\r\n" + header + "\r\n", body
+}
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -38,6 +38,7 @@
 	raw    syscall.RawConn
 	reader *bufio.Reader // nil while idle
 	rest   *remainder    // of the request being sent; nil: the system has taken all of it
+	long   bool          // the request has a body that went out apart from its head
 	reused bool
 	broken bool
 	// headLeft is how much may still be read for the head; negative outside of heads.
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, c.noAnswer(err)
 	}
-	if ids := response.Header[AttemptIDHeader]; len(ids) != 1 || ids[0] != attemptID {
+	if !belongsTo(response, attemptID) {
 		c.broken = true
 		return nil, &AnswerError{Server: c.server, Fault: FaultForeign}
 	}
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -181,7 +181,7 @@
 func (p *Pool) Release(conn *Conn) {
 	conn.stopSending()
 	surplus := conn.MoreBuffered()
-	reusable := !conn.broken && !surplus && conn.idleTime >= minIdleTime
+	reusable := !conn.broken && !surplus && conn.idleTime >= minIdleTime && conn.delivered()
 	conn.detachReader()
 	if reusable {
 		conn.setContact(contactIdle)
--- a/internal/proxy/upstream/send.go
+++ b/internal/proxy/upstream/send.go
@@ -22,10 +22,12 @@
 // Send returns; what becomes of it shows in Receive.
 func (c *Conn) Send(head, body []byte) error {
 	c.attachReader()
+	c.long = false
 	if len(body) == 0 {
 		written, err := c.socket.Write(head)
 		return c.sendError(int64(written), err)
 	}
+	c.long = true
 	written, err := c.writeNow(head, body)
 	if err != nil || written == len(head)+len(body) {
 		return c.sendError(int64(written), err)
@@ -98,5 +100,20 @@
 	<-c.rest.ended
 }
 
+// delivered tells whether the other machine's system has taken a request whole, as it has when the server answered
+// after reading it. Only long requests are looked at: the others fit into what any system takes.
+func (c *Conn) delivered() bool {
+	if !c.long {
+		return true
+	}
+	waiting, known := 0, false
+	err := c.raw.Control(func(descriptor uintptr) {
+		var failure error
+		waiting, failure = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		known = failure == nil
+	})
+	return err == nil && (!known || waiting == 0)
+}
+
 // sentNothing tells whether no byte of a request whose sending was stopped has left.
 func (c *Conn) sentNothing() bool { return c.rest != nil && c.rest.written == 0 }
--- a/internal/proxy/upstream/send_test.go
+++ b/internal/proxy/upstream/send_test.go
@@ -92,6 +92,26 @@
 	require.EqualValues(t, 1, pool.Stats().Dialled)
 }
 
+// The system may have taken a request whole that the server has not read: the next one would wait behind it.
+func TestEarlyAnswerToARequestThatTheSystemStillHolds(t *testing.T) {
+	answered := make(chan struct{})
+	server := scriptedServer(t, func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(64 << 10)
+		early(goodAnswer, func(*net.TCPConn, *bufio.Reader) { <-answered })(conn)
+	})
+	pool := NewPool()
+	conn := connect(t, pool, server)
+	body := bytes.Repeat([]byte("x"), 512<<10)
+	require.NoError(t, conn.Send(fmt.Appendf(nil, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)), body))
+	response, err := conn.Receive(http.MethodPost, "id1")
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, response))
+	require.Positive(t, unacknowledged(t, conn))
+	pool.Release(conn)
+	require.Zero(t, pool.Stats().IdleNow)
+	close(answered)
+}
+
 // A server that declines a long request without reading it closes with bytes unread, which resets the connection.
 func TestEarlyAnswerBeforeAResetIsSeen(t *testing.T) {
 	server := scriptedServer(t, early(goodAnswer, func(conn *net.TCPConn, _ *bufio.Reader) { _ = conn.Close() }))
