--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -133,9 +133,12 @@
 	return nil
 }
 
-// answer gives the operator the result of an order, which is no longer pending from then on.
+// answer gives the operator the result of an order, which is no longer pending from then on: it is answered once.
 func (m *Machine) answer(pending *pendingOrder, result *pb.OrderResult) {
 	index := slices.Index(m.origin.pending, pending)
+	if index < 0 {
+		return
+	}
 	m.origin.pending = slices.Delete(m.origin.pending, index, index+1)
 	m.actions = append(m.actions, Reply{Request: pending.request, Result: result})
 }
