Explore the ledger and the pool of connections over all orders of their events

Cause: both decide what may run twice and whose answer is whose, and were tested by cases and by drawn sequences. Ruled out: a model of the pool without sockets (what it looks at is the system's view of a connection). Change: internal/explore goes through both: the ledger beside what truly happened, the pool with two callers and a server over loopback; faults planted in one step each.

--- /dev/null
+++ b/internal/proxy/ledger_explore_test.go
@@ -0,0 +1,211 @@
+package proxy
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"fieldrelay/internal/explore"
+)
+
+// ledgerSteps are the steps of a ledger, so that a test can plant a fault in one.
+type ledgerSteps struct {
+	record    func(*ledger, fate)
+	mayRepeat func(*ledger, time.Duration) bool
+	ending    func(*ledger, time.Duration) int
+}
+
+func trueSteps() ledgerSteps {
+	return ledgerSteps{record: (*ledger).record, mayRepeat: (*ledger).mayRepeat, ending: (*ledger).ending}
+}
+
+// request is a request as servers see it, beside the ledger that is kept of it.
+type request struct {
+	steps    ledgerSteps
+	ledger   ledger
+	left     time.Duration
+	runs     int // that truly happened
+	unclear  int // attempts of which nobody can tell whether they ran
+	sent     int
+	attempts int
+	answer   int // given to the client; 0: none yet
+	own      bool
+}
+
+// attemptEnd is a way in which an attempt can end.
+type attemptEnd struct {
+	name    string
+	fate    fate
+	ran     bool // whatever the fate tells
+	success bool // a usable answer, which is passed on
+}
+
+var attemptEnds = []attemptEnd{
+	{name: "was not sent", fate: fateNotSent},
+	{name: "was promised not to have run", fate: fatePromised},
+	{name: "was lost and had run", fate: fateUnknown, ran: true},
+	{name: "was lost and had not run", fate: fateUnknown},
+	{name: "ran and broke off", fate: fateRan, ran: true},
+	{name: "ran and was answered", fate: fateRan, ran: true, success: true},
+}
+
+func (r *request) going() bool {
+	return r.answer == 0 && (r.attempts == 0 || r.steps.mayRepeat(&r.ledger, r.left))
+}
+
+// Events implements explore.System.
+func (r *request) Events() []string {
+	if r.answer != 0 {
+		return nil
+	}
+	names := []string{"it is given up"}
+	if r.left > 0 {
+		names = append(names, "the deadline passes")
+	}
+	if r.going() {
+		for _, end := range attemptEnds {
+			names = append(names, end.name)
+		}
+	}
+	return names
+}
+
+// Do implements explore.System.
+func (r *request) Do(event int) {
+	switch names := r.Events(); names[event] {
+	case "it is given up":
+		r.answer, r.own = r.steps.ending(&r.ledger, r.left), true
+	case "the deadline passes":
+		r.left = 0
+	default:
+		r.attempt(attemptEnds[event-(len(names)-len(attemptEnds))])
+	}
+}
+
+func (r *request) attempt(end attemptEnd) {
+	r.attempts++
+	r.steps.record(&r.ledger, end.fate)
+	if end.fate != fateNotSent {
+		r.sent++
+	}
+	if end.ran {
+		r.runs++
+	}
+	if end.fate == fateUnknown {
+		r.unclear++
+	}
+	if end.success {
+		r.answer = http.StatusOK
+	}
+}
+
+// Hash implements explore.System.
+func (r *request) Hash() uint64 {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%+v %v %d %d %d %d %d %v", r.ledger, r.left, r.runs, r.unclear, r.sent, r.attempts, r.answer, r.own)
+	return hash.Sum64()
+}
+
+// Check implements explore.System.
+func (r *request) Check() error {
+	mayHaveRun := r.runs > 0 || r.unclear > 0
+	switch {
+	case !r.ledger.repeatable && r.runs > 1:
+		return errors.Newf("ran %d times", r.runs)
+	case r.sent > r.ledger.tries:
+		return errors.Newf("was sent to %d servers of %d", r.sent, r.ledger.tries)
+	case r.attempts > r.ledger.tries+maxUnsent:
+		return errors.Newf("%d attempts", r.attempts)
+	case r.own && isPromise(r.answer) && mayHaveRun:
+		return errors.Newf("%d promises that it has not run", r.answer)
+	case r.own && !isPromise(r.answer) && !mayHaveRun:
+		return errors.Newf("%d although it has not run", r.answer)
+	case r.own && r.answer == http.StatusGatewayTimeout && r.left > 0:
+		return errors.New("out of time before the deadline")
+	}
+	return nil
+}
+
+// exploreLedger goes through all orders of a request's events.
+func exploreLedger(steps ledgerSteps, repeatable bool, tries int) (explore.Result, error) {
+	return explore.All(func() explore.System {
+		return &request{steps: steps, ledger: ledger{repeatable: repeatable, tries: tries}, left: time.Second}
+	}, tries+maxUnsent+3, 200_000)
+}
+
+func TestLedgerInAllOrders(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		for tries := 1; tries <= 3; tries++ {
+			result, err := exploreLedger(trueSteps(), repeatable, tries)
+			require.NoError(t, err)
+			require.True(t, result.Full)
+			t.Logf("repeatable %v, %d tries: %+v", repeatable, tries, result)
+		}
+	}
+}
+
+func TestExplorationFindsFaultsOfTheLedger(t *testing.T) {
+	faults := map[string]struct {
+		plant   func(*ledgerSteps)
+		finding string
+	}{
+		"a lost attempt is forgotten": {func(s *ledgerSteps) {
+			s.record = func(l *ledger, f fate) {
+				if f == fateUnknown {
+					f = fatePromised
+				}
+				l.record(f)
+			}
+		}, "promises that it has not run"},
+		"a run is taken back by a promise": {func(s *ledgerSteps) {
+			s.record = func(l *ledger, f fate) {
+				l.record(f)
+				l.mayHaveRun = l.mayHaveRun && f != fatePromised
+			}
+		}, "promises"},
+		"all requests are repeated": {func(s *ledgerSteps) {
+			s.mayRepeat = func(l *ledger, left time.Duration) bool {
+				changed := *l
+				changed.repeatable = true
+				return changed.mayRepeat(left)
+			}
+		}, "ran 2 times"},
+		"tries are not counted": {func(s *ledgerSteps) {
+			s.mayRepeat = func(l *ledger, left time.Duration) bool {
+				changed := *l
+				changed.sent = 0
+				return changed.mayRepeat(left)
+			}
+		}, "servers of"},
+		"unsent attempts are not counted": {func(s *ledgerSteps) {
+			s.mayRepeat = func(l *ledger, left time.Duration) bool {
+				changed := *l
+				changed.unsent = 0
+				return changed.mayRepeat(left)
+			}
+		}, "attempts"},
+		"every end is a refusal": {func(s *ledgerSteps) {
+			s.ending = func(*ledger, time.Duration) int { return http.StatusServiceUnavailable }
+		}, "promises"},
+		"no end is a refusal": {func(s *ledgerSteps) {
+			s.ending = func(*ledger, time.Duration) int { return http.StatusBadGateway }
+		}, "although it has not run"},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			steps := trueSteps()
+			fault.plant(&steps)
+			var found error
+			for _, repeatable := range []bool{false, true} {
+				_, err := exploreLedger(steps, repeatable, 2)
+				found = errors.CombineErrors(found, err)
+			}
+			require.ErrorContains(t, found, fault.finding)
+		})
+	}
+}
--- /dev/null
+++ b/internal/proxy/upstream/explore_test.go
@@ -0,0 +1,107 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fieldrelay/internal/explore"
+)
+
+// poolDepth is the number of events; PROXY_POOL_DEPTH tells another.
+const poolDepth = 7
+
+func explorePool(t *testing.T, steps poolSteps, depth int) (explore.Result, error) {
+	server := listen(t)
+	var last *pooled
+	defer func() {
+		if last != nil {
+			last.end()
+		}
+	}()
+	return explore.All(func() explore.System {
+		if last != nil {
+			last.end()
+		}
+		last = &pooled{steps: steps, server: server, pool: NewPool()}
+		return last
+	}, depth, 200_000)
+}
+
+func TestPoolInAllOrders(t *testing.T) {
+	depth := poolDepth
+	if told := os.Getenv("PROXY_POOL_DEPTH"); told != "" {
+		_, err := fmt.Sscan(told, &depth)
+		require.NoError(t, err)
+	}
+	began := time.Now()
+	result, err := explorePool(t, trueSteps(), depth)
+	require.NoError(t, err)
+	require.True(t, result.Full)
+	t.Logf("depth %d: %+v in %v", depth, result, time.Since(began))
+}
+
+func TestExplorationFindsFaultsOfThePool(t *testing.T) {
+	faults := map[string]struct {
+		plant   func(*poolSteps)
+		finding string
+	}{
+		"an idle connection is not looked at": {func(s *poolSteps) {
+			s.connect = func(pool *Pool, server Server) *Conn {
+				if conn := pool.popIdle(server); conn != nil {
+					return conn
+				}
+				return trueSteps().connect(pool, server)
+			}
+		}, "that the server had closed or spoken on"},
+		"ids are not compared": {func(s *poolSteps) {
+			s.receive = func(conn *Conn, _ string) (*http.Response, error) {
+				return http.ReadResponse(conn.reader, nil)
+			}
+		}, `got "answer to other"`},
+		"a connection is given back and kept": {func(s *poolSteps) {
+			s.connect = func(pool *Pool, server Server) *Conn {
+				conn := trueSteps().connect(pool, server)
+				if conn != nil {
+					pool.keep(conn)
+				}
+				return conn
+			}
+		}, "idle and in use"},
+		"a connection that was aborted is kept": {func(s *poolSteps) {
+			s.discard = func(pool *Pool, conn *Conn) {
+				conn.detachReader()
+				pool.keep(conn)
+			}
+		}, "that the server had closed or spoken on"},
+		"a buffer is kept with its connection": {func(s *poolSteps) {
+			s.release = func(pool *Pool, conn *Conn) {
+				if !conn.broken && !conn.MoreBuffered() && pool.keep(conn) {
+					return
+				}
+				pool.Discard(conn)
+			}
+		}, "has a buffer"},
+		"a closed pool keeps connections": {func(s *poolSteps) {
+			s.release = func(pool *Pool, conn *Conn) {
+				pool.closed = false
+				pool.Release(conn)
+			}
+		}, "a closed pool keeps"},
+		"a connection is not given back": {func(s *poolSteps) {
+			s.release = func(_ *Pool, conn *Conn) { conn.detachReader() }
+		}, "nobody's"},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			steps := trueSteps()
+			fault.plant(&steps)
+			_, err := explorePool(t, steps, poolDepth)
+			require.ErrorContains(t, err, fault.finding)
+		})
+	}
+}
--- /dev/null
+++ b/internal/proxy/upstream/silent_test.go
@@ -0,0 +1,128 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+func TestDialFailures(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead := Server{ID: "i-1", Address: listener.Addr().String()}
+	require.NoError(t, listener.Close())
+	_, err = NewPool().Connect(context.Background(), dead, usual, time.Now().Add(patience))
+	var dialError *DialError
+	require.ErrorAs(t, err, &dialError)
+	require.False(t, dialError.Silent, "it refused")
+
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = NewPool().Connect(gone, dead, usual, time.Now().Add(patience))
+	require.ErrorAs(t, err, &dialError)
+}
+
+// fullListener returns the address of a socket that answers no more connection attempts: its queue is full.
+func fullListener(t *testing.T) Server {
+	t.Helper()
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(descriptor) })
+	require.NoError(t, syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(descriptor, 0))
+	bound, err := syscall.Getsockname(descriptor)
+	require.NoError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp4", address, 50*time.Millisecond)
+		if err != nil {
+			return Server{ID: "i-1", Address: address}
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+func TestAMachineThatDoesNotAnswerADialIsSilent(t *testing.T) {
+	silent := fullListener(t)
+	patient := Patience{Dial: 60 * time.Millisecond}
+	_, err := NewPool().Connect(context.Background(), silent, patient, time.Now().Add(patience))
+	var dialError *DialError
+	require.ErrorAs(t, err, &dialError)
+	require.True(t, dialError.Silent)
+
+	_, err = NewPool().Connect(context.Background(), silent, usual, time.Now().Add(minDial))
+	require.ErrorAs(t, err, &dialError)
+	require.False(t, dialError.Silent, "it was given too little time to tell")
+}
+
+// unanswered is a connection whose other end does not take in what was sent to it, so that the system finds it
+// silent.
+func unanswered(t *testing.T, pool *Pool) *Conn {
+	t.Helper()
+	stays := make(chan struct{})
+	t.Cleanup(func() { close(stays) })
+	conn := connect(t, pool, scriptedServer(t, func(*net.TCPConn) { <-stays }))
+	conn.setContact(100 * time.Millisecond)
+	// On a machine that is short of processor time one slice may end before the other end's window is full.
+	require.Eventually(t, func() bool {
+		conn.SetDeadline(time.Now().Add(50 * time.Millisecond))
+		_ = conn.Send(make([]byte, 32<<20), nil)
+		return unacknowledged(t, conn) > 0
+	}, patience, pause)
+	conn.SetDeadline(time.Now().Add(patience))
+	return conn
+}
+
+// unacknowledged is the number of bytes that the other end's system has not taken in yet.
+func unacknowledged(t *testing.T, conn *Conn) int {
+	t.Helper()
+	count := 0
+	require.NoError(t, conn.raw.Control(func(descriptor uintptr) {
+		var err error
+		count, err = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		require.NoError(t, err)
+	}))
+	return count
+}
+
+func TestAMachineThatTakesNothingInIsSilent(t *testing.T) {
+	conn := unanswered(t, NewPool())
+	_, err := conn.Receive(http.MethodGet, "id1")
+	var answerError *AnswerError
+	require.ErrorAs(t, err, &answerError)
+	require.Equal(t, FaultSilent, answerError.Fault)
+}
+
+func TestASweepTellsOfSilentMachines(t *testing.T) {
+	pool := NewPool()
+	conn := unanswered(t, pool)
+	other := connect(t, pool, conn.server)
+	conn.broken, conn.contact = false, contactIdle // as if its request had been answered
+	pool.Release(conn)
+	pool.Release(other)
+	require.Equal(t, 2, pool.Stats().IdleNow)
+	require.Eventually(t, func() bool {
+		silent := pool.Sweep(time.Now(), nil)
+		return len(silent) == 1 && silent[0] == conn.server
+	}, patience, pause)
+	require.Zero(t, pool.Stats().IdleNow, "the other connection leads there as well")
+	require.Empty(t, pool.Sweep(time.Now(), nil))
+}
+
+func TestConnectionsToAForgottenServerAreClosed(t *testing.T) {
+	pool := NewPool()
+	server := scriptedServer(t, holding(goodAnswer))
+	pool.Release(connect(t, pool, server))
+	pool.Forget(Server{ID: "other"})
+	require.Equal(t, 1, pool.Stats().IdleNow)
+	pool.Forget(server)
+	require.Zero(t, pool.Stats().IdleNow)
+	require.False(t, connect(t, pool, server).Reused())
+}
