--- a/internal/registry/agents_cut_test.go
+++ b/internal/registry/agents_cut_test.go
@@ -142,7 +142,7 @@
 // look takes an answer of each machine.
 func (d *directory) look() {
 	for _, machine := range d.machines {
-		named := machine.agents.Refresh(d.now).Endpoints(d.now-d.liveFor, "", "", 0)
+		named := machine.agents.Refresh(d.now).Endpoints(d.now-d.liveFor, Client{}, 0)
 		for _, edge := range d.edges {
 			if !edge.killed || !slices.Contains(named, edge.host) {
 				continue
