--- a/internal/controlsim/large_test.go
+++ b/internal/controlsim/large_test.go
@@ -113,6 +113,7 @@
 		made.routes = largeRoutes
 		made.order = &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: base, Body: largeBody(base+1, order.key, "b")}
 	default:
+		order.invalid = true
 		made.routes = largeRoutes
 		made.order = &pb.Order{Kind: pb.Order_KIND_REPLACE, Base: base, Body: largeBody(base+1, order.key, "none")}
 	}
