Test that the ring's folder lasts, and let unsynced new files be lost by themselves

Change: the folder's sync can be replaced in tests; before the first append returns, both folders are synced, once a life for the one above. In ringtest the coin for a new file is thrown whatever becomes of the writes.

Ruled out: renames and removals; the ring does neither.

--- a/internal/ring/export_test.go
+++ b/internal/ring/export_test.go
@@ -16,3 +16,6 @@
 	require.NoError(t, err)
 	require.NoError(t, file.Close())
 }
+
+// SyncBy lets a folder sync by another function.
+func (f *Folder) SyncBy(sync func(path string) (found bool, err error)) { f.sync = sync }
--- a/internal/ring/files.go
+++ b/internal/ring/files.go
@@ -37,11 +37,12 @@
 // Folder is a folder of the operating system. It implements Files.
 type Folder struct {
 	path       string
-	nameSynced bool // the folder's own name lasts in the folder that holds it
+	nameSynced bool                                      // the folder's own name lasts in the folder that holds it
+	sync       func(path string) (found bool, err error) // of one folder
 }
 
 // NewFolder returns the folder with a path. It is made when the first file is.
-func NewFolder(path string) *Folder { return &Folder{path: path} }
+func NewFolder(path string) *Folder { return &Folder{path: path, sync: syncFolder} }
 
 // Permissions of what a Folder makes.
 const (
@@ -86,11 +87,11 @@
 // Sync makes the folder's list of files last, and the first time the folder's own name. A folder that is missing
 // has nothing to sync.
 func (f *Folder) Sync() error {
-	found, err := syncFolder(f.path)
+	found, err := f.sync(f.path)
 	if err != nil || !found || f.nameSynced {
 		return err
 	}
-	if _, err := syncFolder(filepath.Dir(f.path)); err != nil {
+	if _, err := f.sync(filepath.Dir(f.path)); err != nil {
 		return err
 	}
 	f.nameSynced = true
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -370,3 +370,45 @@
 	_, err := ring.NewFolder(filepath.Join(t.TempDir(), "none")).Open("ring-0", false)
 	require.ErrorIs(t, err, fs.ErrNotExist)
 }
+
+// TestAFolderThatWasMadeLastsWithItsFiles: before the first append returns, both the files' names and the name of the
+// folder that was made for them are synced; after that the folder above costs nothing more.
+func TestAFolderThatWasMadeLastsWithItsFiles(t *testing.T) {
+	state := t.TempDir()
+	path := filepath.Join(state, "control")
+	var synced []string
+	var fault error
+	folder := ring.NewFolder(path)
+	folder.SyncBy(func(path string) (found bool, err error) {
+		if _, err := os.Stat(path); err != nil {
+			return false, nil
+		}
+		synced = append(synced, path)
+		return true, fault
+	})
+	opened, _, err := ring.Open("", ring.Options{Storage: folder})
+	require.NoError(t, err)
+	require.Empty(t, synced, "nothing is there yet")
+
+	fault = syscall.EIO
+	var writeError *ring.WriteError
+	require.ErrorAs(t, opened.Append(ring.Record{Kind: 1}), &writeError)
+	fault, synced = nil, nil
+	require.NoError(t, opened.Append(ring.Record{Kind: 1}))
+	require.Equal(t, []string{path, state}, synced)
+	require.NoError(t, opened.Append(ring.Record{Kind: 1}))
+	require.NoError(t, opened.Snapshot([]byte("s")))
+	require.Equal(t, []string{path, state, path}, synced)
+	require.NoError(t, opened.Close())
+
+	// A process that starts anew does not know whether the one before it came so far.
+	again := ring.NewFolder(path)
+	synced = nil
+	again.SyncBy(func(path string) (found bool, err error) {
+		synced = append(synced, path)
+		return true, nil
+	})
+	_, _, err = ring.Open("", ring.Options{Storage: again})
+	require.NoError(t, err)
+	require.Equal(t, []string{path, state}, synced)
+}
--- a/internal/ring/ringtest/disk.go
+++ b/internal/ring/ringtest/disk.go
@@ -3,7 +3,7 @@
 //
 // It behaves as a disk of the deployment does. When a process dies, files stay as they are. When power is
 // lost, a file holds what its last sync covered; each later write may be there, missing or torn, and at some
-// losses of power all of them are gone. A new file may be kept or lost until its folder is synced.
+// losses of power all of them are gone. A new file may be kept or lost until its folder is synced, whatever it holds.
 package ringtest
 
 import (
@@ -83,7 +83,7 @@
 	d.generation++
 	everything := d.random.Float64() < allLost
 	for _, name := range sortedNames(d.files) {
-		if _, lasts := d.lasting[name]; !lasts && !everything && d.random.IntN(2) == 0 {
+		if _, lasts := d.lasting[name]; !lasts && d.random.IntN(2) == 0 {
 			d.lasting[name] = d.files[name]
 		}
 	}
