End requests of clients that read nothing at the route's deadline

Cause: an answer could be written for 2 s beyond the deadline.

Change: writes end 200 ms after the deadline. A refusal of the proxy's own gets these 200 ms from its writing, so that one that comes late, on a machine that was held up, still goes out.

Ruled out: no slack (a last event at the deadline would be cut); 400 ms (over the quarter of a second).

--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -137,6 +137,60 @@
 	}
 }
 
+// TestAClientThatReadsNothingIsLeftAtTheDeadline: neither its request nor the server's work lasts longer.
+func TestAClientThatReadsNothingIsLeftAtTheDeadline(t *testing.T) {
+	const deadline, allowed = 60 * time.Millisecond, 500 * time.Millisecond
+	flood := func(begin func(conn *net.TCPConn, request arrival), piece string) reply {
+		return func(conn *net.TCPConn, request arrival) bool {
+			begin(conn, request)
+			for {
+				if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+					return false
+				}
+			}
+		}
+	}
+	cases := map[string]struct {
+		target string
+		server reply
+	}{
+		"a stream": {"/ts/x", flood(func(conn *net.TCPConn, request arrival) {
+			streamHead(conn, request, "x")
+		}, "data: "+repeated("x", 60_000)+"\n\n")},
+		"a large answer": {"/t/x", flood(func(conn *net.TCPConn, request arrival) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: id1\r\n%sTransfer-Encoding: chunked\r\n\r\n", headerAttemptID, seal)
+		}, repeated("x", 60_000))},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := newStandIn(t, "i-1", one.server)
+			r := newRig(t, server)
+			addRoutes(r, shortStream)
+			c := r.dial()
+			began := time.Now()
+			c.ask("GET", one.target, "", "")
+			<-server.closed
+			eventually(t, func() bool { return r.handler.counters.active.Load() == 0 }, "the request ends")
+			require.Less(t, time.Since(began), deadline+allowed)
+		})
+	}
+}
+
+// TestARefusalGoesOutHoweverLateItComes: a proxy that was held up answers all the same.
+func TestARefusalGoesOutHoweverLateItComes(t *testing.T) {
+	r := newRig(t)
+	late := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		require.NoError(t, http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(-time.Second)))
+		r.handler.refuse(writer, &refusal{status: http.StatusGatewayTimeout})
+	})
+	server := httptest.NewServer(late)
+	defer server.Close()
+	response, err := http.Get(server.URL)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+}
+
 // returned asks as a client does that was refused before: it has a little less time.
 func returned(target string) func(*client) {
 	return func(c *client) { c.ask("GET", target, headerDeadline+": 59\r\n", "") }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,8 +19,9 @@
 	retryAfterSetup = 200 * time.Millisecond
 	// retryAfterShort is told where a new try may succeed at once, here or at another proxy.
 	retryAfterShort = 50 * time.Millisecond
-	// writeSlack is how long after the deadline an answer may still be written to a client that reads slowly.
-	writeSlack = 2 * time.Second
+	// writeSlack is how long after the deadline an answer may still be written to a client that reads slowly. What a
+	// machine holds a quarter of a second past its route's deadline has a price, half a second breaks a rule.
+	writeSlack = 200 * time.Millisecond
 	// returnedSlack is how much less than the route's deadline a client's first try may tell: its way here takes
 	// time. Later tries tell what is left, which is less by the answer to the first one at least.
 	returnedSlack = 60 * time.Millisecond
@@ -82,9 +83,10 @@
 // refusalToLeave is the answer to a request that comes too late in a drain.
 var refusalToLeave = &refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, ends: true}
 
-// refuse writes an answer of the proxy's own.
+// refuse writes an answer of the proxy's own. It goes out however late it comes.
 func (h *handler) refuse(writer http.ResponseWriter, own *refusal) {
 	h.counters.countOwn(own.status)
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(writeSlack))
 	header := writer.Header()
 	suppressDefaults(header)
 	if own.retryAfter > 0 {
