--- a/internal/proxy/admission_test.go
+++ b/internal/proxy/admission_test.go
@@ -168,3 +168,24 @@
 		require.Equal(t, values, server.got()[0].header[name], name)
 	}
 }
+
+// TestOwnAnswersBearNoSeal: where a server's answer can't be passed on, the proxy's own carries nothing of it.
+func TestOwnAnswersBearNoSeal(t *testing.T) {
+	sealed := map[string]reply{
+		"a promise":    text(503, declines+seal+"X-Server: 1\r\n", "full"),
+		"misdirected":  text(421, seal+"X-Server: 1\r\n", ""),
+		"a cut answer": raw(answerHead + "X-Server: 1\r\nContent-Length: 9\r\n\r\nno"),
+		"429":          text(429, seal+"X-Server: 1\r\n", ""),
+	}
+	for name, answer := range sealed {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, newStandIn(t, "i-1", answer))
+			for _, target := range []string{"/m/x", "/i/x", "/s/x", "/r/x"} {
+				response, _ := r.get(target)
+				require.Contains(t, []int{502, 503}, response.StatusCode)
+				require.Empty(t, response.Header.Get(headerServerSeal), target)
+				require.Empty(t, response.Header.Get("X-Server"), target)
+			}
+		})
+	}
+}
--- a/internal/proxy/process_test.go
+++ b/internal/proxy/process_test.go
@@ -272,6 +272,60 @@
 	require.Equal(t, 431, response.StatusCode)
 }
 
+// TestNothingUnderWayIsCutByAChange: neither a configuration nor a list of servers, nor settings that are read again, cut
+// a request that was passed on, though they take away its route, its server or its zone.
+func TestNothingUnderWayIsCutByAChange(t *testing.T) {
+	next := make(chan struct{})
+	server := newStandIn(t, "i-1", func(conn *net.TCPConn, request arrival) bool {
+		if request.target == "/m/x" {
+			<-next
+			return good("ok")(conn, request)
+		}
+		streamHead(conn, request, "seal")
+		chunk(conn, event(1))
+		<-next
+		chunk(conn, event(2))
+		lastChunk(conn)
+		return true
+	})
+	r := startProcess(t, 1)
+	r.fill(server)
+	plain, streaming := r.dial(), r.dial()
+	plain.ask("POST", "/m/x", "", "body")
+	streaming.ask("GET", "/s/x", "", "")
+	stream := streaming.head("GET")
+	_, err := io.ReadFull(stream.Body, make([]byte, len(event(1))))
+	require.NoError(t, err)
+	eventually(t, func() bool { return len(server.got()) == 2 }, "both are at work")
+
+	changes := []*pb.Change{
+		{Upserts: []*pb.Item{{Kind: "setting", Name: "req-limits", Body: []byte(`{"max-header-bytes":90,"keepalive-ms":1,"header-read-ms":1}`)}}},
+		{Upserts: []*pb.Item{{Kind: "evacuation", Name: "z1"}}},
+		{Removals: []*pb.ItemKey{{Kind: "routes", Name: "mutating"}, {Kind: "routes", Name: "stream"}}},
+		{Upserts: []*pb.Item{{Kind: "setting", Name: "req-limits", Body: []byte(`{"max-header-bytes":900000,"keepalive-ms":99000}`)}}},
+		{ReplacesAll: true, Upserts: []*pb.Item{{Kind: "backends", Name: "s2", Body: []byte(`{"name":"s2"}`)}}},
+	}
+	for index, change := range changes {
+		change.Sequence, change.Generation = uint64(index+2), uint64(index+8)
+		r.apply(&pb.ApplyRequest{Changes: []*pb.Change{change}})
+	}
+	r.apply(&pb.ApplyRequest{List: &pb.ServerList{
+		Version: &pb.ListVersion{Epoch: 2},
+		Servers: []*pb.Server{{Id: "i-2", Service: "s2", Address: server.server.Address, Zone: "z2"}},
+	}})
+	r.process.applySettings(testSettings(2))
+	r.process.reloader.read()
+	r.process.sweep(r.process.state.load())
+
+	close(next)
+	response, body := plain.answer("POST")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "ok", body)
+	rest, err := io.ReadAll(stream.Body)
+	require.NoError(t, err)
+	require.Equal(t, event(2), string(rest))
+}
+
 func TestListenersThatCanNotBeOpened(t *testing.T) {
 	taken, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
