Merge the homes that clients of a region without a proxy are sent to

The directory keeps one index of homes (route.HomeIndex) for both: regions that are homes of all bound routes are named beside the client's own, those that are homes of the most of them where nothing else is near. The counts' table of tests moves with it, with the hosts' ports.

--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -16,6 +16,7 @@
 	"fieldrelay/internal/operatorapi"
 	"fieldrelay/internal/quorum"
 	"fieldrelay/internal/registry"
+	"fieldrelay/internal/route"
 	"fieldrelay/internal/settings"
 )
 
@@ -56,7 +57,7 @@
 // homes are the home regions of hosts in one state of the configuration.
 type homes struct {
 	snapshot *catalog.Snapshot
-	index    *catalog.HomeIndex
+	index    *route.HomeIndex
 }
 
 // newProcess returns a process that knows nothing yet. seed draws its epochs, its waits and the first version
@@ -92,8 +93,7 @@
 		InTouch:   func() bool { return p.node.Status().Authoritative },
 		ZoneKnown: p.knowsZone,
 		Endpoints: func(host, region, zone string) []string {
-			homes := p.homesOf(host)
-			client := registry.Client{Region: region, Zone: zone, Bound: homes.Bound, Homes: homes.Regions}
+			client := registry.Client{Region: region, Zone: zone, Homes: p.homesOf(host)}
 			return p.soft.Endpoints(client, p.rotation.Add(1))
 		},
 		EndpointsLifetime: func() time.Duration {
@@ -105,14 +105,14 @@
 
 // homesOf tells where requests to a host may be served. While this machine is out of touch, its configuration may
 // be old: any host may be bound then.
-func (p *process) homesOf(host string) catalog.Homes {
+func (p *process) homesOf(host string) route.Homes {
 	status := p.node.Status()
 	if !status.Authoritative || status.Committed == nil {
-		return catalog.Homes{Bound: true}
+		return route.Homes{Unknown: true}
 	}
 	known := p.homes.Load()
 	if known == nil || known.snapshot != status.Committed {
-		known = &homes{snapshot: status.Committed, index: status.Committed.HomeIndex()}
+		known = &homes{snapshot: status.Committed, index: route.NewHomeIndex(status.Committed)}
 		p.homes.Store(known)
 	}
 	return known.index.Of(host)
--- a/internal/controlserver/softstate.go
+++ b/internal/controlserver/softstate.go
@@ -170,7 +170,7 @@
 	settling := now < s.settlingFrom+directorySettling
 	s.mutex.Unlock()
 	members := s.Picture().members
-	served := members.MostlyServing(now) && (!client.Bound || members.Serves(now, client.Region))
+	served := members.MostlyServing(now) && (!client.Homes.Bound() || members.Serves(now, client.Region))
 	if settling && !served {
 		return nil
 	}
--- a/internal/controlserver/softstate_test.go
+++ b/internal/controlserver/softstate_test.go
@@ -9,6 +9,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/registry"
+	"fieldrelay/internal/route"
 )
 
 // heartbeatBetween passes the soft part of a heartbeat from one process to another.
@@ -91,11 +92,11 @@
 		record.Region = "west"
 		p.soft.Heard(record, nil)
 	}
-	require.Len(t, p.soft.Endpoints(registry.Client{Region: "west", Bound: true}, 0), 2)
-	require.Empty(t, p.soft.Endpoints(registry.Client{Region: "east", Bound: true}, 0), "its own proxies may not have been heard of yet")
+	require.Len(t, p.soft.Endpoints(registry.Client{Region: "west", Homes: route.Homes{Unknown: true}}, 0), 2)
+	require.Empty(t, p.soft.Endpoints(registry.Client{Region: "east", Homes: route.Homes{Unknown: true}}, 0), "its own proxies may not have been heard of yet")
 	require.Len(t, p.soft.Endpoints(registry.Client{Region: "east"}, 0), 2, "any proxy will do")
 	pass(p, directorySettling)
-	require.Len(t, p.soft.Endpoints(registry.Client{Region: "east", Bound: true}, 0), 2, "it has none")
+	require.Len(t, p.soft.Endpoints(registry.Client{Region: "east", Homes: route.Homes{Unknown: true}}, 0), 2, "it has none")
 }
 
 // TestManyAgentsWakeTheOthersOnce: members that change together are told together.
--- a/internal/registry/endpoints_test.go
+++ b/internal/registry/endpoints_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/route"
 )
 
 // placed is the record of an agent at a place.
@@ -37,12 +38,12 @@
 		"two in the zone":          {Client{Region: "west", Zone: "a"}, []string{"a1:80", "a2:80"}},
 		"one of many: region":      {Client{Region: "west", Zone: "b"}, []string{"a1:80", "a2:80", "b1:80"}},
 		"one in the region: all":   {Client{Region: "east", Zone: "c"}, everyone},
-		"one in the region, bound": {Client{Region: "east", Zone: "c", Bound: true}, []string{"c1:80"}},
-		"one, the home is near":    {Client{Region: "east", Zone: "c", Bound: true, Homes: []string{"west"}}, []string{"a1:80", "a2:80", "b1:80", "c1:80"}},
-		"one, no proxy at home":    {Client{Region: "east", Zone: "c", Bound: true, Homes: []string{"south"}}, []string{"c1:80"}},
-		"none, the home is near":   {Client{Region: "south", Zone: "e", Bound: true, Homes: []string{"east"}}, []string{"c1:80"}},
-		"none in the region":       {Client{Region: "south", Zone: "e", Bound: true}, everyone},
-		"unknown place: all":       {Client{Bound: true}, everyone},
+		"one in the region, bound": {Client{Region: "east", Zone: "c", Homes: route.Homes{Unknown: true}}, []string{"c1:80"}},
+		"one, the home is near":    {Client{Region: "east", Zone: "c", Homes: route.Homes{Routes: 3, ByRegion: map[string]int{"west": 3}}}, []string{"a1:80", "a2:80", "b1:80", "c1:80"}},
+		"one, no proxy at home":    {Client{Region: "east", Zone: "c", Homes: route.Homes{Routes: 3, ByRegion: map[string]int{"south": 3}}}, []string{"c1:80"}},
+		"none, the home is near":   {Client{Region: "south", Zone: "e", Homes: route.Homes{Routes: 3, ByRegion: map[string]int{"east": 3}}}, []string{"c1:80"}},
+		"none in the region":       {Client{Region: "south", Zone: "e", Homes: route.Homes{Unknown: true}}, everyone},
+		"unknown place: all":       {Client{Homes: route.Homes{Unknown: true}}, everyone},
 		"unknown zone: region":     {Client{Region: "north", Zone: "x"}, []string{"d1:80", "d2:80", "d3:80"}},
 	}
 	for name, one := range cases {
@@ -85,7 +86,7 @@
 			for _, record := range threeRegions() {
 				agents.Heard(now, record)
 			}
-			got := agents.Refresh(now).Endpoints(now, Client{Region: "east", Zone: "c", Bound: true}, 0)
+			got := agents.Refresh(now).Endpoints(now, Client{Region: "east", Zone: "c", Homes: route.Homes{Unknown: true}}, 0)
 			require.Contains(t, got, "c1:80")
 			outside := slices.ContainsFunc(got, func(address string) bool { return address[0] != 'c' })
 			require.Equal(t, one.helped, outside, "%v", got)
@@ -93,13 +94,43 @@
 	}
 }
 
+// TestARegionWithoutAProxyIsHelpedByHomes: the clients of a host whose routes have homes are sent to those of the most of
+// them, as long as their own region has no proxy.
+func TestARegionWithoutAProxyIsHelpedByHomes(t *testing.T) {
+	everyone := []string{"a1:80", "a2:80", "b1:80", "c1:80", "d1:80", "d2:80", "d3:80"}
+	cases := map[string]struct {
+		region string
+		homes  route.Homes
+		want   []string
+	}{
+		"no homes":                      {"south", route.Homes{}, everyone},
+		"one home":                      {"south", route.Homes{Routes: 3, ByRegion: map[string]int{"east": 3}}, []string{"c1:80"}},
+		"a home without a proxy":        {"south", route.Homes{Routes: 3, ByRegion: map[string]int{"far": 3}}, everyone},
+		"two homes alike":               {"south", route.Homes{Routes: 4, ByRegion: map[string]int{"east": 2, "west": 2}}, []string{"a1:80", "a2:80", "b1:80", "c1:80"}},
+		"the home of most":              {"south", route.Homes{Routes: 9, ByRegion: map[string]int{"east": 2, "north": 5, "far": 9}}, []string{"d1:80", "d2:80", "d3:80"}},
+		"a region with a proxy is kept": {"east", route.Homes{Routes: 9, ByRegion: map[string]int{"north": 5}}, []string{"c1:80"}},
+		"homes that are not known":      {"south", route.Homes{Unknown: true}, everyone},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			agents := NewAgents(0)
+			for _, record := range threeRegions() {
+				agents.Heard(0, record)
+			}
+			got := agents.Refresh(0).Endpoints(0, Client{Region: one.region, Zone: "e", Homes: one.homes}, 1)
+			slices.Sort(got)
+			require.Equal(t, one.want, got)
+		})
+	}
+}
+
 func TestEndpointsOfASmallSystem(t *testing.T) {
 	agents := NewAgents(0)
 	agents.Heard(0, agentRecord("a1", 1))
 	agents.Heard(0, agentRecord("b1", 1))
 	agents.Heard(0, agentRecord("c1", 1))
 	members := agents.Refresh(0)
-	require.Equal(t, []string{"b1:80"}, members.Endpoints(0, Client{Region: "region", Zone: "zone-b", Bound: true}, 0), "a third of all suffices")
+	require.Equal(t, []string{"b1:80"}, members.Endpoints(0, Client{Region: "region", Zone: "zone-b", Homes: route.Homes{Unknown: true}}, 0), "a third of all suffices")
 }
 
 func TestServes(t *testing.T) {
@@ -129,8 +160,8 @@
 		agents.Heard(0, record)
 	}
 	members := agents.Refresh(0)
-	require.Equal(t, []string{"a4:80"}, members.Endpoints(0, Client{Region: "region", Zone: "zone-a", Bound: true}, 0))
-	require.Empty(t, members.Endpoints(LiveFor, Client{Region: "region", Zone: "zone-a", Bound: true}, 0), "an old picture shows nobody")
+	require.Equal(t, []string{"a4:80"}, members.Endpoints(0, Client{Region: "region", Zone: "zone-a", Homes: route.Homes{Unknown: true}}, 0))
+	require.Empty(t, members.Endpoints(LiveFor, Client{Region: "region", Zone: "zone-a", Homes: route.Homes{Unknown: true}}, 0), "an old picture shows nobody")
 }
 
 func TestEndpointsRotateAndAreBounded(t *testing.T) {
@@ -141,7 +172,7 @@
 	members := agents.Refresh(0)
 	firsts := make(map[string]bool)
 	for rotation := range uint64(100) {
-		endpoints := members.Endpoints(0, Client{Region: "region", Zone: "zone-a", Bound: true}, rotation)
+		endpoints := members.Endpoints(0, Client{Region: "region", Zone: "zone-a", Homes: route.Homes{Unknown: true}}, rotation)
 		require.Len(t, endpoints, MaxEndpoints)
 		slices.Sort(endpoints[1:])
 		require.Len(t, slices.Compact(endpoints), MaxEndpoints)
--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/route"
 )
 
 const (
@@ -76,23 +77,22 @@
 type Client struct {
 	Region string // empty: not told
 	Zone   string // empty: not told
-	// Bound: some requests to the host that it asks for may be served in home regions only, and must not be sent to
-	// proxies in regions that are neither homes nor the client's.
-	Bound bool
-	// Homes are the regions in which all requests to that host may be served; of no importance if it is not bound.
-	Homes []string
+	// Homes are those of the host that it asks for: requests that have homes must not be sent to proxies in regions
+	// that are neither homes nor the client's.
+	Homes route.Homes
 }
 
-// isNear reports whether requests of the client may be sent to a region in any case.
+// isNear reports whether all requests of the client may be sent to a region.
 func (c *Client) isNear(region string) bool {
-	return !c.Bound || region == c.Region || slices.Contains(c.Homes, region)
+	return !c.Homes.Bound() || region == c.Region || c.Homes.AllMayBeIn(region)
 }
 
 // Endpoints returns the edge addresses that a client is to use: those of its zone if there are at least two or a
-// third of all, else those of its region by the same measure, else those of all regions that are near. Other regions
-// are named only if these have none, or if the client's has few because it has just lost some. Only proxies that are
-// live, ready and not draining count. The order is turned by rotation, so that clients that take the first ones
-// spread. The result is empty if no proxy takes requests.
+// third of all, else those of its region by the same measure, else those of all regions that are near. If a client
+// that is bound to homes has just lost a proxy of its region, and what is near does not suffice, all regions help. If
+// nothing is near, it gets those regions that are homes of the most of its routes. Only proxies that are live, ready
+// and not draining count. The order is turned by rotation, so that clients that take the first ones spread. The
+// result is empty if no proxy takes requests.
 func (m *Members) Endpoints(now time.Duration, client Client, rotation uint64) []string {
 	all := m.serving(now)
 	inZone := matching(all, func(record *pb.AgentRecord) bool { return record.Zone == client.Zone })
@@ -104,10 +104,28 @@
 		return rotated(inRegion, rotation)
 	}
 	near := matching(all, func(record *pb.AgentRecord) bool { return client.isNear(record.Region) })
-	if suffices(near, all) || (len(near) > 0 && !m.lossIn(now, client.Region)) {
+	switch {
+	case suffices(near, all):
 		return rotated(near, rotation)
+	case m.lossIn(now, client.Region):
+		return rotated(all, rotation)
+	case len(near) > 0:
+		return rotated(near, rotation)
+	default:
+		return rotated(inHomes(all, client.Homes), rotation)
+	}
+}
+
+// inHomes returns the records in those regions that are homes of the most routes; all if none is one.
+func inHomes(all []*pb.AgentRecord, homes route.Homes) []*pb.AgentRecord {
+	most := 0
+	for _, record := range all {
+		most = max(most, homes.ByRegion[record.Region])
+	}
+	if most == 0 {
+		return all
 	}
-	return rotated(all, rotation)
+	return matching(all, func(record *pb.AgentRecord) bool { return homes.ByRegion[record.Region] == most })
 }
 
 // Serves reports whether a proxy of the region takes requests. Clients that tell no region are served by any.
--- /dev/null
+++ b/internal/route/homes_test.go
@@ -0,0 +1,63 @@
+package route
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// stateOf is a state that holds items.
+func stateOf(t *testing.T, items ...*pb.Item) *catalog.Snapshot {
+	t.Helper()
+	state, err := catalog.Empty().Apply(&pb.Change{Sequence: 1, Generation: 1, Upserts: items})
+	require.NoError(t, err)
+	return state
+}
+
+func TestHomesOfHosts(t *testing.T) {
+	index := NewHomeIndex(stateOf(t,
+		item(catalog.KindRoutes, "a", `{"vhost":"One.example:80","path-prefix":"/a/","backend":"s","home-regions":["west","east"]}`),
+		item(catalog.KindRoutes, "b", `{"vhost":"one.example","path-prefix":"/b/","backend":"s","home-regions":["east"]}`),
+		item(catalog.KindRoutes, "c", `{"vhost":"one.example","path-prefix":"/c/","backend":"s"}`),
+		item(catalog.KindRoutes, "d", `{"vhost":"two.example","path-prefix":"/d/","backend":"s","home-regions":[]}`),
+		item(catalog.KindRoutes, "e", `{"vhost":"three.example","path-prefix":"/e/","backend":"s","home-regions":["north"]}`),
+		item(catalog.KindRoutes, "f", `{"vhost":"three.example","path-prefix":"","backend":"s","home-regions":["north"]}`),
+		item(catalog.KindRoutes, "g", `no route`),
+	))
+	one := Homes{Routes: 2, ByRegion: map[string]int{"west": 1, "east": 2}}
+	require.Equal(t, one, index.Of("one.example"))
+	require.Equal(t, one, index.Of("ONE.example:8080"))
+	require.Equal(t, Homes{}, index.Of("two.example"))
+	require.Equal(t, Homes{Routes: 1, ByRegion: map[string]int{"north": 1}}, index.Of("three.example"))
+	require.True(t, one.Bound())
+	require.True(t, one.AllMayBeIn("east"))
+	require.False(t, one.AllMayBeIn("west"))
+	require.False(t, index.Of("two.example").Bound())
+}
+
+func TestHomesOfOtherItemsMayConcernAllHosts(t *testing.T) {
+	homes := NewHomeIndex(stateOf(t, item("tenants", "t", `{"home-regions":["west"]}`))).Of("any.example")
+	require.True(t, homes.Bound())
+	require.False(t, homes.AllMayBeIn("west"))
+}
+
+func TestBodiesThatMentionHomes(t *testing.T) {
+	cases := map[string]bool{
+		`{}`:                                 false,
+		`{"home-regions":[]}`:                false,
+		`{"home-regions" : [ ]}`:             false,
+		`{"home-regions":null}`:              false,
+		`{"home-regions":["west"]}`:          true,
+		"{\"home-regions\" :\n[ \"west\" ]}": true,
+		`{"o":{"home-regions":[]},"home-regions":["west"]}`: true,
+		`{"note":"\"home-regions\":[1]"}`:                   false,
+		`{"home-regions"`:                                   true,
+	}
+	for body, want := range cases {
+		t.Run(strconv.Quote(body), func(t *testing.T) { require.Equal(t, want, mentionsHomes([]byte(body))) })
+	}
+}
