Count evacuations as young while their callers are sure to wait

Cause: 0.1 s from accept to handling is passed on a machine that is busy with large configurations, and each such evacuation then waited 0.3 s more of the second that its caller has. Callers wait for a second, so one whose connection was ready 0.7 s ago or less still waits, and leaves later at most: then the order is withdrawn.

Also tested: a picture that a standing loop left gives no authority.

--- a/internal/control/authority_test.go
+++ b/internal/control/authority_test.go
@@ -110,3 +110,12 @@
 	a.pass(2*TickPeriod, 0, 1)
 	require.True(t, a.machine.Authoritative())
 }
+
+func TestThePictureThatAStandingLoopLeftGivesNoAuthority(t *testing.T) {
+	node := &Node{began: time.Now().Add(-time.Hour)}
+	node.status.Store(&Status{Authoritative: true})
+	node.stepped.Store(int64(time.Hour - lateWake))
+	require.False(t, node.Status().Authoritative)
+	node.stepped.Store(int64(time.Hour))
+	require.True(t, node.Status().Authoritative)
+}
--- a/internal/operatorapi/caller.go
+++ b/internal/operatorapi/caller.go
@@ -15,8 +15,9 @@
 // not certain is taken only if its caller is still there a moment later.
 
 const (
-	// YoungFor is how long after its connection was ready for it a request is certain to be young.
-	YoungFor = 100 * time.Millisecond
+	// YoungFor is how long after its connection was ready for it a request is certain to be young: callers wait
+	// for a second, so its caller waits still.
+	YoungFor = 700 * time.Millisecond
 
 	// CallerProof is how long the end of a connection may come after a request that it follows: it needs one
 	// round trip when a cut ends.
