--- a/internal/controlsim/distance_test.go
+++ b/internal/controlsim/distance_test.go
@@ -17,6 +17,8 @@
 	// caughtUpWithin is the limit for a member to hold all that was committed when it returned, from its return
 	// or from the end of the last trouble on its way: sync-s of the sites.
 	caughtUpWithin = 4 * time.Second
+	// caughtUpHarmed is the limit where the network loses messages, or holds some up for seconds.
+	caughtUpHarmed = 8 * time.Second
 	// changeWithin is what a change may take on the mean while one member is away.
 	changeWithin = time.Second
 	// beforeAbsence is the number of changes before a member leaves, and firstChangesWithin their limit.
@@ -76,6 +78,14 @@
 	busy     bool // changes go on while it catches up
 }
 
+// limit is the time within which the member must have caught up.
+func (f far) limit() time.Duration {
+	if f.plan.calm {
+		return caughtUpWithin
+	}
+	return caughtUpHarmed
+}
+
 func (f far) String() string {
 	return fmt.Sprintf("seed %d: %d changes, %d routes, %v, %v, busy %v, %d machines",
 		f.plan.seed, f.distance, f.routes, f.absence, f.obstacle, f.busy, f.plan.machines)
@@ -129,6 +139,7 @@
 		w := playFar(run)
 		w.note("%v", run)
 		caught.add(fmt.Sprintf("%4d changes, %4d routes", run.distance, run.routes), w.caught)
+		caught.add(fmt.Sprintf("calm network %v", run.plan.calm), w.caught)
 		caught.add(run.absence.String(), w.caught)
 		caught.add(fmt.Sprintf("%v, %d routes", w.met(), run.routes), w.caught)
 		return w.world
