--- /dev/null
+++ b/internal/controlserver/distance_test.go
@@ -0,0 +1,150 @@
+package controlserver
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/gossip"
+)
+
+// farDistances reach from what history keeps to twelve times that.
+var farDistances = []uint64{1, catalog.HistoryMaxChanges, catalog.HistoryMaxChanges + 1, 1000, 3000}
+
+// farAgent is an agent's copy of the state, which it brings up to date by calls to one machine.
+type farAgent struct {
+	t       *testing.T
+	process *process
+	held    *gossip.Copy
+	digests bool // the last answer asked for them
+	alter   func(*pb.WatchResponse)
+}
+
+// ask makes one call and takes its answer.
+func (a *farAgent) ask(between func()) *pb.WatchResponse {
+	request := current(a.process)
+	request.HoldMs = 0
+	request.Sequence = a.held.Sequence()
+	base := a.held.Snapshot()
+	if a.digests {
+		request.Digests = base.Digests()
+	}
+	between()
+	got := watch(a.process, request)
+	require.NoError(a.t, got.err)
+	if a.alter != nil {
+		a.alter(got.answer)
+	}
+	before := a.held.Sequence()
+	a.held.ApplyChanges(got.answer.GetChanges())
+	if repair := got.answer.GetRepair(); repair != nil {
+		if !a.digests {
+			base = nil
+		}
+		_, err := a.held.Restore(base, repair)
+		require.NoError(a.t, err)
+	}
+	a.digests = got.answer.GetNeedDigests()
+	require.GreaterOrEqual(a.t, a.held.Sequence(), before)
+	return got.answer
+}
+
+func (a *farAgent) holdsNewest() bool {
+	return proto.Equal(a.held.Snapshot().Digests(), a.process.node.Status().Committed.Digests())
+}
+
+// newFarAgent returns an agent that is so many changes behind a machine, which may have been started anew since.
+func newFarAgent(t *testing.T, distance uint64, restarted bool) (*farAgent, *fakeNode) {
+	p, node := newTestProcess(t)
+	replace(t, node, 0, 1)
+	agent := &farAgent{t: t, process: p, held: gossip.NewCopy()}
+	agent.ask(func() {})
+	require.True(t, agent.holdsNewest())
+	for generation := uint64(1); generation <= distance; generation++ {
+		amend(t, node, generation)
+	}
+	if restarted {
+		node.forgetHistory()
+	}
+	return agent, node
+}
+
+// amend changes one of some routes.
+func amend(t *testing.T, node *fakeNode, base uint64) {
+	t.Helper()
+	body := fmt.Sprintf(`{"gen":%d,"upsert":{"backends":[{"name":"far-%d","made-by":%d}]}}`, base+1, base%40, base)
+	result := node.Submit(t.Context(), &pb.Order{Kind: pb.Order_KIND_AMEND, Base: base, Body: []byte(body)})
+	require.EqualValues(t, 200, result.GetStatus())
+}
+
+// An agent has caught up with the second answer at the latest, with the first one while history reaches.
+func TestAgentFarBehindCatchesUpWithTwoAnswers(t *testing.T) {
+	for _, distance := range farDistances {
+		for _, restarted := range []bool{false, true} {
+			t.Run(fmt.Sprint(distance, " restarted ", restarted), func(t *testing.T) {
+				agent, _ := newFarAgent(t, distance, restarted)
+				agent.ask(func() {})
+				if restarted || distance > catalog.HistoryMaxChanges {
+					require.False(t, agent.holdsNewest())
+					agent.ask(func() {})
+				}
+				require.True(t, agent.holdsNewest())
+			})
+		}
+	}
+}
+
+// Changes that come between an agent's call and its answer, the loss of history, and a machine that holds an older
+// state than the agent: the copy never falls, and is what its number stands for.
+func TestAgentFarBehindWhileChangesGoOn(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		agent, node := newFarAgent(t, 1+random.Uint64N(600), random.IntN(2) == 0)
+		var older []*catalog.Snapshot
+		for range 40 {
+			older = append(older, node.Status().Committed)
+			agent.ask(func() {
+				for range random.IntN(30) {
+					amend(t, node, node.Status().Committed.Generation())
+				}
+				if random.IntN(5) == 0 {
+					node.forgetHistory()
+				}
+			})
+			agent.askOlder(node, older[random.IntN(len(older))])
+		}
+		agent.ask(func() {})
+		agent.ask(func() {})
+		require.True(t, agent.holdsNewest(), "seed %d", seed)
+	}
+}
+
+// askOlder asks the machine while it holds an older state.
+func (a *farAgent) askOlder(node *fakeNode, older *catalog.Snapshot) {
+	newest := node.Status().Committed
+	digests := a.digests
+	before := a.held.Snapshot()
+	node.alter(func(status *control.Status) { status.Committed = older })
+	answer := a.ask(func() {})
+	if older.Sequence() <= before.Sequence() {
+		require.Same(a.t, before, a.held.Snapshot())
+		require.Nil(a.t, answer.GetRepair())
+		require.Empty(a.t, answer.GetChanges())
+	}
+	node.alter(func(status *control.Status) { status.Committed = newest })
+	a.digests = digests
+}
+
+func TestAnswersWithoutStateLeaveAnAgentBehind(t *testing.T) {
+	agent, _ := newFarAgent(t, 1000, false)
+	agent.alter = func(answer *pb.WatchResponse) { answer.Changes, answer.Repair = nil, nil }
+	agent.ask(func() {})
+	agent.ask(func() {})
+	require.False(t, agent.holdsNewest())
+}
