--- a/internal/controlsim/distance_test.go
+++ b/internal/controlsim/distance_test.go
@@ -129,6 +129,7 @@
 		w := playFar(run)
 		w.note("%v", run)
 		caught.add(fmt.Sprintf("%4d changes, %4d routes", run.distance, run.routes), w.caught)
+		caught.add(fmt.Sprintf("calm network %v", run.plan.calm), w.caught)
 		caught.add(run.absence.String(), w.caught)
 		caught.add(fmt.Sprintf("%v, %d routes", w.met(), run.routes), w.caught)
 		return w.world
