--- a/internal/controlsim/race_test.go
+++ b/internal/controlsim/race_test.go
@@ -58,7 +58,12 @@
 	kill := func(position int) func(*world, []*host) {
 		return func(_ *world, chained []*host) { chained[position].kill() }
 	}
+	terminate := func(position int) func(*world, []*host) {
+		return func(_ *world, chained []*host) { chained[position].terminate(func(bool) {}) }
+	}
 	return []upheaval{
+		{"the head is told to end", terminate(0), startAll},
+		{"the tail is told to end", terminate(2), startAll},
 		{"the head is killed", kill(0), startAll},
 		{"a middle machine is killed", kill(1), startAll},
 		{"the tail is killed", kill(2), startAll},
