--- /dev/null
+++ b/internal/catalog/taken_items_test.go
@@ -0,0 +1,124 @@
+package catalog_test
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// itemLimit is the number of orders that commit d046182 kept as items.
+const itemLimit = 64
+
+// itemName is the name of the item that d046182 kept for an order.
+func itemName(order takenOrder) string {
+	text := "amend"
+	if order.isReplace() {
+		text = "replace"
+	}
+	data := append([]byte(text), 0)
+	data = binary.BigEndian.AppendUint64(data, order.base)
+	sum := sha256.Sum256(append(data, order.body...))
+	return hex.EncodeToString(sum[:])
+}
+
+// takeAsItems takes orders as d046182 did.
+func takeAsItems(t *testing.T, snapshot *catalog.Snapshot, count int) (*catalog.Snapshot, []takenOrder) {
+	var orders []takenOrder
+	for range count {
+		order := orderOn(snapshot.Generation(), "a")
+		change, err := order.prepare(snapshot)
+		require.NoError(t, err)
+		change.Taken = nil
+		change.Upserts = append(change.Upserts, &pb.Item{
+			Kind:     "taken",
+			Name:     itemName(order),
+			Order:    change.GetSequence(),
+			Sequence: change.GetSequence(),
+			Body:     []byte(strconv.FormatUint(change.GetGeneration(), 10)),
+		})
+		if items := snapshot.Items("taken"); len(items) >= itemLimit {
+			change.Removals = append(change.Removals, &pb.ItemKey{Kind: "taken", Name: items[0].GetName()})
+		}
+		snapshot, err = snapshot.Apply(change)
+		require.NoError(t, err)
+		orders = append(orders, order)
+	}
+	return snapshot, orders
+}
+
+func TestItemsOfTakenOrdersAreMigrated(t *testing.T) {
+	for _, count := range []int{1, itemLimit - 1, itemLimit, 200} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			state, orders := takeAsItems(t, catalog.Empty(), count)
+			migrated, found := state.MigrateTaken()
+			require.True(t, found)
+			require.NotContains(t, migrated.Kinds(), "taken")
+			require.Equal(t, state.Sequence(), migrated.Sequence())
+			require.Equal(t, readBack(t, state), readBack(t, migrated))
+			known := min(count, itemLimit-1)
+			for index, order := range orders {
+				want := http.StatusOK
+				if index < count-known {
+					want = http.StatusServiceUnavailable
+				}
+				require.Equal(t, want, answerTo(t, migrated, order), "order %d", index)
+			}
+			again, found := migrated.MigrateTaken()
+			require.False(t, found)
+			require.Same(t, migrated, again)
+		})
+	}
+}
+
+// A head of the earlier version takes orders between two of this one: what came before is not known any more, and
+// nothing is refused for that.
+func TestOrdersTakenByAHeadOfTheEarlierVersion(t *testing.T) {
+	state, before := takeOrders(t, catalog.Empty(), 10, "a")
+	state, between := takeAsItems(t, state, 5)
+	state, after := takeOrders(t, state, 10, "a")
+	check := func(state *catalog.Snapshot) {
+		for _, order := range append(before, between...) {
+			require.Equal(t, http.StatusServiceUnavailable, answerTo(t, state, order), "order on %d", order.base)
+		}
+		for _, order := range after {
+			require.Equal(t, http.StatusOK, answerTo(t, state, order), "order on %d", order.base)
+		}
+	}
+	check(state)
+	migrated, found := state.MigrateTaken()
+	require.True(t, found)
+	require.NotContains(t, migrated.Kinds(), "taken")
+	check(migrated)
+}
+
+// Items that do not lead to the generation in force, or cannot be read, are not trusted.
+func TestItemsThatDoNotFitAreNotTrusted(t *testing.T) {
+	state, orders := takeAsItems(t, catalog.Empty(), 10)
+	newest := state.Items("taken")[9]
+	damage := map[string]*pb.Change{
+		"one is missing": {Removals: []*pb.ItemKey{{Kind: "taken", Name: newest.GetName()}}},
+		"no generation":  {Upserts: []*pb.Item{{Kind: "taken", Name: newest.GetName(), Order: newest.GetOrder(), Body: []byte("x")}}},
+		"no digest":      {Upserts: []*pb.Item{{Kind: "taken", Name: "abc", Order: 1, Body: []byte("1")}}},
+	}
+	for name, change := range damage {
+		t.Run(name, func(t *testing.T) {
+			change.Sequence, change.Generation = state.Sequence()+1, state.Generation()
+			damaged, err := state.Apply(change)
+			require.NoError(t, err)
+			migrated, found := damaged.MigrateTaken()
+			require.True(t, found)
+			require.Equal(t, http.StatusServiceUnavailable, answerTo(t, migrated, orders[3]))
+			_, later := takeOrders(t, migrated, 1, "a")
+			require.Len(t, later, 1)
+		})
+	}
+}
