--- a/cmd/fieldrelay-region/check_state.go
+++ b/cmd/fieldrelay-region/check_state.go
@@ -69,6 +69,8 @@
 	state := inspection.State
 	fmt.Fprintf(output, "recovers: sequence %d, generation %d, %d items, evacuated zones %v\n",
 		state.Sequence(), state.Generation(), state.Len(), state.EvacuatedZones())
+	orders, since := state.TakenOrders()
+	fmt.Fprintf(output, "recovers: the orders taken since generation %d are known again, %d of them\n", since, orders)
 }
 
 func printView(output io.Writer, view *pb.View, basis uint64) {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -99,6 +99,10 @@
 	return zones
 }
 
+// TakenOrders is the number of orders that are remembered as taken, and the generation that the oldest builds on:
+// whether one on an earlier generation was taken is not known. Only replicas remember any.
+func (s *Snapshot) TakenOrders() (count int, since uint64) { return s.taken.len(), s.taken.base }
+
 // Apply returns the state after a change, which must be the next one: a *SequenceError is returned if the
 // change's sequence is not Sequence()+1. The change's items are kept, not copied.
 func (s *Snapshot) Apply(change *pb.Change) (*Snapshot, error) {
--- a/internal/catalog/taken_test.go
+++ b/internal/catalog/taken_test.go
@@ -91,6 +91,9 @@
 	require.Positive(t, forgotten)
 	require.GreaterOrEqual(t, count-forgotten, catalog.TakenCapacity)
 	require.Less(t, count-forgotten, catalog.TakenCapacity+64, "the record is bounded")
+	held, since := snapshot.TakenOrders()
+	require.Equal(t, count-forgotten, held)
+	require.EqualValues(t, forgotten, since)
 }
 
 func TestAnOrderOnAGenerationThatNeverWasIsRefused(t *testing.T) {
