Bear the next loss as soon as the budget is free: odd votes, prompt successors, an adversary

Ruled out: more voters (an even number bears no more than the odd one below); changing several votes in one view. Change: a joiner gets a vote of its own only where that is of use, else it stands by for the place of one that leaves or falls silent; while a voter is unheard for 0.7 s, or joiners came within the last 2 s, they wait for its place; of several the one from the zone with the fewest votes, and one more vote is moved where a zone has two too many. A new view or copy on disk is told by a heartbeat at once. A leaver ends when the members that it leaves have the view on disk; of two voters one can hand over.

--- a/internal/control/disk.go
+++ b/internal/control/disk.go
@@ -95,12 +95,23 @@
 			m.send(reply.To, reply.Message)
 		}
 		if done.chain {
-			m.perform(m.replica.Saved())
-			m.settleOrders()
+			m.saved()
 		}
 	}
 }
 
+// saved goes on with what the replica has on disk now. The others are told at once of a view or a copy that is there:
+// machines that wait to end, to join or to be copied go on by that.
+func (m *Machine) saved() {
+	before := m.replica.Published()
+	m.perform(m.replica.Saved())
+	m.settleOrders()
+	after := m.replica.Published()
+	if after.ViewNumber != before.ViewNumber || after.Holds != before.Holds {
+		m.sendHeartbeats()
+	}
+}
+
 // diskHealthy reports whether writes succeed within slowWrite.
 func (m *Machine) diskHealthy() bool {
 	if m.disk.failed {
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -47,37 +47,47 @@
 	}
 }
 
-// hasLeft reports whether the others go on without this machine: it is not in the chain, the chain has the copies
-// required, and the voters are as they should be without it.
+// hasLeft reports whether the others go on without this machine: it is not in the chain, so many members of the chain
+// have the view on disk and hold its state that it outlives a further loss, and the vote is settled.
 func (m *Machine) hasLeft() bool {
 	view := m.View()
 	identity := m.self.GetIdentity()
-	if view == nil || quorum.IndexOf(view.GetVoters(), identity) == quorum.NotFound {
+	if view == nil {
 		return true
 	}
-	if quorum.IndexOf(view.GetChain(), identity) != quorum.NotFound {
+	if quorum.IndexOf(view.GetChain(), identity) != quorum.NotFound || !m.isHeldElsewhere() {
 		return false
 	}
+	voters, changed := quorum.NextVoters(view, m.electorate())
+	votes := quorum.IndexOf(view.GetVoters(), identity) != quorum.NotFound
+	loses := changed && quorum.IndexOf(voters, identity) == quorum.NotFound
+	return !votes || !loses
+}
+
+// isHeldElsewhere reports whether the members of the chain that hold the view and its state, and are to stay, are
+// enough by themselves.
+func (m *Machine) isHeldElsewhere() bool {
+	view := m.View()
 	candidates := m.candidates(view.GetChain())
 	holders := slices.DeleteFunc(slices.Clone(view.GetChain()), func(member *pb.Replica) bool {
 		candidate := candidates[member.GetIdentity()]
 		return !candidate.Fit || !candidate.Holds || candidate.Leaving
 	})
-	if !m.config.Requirement.MetBy(holders, view.GetVoters()) {
-		return false
-	}
-	voters, _ := quorum.NextVoters(view, m.electorate())
-	return quorum.IndexOf(voters, identity) != quorum.NotFound
+	return m.config.Requirement.MetBy(holders, view.GetVoters())
 }
 
-// hasSuccessors reports whether a majority of the voters is heard and one of the others is to stay.
+// hasSuccessors reports whether a majority of the voters is heard and another machine, perhaps one that waits to join,
+// is to stay.
 func (m *Machine) hasSuccessors() bool {
 	if !m.hearsMajority() {
 		return false
 	}
-	return slices.ContainsFunc(m.View().GetVoters(), func(voter *pb.Replica) bool {
-		return m.isLive(voter.GetIdentity()) && !m.isLeaving(voter.GetIdentity())
-	})
+	for identity := range m.peers.known {
+		if m.isLive(identity) && !m.isLeaving(identity) {
+			return true
+		}
+	}
+	return false
 }
 
 // isLeaving reports whether a machine has said that it was told to end.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -148,6 +148,7 @@
 			Replica: voter,
 			Silence: m.silence(identity),
 			Live:    m.isLive(identity),
+			Leaving: m.isLeaving(identity),
 			Left:    m.hasLeftChain(identity),
 		}
 	}
@@ -155,14 +156,22 @@
 		peers[identity] = quorum.Peer{
 			Replica:   found.replica,
 			Silence:   m.silence(identity),
+			Age:       m.now - found.liveSince,
 			Live:      m.isLive(identity),
-			HoldsView: found.heartbeat.GetViewNumber() == m.View().GetNumber(),
+			HoldsView: m.holdsView(found.heartbeat),
+			Leaving:   m.isLeaving(identity),
 			Left:      m.hasLeftChain(identity),
 		}
 	}
 	return peers
 }
 
+// holdsView reports whether a machine has told that it holds the view in force or the one before.
+func (m *Machine) holdsView(heartbeat *pb.Heartbeat) bool {
+	number := heartbeat.GetViewNumber()
+	return number > 0 && number+1 >= m.View().GetNumber()
+}
+
 // candidates describes the voters for the choice of a chain.
 func (m *Machine) candidates(voters []*pb.Replica) map[string]chain.Candidate {
 	candidates := make(map[string]chain.Candidate, len(voters))
--- a/internal/controlsim/mutation_test.go
+++ b/internal/controlsim/mutation_test.go
@@ -20,6 +20,7 @@
 	looseRecords bool
 
 	leaveSilently bool // a machine that is told to end just ends
+	strikeEarly   bool // an adversary does not wait for the fault budget
 }
 
 func (m *mutation) onMessage(message *pb.Message) *pb.Message {
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -194,6 +194,9 @@
 }
 
 func (w *world) anyOther(not *host) *host {
+	if len(w.living()) < 2 {
+		return not
+	}
 	for {
 		if host := w.anyHost(); host != not {
 			return host
--- a/internal/quorum/membership.go
+++ b/internal/quorum/membership.go
@@ -1,7 +1,9 @@
 package quorum
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -11,13 +13,19 @@
 const (
 	// ReplaceSilence is how long a voter must have been silent before a joiner takes its place. It is short:
 	// until then the loss of another voter could leave no majority. A voter that was only cut off joins again.
-	ReplaceSilence = 1500 * time.Millisecond
+	// It is the silence that takes a machine out of the chain, so that one view does both.
+	ReplaceSilence = 1200 * time.Millisecond
+	// GrowAfter is how long joiners must have been heard before one of them gets a vote of its own: had one of the voters
+	// been lost when they came, they would stand for that one by now.
+	GrowAfter = 2 * time.Second
 	// EvenDropSilence is how long a voter of an even number must have been silent before it is dropped: the
 	// others then need one vote less.
-	EvenDropSilence = 2500 * time.Millisecond
+	EvenDropSilence = ReplaceSilence
+	// UnheardFor is how long a voter must not have been heard for a joiner to wait for its place.
+	UnheardFor = 700 * time.Millisecond
 	// OddDropSilence is how long two voters of an odd number must have been silent before one is dropped.
 	OddDropSilence = 30 * time.Second
-	// FewestLive is the number of live voters below which none is dropped.
+	// FewestLive is the number of live voters below which none is dropped, and up to which all machines vote.
 	FewestLive = 3
 )
 
@@ -25,9 +33,12 @@
 type Peer struct {
 	Replica *pb.Replica
 	Silence time.Duration // since it was last heard
+	Age     time.Duration // since when it has been heard without a pause
 	Live    bool          // heard lately
-	// HoldsView: it has told that it holds the view in force, so it hears this machine's side too.
+	// HoldsView: it has told that it holds the view in force or the one before, so it hears this machine's side too.
 	HoldsView bool
+	// Leaving: it was told to end.
+	Leaving bool
 	// Left: it was told to end, and the chain goes on without it.
 	Left bool
 }
@@ -36,8 +47,10 @@
 // present ones: at most one is added, replaced or dropped. Peers are by identity.
 func NextVoters(view *pb.View, peers map[string]Peer) ([]*pb.Replica, bool) {
 	voters := slices.Clone(view.GetVoters())
-	if joiner := firstJoiner(voters, peers); joiner != nil {
-		return admit(voters, peers, joiner)
+	if waiting := joiners(voters, peers); len(waiting) > 0 {
+		if next, changed := admit(view, peers, waiting); changed {
+			return next, true
+		}
 	}
 	if index := dispensable(voters, peers); index != NotFound {
 		return slices.Delete(voters, index, index+1), true
@@ -45,40 +58,131 @@
 	return voters, false
 }
 
-// firstJoiner picks the waiting machine with the smallest identity, so that all voters pick the same.
-func firstJoiner(voters []*pb.Replica, peers map[string]Peer) *pb.Replica {
-	var first *pb.Replica
+// joiners are the waiting machines by identity, so that all voters take them in the same order.
+func joiners(voters []*pb.Replica, peers map[string]Peer) []*pb.Replica {
+	var waiting []*pb.Replica
 	for identity, peer := range peers {
-		if !peer.Live || !peer.HoldsView || peer.Left || IndexOf(voters, identity) != NotFound {
-			continue
-		}
-		if first == nil || identity < first.GetIdentity() {
-			first = peer.Replica
+		if peer.Live && peer.HoldsView && !peer.Leaving && IndexOf(voters, identity) == NotFound {
+			waiting = append(waiting, peer.Replica)
 		}
 	}
-	return first
+	slices.SortFunc(waiting, func(a, b *pb.Replica) int {
+		return strings.Compare(a.GetIdentity(), b.GetIdentity())
+	})
+	return waiting
 }
 
-func admit(voters []*pb.Replica, peers map[string]Peer, joiner *pb.Replica) ([]*pb.Replica, bool) {
-	sameHost := slices.IndexFunc(voters, func(voter *pb.Replica) bool {
-		return voter.GetHost() == joiner.GetHost()
-	})
-	if sameHost != NotFound {
-		voters[sameHost] = joiner
-		return voters, true
+// admit gives a joiner the vote of the machine that it stands for, of one that has left, or of one that is silent;
+// or a vote of its own, if that is of use; or that of one whose zone has too many.
+func admit(view *pb.View, peers map[string]Peer, waiting []*pb.Replica) ([]*pb.Replica, bool) {
+	voters := slices.Clone(view.GetVoters())
+	for _, joiner := range waiting {
+		sameHost := slices.IndexFunc(voters, func(voter *pb.Replica) bool {
+			return voter.GetHost() == joiner.GetHost()
+		})
+		if sameHost != NotFound {
+			voters[sameHost] = joiner
+			return voters, true
+		}
 	}
-	if index := firstLeft(voters, peers); index != NotFound {
-		voters[index] = joiner
+	if index := replaceable(voters, peers); index != NotFound {
+		others := slices.Delete(slices.Clone(voters), index, index+1)
+		voters[index] = fromEmptiestZone(waiting, others)
 		return voters, true
 	}
-	if index, silence := longestSilent(voters, peers); index != NotFound && silence >= ReplaceSilence {
+	if !allHeard(voters, peers) {
+		return voters, false // joiners wait for the place of the one that is unheard
+	}
+	joiner := fromEmptiestZone(waiting, voters)
+	if mayGrow(voters, peers, waiting) {
+		return append(voters, joiner), true
+	}
+	if index := surplusIn(view, joiner); index != NotFound {
 		voters[index] = joiner
 		return voters, true
 	}
+	return voters, false
+}
+
+// fromEmptiestZone picks the joiner whose zone has the fewest of the voters.
+func fromEmptiestZone(waiting, voters []*pb.Replica) *pb.Replica {
+	return slices.MinFunc(waiting, func(a, b *pb.Replica) int {
+		return cmp.Compare(inZoneOf(a, voters), inZoneOf(b, voters))
+	})
+}
+
+func inZoneOf(replica *pb.Replica, voters []*pb.Replica) int {
+	count := 0
+	for _, voter := range voters {
+		if voter.GetZone() == replica.GetZone() {
+			count++
+		}
+	}
+	return count
+}
+
+// surplusIn returns the index of a voter whose zone has so many more votes than the joiner's that the votes are spread
+// better with the joiner in its place, or NotFound. Voters outside of the chain come first, its head last.
+func surplusIn(view *pb.View, joiner *pb.Replica) int {
+	voters := view.GetVoters()
+	limit := inZoneOf(joiner, voters) + 1
+	found := NotFound
+	for index, voter := range voters {
+		if inZoneOf(voter, voters) <= limit {
+			continue
+		}
+		if found == NotFound || chainPlace(view, voter) > chainPlace(view, voters[found]) {
+			found = index
+		}
+	}
+	return found
+}
+
+// chainPlace is a voter's place in the chain, or a later one than all of those.
+func chainPlace(view *pb.View, voter *pb.Replica) int {
+	if place := IndexOf(view.GetChain(), voter.GetIdentity()); place != NotFound {
+		return place
+	}
+	return len(view.GetChain())
+}
+
+// replaceable returns the index of a voter whose place a joiner may take, or NotFound.
+func replaceable(voters []*pb.Replica, peers map[string]Peer) int {
+	if index := firstLeft(voters, peers); index != NotFound {
+		return index
+	}
+	if index, silence := longestSilent(voters, peers); silence >= ReplaceSilence {
+		return index
+	}
+	return NotFound
+}
+
+// allHeard reports whether no voter has been unheard for long enough to make joiners wait for its place.
+func allHeard(voters []*pb.Replica, peers map[string]Peer) bool {
+	return !slices.ContainsFunc(voters, func(voter *pb.Replica) bool {
+		peer := peers[voter.GetIdentity()]
+		return !peer.Live || peer.Silence >= UnheardFor
+	})
+}
+
+// mayGrow reports whether one more voter is of use. Out of an odd number it is not, as the others would need one vote
+// more: the joiner stands by until a voter leaves, falls silent or is replaced, unless two wait, few vote, or one of
+// the voters is on its way out and may need somebody to take its state.
+func mayGrow(voters []*pb.Replica, peers map[string]Peer, waiting []*pb.Replica) bool {
 	if len(voters) >= MaxVoters {
-		return voters, false
+		return false
+	}
+	isLeaving := func(voter *pb.Replica) bool { return peers[voter.GetIdentity()].Leaving }
+	if len(voters) < FewestLive || slices.ContainsFunc(voters, isLeaving) {
+		return true
+	}
+	settled := 0
+	for _, joiner := range waiting {
+		if peers[joiner.GetIdentity()].Age >= GrowAfter {
+			settled++
+		}
 	}
-	return append(voters, joiner), true
+	return settled > 1 || (settled == 1 && len(voters)%2 == 0)
 }
 
 // dispensable returns the index of a voter that the others are better off without, or NotFound.
@@ -121,7 +225,7 @@
 // vote less. Out of an odd number it keeps its vote, as nothing is won: it may come back.
 func mayLoseLeaver(voters []*pb.Replica, peers map[string]Peer) bool {
 	others := len(voters) - 1
-	if len(voters)%2 != 0 || others < FewestLive {
+	if len(voters)%2 != 0 {
 		return false
 	}
 	staying := 0
