--- a/internal/controlsim/doc.go
+++ b/internal/controlsim/doc.go
@@ -8,5 +8,6 @@
 // CUTSIM_SEEDS and CUTSIM_FIRST do so for the storms of cuts of up to 22 s.
 // CONTROLSIM_REPEAT_SEEDS and CONTROLSIM_REPEAT_FIRST do so for the runs with eight operators that repeat orders, and
 // CONTROLSIM_RACE_STRIDE tells how many events of a change of view the sweeps of races pass over at a time.
-// CONTROLSIM_FAR is the number of those in which a member is away for hundreds of changes.
+// CONTROLSIM_FAR is the number of those in which a member is away for hundreds of changes, CONTROLSIM_BUSY of the
+// storms over hundreds of changes, CONTROLSIM_FOUNDING of the foundings.
 package controlsim
