--- /dev/null
+++ b/internal/controlsim/disk_test.go
@@ -0,0 +1,130 @@
+package controlsim
+
+import (
+	"slices"
+	"time"
+
+	"fieldrelay/internal/control"
+	"fieldrelay/internal/ring"
+	"fieldrelay/internal/ring/ringtest"
+)
+
+func (h *host) openRing() (*ring.Ring, *ring.Recovered, error) {
+	return ring.Open("", ring.Options{
+		Files:     2,
+		FileBytes: 4 << 10,
+		Storage:   h.disk,
+		Nonce:     h.world.random.Uint64,
+	})
+}
+
+// writeNext lets the disk work on the oldest write.
+func (h *host) writeNext() {
+	if h.writing || len(h.writes) == 0 || h.stalled {
+		return
+	}
+	h.writing = true
+	life := h.life
+	h.world.after(h.world.between(time.Millisecond, 6*time.Millisecond), func() {
+		if h.life != life || h.machine == nil {
+			return
+		}
+		h.writing = false
+		if !h.stalled {
+			h.finishWrite()
+		}
+	})
+}
+
+func (h *host) finishWrite() {
+	life := h.life
+	if err := h.put(h.writes[0]); err != nil {
+		h.writing = true
+		h.world.after(200*time.Millisecond, func() {
+			if h.life == life {
+				h.writing = false
+				h.writeNext()
+			}
+		})
+		h.deliver(control.WriteFailed{})
+		return
+	}
+	done := h.writes[0]
+	h.writes = h.writes[1:]
+	h.deliver(control.Persisted{Token: done.Token})
+	h.writeNext()
+}
+
+func (h *host) put(write control.Persist) error {
+	if h.world.plan.mutation.loseWrites {
+		return nil
+	}
+	if write.Snapshot != nil {
+		return h.ring.Snapshot(h.world.plan.mutation.onSnapshot(write.Snapshot))
+	}
+	return h.ring.Append(h.world.plan.mutation.onRecords(write.Records)...)
+}
+
+// losePower ends the process, perhaps in the middle of a write.
+func (h *host) losePower() {
+	if h.machine != nil && len(h.writes) > 0 && h.world.chance(0.7) {
+		h.disk.SetFaults(ringtest.Faults{Sync: 1})
+		_ = h.put(h.writes[0])
+		h.disk.SetFaults(ringtest.Faults{})
+	}
+	h.disk.PowerLoss()
+	h.die()
+}
+
+// tearSnapshot takes the power while the disk is at work on the oldest snapshot that waits; false if none does.
+func (h *host) tearSnapshot() bool {
+	waits := slices.IndexFunc(h.writes, func(write control.Persist) bool { return write.Snapshot != nil })
+	if h.machine == nil || waits < 0 {
+		return false
+	}
+	for _, write := range h.writes[:waits] {
+		_ = h.put(write)
+	}
+	h.disk.SetFaults(ringtest.Faults{Sync: 1})
+	_ = h.put(h.writes[waits])
+	h.disk.SetFaults(ringtest.Faults{})
+	h.disk.PowerLoss()
+	h.die()
+	return true
+}
+
+// wipe ends the process and empties the disk.
+func (h *host) wipe() {
+	h.die()
+	h.disk.Wipe()
+	h.boot = false
+}
+
+// snapshotOffset lies in the first snapshot frame of a ring's file.
+const snapshotOffset = 60
+
+// corrupt ends the process and damages the snapshots on its disk.
+func (h *host) corrupt() {
+	h.disk.Kill()
+	h.die()
+	names, err := h.disk.List()
+	if err != nil {
+		h.world.checker.fail("%s: %v", h.name, err)
+	}
+	for _, name := range names {
+		if file, err := h.disk.Open(name, false); err == nil {
+			_, _ = file.WriteAt([]byte("!!!!"), snapshotOffset)
+			_ = file.Sync()
+		}
+	}
+}
+
+func (h *host) setStalled(stalled bool) {
+	h.stalled = stalled
+	h.writeNext()
+}
+
+func (h *host) setFull(full bool) {
+	h.full = full
+	h.disk.Fill(full)
+}
--- a/internal/controlsim/distance_planted_test.go
+++ b/internal/controlsim/distance_planted_test.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/internal/chain"
 	"fieldrelay/internal/ring"
 )
 
@@ -153,13 +152,7 @@
 }
 
 func headWithOldDisk(t *testing.T, seed uint64) *world {
-	w := newWorld(plan{
-		seed:     seed,
-		machines: 3,
-		zones:    3,
-		required: chain.Requirement{Replicas: 2, Zones: 2},
-		calm:     true,
-	})
+	w := newWorld(threeCalm(seed, mutation{}))
 	require.True(t, w.acknowledgeOne(foundWithin))
 	w.run(foundWithin)
 	head := w.byPeer[w.hosts[0].machine.View().GetChain()[0].GetAddress()]
--- a/internal/controlsim/distance_test.go
+++ b/internal/controlsim/distance_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"fieldrelay/internal/chain"
 )
 
 const (
@@ -90,7 +88,7 @@
 			machines:  []int{3, 3, 4, 5, 5, 6, 9}[random.IntN(7)],
 			restless:  []float64{0, 0, 0, 0.02}[random.IntN(4)],
 			zones:     3,
-			required:  chain.Requirement{Replicas: 2, Zones: 2},
+			required:  usualRequirement,
 			calm:      random.IntN(2) == 0,
 			bandwidth: 250_000 << random.IntN(4),
 		},
--- a/internal/controlsim/large_test.go
+++ b/internal/controlsim/large_test.go
@@ -12,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/internal/chain"
 )
 
 // Configurations of 1,120 routes, valid and invalid ones, are sent beside small amendments and evacuations to
@@ -165,7 +164,7 @@
 		seed:      seed,
 		machines:  m.machines,
 		zones:     3,
-		required:  chain.Requirement{Replicas: 2, Zones: 2},
+		required:  usualRequirement,
 		calm:      true,
 		processor: m.share,
 	})
--- a/internal/controlsim/race_test.go
+++ b/internal/controlsim/race_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/internal/chain"
 )
 
 // Two operators choose the same number for different changes of the same version, one of them a configuration and
@@ -115,7 +114,7 @@
 		seed:     seed,
 		machines: []int{3, 5}[seed%2],
 		zones:    3,
-		required: chain.Requirement{Replicas: 2, Zones: 2},
+		required: usualRequirement,
 		mutation: planted,
 		calm:     true,
 	})
--- a/internal/controlsim/replaced_test.go
+++ b/internal/controlsim/replaced_test.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/internal/chain"
 	"fieldrelay/internal/control"
 )
 
@@ -35,14 +34,7 @@
 		}
 		return planted.onMessage(message)
 	}
-	w := newWorld(plan{
-		seed:     3,
-		machines: 3,
-		zones:    3,
-		required: chain.Requirement{Replicas: 2, Zones: 2},
-		mutation: mutation{message: watch},
-		calm:     true,
-	})
+	w := newWorld(threeCalm(3, mutation{message: watch}))
 	require.True(t, w.acknowledgeOne(foundWithin))
 	tail := w.byPeer[w.hosts[0].machine.View().GetChain()[2].GetAddress()]
 	w.cutOffButForChecks(tail)
@@ -83,14 +75,7 @@
 		}
 		return planted.onMessage(message)
 	}
-	w := newWorld(plan{
-		seed:     4,
-		machines: 3,
-		zones:    3,
-		required: chain.Requirement{Replicas: 2, Zones: 2},
-		mutation: mutation{message: watch},
-		calm:     true,
-	})
+	w := newWorld(threeCalm(4, mutation{message: watch}))
 	require.True(t, w.acknowledgeOne(foundWithin))
 	head := w.byPeer[w.hosts[0].machine.View().GetChain()[0].GetAddress()]
 	other := w.otherThan(head)
--- a/internal/controlsim/sim_test.go
+++ b/internal/controlsim/sim_test.go
@@ -40,6 +40,9 @@
 	return value
 }
 
+// usualRequirement is what a chain needs to take orders.
+var usualRequirement = chain.Requirement{Replicas: 2, Zones: 2}
+
 func planOf(seed uint64) plan {
 	sizes := []int{3, 3, 3, 4, 5, 5, 6, 9}
 	machines := sizes[seed%uint64(len(sizes))]
@@ -49,7 +52,19 @@
 		restless: restless,
 		machines: machines,
 		zones:    3,
-		required: chain.Requirement{Replicas: 2, Zones: 2},
+		required: usualRequirement,
+	}
+}
+
+// threeCalm is a plan of three machines on a network without faults.
+func threeCalm(seed uint64, planted mutation) plan {
+	return plan{
+		seed:     seed,
+		machines: 3,
+		zones:    3,
+		required: usualRequirement,
+		mutation: planted,
+		calm:     true,
 	}
 }
 
