--- a/internal/control/authority_test.go
+++ b/internal/control/authority_test.go
@@ -55,6 +55,19 @@
 	require.True(t, a.machine.Authoritative())
 }
 
+// A chain that is out of reach as a whole may still acknowledge what was on its way.
+func TestAuthorityNeedsAHeartbeatOfTheChain(t *testing.T) {
+	view := viewOfFive()
+	view.Chain = view.Chain[3:]
+	machine, peers := startedIn(t, view)
+	hear(machine, TickPeriod, peers[0])
+	hear(machine, TickPeriod, peers[1])
+	require.True(t, machine.hearsMajority())
+	require.False(t, machine.hasHeartbeats())
+	hear(machine, TickPeriod, peers[3])
+	require.True(t, machine.hasHeartbeats())
+}
+
 func TestOtherMessagesThanHeartbeatsGiveNoAuthority(t *testing.T) {
 	a := newAgreed(t)
 	for range 2 * SilenceLimit / TickPeriod {
--- a/internal/control/start_test.go
+++ b/internal/control/start_test.go
@@ -13,10 +13,8 @@
 	"fieldrelay/internal/ring"
 )
 
-// startedAgain returns the first machine of a view of five, as it starts on a disk that holds that view, and the
-// others of the view.
-func startedAgain(t *testing.T) (*Machine, []*pb.Replica) {
-	t.Helper()
+// viewOfFive is a view whose voters all are in the chain.
+func viewOfFive() *pb.View {
 	view := &pb.View{Number: 1, Cluster: "cluster"}
 	for index := range 5 {
 		name := strconv.Itoa(index)
@@ -24,6 +22,19 @@
 		view.Voters = append(view.Voters, replica)
 		view.Chain = append(view.Chain, replica)
 	}
+	return view
+}
+
+// startedAgain returns the first machine of a view of five, as it starts on a disk that holds that view, and the
+// others of the view.
+func startedAgain(t *testing.T) (*Machine, []*pb.Replica) {
+	t.Helper()
+	return startedIn(t, viewOfFive())
+}
+
+// startedIn returns the first voter of a view, as it starts on a disk that holds that view, and the others.
+func startedIn(t *testing.T, view *pb.View) (*Machine, []*pb.Replica) {
+	t.Helper()
 	machine, err := NewMachine(Config{
 		Self:        view.Voters[0],
 		Requirement: chain.Requirement{Replicas: 2, Zones: 2},
