--- a/internal/registry/inventory_cut_test.go
+++ b/internal/registry/inventory_cut_test.go
@@ -81,16 +81,18 @@
 	}
 }
 
-// cutOff cuts a machine off for a while; the platform is out of its reach for a part of it, and perhaps beyond.
+// cutOff cuts a machine off for a while, one way or both; the platform is out of its reach for a part of it, and
+// perhaps beyond.
 func (c *cutting) cutOff() {
 	machine := c.machines[c.random.IntN(len(c.machines))]
 	span := time.Duration(c.random.Int64N(int64(longestCut)))
 	sighted := time.Duration(c.random.Int64N(int64(longestCut)))
-	machine.cut = true
+	direction := c.random.IntN(4)
+	machine.mute, machine.deaf = direction != 0, direction != 1
 	c.run(min(span, sighted), c.look)
 	machine.blind = c.random.IntN(4) > 0
 	c.run(max(0, span-sighted), c.look)
-	machine.cut = false
+	machine.mute, machine.deaf = false, false
 	c.run(time.Duration(c.random.Int64N(int64(4*time.Second))), c.look)
 	machine.blind = false
 	c.run(time.Duration(c.random.Int64N(int64(4*time.Second))), c.look)
--- a/internal/registry/inventory_sim_test.go
+++ b/internal/registry/inventory_sim_test.go
@@ -22,7 +22,8 @@
 	host      string
 	inventory *Inventory
 	frozen    bool
-	cut       bool // from the other machines
+	deaf      bool // hears no other machine
+	mute      bool // is heard by no other machine
 	blind     bool // cut from the platform
 	pollEnds  time.Duration
 	poll      *PollDone
@@ -66,11 +67,11 @@
 	s.send(index, VersionSeen{Peer: true}) // the first heartbeat
 }
 
-// order names the machines that are not frozen or cut, the given one included.
+// order names the machines that the given one hears, itself included.
 func (s *simulation) order(self int) []string {
 	var order []string
 	for index, machine := range s.machines {
-		reachable := !machine.frozen && !machine.cut && !s.machines[self].cut
+		reachable := !machine.frozen && !machine.mute && !s.machines[self].deaf
 		if index == self || reachable {
 			order = append(order, machine.host)
 		}
@@ -80,7 +81,7 @@
 
 func (s *simulation) send(from int, what Event) {
 	for to, machine := range s.machines {
-		if to == from || machine.cut || s.machines[from].cut || s.lossy && s.random.IntN(20) == 0 {
+		if to == from || machine.deaf || s.machines[from].mute || s.lossy && s.random.IntN(20) == 0 {
 			continue
 		}
 		delay := time.Duration(s.random.IntN(60)) * time.Millisecond
@@ -161,8 +162,8 @@
 	case 0:
 		machine.frozen = !machine.frozen
 	case 1:
-		machine.cut = !machine.cut
-		machine.blind = machine.cut
+		cut := !machine.mute
+		machine.mute, machine.deaf, machine.blind = cut, cut, cut
 	case 2:
 		s.down = !s.down
 	case 3:
@@ -188,7 +189,7 @@
 	s.down = false
 	s.lossy = false
 	for _, machine := range s.machines {
-		machine.frozen, machine.cut, machine.blind = false, false, false
+		machine.frozen, machine.mute, machine.deaf, machine.blind = false, false, false, false
 	}
 }
 
