--- a/internal/controlsim/authority_test.go
+++ b/internal/controlsim/authority_test.go
@@ -10,9 +10,9 @@
 	// authorityPeriod is the time between two looks at what the machines claim.
 	authorityPeriod = 25 * time.Millisecond
 	// authorityAge is how long after its acknowledgement a configuration may be missing in the state that a
-	// machine calls authoritative: the last heartbeats are as old as that, and their senders may have learnt of the
-	// view or of the change a lost heartbeat later. All is well below the shortest apply-ms (2.5 s).
-	authorityAge = control.SilenceLimit + 2*control.HeartbeatPeriod + 200*time.Millisecond
+	// machine calls authoritative, where messages are on their way for authorityTravel at most.
+	authorityAge    = control.SilenceLimit + authorityTravel
+	authorityTravel = 300 * time.Millisecond
 	// longestLinger is the longest delay of messages in networks that hold some of them up.
 	longestLinger = 3 * time.Second
 )
