Tell machines that stand by of changes at once

Cause: out of an odd number a joiner now stands by without a vote; it heard of changes only by the tail's heartbeats, two of them (0.6 s), at the edge of what takes a machine's authority away, so that its agents would come and go.

Ruled out: a vote for it (an even number bears no more than the odd one below).

--- a/internal/chain/append.go
+++ b/internal/chain/append.go
@@ -134,18 +134,15 @@
 	}}})
 }
 
-// tellLearners sends the new committed changes to the voters outside of the chain. Those that miss one see it
-// by the tail's heartbeats and ask.
+// tellLearners sends the new committed changes to the voters outside of the chain and to those that stand by. Those
+// that miss one see it by the tail's heartbeats and ask.
 func (r *Replica) tellLearners(output *Output, before *catalog.Snapshot) {
 	changes, found := r.state.History.Since(sequenceOf(before))
 	if !found {
 		return
 	}
-	for _, voter := range r.state.View.GetVoters() {
-		if quorum.IndexOf(r.state.View.GetChain(), voter.GetIdentity()) != quorum.NotFound {
-			continue
-		}
-		r.send(output, voter, &pb.Message{Body: &pb.Message_Append{Append: &pb.Append{
+	for _, learner := range r.learners() {
+		r.send(output, learner, &pb.Message{Body: &pb.Message_Append{Append: &pb.Append{
 			ViewNumber: r.state.View.GetNumber(),
 			Changes:    changes,
 			Committed:  r.committed.Sequence(),
@@ -153,6 +150,17 @@
 	}
 }
 
+// learners are the machines that follow the tail without being in the chain.
+func (r *Replica) learners() []*pb.Replica {
+	var learners []*pb.Replica
+	for _, voter := range r.state.View.GetVoters() {
+		if r.state.position(voter.GetIdentity()) == quorum.NotFound {
+			learners = append(learners, voter)
+		}
+	}
+	return append(learners, r.standbys...)
+}
+
 func sequenceOf(snapshot *catalog.Snapshot) uint64 {
 	if snapshot == nil {
 		return 0
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -46,6 +46,7 @@
 	request      *syncRequest
 	waiting      map[string]*pb.Message // SyncRequests that came too early, by identity
 	answered     map[string]*pacing     // of answers to SyncRequests, by identity
+	standbys     []*pb.Replica          // machines without a vote that took their state from this one
 
 	previous  *catalog.Snapshot // before the last change; nil after a repair
 	committed *catalog.Snapshot // newest known; nil before the first
@@ -135,6 +136,7 @@
 	r.lag = 0
 	r.request = nil
 	r.answered = make(map[string]*pacing)
+	r.standbys = nil
 	r.dropOldRequests()
 }
 
--- a/internal/chain/replica_test.go
+++ b/internal/chain/replica_test.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -75,6 +76,27 @@
 	c.requireCommitted("2 x y", "d")
 }
 
+// A machine that stands by without a vote is told of changes as soon as voters outside of the chain are.
+func TestAMachineThatStandsByFollowsTheTail(t *testing.T) {
+	four := []string{"a", "b", "c", "d"}
+	c := newCluster(t, four...)
+	c.adopt(viewNamed(1, three, three...), four...)
+	c.settle(four...)
+	c.tick(maxRequestWait, four...)
+	c.settle(four...)
+	for change := range 3 {
+		c.propose("a", fmt.Sprintf("x%d", change))
+		c.settle(four...)
+		require.EqualValues(t, change+1, c.replicas["d"].Committed().Sequence())
+		require.True(t, c.replicas["d"].Follows())
+	}
+	require.Len(t, c.replicas["c"].standbys, 1)
+	c.adopt(viewNamed(2, four, three...), four...)
+	c.settle(four...)
+	c.propose("a", "y")
+	require.Len(t, c.replicas["c"].learners(), 1, "it votes now and is told once")
+}
+
 func TestNewChainTakesTheStateOfItsHead(t *testing.T) {
 	c := founded(t)
 	c.propose("a", "x")
--- a/internal/chain/sync.go
+++ b/internal/chain/sync.go
@@ -5,6 +5,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/quorum"
 )
 
 // Repeats of a sync request, in ticks: the first wait, and the longest.
@@ -122,6 +123,7 @@
 	if !r.serves(message.GetFrom()) || len(digests.GetDigests()) != catalog.RangeCount+1 {
 		return
 	}
+	r.noteStandby(message.GetFrom())
 	pace := r.paceOf(message.GetFrom().GetIdentity())
 	if !pace.isDue() {
 		return
@@ -144,6 +146,18 @@
 	r.send(output, message.GetFrom(), &pb.Message{Body: &pb.Message_SyncResponse{SyncResponse: response}})
 }
 
+// noteStandby remembers a machine that neither votes nor is in the chain, so that it is told what is committed from
+// now on.
+func (r *Replica) noteStandby(from *pb.Replica) {
+	identity := from.GetIdentity()
+	view := r.state.View
+	isMember := quorum.IndexOf(view.GetVoters(), identity) != quorum.NotFound || r.state.position(identity) != quorum.NotFound
+	if isMember || len(r.standbys) >= quorum.MaxVoters || quorum.IndexOf(r.standbys, identity) != quorum.NotFound {
+		return
+	}
+	r.standbys = append(r.standbys, from)
+}
+
 // paceOf is the pace of answers to one machine, of the first few that ask in a view.
 func (r *Replica) paceOf(identity string) *pacing {
 	pace, known := r.answered[identity]
