Name proxies that have just begun to drain where nothing else is near

Change: where neither the client's region nor one that is home to all its routes has a proxy, those of its region that began to drain up to 2 s ago are named (a quarter of grace-s, if that is less: they take requests for 3.5 s, and an answer is kept for a second or more), then the homes of the most routes as before. A host without homes is served as before.

Ruled out: draining proxies for every host (a region of one machine would lose what others can serve); both together (half of the requests would still be led away).

Planted faults: draining proxies never named, named however long they drain, since they last said so: each found. Tests of registry, controlserver, operatorapi and route pass.

--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -27,6 +27,11 @@
 	// pollTimeout bounds one reading of the platform's list, all pages together.
 	pollTimeout = registry.SlowestAnswer
 
+	// longestLeaving and leavingShare (one in so many of the grace period) bound the time for which a proxy that drains
+	// may be named.
+	longestLeaving = 2 * time.Second
+	leavingShare   = 4
+
 	// countersEvery is the time between two lines of counters.
 	countersEvery = 30 * time.Second
 )
@@ -93,7 +98,7 @@
 		InTouch:   func() bool { return p.node.Status().Authoritative },
 		ZoneKnown: p.knowsZone,
 		Endpoints: func(host, region, zone string) []string {
-			client := registry.Client{Region: region, Zone: zone, Homes: p.homesOf(host)}
+			client := registry.Client{Region: region, Zone: zone, Homes: p.homesOf(host), Leaving: p.leavingTime()}
 			return p.soft.Endpoints(client, p.rotation.Add(1))
 		},
 		EndpointsLifetime: func() time.Duration {
@@ -103,6 +108,12 @@
 	}
 }
 
+// leavingTime is how long a proxy that drains may be named: it takes requests for a little longer, and clients keep its
+// address for a second or more.
+func (p *process) leavingTime() time.Duration {
+	return min(longestLeaving, p.settings.Current().Bounds.Grace()/leavingShare)
+}
+
 // homesOf tells where requests to a host may be served. While this machine is out of touch, its configuration may
 // be old: any host may be bound then.
 func (p *process) homesOf(host string) route.Homes {
--- a/internal/registry/agents.go
+++ b/internal/registry/agents.go
@@ -34,6 +34,8 @@
 	record  *pb.AgentRecord // immutable; age_ms is 0
 	heardAt time.Duration
 	direct  bool // heard from the agent itself, not told by another control machine
+	// drainingSince is when the machine was first heard to drain; it counts while the record says so.
+	drainingSince time.Duration
 
 	reported   *pb.AgentRecord // as last reported to the other control machines
 	reportedAt time.Duration
@@ -82,6 +84,9 @@
 		return false
 	}
 	changed := agent.record == nil || !sameContent(agent.record, record)
+	if !agent.record.GetDraining() || agent.record.GetIncarnation() != record.GetIncarnation() {
+		agent.drainingSince = heardAt
+	}
 	agent.record = withoutAge(record)
 	agent.heardAt = heardAt
 	agent.direct = direct
@@ -160,7 +165,12 @@
 			delete(a.known, host)
 			continue
 		}
-		list = append(list, Member{record: agent.record, heardAt: agent.heardAt, lost: age >= LiveFor})
+		list = append(list, Member{
+			record:        agent.record,
+			heardAt:       agent.heardAt,
+			drainingSince: agent.drainingSince,
+			lost:          age >= LiveFor,
+		})
 	}
 	slices.SortFunc(list, func(first, second Member) int {
 		return strings.Compare(first.record.Host, second.record.Host)
--- a/internal/registry/endpoints_test.go
+++ b/internal/registry/endpoints_test.go
@@ -124,6 +124,51 @@
 	}
 }
 
+// TestProxiesThatBeginToDrainAreNamedWhereNothingIsNear: they take requests for a while, and every other region is
+// neither a home of all routes nor the client's.
+func TestProxiesThatBeginToDrainAreNamedWhereNothingIsNear(t *testing.T) {
+	const now, leaving = time.Minute, 2 * time.Second
+	const just, long = now - leaving + time.Millisecond, now - leaving
+	everyone := []string{"a1:80", "a2:80", "b1:80", "c1:80", "d1:80", "d2:80", "d3:80"}
+	west := []string{"a1:80", "a2:80", "b1:80"}
+	homes := func(routes int, byRegion map[string]int) route.Homes {
+		return route.Homes{Routes: routes, ByRegion: byRegion}
+	}
+	cases := map[string]struct {
+		region string
+		homes  route.Homes
+		since  time.Duration // when the region's own proxy began to drain
+		want   []string
+	}{
+		"no homes":                       {"south", route.Homes{}, just, everyone},
+		"a home of all":                  {"south", homes(3, map[string]int{"east": 3}), just, []string{"c1:80"}},
+		"a home without a proxy":         {"south", homes(3, map[string]int{"far": 3}), just, []string{"s1:80"}},
+		"its own region is the home":     {"south", homes(1, map[string]int{"south": 1}), just, []string{"s1:80"}},
+		"the home of most":               {"south", homes(9, map[string]int{"east": 2, "west": 5}), just, []string{"s1:80"}},
+		"the home of most, and too late": {"south", homes(9, map[string]int{"east": 2, "west": 5}), long, west},
+		"homes that are not known":       {"south", route.Homes{Unknown: true}, just, []string{"s1:80"}},
+		"a region with a proxy":          {"east", homes(5, map[string]int{"north": 4}), just, []string{"c1:80"}},
+		"an unknown region":              {"", homes(5, map[string]int{"west": 4}), just, west},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			agents := NewAgents(0)
+			for _, record := range threeRegions() {
+				agents.Heard(now, record)
+			}
+			agents.Heard(one.since-time.Second, placed("s1", "s", "south"))
+			own := placed("s1", "s", "south")
+			own.Draining, own.Ready = true, false
+			agents.Heard(one.since, own)
+			agents.Heard(now, own) // it goes on telling
+			client := Client{Region: one.region, Zone: "e", Homes: one.homes, Leaving: leaving}
+			got := agents.Refresh(now).Endpoints(now, client, 1)
+			slices.Sort(got)
+			require.Equal(t, one.want, got)
+		})
+	}
+}
+
 func TestEndpointsOfASmallSystem(t *testing.T) {
 	agents := NewAgents(0)
 	agents.Heard(0, agentRecord("a1", 1))
--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -39,6 +39,8 @@
 	record  *pb.AgentRecord // age_ms is 0
 	heardAt time.Duration
 	lost    bool
+
+	drainingSince time.Duration // counts only if the record says that it drains
 }
 
 // Version rises whenever the set changes, or the place or the address of one of its agents.
@@ -80,6 +82,8 @@
 	// Homes are those of the host that it asks for: requests that have homes must not be sent to proxies in regions
 	// that are neither homes nor the client's.
 	Homes route.Homes
+	// Leaving is how long a proxy that drains may still be named where nothing else is near.
+	Leaving time.Duration
 }
 
 // isNear reports whether all requests of the client may be sent to a region.
@@ -90,9 +94,10 @@
 // Endpoints returns the edge addresses that a client is to use: those of its zone if there are at least two or a
 // third of all, else those of its region by the same measure, else those of all regions that are near. If a client
 // that is bound to homes has just lost a proxy of its region, and what is near does not suffice, all regions help. If
-// nothing is near, it gets those regions that are homes of the most of its routes. Only proxies that are live, ready
-// and not draining count. The order is turned by rotation, so that clients that take the first ones spread. The
-// result is empty if no proxy takes requests.
+// nothing is near, it gets proxies of its region that have only begun to drain and still take requests, else those in
+// regions that are homes of the most of its routes. Apart from that, only proxies that are live, ready and not draining
+// count. The order is turned by rotation, so that clients that take the first ones spread. The result is empty if no
+// proxy takes requests.
 func (m *Members) Endpoints(now time.Duration, client Client, rotation uint64) []string {
 	all := m.serving(now)
 	inZone := matching(all, func(record *pb.AgentRecord) bool { return record.Zone == client.Zone })
@@ -111,9 +116,24 @@
 		return rotated(all, rotation)
 	case len(near) > 0:
 		return rotated(near, rotation)
-	default:
-		return rotated(inHomes(all, client.Homes), rotation)
 	}
+	if leaving := m.leaving(now, client); len(leaving) > 0 {
+		return rotated(leaving, rotation)
+	}
+	return rotated(inHomes(all, client.Homes), rotation)
+}
+
+// leaving returns the records of the client's region that have only begun to drain.
+func (m *Members) leaving(now time.Duration, client Client) []*pb.AgentRecord {
+	var result []*pb.AgentRecord
+	for _, member := range m.list {
+		record := member.record
+		if record.Draining && record.Region == client.Region && record.EdgeAddress != "" &&
+			now-member.drainingSince < client.Leaving {
+			result = append(result, record)
+		}
+	}
+	return result
 }
 
 // inHomes returns the records in those regions that are homes of the most routes; all if none is one.
