--- a/internal/controlsim/leaving_test.go
+++ b/internal/controlsim/leaving_test.go
@@ -21,6 +21,8 @@
 	shortestGap = 300 * time.Millisecond
 	// longestReturn bounds the time from the start of a machine that was told to end until it serves in the chain again.
 	longestReturn = 2 * time.Second
+	// soonReturn is that bound where all others are there.
+	soonReturn = 800 * time.Millisecond
 	// answersLimit is how long a process that was told to end waits for the answers to the orders that it took.
 	answersLimit = time.Second
 	// longestStay bounds the time from the signal to the end of the process.
@@ -237,28 +239,53 @@
 	})
 }
 
+// rollAll tells the machines of many systems to end in turn, while operators send orders.
+func rollAll(t *testing.T, pause time.Duration, planted mutation) rollFigures {
+	var figures rollFigures
+	for seed := range uint64(40) {
+		plan := calmPlan(seed)
+		plan.mutation = planted
+		w := newCalmWorld(t, plan)
+		operators := []*operator{w.addOperator(1), w.addOperator(2)}
+		w.roll(pause, &figures)
+		w.run(pause*time.Duration(len(w.hosts)) + 4*time.Second)
+		for _, operator := range operators {
+			operator.ended = true
+		}
+		w.checkLiveness()
+		w.checker.finish()
+		require.Empty(t, w.checker.failures, "pause %v seed %d", pause, seed)
+	}
+	t.Logf("pause %v: from the signal to the end: %v", pause, figures.stays)
+	t.Logf("pause %v: from the start to the chain: %v", pause, figures.returns)
+	return figures
+}
+
 func TestMachinesAreToldToEndInTurn(t *testing.T) {
 	for _, pause := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
-		var figures rollFigures
-		for seed := range uint64(40) {
-			w := newCalmWorld(t, calmPlan(seed))
-			operators := []*operator{w.addOperator(1), w.addOperator(2)}
-			w.roll(pause, &figures)
-			w.run(pause*time.Duration(len(w.hosts)) + 4*time.Second)
-			for _, operator := range operators {
-				operator.ended = true
-			}
-			w.checkLiveness()
-			w.checker.finish()
-			require.Empty(t, w.checker.failures, "pause %v seed %d", pause, seed)
-		}
-		t.Logf("pause %v: from the signal to the end: %v", pause, figures.stays)
-		t.Logf("pause %v: from the start to the chain: %v", pause, figures.returns)
+		figures := rollAll(t, pause, mutation{})
 		require.LessOrEqual(t, figures.stays.worst(), longestStay)
 		require.Less(t, figures.returns.worst(), longestReturn)
 	}
 }
 
+// A machine that is told to end while the others are all there serves in the chain soon after its start; not if the
+// others take its end for a loss, which the planted fault makes them do.
+func TestAMachineThatWasToldToEndReturnsSoon(t *testing.T) {
+	const pause = 3 * time.Second
+	require.Less(t, rollAll(t, pause, mutation{}).returns.worst(), soonReturn)
+	require.Greater(t, rollAll(t, pause, mutation{message: hideLeaving}).returns.worst(), soonReturn)
+}
+
+func hideLeaving(message *pb.Message) *pb.Message {
+	if !message.GetHeartbeat().GetLeaving() {
+		return message
+	}
+	changed := proto.CloneOf(message)
+	changed.GetHeartbeat().Leaving = false
+	return changed
+}
+
 func TestAllMachinesAreToldToEndAtOnce(t *testing.T) {
 	for _, spread := range []time.Duration{time.Millisecond, 300 * time.Millisecond} {
 		var stays spans
