--- a/internal/proxy/upstream/send_test.go
+++ b/internal/proxy/upstream/send_test.go
@@ -61,6 +61,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "ok", readAll(t, response))
 	pool.Release(conn)
+	requireBodyUnused(t, conn)
 	require.Zero(t, pool.Stats().IdleNow)
 	close(answered)
 	rest := <-got
@@ -68,6 +69,16 @@
 	require.True(t, bytes.HasPrefix(body, rest))
 }
 
+// requireBodyUnused checks that nothing more is taken from a request's body, whose memory may be used again.
+func requireBodyUnused(t *testing.T, conn *Conn) {
+	t.Helper()
+	select {
+	case <-conn.rest.ended:
+	default:
+		require.Fail(t, "the body is still being sent")
+	}
+}
+
 // Once the whole request was sent, an early answer leaves the connection as good as any other.
 func TestEarlyAnswerToARequestThatIsSentWholeInTheEnd(t *testing.T) {
 	read := make(chan []byte, 1)
@@ -83,7 +94,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "ok", readAll(t, response))
 	require.True(t, bytes.Equal(body, <-read))
-	require.Eventually(t, conn.sentWhole, patience, pause)
+	require.Eventually(t, func() bool { return conn.sentWhole() && conn.delivered() }, patience, pause)
 	pool.Release(conn)
 	require.Equal(t, 1, pool.Stats().IdleNow)
 	_, response, err = exchange(t, pool, server)
@@ -161,6 +172,7 @@
 	<-begun
 	require.Eventually(t, func() bool { return unacknowledged(t, conn) > 0 }, patience, pause)
 	pool.Discard(conn)
+	requireBodyUnused(t, conn)
 	close(aborted)
 	require.ErrorContains(t, <-got, "reset")
 	require.False(t, conn.sentWhole())
