--- a/internal/tools/drawdays/draw.go
+++ b/internal/tools/drawdays/draw.go
@@ -20,6 +20,7 @@
 // limits are the figures of a site that bound its days.
 type limits struct {
 	lengthS   float64
+	leadS     float64 // from the start of the machines to the first request
 	syncS     float64 // how long a machine counts as lost after it is back
 	machines  int     // of those that count, that may be lost at once
 	zones     int     // that may be lost at once
