Let copies of an evacuation on their way at once not take back each other's numbers

Cause: each copy that came to the head without the number of the moment got a new one and made the last useless; with two copies on their way at once (a link slower than the wait before an order is sent again, or messages that come twice) none was ever confirmed. Ruled out: numbers that serve more than once (a late copy could then undo what was ordered since). Change: a copy without the number gets the number that is out; it still serves once, ends after the same time and is dropped once another order on its zone was taken.

--- a/internal/control/confirm.go
+++ b/internal/control/confirm.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -25,6 +26,7 @@
 type confirmation struct {
 	origin  string // identity
 	id      uint64
+	zone    string
 	number  []byte
 	expires time.Duration
 }
@@ -36,28 +38,34 @@
 }
 
 // isConfirmed reports whether an order came with the number that was given for it, which is used up by that.
-// If it did not, its origin is asked.
+// If it did not, its origin is asked. A copy that came without the number does not take it back: two copies on
+// their way at once would undo each other's numbers for as long as the order lives.
 func (m *Machine) isConfirmed(from *pb.Replica, order *pb.Order) bool {
 	if !isEvacuation(order) {
 		return true
 	}
-	kept := m.head.confirmations[:0]
-	confirmed := false
-	for _, given := range m.head.confirmations {
-		if m.now >= given.expires {
-			continue
-		}
-		if given.origin != from.GetIdentity() || given.id != order.GetId() {
-			kept = append(kept, given)
-		} else if bytes.Equal(given.number, order.GetBody()) {
-			confirmed = true
-		}
-	}
-	m.head.confirmations = kept
-	if !confirmed {
+	m.dropUselessNumbers()
+	index := slices.IndexFunc(m.head.confirmations, func(given confirmation) bool {
+		return given.origin == from.GetIdentity() && given.id == order.GetId()
+	})
+	if index < 0 {
 		m.askConfirmation(from, order)
+		return false
+	}
+	number := m.head.confirmations[index].number
+	if !bytes.Equal(number, order.GetBody()) {
+		m.result(from, &pb.OrderResult{Id: order.GetId(), Status: statusConfirm, Body: number})
+		return false
 	}
-	return confirmed
+	m.head.confirmations = slices.Delete(m.head.confirmations, index, index+1)
+	return true
+}
+
+// dropUselessNumbers forgets the numbers that are too old, and those given before another order on their zone.
+func (m *Machine) dropUselessNumbers() {
+	m.head.confirmations = slices.DeleteFunc(m.head.confirmations, func(given confirmation) bool {
+		return m.now >= given.expires || binary.BigEndian.Uint64(given.number) <= m.head.taken[given.zone]
+	})
 }
 
 // isOvertaken reports whether another order on the zone was taken after the number of this one was given.
@@ -84,6 +92,7 @@
 	given := confirmation{
 		origin:  from.GetIdentity(),
 		id:      order.GetId(),
+		zone:    order.GetZone(),
 		number:  binary.BigEndian.AppendUint64(nil, m.checks.next),
 		expires: m.now + confirmLimit,
 	}
--- a/internal/control/confirm_test.go
+++ b/internal/control/confirm_test.go
@@ -83,3 +83,25 @@
 	require.Len(t, l.sent, before)
 	require.EqualValues(t, 98, l.machine.origin.pending[0].request)
 }
+
+// Where every message comes twice, an evacuation is confirmed all the same: copies on their way at once do not take
+// back each other's numbers.
+func TestCopiesOfAnEvacuationDoNotUndoEachOther(t *testing.T) {
+	c := newConfirming(t)
+	numbers := [][]byte{nil}
+	for range 4 {
+		var given [][]byte
+		for _, number := range numbers {
+			for range 2 {
+				result := c.forward(1, pb.Order_KIND_EVACUATE_BEGIN, number)
+				if result.GetStatus() == http.StatusOK {
+					return
+				}
+				require.EqualValues(t, statusConfirm, result.GetStatus())
+				given = append(given, result.GetBody())
+			}
+		}
+		numbers = given
+	}
+	require.Fail(t, "it is never confirmed")
+}
