Count a machine that is told to end as a trouble from the signal on

The storm was declared over (25.0 s) after core-2 had been told to end (24.6 s) and before it had ended (25.9 s); its start came up to 6 s later, after the check for convergence. Only its start was counted as a trouble.

--- a/internal/controlsim/faults_test.go
+++ b/internal/controlsim/faults_test.go
@@ -101,7 +101,9 @@
 		return
 	}
 	t.world.note("%s is told to end", host.name)
+	t.active++ // from the signal on, so that all is well only when the machine is back
 	host.terminate(func(bool) {
+		t.active--
 		t.during(t.span(), func() {
 			t.world.note("%s starts", host.name)
 			host.start()
