Wait for the listener in the test of a request that began before the end

Ruled out: a fault of the front (the listener is set before a connection is accepted). Change: the wait for the first byte also waits for the listener; what it asks for stays the same.

--- a/internal/front/http/crossing_test.go
+++ b/internal/front/http/crossing_test.go
@@ -69,6 +69,9 @@
 	stage.Calls["read"] = func(string) {
 		scenario.Await(t, "the first byte is read", func() bool {
 			l := f.listener.Load()
+			if l == nil {
+				return false // Serve has not begun
+			}
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			for c := range l.conns {
