Keep a member whose disk refuses in the chain until others hold enough copies

The disk of one of two holders of the state refused for 0.64 s; it was dropped from the chain at once, the other one had just gone for good, the third had yet to take the state: nobody left might lead.

Ruled out: letting a former member lead (what the new chain may have committed would have to be fenced first); keeping it only if it says that it holds the view (it cannot write that down while its disk refuses).

Change: chain.Candidate tells whether a member is heard; one that is heard but unfit stays behind the others until those that are fit hold the copies required. With enough copies elsewhere it goes at once, as before; a silent one goes in any case.

--- a/internal/chain/builder.go
+++ b/internal/chain/builder.go
@@ -13,6 +13,9 @@
 	candidates map[string]Candidate
 	required   Requirement
 	chain      []*pb.Replica
+	// waiting are members whose disks refuse. They stay behind the others until these hold enough copies: they may
+	// have the only ones that outlive the next loss.
+	waiting []*pb.Replica
 }
 
 func (b *builder) candidate(replica *pb.Replica) Candidate {
@@ -21,12 +24,11 @@
 
 // begin takes over the members that are fit; it reports whether one of them holds the state and can be the head.
 func (b *builder) begin(members []*pb.Replica) bool {
-	survivors := slices.DeleteFunc(slices.Clone(members), func(member *pb.Replica) bool {
-		votes := quorum.IndexOf(b.voters, member.GetIdentity()) != quorum.NotFound
-		return !votes || !b.candidate(member).Fit
-	})
+	survivors := b.voting(members, func(candidate Candidate) bool { return candidate.Fit })
 	if staying := b.staying(survivors); b.required.MetBy(b.holding(staying), b.voters) {
 		survivors = staying
+	} else if !b.required.MetBy(b.holding(survivors), b.voters) {
+		b.waiting = b.voting(members, func(candidate Candidate) bool { return candidate.Heard && !candidate.Fit })
 	}
 	head := slices.IndexFunc(survivors, func(member *pb.Replica) bool { return b.candidate(member).Holds })
 	if head < 0 {
@@ -37,6 +39,14 @@
 	return true
 }
 
+// voting are the members that vote and are as asked for.
+func (b *builder) voting(members []*pb.Replica, wanted func(Candidate) bool) []*pb.Replica {
+	return slices.DeleteFunc(slices.Clone(members), func(member *pb.Replica) bool {
+		votes := quorum.IndexOf(b.voters, member.GetIdentity()) != quorum.NotFound
+		return !votes || !wanted(b.candidate(member))
+	})
+}
+
 // staying are the replicas that were not told to end.
 func (b *builder) staying(replicas []*pb.Replica) []*pb.Replica {
 	return slices.DeleteFunc(slices.Clone(replicas), func(replica *pb.Replica) bool {
@@ -55,7 +65,7 @@
 
 // extend adds voters up to the highest length. While the chain is short, any fit voter will do.
 func (b *builder) extend() {
-	for len(b.chain) < MaxLength {
+	for len(b.chain)+len(b.waiting) < MaxLength {
 		added := b.bestAddition(b.isShort())
 		if added == nil {
 			return
--- a/internal/chain/next.go
+++ b/internal/chain/next.go
@@ -43,6 +43,7 @@
 // Candidate is what is known of a voter that may be in the next chain.
 type Candidate struct {
 	Fit     bool // heard lately, and its disk works
+	Heard   bool // heard lately, whether its disk works or not
 	Holds   bool // as Published.Holds, in the view in force
 	Steady  bool // may be added to the chain without need
 	Leaving bool // was told to end: it stays only as long as the others do not hold enough copies
@@ -62,10 +63,11 @@
 		return nil, Change{}
 	}
 	next.makeRoom()
-	removal := len(next.chain) < len(view.GetChain())
+	removal := len(next.chain)+len(next.waiting) < len(view.GetChain())
 	kept := len(next.chain)
 	next.extend()
-	return next.chain, Change{Removal: removal, Addition: len(next.chain) > kept}
+	change := Change{Removal: removal, Addition: len(next.chain) > kept}
+	return append(next.chain, next.waiting...), change
 }
 
 // First returns the chain of the first view: spread over places, ordered by region and zone.
--- a/internal/chain/next_test.go
+++ b/internal/chain/next_test.go
@@ -23,6 +23,7 @@
 	lagging = Candidate{Fit: true, Steady: true}
 	fresh   = Candidate{Fit: true, Holds: true}
 	leaving = Candidate{Fit: true, Holds: true, Steady: true, Leaving: true}
+	full    = Candidate{Heard: true, Holds: true, Steady: true} // its disk refuses
 )
 
 func TestNext(t *testing.T) {
@@ -73,6 +74,30 @@
 			candidates: map[string]Candidate{"a": good, "b": good, "c": good, "d": good, "e": good, "f": good},
 			want:       "a b c d e",
 		},
+		{
+			name: "a member whose disk refuses goes", chain: "a b c", voters: "a b c",
+			candidates: map[string]Candidate{"a": full, "b": good, "c": good},
+			want:       "b c", change: Change{Removal: true},
+		},
+		{
+			name: "not before the others hold enough copies", chain: "a b c", voters: "a b c",
+			candidates: map[string]Candidate{"a": full, "b": good, "c": lagging},
+			want:       "b c a",
+		},
+		{
+			name: "while it stays, whoever can take the state is added before it", chain: "a b", voters: "a b c",
+			candidates: map[string]Candidate{"a": full, "b": good, "c": lagging},
+			want:       "b c a", change: Change{Addition: true},
+		},
+		{
+			name: "one that is not heard goes all the same", chain: "a b c", voters: "a b c",
+			candidates: map[string]Candidate{"a": {}, "b": good, "c": lagging},
+			want:       "b c", change: Change{Removal: true},
+		},
+		{
+			name: "without any that holds the state and is fit there is no chain", chain: "a b", voters: "a b c",
+			candidates: map[string]Candidate{"a": full, "b": lagging, "c": lagging},
+		},
 		{
 			name: "a member that was told to end goes", chain: "a b c", voters: "a b c",
 			candidates: map[string]Candidate{"a": leaving, "b": good, "c": good},
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -185,7 +185,7 @@
 		if known {
 			candidates[identity] = m.peerCandidate(identity, found)
 		} else {
-			candidates[identity] = chain.Candidate{Fit: m.silence(identity) <= SilenceLimit}
+			candidates[identity] = chain.Candidate{Fit: m.silence(identity) <= SilenceLimit, Heard: m.silence(identity) <= SilenceLimit}
 		}
 	}
 	return candidates
@@ -195,6 +195,7 @@
 	published := m.replica.Published()
 	return chain.Candidate{
 		Fit:     m.isFit(),
+		Heard:   true,
 		Holds:   published.Holds && published.ViewNumber == m.View().GetNumber(),
 		Steady:  m.now-m.started >= steadyFor && m.mayReturn(m.self.GetIdentity()),
 		Leaving: m.leaving.begun,
@@ -205,6 +206,7 @@
 	heartbeat := found.heartbeat
 	return chain.Candidate{
 		Fit:     m.isLive(identity) && heartbeat.GetStorageHealthy(),
+		Heard:   m.isLive(identity),
 		Holds:   heartbeat.GetSynchronised() && heartbeat.GetViewNumber() == m.View().GetNumber(),
 		Steady:  m.now-found.liveSince >= steadyFor && m.mayReturn(identity),
 		Leaving: heartbeat.GetLeaving(),
