--- a/internal/controlsim/adversary_test.go
+++ b/internal/controlsim/adversary_test.go
@@ -243,6 +243,7 @@
 	plan := plan{
 		seed: seed, machines: deployment.machines, zones: deployment.zones, regions: deployment.regions,
 		required: deployment.required, mutation: planted, calm: true,
+		processor: float64(number("CONTROLSIM_PROCESSOR_PERCENT", 0)) / 100,
 	}
 	w := newWorld(plan)
 	operators := []*operator{w.addOperator(1), w.addOperator(2)}
--- a/internal/controlsim/doc.go
+++ b/internal/controlsim/doc.go
@@ -10,4 +10,5 @@
 // CONTROLSIM_RACE_STRIDE tells how many events of a change of view the sweeps of races pass over at a time.
 // CONTROLSIM_FAR is the number of those in which a member is away for hundreds of changes, CONTROLSIM_BUSY of the
 // storms over hundreds of changes, CONTROLSIM_FOUNDING of the foundings.
+// CONTROLSIM_PROCESSOR_PERCENT gives the hosts of the adversary's runs that share of a core.
 package controlsim
