Bring back three tests of results of orders that an overwrite had lost

Measured: all four pass on the code as it is (go test ./internal/control ./internal/rulesdoc). No logic changed.

--- a/internal/control/origin_test.go
+++ b/internal/control/origin_test.go
@@ -33,3 +33,70 @@
 	}
 	return replies
 }
+
+// pendingOn submits an order whose write hangs, so that it stays pending.
+func pendingOn(l *lone, base, generation uint64) *pendingOrder {
+	l.hold = true
+	l.step(Submitted{Request: generation, Order: replaceOrder(base, generation)})
+	require.NotEmpty(l.t, l.machine.origin.pending)
+	return l.machine.origin.pending[len(l.machine.origin.pending)-1]
+}
+
+func (l *lone) receiveResult(from *pb.Replica, result *pb.OrderResult) {
+	l.step(Received{Message: &pb.Message{
+		From:       from,
+		ToIdentity: l.machine.Self().GetIdentity(),
+		Cluster:    l.machine.View().GetCluster(),
+		Body:       &pb.Message_OrderResult{OrderResult: result},
+	}})
+}
+
+// A result counts only from the machine that the order was forwarded to last.
+func TestResultsOfOtherMachinesAreDropped(t *testing.T) {
+	l := newLone(t)
+	pending := pendingOn(l, 0, 9)
+	head, other := &pb.Replica{Identity: "head", Address: "10.0.0.2:7660"}, &pb.Replica{Identity: "other", Address: "10.0.0.3:7660"}
+	pending.target = head.GetIdentity()
+	id, body := pending.order.GetId(), pending.order.GetBody()
+	for _, status := range []uint32{http.StatusOK, http.StatusPreconditionFailed, http.StatusServiceUnavailable, statusConfirm} {
+		l.receiveResult(other, &pb.OrderResult{Id: id, Status: status, Body: []byte("8")})
+		require.Empty(t, l.replies)
+		require.Equal(t, body, pending.order.GetBody(), "no number of another machine is taken over")
+	}
+	l.receiveResult(head, &pb.OrderResult{Id: id + 1, Status: http.StatusOK})
+	require.Empty(t, l.replies, "it answers another order")
+	l.receiveResult(head, &pb.OrderResult{Id: id, Status: http.StatusPreconditionFailed})
+	require.Len(t, l.replies, 1)
+	l.receiveResult(head, &pb.OrderResult{Id: id, Status: http.StatusOK})
+	require.Len(t, l.replies, 1, "an order is answered once")
+}
+
+// An order that was forwarded to nobody is answered by nobody but its own deadline.
+func TestOrderWithoutAHeadIsAnsweredAtItsDeadline(t *testing.T) {
+	l := newLone(t)
+	pending := pendingOn(l, 0, 9)
+	pending.target = ""
+	l.receiveResult(&pb.Replica{Identity: "other"}, &pb.OrderResult{Id: pending.order.GetId(), Status: http.StatusOK})
+	require.Empty(t, l.replies)
+	pending.deadline = l.now
+	l.tick(1)
+	require.Len(t, l.replies, 1)
+	require.EqualValues(t, http.StatusServiceUnavailable, l.replies[0].GetStatus())
+}
+
+// Results of an earlier life of this machine match no order of this one.
+func TestResultsOfAnEarlierLifeAreDropped(t *testing.T) {
+	l := newLone(t)
+	earlier := pendingOn(l, 0, 9).order.GetId()
+	l.hold = false
+	l.release()
+	l.replies = nil
+	l.restart()
+	pending := pendingOn(l, 9, 12)
+	require.NotEqual(t, earlier, pending.order.GetId())
+	l.receiveResult(l.machine.Self(), &pb.OrderResult{Id: earlier, Status: http.StatusOK})
+	head := &pb.Replica{Identity: pending.target, Address: "10.0.0.2:7660"}
+	l.machine.handle(&pb.Message{From: head, Body: &pb.Message_OrderResult{OrderResult: &pb.OrderResult{Id: earlier, Status: http.StatusOK}}})
+	require.Empty(t, l.replies)
+	require.Len(t, l.machine.origin.pending, 1)
+}
