Reproduce changes that come late over narrow links: two tests that fail

A control machine writes its news whole for each agent, and an agent gives an answer up after two seconds whatever it carries. 1,400 routes are 441 KB written; 20 agents of one machine share 30 Mbit/s, so that none has its answer after two seconds, all give up at once and ask again, elsewhere.

Change: the agents' model gets links of bounded bandwidth that transfers share evenly, as TCP does; two tests with the links and sizes of the deployment. No logic changed.

Measured: TestALargeChangeIsInForceInTimeOverNarrowLinks and TestAllAgentsStartInTimeOverNarrowLinks: not in force after a minute, 675 and 673 MB carried.

--- a/internal/agent/model_agent_test.go
+++ b/internal/agent/model_agent_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/shuffle"
@@ -106,19 +107,30 @@
 		return
 	}
 	ended := false
+	giveUp := func() {}
 	m.after(call.timeout, func() {
 		if !ended {
 			ended = true
+			giveUp()
 			deliver(watchDone{call: call, err: errModelTimeout})
 		}
 	})
+	answered := func(response *pb.WatchResponse) {
+		if !ended && !a.isCut(call.address) {
+			ended = true
+			deliver(watchDone{call: call, response: response})
+		}
+	}
 	m.after(m.latency(), func() {
+		if m.control(call.address).dead {
+			return
+		}
 		m.control(call.address).watch(call.request, func(response *pb.WatchResponse) {
-			m.after(m.latency(), func() {
-				if !ended && !a.isCut(call.address) {
-					ended = true
-					deliver(watchDone{call: call, response: response})
-				}
+			if ended {
+				return
+			}
+			giveUp = m.links.send(call.address, a.self.Address, proto.Size(response), func() {
+				m.after(m.latency(), func() { answered(response) })
 			})
 		})
 	})
@@ -156,16 +168,39 @@
 		}
 		other.deliver(asked)
 		done := answer()
-		m.after(m.latency(), func() {
-			if a.isCut(address) {
-				m.after(peerTimeout, func() { deliver(failed) })
-				return
+		ended := false
+		giveUp := func() {}
+		m.after(peerTimeout, func() {
+			if !ended {
+				ended = true
+				giveUp()
+				deliver(failed)
 			}
-			deliver(done)
+		})
+		giveUp = m.links.send(address, a.self.Address, answerSize(done), func() {
+			m.after(m.latency(), func() {
+				if !ended && !a.isCut(address) {
+					ended = true
+					deliver(done)
+				}
+			})
 		})
 	})
 }
 
+// answerSize is the size in bytes of another agent's answer.
+func answerSize(done event) int {
+	switch done := done.(type) {
+	case pushDone:
+		return proto.Size(done.response)
+	case compareDone:
+		return proto.Size(done.response)
+	case shuffleDone:
+		return proto.Size(done.response)
+	}
+	return 0
+}
+
 // repeatPushes brings pushes once more that reached this machine long ago, from neighbours of earlier lives.
 func (a *modelAgent) repeatPushes() {
 	for _, request := range a.pushes {
--- a/internal/agent/model_control_test.go
+++ b/internal/agent/model_control_test.go
@@ -14,6 +14,7 @@
 	held          *gossip.Copy
 	authoritative bool
 	stuck         bool // it hears of nothing new
+	dead          bool // it answers nothing
 	waiting       []*modelWatch
 }
 
--- a/internal/agent/model_test.go
+++ b/internal/agent/model_test.go
@@ -27,6 +27,7 @@
 	cut      map[string]bool // addresses that nobody reaches and from which nothing comes
 	failures []string
 	plant    planted
+	links    *modelLinks // nil: of endless bandwidth
 }
 
 // planted is a fault, to show that the model's checks find it. The zero value plants none.
@@ -150,7 +151,12 @@
 	case draw < 20:
 		made.Removals = append(made.Removals, &pb.ItemKey{Kind: catalog.KindRoutes, Name: fmt.Sprintf("route-%d", m.random.IntN(60))})
 	}
-	next, err := m.truth[sequence-1].Apply(made)
+	m.add(made)
+}
+
+// add takes a change that follows the newest one.
+func (m *model) add(made *pb.Change) {
+	next, err := m.truth[made.GetSequence()-1].Apply(made)
 	if err != nil {
 		m.fail("the model is wrong: %v", err)
 		return
--- /dev/null
+++ b/internal/agent/narrowlinks_test.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+)
+
+// Links and sizes of the deployment whose operators saw changes come late: 61 edge machines on 10 Mbit/s and five
+// control machines on 30 Mbit/s, of which two may be lost; 1,500 routes, and 1,400 more in one change.
+const (
+	edgeLink       = 10e6 / 8 // bytes a second
+	controlLink    = 30e6 / 8 // bytes a second
+	edgeMachines   = 61
+	coreMachines   = 5
+	lostMachines   = 2
+	routesAtFirst  = 1500
+	routesInChange = 1400
+	// inForceWithin is the time that such operators give a change.
+	inForceWithin = 3 * time.Second
+)
+
+// narrow gives the machines links of bounded bandwidth.
+func (m *model) narrow() {
+	m.links = newModelLinks(m)
+	for _, control := range m.controls {
+		m.links.capacity[control.address] = controlLink
+	}
+	for _, one := range m.agents {
+		m.links.capacity[one.self.Address] = edgeLink
+	}
+}
+
+// commitRoutes makes one change that adds routes of the size that operators send, with names that repeat nothing.
+func (m *model) commitRoutes(count int) {
+	sequence := m.last() + 1
+	made := &pb.Change{Sequence: sequence, Generation: sequence}
+	for range count {
+		name := fmt.Sprintf("r-%07x", m.random.Uint64()&0xfffffff)
+		made.Upserts = append(made.Upserts, &pb.Item{
+			Kind:     catalog.KindRoutes,
+			Name:     name,
+			Order:    1,
+			Sequence: sequence,
+			Body: fmt.Appendf(nil, `{"name":%q,"vhost":"%06x.example","path-prefix":"/%06x/","route-kind":"streaming",`+
+				`"deadline-ms":5000,"target-ms":800,"prio":1,"split":[{"backend":"model","share":90},{"backend":"other","share":10}],`+
+				`"tries":1,"pinned":true,"resumable":false,"gap_aim_ms":400,"home-regions":[]}`,
+				name, m.random.Uint64()&0xffffff, m.random.Uint64()&0xffffff),
+		})
+	}
+	m.add(made)
+}
+
+// lose takes control machines away without a word.
+func (m *model) lose(count int) {
+	for _, control := range m.controls[:count] {
+		control.dead = true
+		m.cut[control.address] = true
+	}
+}
+
+// A change of many routes is in force at all proxies in time though two of five control machines are gone.
+func TestALargeChangeIsInForceInTimeOverNarrowLinks(t *testing.T) {
+	for seed := range uint64(environment("AGENT_NARROW", 3)) {
+		m := newModel(seed, coreMachines, edgeMachines)
+		m.narrow()
+		m.commitRoutes(routesAtFirst)
+		require.True(t, m.runUntil(time.Minute, m.converged), "seed %d: the first state", seed)
+		m.lose(lostMachines)
+		m.runUntil(5*time.Second, func() bool { return false })
+		for round := range 3 {
+			before := m.links.carried
+			began := m.now
+			m.commitRoutes(routesInChange)
+			inForce := m.runUntil(time.Minute, m.converged)
+			t.Logf("seed %d, change %d: in force after %v, %.1f MB carried", seed, round, m.now-began, (m.links.carried-before)/1e6)
+			require.True(t, inForce)
+			require.Less(t, m.now-began, inForceWithin, "seed %d, change %d", seed, round)
+		}
+		require.Empty(t, m.failures, "seed %d", seed)
+	}
+}
+
+// All agents that begin at once with nothing, as after a loss of power, hold the whole state in time.
+func TestAllAgentsStartInTimeOverNarrowLinks(t *testing.T) {
+	for seed := range uint64(environment("AGENT_NARROW", 3)) {
+		m := newModel(seed, coreMachines, edgeMachines)
+		m.narrow()
+		m.lose(lostMachines)
+		m.commitRoutes(routesAtFirst)
+		m.commitRoutes(routesInChange)
+		inForce := m.runUntil(time.Minute, m.converged)
+		t.Logf("seed %d: in force after %v, %.1f MB carried", seed, m.now, m.links.carried/1e6)
+		require.True(t, inForce)
+		require.Less(t, m.now, inForceWithin, "seed %d", seed)
+		require.Empty(t, m.failures, "seed %d", seed)
+	}
+}
