Agent: log and count late copies, late proxies, unconfirmed state and failures by kind

Cause: for the CONFIG incident no counter or line told where a change was late on its way to an agent or from there to its proxy.

Change: the agent notes, by its steady clock, when it was told of each sequence, when it held it and when its proxy reported it. Lines when one of these is late and when it ends; figures in the counters' line; failures of calls by kind; longest call to control and largest answer. Two invariants are counted: the proxy's report never falls within one of its lives, and nothing that it reported to hold is sent to it; the simulations of agents fail at the first. No call, wait or decision differs; the messages are the same.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -31,6 +31,8 @@
 	feed     feed
 	ending   ending
 	counters counters
+	lateness lateness
+	broken   violations
 	passDue  time.Duration
 	asked    bool   // the proxy has been asked for its status, with or without success
 	linkedTo string // as last logged
@@ -72,6 +74,8 @@
 	if c.held.Sequence() < sequence {
 		panic("agent: the sequence of the copy fell")
 	}
+	c.lateness.observe(now, happened, c.held.Sequence(), c.feed.status)
+	c.lateness.log(now, c.logger)
 	actions = append(actions, c.pass(now)...)
 	return append(actions, c.advance(now)...)
 }
@@ -118,6 +122,7 @@
 		c.counters.exchanges++
 		if call.apply != nil {
 			c.counters.applies++
+			c.broken.checkSent(c.logger, call.apply, c.feed.status)
 		}
 		actions = append(actions, *call)
 	}
@@ -214,14 +219,17 @@
 func (c *core) watchDone(now time.Duration, done watchDone) []action {
 	if done.err != nil {
 		c.counters.watchFailures++
+		c.counters.watchFailureKinds.count(done.err)
 		c.link.failed(now, done.call, done.err)
 		c.logLink(done.err)
 		return nil
 	}
+	c.counters.countAnswer(now-done.call.started, done.response)
 	actions, outcome := c.learn(now, done)
 	c.link.answered(now, done.call, done.response, outcome)
 	if done.response.GetAuthoritative() && !outcome.behind {
 		c.feed.confirm(done.call.started)
+		c.lateness.confirm(now)
 	}
 	c.logLink(nil)
 	return actions
@@ -259,6 +267,7 @@
 
 func (c *core) feedDone(now time.Duration, done feedDone) {
 	reachable, ready := c.feed.reachable, c.feed.ready()
+	earlier := c.feed.status
 	found := c.feed.done(now, done)
 	if !c.asked {
 		c.asked = true
@@ -266,7 +275,9 @@
 	}
 	if done.err != nil {
 		c.counters.feedFailures++
+		c.counters.feedFailureKinds.count(done.err)
 	}
+	c.broken.checkReport(c.logger, earlier, c.feed.status)
 	switch {
 	case found:
 		c.logger.Info("proxy found",
@@ -314,6 +325,8 @@
 		zap.Int("neighbours", len(c.view.Neighbours())),
 		zap.Uint32("members", c.members.shares.GetProxies()),
 		zap.Bool("proxy_ready", c.feed.ready()))
+	fields = append(fields, c.lateness.fields(now)...)
+	fields = append(fields, zap.Uint64("violations", c.broken.total()))
 	if c.held.ListVersion() != nil {
 		fields = append(fields, zap.Duration("list_age", now-c.held.ListNewsAt()))
 	}
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -4,6 +4,9 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
 )
 
 // countersPeriod is the time between two lines of counters.
@@ -28,6 +31,20 @@
 	shufflesTaken  uint64
 	lastPrintedAt  time.Duration
 	droppedActions uint64
+
+	watchFailureKinds failureCounts
+	feedFailureKinds  failureCounts
+	peerFailureKinds  failureCounts
+	longestWatch      time.Duration // of the calls to control that succeeded, with the time for which they were held
+	largestAnswer     int           // in bytes, of the answers of control with changes or a repair
+}
+
+// countAnswer counts an answer of a control machine and how long its call took.
+func (c *counters) countAnswer(took time.Duration, answer *pb.WatchResponse) {
+	c.longestWatch = max(c.longestWatch, took)
+	if len(answer.GetChanges()) > 0 || answer.GetRepair() != nil {
+		c.largestAnswer = max(c.largestAnswer, proto.Size(answer))
+	}
 }
 
 // due tells whether a line is due, and counts the next period from now if so.
@@ -40,7 +57,7 @@
 }
 
 func (c *counters) fields() []zap.Field {
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.Uint64("watches", c.watches),
 		zap.Uint64("watch_failures", c.watchFailures),
 		zap.Uint64("older_answers", c.olderAnswers),
@@ -57,5 +74,10 @@
 		zap.Uint64("compares_taken", c.comparesTaken),
 		zap.Uint64("shuffles_taken", c.shufflesTaken),
 		zap.Uint64("dropped_calls", c.droppedActions),
+		zap.Duration("longest_watch", c.longestWatch),
+		zap.Int("largest_answer", c.largestAnswer),
 	}
+	fields = append(fields, c.watchFailureKinds.fields("watch")...)
+	fields = append(fields, c.feedFailureKinds.fields("proxy")...)
+	return append(fields, c.peerFailureKinds.fields("peer")...)
 }
--- a/internal/agent/cutstart_test.go
+++ b/internal/agent/cutstart_test.go
@@ -102,6 +102,7 @@
 			s.feed(wanted)
 		}
 	}
+	require.Zero(s.t, s.core.broken.total())
 }
 
 func (s *cutStart) later(wait time.Duration, happened event) {
--- /dev/null
+++ b/internal/agent/failures.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"io"
+	"syscall"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// failureKind tells how a call failed.
+type failureKind int
+
+const (
+	failedNoConnection failureKind = iota // none came up in time
+	failedTimeOut                         // the call was not answered, or not read whole, in its time
+	failedReset                           // the other side refused the connection or broke it off
+	failedRefusal                         // the other process answered with an error
+	failedOther
+	failureKinds
+)
+
+// kindOf classifies the error of a call.
+func kindOf(err error) failureKind {
+	switch {
+	case errors.Is(err, errNoConnection):
+		return failedNoConnection
+	case connect.IsWireError(err):
+		return failedRefusal
+	case connect.CodeOf(err) == connect.CodeDeadlineExceeded:
+		return failedTimeOut
+	case isReset(err):
+		return failedReset
+	}
+	return failedOther
+}
+
+// isReset tells whether nobody listens at the other side, or it has closed the connection.
+func isReset(err error) bool {
+	for _, cause := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// failureCounts count failed calls by kind.
+type failureCounts [failureKinds]uint64
+
+func (c *failureCounts) count(err error) { c[kindOf(err)]++ }
+
+// fields are the counts for a line of the log, with names that begin by what was called.
+func (c *failureCounts) fields(called string) []zap.Field {
+	return []zap.Field{
+		zap.Uint64(called+"_no_connection", c[failedNoConnection]),
+		zap.Uint64(called+"_timed_out", c[failedTimeOut]),
+		zap.Uint64(called+"_reset", c[failedReset]),
+		zap.Uint64(called+"_refused", c[failedRefusal]),
+		zap.Uint64(called+"_failed_otherwise", c[failedOther]),
+	}
+}
--- /dev/null
+++ b/internal/agent/failures_test.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+)
+
+// refusing refuses every call.
+type refusing struct {
+	fieldrelayv1connect.UnimplementedControlLinkHandler
+}
+
+// failingWatch makes a call that fails.
+func failingWatch(t *testing.T, address string) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	client := fieldrelayv1connect.NewControlLinkClient(&http.Client{Transport: newTransport()}, baseURL(address))
+	_, err := client.Watch(ctx, connect.NewRequest(&pb.WatchRequest{}))
+	require.Error(t, err)
+	return err
+}
+
+// listenWith accepts connections until the test ends and hands them over.
+func listenWith(t *testing.T, take func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			take(connection)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestFailedCallsAreToldApart(t *testing.T) {
+	closed := listenWith(t, func(connection net.Conn) { _ = connection.Close() })
+	silent := listenWith(t, func(connection net.Conn) { t.Cleanup(func() { _ = connection.Close() }) })
+	gone, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	refused := serve(t, func(mux *http.ServeMux) {
+		mux.Handle(fieldrelayv1connect.NewControlLinkHandler(refusing{}))
+	})
+	require.Equal(t, failedReset, kindOf(failingWatch(t, closed)))
+	require.Equal(t, failedReset, kindOf(failingWatch(t, gone.Addr().String())))
+	require.Equal(t, failedTimeOut, kindOf(failingWatch(t, silent)))
+	require.Equal(t, failedRefusal, kindOf(failingWatch(t, refused)))
+	require.Equal(t, failedNoConnection, kindOf(errNoConnection))
+	require.Equal(t, failedOther, kindOf(errors.New("something else")))
+}
+
+func TestFailuresAndAnswersAreCounted(t *testing.T) {
+	s := newSteps(t, "core-1:1")
+	s.step(tick{})
+	s.proxyAnswers(&pb.ProxyStatus{Incarnation: 7})
+	s.step(watchDone{call: takeWatch(s, watchLong), err: errNoConnection})
+	require.EqualValues(t, 1, s.core.counters.watchFailureKinds[failedNoConnection])
+
+	s.tickFor(longestBackoff + shortestBackoff)
+	call := takeWatch(s, watchLong)
+	s.tickFor(700 * time.Millisecond)
+	answer := &pb.WatchResponse{Sequence: 1, Changes: []*pb.Change{change(1)}}
+	s.step(watchDone{call: call, response: answer})
+	require.Equal(t, s.now-call.started, s.core.counters.longestWatch)
+	require.Positive(t, s.core.counters.largestAnswer)
+}
--- a/internal/agent/model_agent_test.go
+++ b/internal/agent/model_agent_test.go
@@ -51,6 +51,9 @@
 	for _, wanted := range a.core.step(a.model.now, happened) {
 		a.call(wanted)
 	}
+	if a.core.broken.total() != 0 {
+		a.model.fail("%s counts violations: %+v", a.self.Host, a.core.broken)
+	}
 	if a.core.held.Sequence() != before {
 		a.model.check(a.self.Host, a.core.held.Snapshot())
 	}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -43,6 +43,7 @@
 		return false
 	}
 	c.counters.peerFailures++
+	c.counters.peerFailureKinds.count(err)
 	if connect.CodeOf(err) == connect.CodeResourceExhausted {
 		return true
 	}
