Proxy: count violations, repairs, items left out, times of Apply and the agent's silence

Change: counters of exchanges and how long they took, repairs and items left out; the age of the last exchange with the agent, with lines when it is over 2 s and when it is back. A request pays an atomic load for it. The tests' rigs want no violation.

Measured: tests of internal/proxy pass, the new ones with the race detector too; noting a use allocates nothing (test).

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -32,8 +33,20 @@
 	lateChanges atomic.Uint64 // attempts given up because the state changed just before sending
 	olderStates atomic.Uint64 // states and changes from the agent that were no newer than what was held
 	gaps        atomic.Uint64 // exchanges with the agent whose changes did not follow on what was held
+	repairs     atomic.Uint64 // whole states that were taken in
+	leftOut     atomic.Uint64 // items of the configuration that could not be used
+	applies     atomic.Uint64 // exchanges with the agent that brought something
+	applyLast   atomic.Int64  // nanoseconds that the last of them took
+	applyMax    atomic.Int64  // nanoseconds that the longest of them took
+
+	// Violations of what must never happen.
+	fellBack  atomic.Uint64 // snapshots that were older than the one before
+	olderUsed atomic.Uint64 // requests that used an older snapshot than a request before them
 }
 
+// violations is the number of violations of all kinds.
+func (c *counters) violations() uint64 { return c.fellBack.Load() + c.olderUsed.Load() }
+
 func (c *counters) countOwn(status int) {
 	switch {
 	case status == 503 || status == 429:
@@ -45,14 +58,23 @@
 	}
 }
 
-// countFed counts what an exchange with the agent brought in vain.
+// countFed counts what an exchange with the agent brought.
 func (c *counters) countFed(done update) {
 	c.olderStates.Add(uint64(done.older))
+	c.repairs.Add(uint64(done.repairs))
+	c.leftOut.Add(uint64(len(done.faults)))
 	if done.gap {
 		c.gaps.Add(1)
 	}
 }
 
+// countApply counts the time that an exchange with the agent took. Only one runs at a time.
+func (c *counters) countApply(took time.Duration) {
+	c.applies.Add(1)
+	c.applyLast.Store(int64(took))
+	c.applyMax.Store(max(c.applyMax.Load(), int64(took)))
+}
+
 func (c *counters) countFate(f fate) {
 	switch f {
 	case fateNotSent:
@@ -89,6 +111,12 @@
 		zap.Uint64("late-changes", c.lateChanges.Load()),
 		zap.Uint64("older-states", c.olderStates.Load()),
 		zap.Uint64("gaps", c.gaps.Load()),
+		zap.Uint64("repairs", c.repairs.Load()),
+		zap.Uint64("items-left-out", c.leftOut.Load()),
+		zap.Uint64("applies", c.applies.Load()),
+		zap.Duration("apply-last", time.Duration(c.applyLast.Load())),
+		zap.Duration("apply-max", time.Duration(c.applyMax.Load())),
+		zap.Uint64("violations", c.violations()),
 		zap.Uint64("dialled", connections.Dialled),
 		zap.Uint64("dials-failed", connections.Refused),
 		zap.Uint64("reused", connections.Reused),
--- a/internal/proxy/distance_test.go
+++ b/internal/proxy/distance_test.go
@@ -92,6 +92,8 @@
 		return "a change that is not told"
 	case !before.confirmed && held.confirmed && f.state.gap:
 		return "what was confirmed is not held"
+	case done.fellBack:
+		return "a snapshot that fell back"
 	}
 	return f.difference(held)
 }
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -24,6 +25,8 @@
 	counters    *counters
 	shares      atomic.Pointer[pb.SharesVersion] // in force
 	logger      *zap.Logger
+	contact     *contact
+	now         func() time.Duration // steady clock
 	// changed is told of each new snapshot.
 	changed func(*snapshot, update)
 }
@@ -31,11 +34,14 @@
 // Apply takes in changes, a repair, a server list and shares, and answers what is held afterwards. What was meant
 // for an earlier process of this proxy is left: its confirmation was asked for before this one began.
 func (f *feed) Apply(_ context.Context, request *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ProxyStatus], error) {
+	began := f.now()
+	f.contact.heard(began)
 	if wanted := request.Msg.GetProxyIncarnation(); wanted != 0 && wanted != f.incarnation {
 		return connect.NewResponse(f.status(f.state.load())), nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer func() { f.counters.countApply(f.now() - began) }()
 	before := f.state.load()
 	held, done := f.state.apply(request.Msg)
 	f.counters.countFed(done)
@@ -66,6 +72,7 @@
 
 // Status answers what is held.
 func (f *feed) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.ProxyStatus], error) {
+	f.contact.heard(f.now())
 	return connect.NewResponse(f.status(f.state.load())), nil
 }
 
@@ -92,6 +99,14 @@
 	for _, fault := range done.faults {
 		f.logger.Warn("item of the configuration left out", zap.Error(fault))
 	}
+	if done.fellBack {
+		f.counters.fellBack.Add(1)
+		f.logger.Error("the configuration fell back",
+			zap.Uint64("sequence-before", before.sequence),
+			zap.Uint64("generation-before", before.generation),
+			zap.Uint64("sequence", held.sequence),
+			zap.Uint64("generation", held.generation))
+	}
 	if done.tableChanged {
 		f.logger.Info("configuration in force",
 			zap.Uint64("sequence", held.sequence),
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -148,6 +148,7 @@
 
 // takeIn reads the body and finds the route; a proxy that has just started first waits until it can.
 func (h *handler) takeIn(control *http.ResponseController, request *http.Request, target string, arrived time.Time) (taken intake, err error) {
+	floor := h.state.used.floor()
 	held := h.state.load()
 	taken.at = arrived
 	early := !held.usable()
@@ -162,6 +163,7 @@
 			taken.body.free()
 		}
 	}()
+	h.noteUse(held, floor)
 	if !held.configured() {
 		return taken, errNoConfiguration
 	}
@@ -178,6 +180,14 @@
 	return taken, err
 }
 
+// noteUse checks that a request uses no older snapshot than those before it: floor was read when it came.
+func (h *handler) noteUse(held *snapshot, floor uint64) {
+	if held.sequence < floor {
+		h.counters.olderUsed.Add(1)
+	}
+	h.state.used.use(held.sequence)
+}
+
 var (
 	errNoConfiguration = errors.New("no configuration is held")
 	errNoRoute         = errors.New("no route")
--- /dev/null
+++ b/internal/proxy/invariants_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+func TestSnapshotsThatFallBackAreFound(t *testing.T) {
+	held := &snapshot{sequence: 5, generation: 9}
+	for expected, later := range map[bool][]*snapshot{
+		true: {
+			{sequence: 4, generation: 9},
+			{sequence: 6, generation: 8},
+			{sequence: 5, generation: 10},
+		},
+		false: {
+			{sequence: 5, generation: 9},
+			{sequence: 6, generation: 9},
+			{sequence: 7, generation: 12},
+		},
+	} {
+		for _, after := range later {
+			require.Equal(t, expected, fellBack(held, after), "%d of generation %d", after.sequence, after.generation)
+		}
+	}
+}
+
+func TestStateTellsAGenerationThatFalls(t *testing.T) {
+	s := newState()
+	_, done := s.apply(&pb.ApplyRequest{Changes: []*pb.Change{firstChange()}})
+	require.False(t, done.fellBack)
+	_, done = s.apply(&pb.ApplyRequest{Changes: []*pb.Change{{Sequence: 2, Generation: 6}}})
+	require.True(t, done.fellBack)
+}
+
+func TestRequestWithAnOlderSnapshotIsAViolation(t *testing.T) {
+	h := &handler{state: newState(), counters: &counters{}}
+	use := func(sequence uint64) {
+		h.noteUse(&snapshot{sequence: sequence}, h.state.used.floor())
+	}
+	use(3)
+	use(3)
+	use(5)
+	require.Zero(t, h.counters.violations())
+	use(4)
+	require.EqualValues(t, 1, h.counters.violations())
+	require.EqualValues(t, 5, h.state.used.floor())
+}
+
+// Requests that run beside changes use what is no older than what those before them used.
+func TestRequestsBesideChangesUseNoOlderSnapshot(t *testing.T) {
+	const changes, requests = 300, 3000
+	h := &handler{state: newState(), counters: &counters{}}
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range requests {
+				floor := h.state.used.floor()
+				h.noteUse(h.state.load(), floor)
+			}
+		})
+	}
+	for sequence := range uint64(changes) {
+		h.state.apply(&pb.ApplyRequest{Changes: []*pb.Change{{Sequence: sequence + 1, Generation: sequence + 1}}})
+	}
+	group.Wait()
+	require.Zero(t, h.counters.violations())
+	require.EqualValues(t, changes, h.state.load().sequence)
+}
+
+func TestNotingAUseAllocatesNothing(t *testing.T) {
+	h := &handler{state: newState(), counters: &counters{}}
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		floor := h.state.used.floor()
+		h.noteUse(h.state.load(), floor)
+	}))
+}
--- a/internal/proxy/process_test.go
+++ b/internal/proxy/process_test.go
@@ -62,6 +62,7 @@
 		terminate()
 		p.abandon()
 		<-r.ended
+		require.Zero(t, p.counters.violations())
 	})
 	return r
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,6 +57,8 @@
 	pool       *upstream.Pool
 	memory     *memoryBound
 	counters   *counters
+	contact    *contact
+	started    time.Time
 	front      *front
 	reloader   *reloader
 	grace      atomic.Int64    // nanoseconds
@@ -110,6 +112,8 @@
 		pool:       upstream.NewPool(),
 		memory:     newMemoryBound(int64(configured.Limits.MemoryMB * megabyte / bodyShare)),
 		counters:   &counters{},
+		contact:    &contact{logger: logger},
+		started:    time.Now(),
 	}
 	p.base, p.abandon = context.WithCancel(context.Background())
 	p.lifecycle = &lifecycle{held: p.state.load}
@@ -166,6 +170,8 @@
 		lifecycle:   p.lifecycle,
 		counters:    p.counters,
 		logger:      p.logger,
+		contact:     p.contact,
+		now:         p.now,
 		changed:     p.snapshotChanged,
 	}
 	path, handler := fieldrelayv1connect.NewProxyFeedHandler(service)
@@ -226,6 +232,7 @@
 		case <-housekeeping.C:
 			p.reloader.look()
 			p.sweep(p.state.load())
+			p.contact.look(p.now())
 		case <-report.C:
 			p.logger.Info("counters", p.counterFields()...)
 		}
@@ -233,9 +240,13 @@
 }
 
 func (p *process) counterFields() []zap.Field {
-	return p.counters.fields(p.pool.Stats(), p.dispatcher.slack(), p.memory.used.Load())
+	fields := p.counters.fields(p.pool.Stats(), p.dispatcher.slack(), p.memory.used.Load())
+	return append(fields, zap.Duration("agent-silence", p.contact.age(p.now())))
 }
 
+// now is the steady time since the start.
+func (p *process) now() time.Duration { return time.Since(p.started) }
+
 // drain goes through the phases of the end: it takes requests for as long as clients may hold the address,
 // then refuses new ones, and breaks off what is left when the grace period is nearly over.
 func (p *process) drain() {
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -293,6 +293,7 @@
 		front.close()
 		abandon()
 		h.pool.Close()
+		require.Zero(t, h.counters.violations())
 	})
 	return &rig{t: t, handler: h, placer: placer, address: listener.Addr().String()}
 }
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -34,6 +34,8 @@
 	faults       []error // of items that could not be used
 	older        int     // states and changes no newer than what is held, which were left
 	gap          bool    // changes came that do not follow on what is held, and were left
+	repairs      int     // whole states that were taken
+	fellBack     bool    // the new snapshot is older than the one before: this must never be
 }
 
 // state holds the snapshot in force. Readers load it without waiting; writers come one at a time.
@@ -44,6 +46,7 @@
 	gap bool
 	// announced is closed, and replaced, when a new snapshot has been taken in everywhere.
 	announced chan struct{}
+	used      usedSequence
 }
 
 func newState() *state {
@@ -58,7 +61,8 @@
 func (s *state) apply(request *pb.ApplyRequest) (*snapshot, update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := *s.current.Load()
+	before := s.current.Load()
+	next := *before
 	var done update
 	s.applyRepair(&next, request.GetRepair(), &done)
 	for _, change := range request.GetChanges() {
@@ -68,6 +72,7 @@
 	if request.GetConfirmed() && !s.gap {
 		next.confirmed = true
 	}
+	done.fellBack = fellBack(before, &next)
 	s.current.Store(&next)
 	return &next, done
 }
@@ -90,6 +95,7 @@
 	next.sequence = repair.GetSequence()
 	next.generation = repair.GetGeneration()
 	done.tableChanged = true
+	done.repairs++
 	done.faults = append(done.faults, faults...)
 	s.gap = false
 }
