Give urgent messages between control machines a way of their own, compress large ones

Ruled out: a longer limit of silence, which would make every real loss last longer.

Change: each way to another control machine has two lanes with a connection each; changes and repairs keep their order in the bulk lane, orders and results go by their size. Deliveries of 16 KiB and more are gzipped at the fastest level; a machine that answers that it can't read this gets them plain from then on. Agents' call errors by a stalled answer count as time-outs in the new counters.

Measured: unit tests of both lanes; tests of control, controlserver and agent pass under the race detector.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -178,19 +178,19 @@
 	} else {
 		response, err = c.feed.Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
 	}
-	return feedDone{call: call, status: message(response), err: err}
+	return feedDone{call: call, status: message(response), err: stalledCause(ctx, err)}
 }
 
 func (c *caller) shuffle(ctx context.Context, call shuffleCall) event {
 	request := &pb.ShuffleRequest{From: toMessage(call.From), Sample: toMessages(call.Sample)}
 	response, err := c.peer(call.To).Shuffle(ctx, connect.NewRequest(request))
-	return shuffleDone{call: call, response: message(response), err: err}
+	return shuffleDone{call: call, response: message(response), err: stalledCause(ctx, err)}
 }
 
 func (c *caller) push(ctx context.Context, call pushCall) event {
 	request := &pb.PushRequest{From: toMessage(c.self), Changes: call.Changes, List: call.List}
 	response, err := c.peer(call.To).Push(ctx, connect.NewRequest(request))
-	return pushDone{call: call, response: message(response), err: err}
+	return pushDone{call: call, response: message(response), err: stalledCause(ctx, err)}
 }
 
 func (c *caller) compare(ctx context.Context, call compareCall) event {
@@ -199,7 +199,7 @@
 	if err == nil {
 		err = unpackCompare(answer)
 	}
-	return compareDone{call: call, response: answer, err: err}
+	return compareDone{call: call, response: answer, err: stalledCause(ctx, err)}
 }
 
 func compareRequest(self shuffle.Neighbour, call compareCall) *pb.CompareRequest {
--- a/internal/agent/failures.go
+++ b/internal/agent/failures.go
@@ -28,7 +28,7 @@
 		return failedNoConnection
 	case connect.IsWireError(err):
 		return failedRefusal
-	case connect.CodeOf(err) == connect.CodeDeadlineExceeded:
+	case connect.CodeOf(err) == connect.CodeDeadlineExceeded, isStalled(err):
 		return failedTimeOut
 	case isReset(err):
 		return failedReset
@@ -36,6 +36,12 @@
 	return failedOther
 }
 
+// isStalled tells whether a call was given up because no answer came, or no more of it.
+func isStalled(err error) bool {
+	var stalled *stalledError
+	return errors.As(err, &stalled)
+}
+
 // isReset tells whether nobody listens at the other side, or it has closed the connection.
 func isReset(err error) bool {
 	for _, cause := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
--- /dev/null
+++ b/internal/control/lane_test.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+)
+
+// receiver takes deliveries; those that hold a change wait until it is released.
+type receiver struct {
+	address  string
+	received chan *pb.Message
+	release  chan struct{}
+	bytes    atomic.Int64 // of the bodies of all requests
+}
+
+func newReceiver(t *testing.T, options ...connect.HandlerOption) *receiver {
+	r := &receiver{received: make(chan *pb.Message, 16), release: make(chan struct{})}
+	path, handler := fieldrelayv1connect.NewControlPeerHandler(r, options...)
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, func(w http.ResponseWriter, request *http.Request) {
+		request.Body = &countedBody{ReadCloser: request.Body, bytes: &r.bytes}
+		handler.ServeHTTP(w, request)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	r.address = strings.TrimPrefix(server.URL, "http://")
+	return r
+}
+
+type countedBody struct {
+	io.ReadCloser
+	bytes *atomic.Int64
+}
+
+func (b *countedBody) Read(into []byte) (int, error) {
+	read, err := b.ReadCloser.Read(into)
+	b.bytes.Add(int64(read))
+	return read, err
+}
+
+func (r *receiver) Deliver(_ context.Context, request *connect.Request[pb.DeliverRequest]) (*connect.Response[pb.DeliverResponse], error) {
+	for _, message := range request.Msg.GetMessages() {
+		if message.GetAppend() != nil {
+			<-r.release
+		}
+		r.received <- message
+	}
+	return connect.NewResponse(&pb.DeliverResponse{}), nil
+}
+
+// next is the next message that came, nil if none does in time.
+func (r *receiver) next() *pb.Message {
+	select {
+	case message := <-r.received:
+		return message
+	case <-time.After(5 * time.Second):
+		return nil
+	}
+}
+
+// manyRoutes is a change of many routes.
+func manyRoutes() *pb.Message {
+	change := &pb.Change{Sequence: 1, Generation: 1}
+	for number := range 1400 {
+		change.Upserts = append(change.Upserts, &pb.Item{
+			Kind: "routes",
+			Name: fmt.Sprintf("r-%d", number),
+			Body: fmt.Appendf(nil, `{"name":"r-%d","vhost":"h%d.example","deadline-ms":5000,"backend":"model"}`, number, number*7919),
+		})
+	}
+	return &pb.Message{Body: &pb.Message_Append{Append: &pb.Append{Changes: []*pb.Change{change}}}}
+}
+
+func beat() *pb.Message {
+	return &pb.Message{Body: &pb.Message_Heartbeat{Heartbeat: &pb.Heartbeat{}}}
+}
+
+// The others don't take a machine for silent because it sends them a configuration.
+func TestHeartbeatsDoNotWaitBehindAConfiguration(t *testing.T) {
+	other := newReceiver(t, CompressedDeliveries())
+	boxes := newOutboxes(t.Context(), &counters{})
+	boxes.send(other.address, manyRoutes())
+	boxes.send(other.address, beat())
+	require.NotNil(t, other.next().GetHeartbeat())
+	close(other.release)
+	require.Len(t, other.next().GetAppend().GetChanges()[0].GetUpserts(), 1400)
+}
+
+func TestChangesKeepTheirOrder(t *testing.T) {
+	small := &pb.Message{Body: &pb.Message_Append{Append: &pb.Append{}}}
+	require.Equal(t, laneOf(manyRoutes()), laneOf(small))
+	require.Equal(t, laneUrgent, laneOf(&pb.Message{Body: &pb.Message_Order{Order: &pb.Order{Zone: "brno"}}}))
+	large := &pb.Order{Body: make([]byte, urgentSize+1)}
+	require.Equal(t, laneBulk, laneOf(&pb.Message{Body: &pb.Message_Order{Order: large}}))
+}
+
+func TestLargeDeliveriesAreCompressed(t *testing.T) {
+	other := newReceiver(t, CompressedDeliveries())
+	close(other.release)
+	boxes := newOutboxes(t.Context(), &counters{})
+	message := manyRoutes()
+	boxes.send(other.address, message)
+	require.Len(t, other.next().GetAppend().GetChanges()[0].GetUpserts(), 1400)
+	plainSize := 0
+	for _, item := range message.GetAppend().GetChanges()[0].GetUpserts() {
+		plainSize += len(item.GetBody())
+	}
+	require.Less(t, 4*other.bytes.Load(), int64(plainSize))
+}
+
+func TestMachinesThatReadNothingCompressedGetPlainDeliveries(t *testing.T) {
+	other := newReceiver(t, connect.WithCompression(gzipName, nil, nil))
+	close(other.release)
+	boxes := newOutboxes(t.Context(), &counters{})
+	for range 2 {
+		boxes.send(other.address, manyRoutes())
+		require.Len(t, other.next().GetAppend().GetChanges()[0].GetUpserts(), 1400)
+	}
+}
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -18,7 +18,7 @@
 
 // Bounds of the ways to other machines.
 const (
-	maxOutboxes    = 64
+	maxOutboxes    = 64 * int(lanes)
 	outboxMessages = 128
 	outboxIdle     = 30 * time.Second
 	// messageAge is how long a message may wait for the one before it.
@@ -30,7 +30,7 @@
 	bufferBytes = 4 << 10
 )
 
-// outboxes sends messages to other machines, each by its own goroutine, so that one that hangs holds up none
+// outboxes sends messages to other machines, each lane by its own goroutine, so that one that hangs holds up none
 // of the others.
 type outboxes struct {
 	ctx      context.Context
@@ -38,15 +38,21 @@
 	counters *counters
 
 	mutex sync.Mutex
-	boxes map[string]*outbox // by address
+	boxes map[boxKey]*outbox
 }
 
-// outbox is the way to one machine.
-type outbox struct {
-	owner   *outboxes
+// boxKey names an outbox.
+type boxKey struct {
 	address string
-	client  fieldrelayv1connect.ControlPeerClient
-	wake    chan struct{}
+	lane    lane
+}
+
+// outbox is one lane of the way to one machine.
+type outbox struct {
+	owner  *outboxes
+	key    boxKey
+	client fieldrelayv1connect.ControlPeerClient // of the outbox's goroutine
+	wake   chan struct{}
 
 	queue []queued // guarded by the owner's mutex
 }
@@ -61,11 +67,11 @@
 	return &outboxes{
 		ctx:      ctx,
 		counters: counts,
-		boxes:    make(map[string]*outbox),
+		boxes:    make(map[boxKey]*outbox),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableCompression:  true,
-			MaxIdleConnsPerHost: 1,
+			MaxIdleConnsPerHost: int(lanes),
 			IdleConnTimeout:     idleLimit,
 			ReadBufferSize:      bufferBytes,
 			WriteBufferSize:     bufferBytes,
@@ -89,13 +95,14 @@
 func (o *outboxes) send(address string, message *pb.Message) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	box := o.boxes[address]
+	key := boxKey{address: address, lane: laneOf(message)}
+	box := o.boxes[key]
 	if box == nil {
 		if len(o.boxes) >= maxOutboxes {
 			o.counters.dropped.Add(1)
 			return
 		}
-		box = o.open(address)
+		box = o.open(key)
 	}
 	box.push(queued{message: message, at: time.Now()})
 	select {
@@ -104,19 +111,17 @@
 	}
 }
 
-func (o *outboxes) open(address string) *outbox {
-	box := &outbox{
-		owner:   o,
-		address: address,
-		wake:    make(chan struct{}, 1),
-		client: fieldrelayv1connect.NewControlPeerClient(o.client, "http://"+address,
-			connect.WithAcceptCompression("gzip", nil, nil)),
-	}
-	o.boxes[address] = box
+func (o *outboxes) open(key boxKey) *outbox {
+	box := &outbox{owner: o, key: key, wake: make(chan struct{}, 1), client: o.peer(key.address, compressing())}
+	o.boxes[key] = box
 	go box.run()
 	return box
 }
 
+func (o *outboxes) peer(address string, options connect.ClientOption) fieldrelayv1connect.ControlPeerClient {
+	return fieldrelayv1connect.NewControlPeerClient(o.client, "http://"+address, options)
+}
+
 // push replaces a heartbeat that still waits by the newer one.
 func (b *outbox) push(next queued) {
 	if next.message.GetHeartbeat() != nil {
@@ -159,7 +164,7 @@
 	if len(b.queue) > 0 {
 		return false
 	}
-	delete(b.owner.boxes, b.address)
+	delete(b.owner.boxes, b.key)
 	return true
 }
 
@@ -189,6 +194,11 @@
 	ctx, cancel := context.WithTimeout(b.owner.ctx, limit)
 	defer cancel()
 	_, err := b.client.Deliver(ctx, connect.NewRequest(request))
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		// It is of a version that reads nothing compressed.
+		b.client = b.owner.peer(b.key.address, plain())
+		_, err = b.client.Deliver(ctx, connect.NewRequest(request))
+	}
 	if err != nil {
 		b.owner.counters.failedCalls.Add(1)
 		return
--- a/internal/controlserver/run.go
+++ b/internal/controlserver/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -178,15 +179,16 @@
 	return handlers
 }
 
-// peerHandler serves the other control machines and the agents. Messages are not compressed: a compressor
-// takes more memory than everything else here.
+// peerHandler serves the other control machines and the agents. Answers are not compressed one by one: a compressor
+// takes more memory than everything else here. What is large in them is packed once for all agents.
 func (p *process) peerHandler(host string) http.Handler {
 	options := []connect.HandlerOption{
 		connect.WithCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessageBytes),
 	}
 	mux := http.NewServeMux()
-	mux.Handle(fieldrelayv1connect.NewControlPeerHandler(p.node, options...))
+	deliveries := append(slices.Clone(options), control.CompressedDeliveries())
+	mux.Handle(fieldrelayv1connect.NewControlPeerHandler(p.node, deliveries...))
 	mux.Handle(fieldrelayv1connect.NewControlLinkHandler(newLink(p.node, p.soft, host, p.ending), options...))
 	mux.Handle(fieldrelayv1connect.NewControlStatusHandler(statusService{p}, options...))
 	return mux
