Control: tell which agents are late, count late proxies and what agents are answered

Cause: for the CONFIG incident nobody compared what agents report of their proxies with what was committed and acknowledged.

Change: registry.Lateness notes when each sequence was committed at this machine and judges the agents that it hears itself: lines when a proxy has lacked a change for a second and when it has it; agents_behind, oldest_lag and late_proxies in the counters' line and in status, where findings name them. late_proxies counts the invariant of apply-ms, contact-ms and stretch-ms; silences of an agent are allowed for, since it may have been cut off. Calls of agents are counted by answer, with the largest. Nothing is sent, decided or refused otherwise; the status report alone has a new member.

Silences beyond a second are summed now.

Measured: tests of internal/agent, control, controlserver, controlsim, proxy, registry, status, lag and rulesdoc pass.

--- /dev/null
+++ b/internal/controlserver/lateness.go
@@ -0,0 +1,93 @@
+package controlserver
+
+import (
+	"go.uber.org/zap"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/registry"
+	"fieldrelay/internal/settings"
+)
+
+// NoteCommitted tells the lateness of the newest state that is committed here. It is cheap for one that is known.
+func (s *softState) NoteCommitted(committed *catalog.Snapshot) {
+	if committed == nil || committed.Sequence() <= s.committed.Load() {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lateness.Committed(s.now(), committed.Sequence())
+	s.committed.Store(max(s.committed.Load(), committed.Sequence()))
+}
+
+// SetLatenessBounds tells the lateness what bounds hold, and whether this machine holds the agreed state.
+func (s *softState) SetLatenessBounds(bounds registry.LatenessBounds, authoritative bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lateness.SetBounds(bounds)
+	if !authoritative {
+		s.lateness.Unsure(s.now())
+	}
+}
+
+// Lateness summarises which agents are behind.
+func (s *softState) Lateness() registry.LatenessFigures {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lateness.Figures(s.now())
+}
+
+// latenessBounds are the bounds of the settings.
+func latenessBounds(bounds settings.Bounds) registry.LatenessBounds {
+	return registry.LatenessBounds{
+		Contact: bounds.ContactFor(),
+		Apply:   bounds.ApplyWithin(),
+		Stretch: bounds.Stretch(),
+	}
+}
+
+// logLateness writes a line for an event of the lateness.
+func (p *process) logLateness(action registry.Action) {
+	switch event := action.(type) {
+	case registry.AgentBehind:
+		p.logger.Warn("agent late",
+			zap.String("host", event.Host),
+			zap.Uint64("reported", event.Reported),
+			zap.Uint64("committed", event.Committed),
+			zap.Duration("lag", event.Lag),
+			zap.Bool("ready", event.Ready))
+	case registry.AgentCaughtUp:
+		p.logger.Info("agent late no more",
+			zap.String("host", event.Host),
+			zap.Uint64("reported", event.Reported),
+			zap.Duration("longest", event.Longest),
+			zap.Bool("unheard", event.Unheard))
+	case registry.ProxyLate:
+		p.logger.Error("proxy breaks the bound on changes",
+			zap.String("host", event.Host),
+			zap.Uint64("reported", event.Reported),
+			zap.Uint64("committed", event.Committed),
+			zap.Duration("lag", event.Lag),
+			zap.Duration("bound", event.Bound))
+	}
+}
+
+// latenessFields are the figures for the counters' line.
+func latenessFields(figures registry.LatenessFigures) []zap.Field {
+	return []zap.Field{
+		zap.Int("agents_behind", figures.Behind),
+		zap.Duration("oldest_lag", figures.Oldest),
+		zap.String("oldest_lag_host", figures.OldestHost),
+		zap.Uint64("late_proxies", figures.Violations),
+	}
+}
+
+// latenessStatus is what people on call are told.
+func latenessStatus(figures registry.LatenessFigures) *pb.LatenessStatus {
+	return &pb.LatenessStatus{
+		AgentsBehind: uint32(figures.Behind),
+		OldestLagMs:  wholeMilliseconds(figures.Oldest),
+		OldestHost:   figures.OldestHost,
+		LateProxies:  figures.Violations,
+	}
+}
--- /dev/null
+++ b/internal/controlserver/lateness_test.go
@@ -0,0 +1,102 @@
+package controlserver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"fieldrelay/internal/control"
+)
+
+// observedProcess is a process whose log a test reads, with bounds on changes.
+func observedProcess(t *testing.T) (*process, *fakeNode, *observer.ObservedLogs) {
+	p, node := newTestProcess(t)
+	logged, logs := observer.New(zap.DebugLevel)
+	p.logger = zap.New(logged)
+	bounded := testSettings()
+	bounded.Bounds.ContactMS = 1000
+	bounded.Bounds.ApplyMS = 3000
+	bounded.Bounds.StretchMS = 6000
+	p.settings.current.Store(bounded)
+	p.tick()
+	return p, node, logs
+}
+
+// passHearing lets time go by while an agent reports what its proxy holds.
+func passHearing(p *process, duration time.Duration, sequence uint64) {
+	const step = 500 * time.Millisecond
+	for ; duration > 0; duration -= step {
+		pass(p, step)
+		record := testAgent("edge-1")
+		record.Sequence = sequence
+		p.soft.Heard(record, nil)
+	}
+}
+
+func TestLateAgentIsLoggedCountedAndShown(t *testing.T) {
+	p, node, logs := observedProcess(t)
+	replace(t, node, 0, 7)
+	passHearing(p, 2*time.Second, 1)
+	require.Zero(t, p.soft.Lateness().Behind)
+
+	replace(t, node, 7, 9)
+	passHearing(p, 2*time.Second, 1)
+	figures := p.soft.Lateness()
+	require.Equal(t, 1, figures.Behind)
+	require.Equal(t, "edge-1", figures.OldestHost)
+	require.Zero(t, figures.Violations)
+	late := logs.FilterMessage("agent late").All()
+	require.Len(t, late, 1)
+	require.Equal(t, "edge-1", late[0].ContextMap()["host"])
+	require.EqualValues(t, 1, late[0].ContextMap()["reported"])
+	require.EqualValues(t, 2, late[0].ContextMap()["committed"])
+
+	passHearing(p, 2*time.Second, 1)
+	require.Len(t, logs.FilterMessage("proxy breaks the bound on changes").All(), 1)
+	lateness := describe(t, p).GetLateness()
+	require.EqualValues(t, 1, lateness.GetAgentsBehind())
+	require.EqualValues(t, 1, lateness.GetLateProxies())
+	require.Equal(t, "edge-1", lateness.GetOldestHost())
+	require.Greater(t, lateness.GetOldestLagMs(), uint64(3000))
+
+	passHearing(p, 500*time.Millisecond, 2)
+	require.Len(t, logs.FilterMessage("agent late no more").All(), 1)
+	require.Zero(t, p.soft.Lateness().Behind)
+	p.logCounters()
+	counted := logs.FilterMessage("counters").All()
+	require.Len(t, counted, 1)
+	line := counted[0].ContextMap()
+	require.EqualValues(t, 0, line["agents_behind"])
+	require.EqualValues(t, 1, line["late_proxies"])
+	require.Contains(t, line, "oldest_lag")
+	require.Contains(t, line, "watches_changes")
+	require.Contains(t, line, "largest_answer")
+}
+
+func TestChangeThatAWatchMetFirstCountsFromThen(t *testing.T) {
+	p, node, _ := observedProcess(t)
+	replace(t, node, 0, 7)
+	request := current(p)
+	request.Sequence = 0
+	require.NoError(t, watch(p, request).err)
+	require.EqualValues(t, 1, p.soft.committed.Load(), "before the next tick")
+	p.soft.NoteCommitted(nil)
+	p.soft.NoteCommitted(node.Status().Committed)
+	require.EqualValues(t, 1, p.soft.committed.Load())
+}
+
+func TestMachineOutOfTouchJudgesMoreMildly(t *testing.T) {
+	p, node, _ := observedProcess(t)
+	replace(t, node, 0, 7)
+	passHearing(p, 2*time.Second, 1)
+	replace(t, node, 7, 9)
+	node.alter(func(status *control.Status) { status.Authoritative = false })
+	passHearing(p, 4*time.Second, 1)
+	figures := p.soft.Lateness()
+	require.Equal(t, 1, figures.Behind)
+	require.Greater(t, figures.Oldest, p.settings.Current().Bounds.ApplyWithin())
+	require.Zero(t, figures.Violations)
+}
--- a/internal/controlserver/link.go
+++ b/internal/controlserver/link.go
@@ -41,10 +41,18 @@
 	host    string // of this machine
 	ending  <-chan struct{}
 	watches chan struct{} // one token for each call under way
+	answers *answerCounters
 }
 
 func newLink(node Node, soft *softState, host string, ending <-chan struct{}) *link {
-	return &link{node: node, soft: soft, host: host, ending: ending, watches: make(chan struct{}, maxWatches)}
+	return &link{
+		node:    node,
+		soft:    soft,
+		host:    host,
+		ending:  ending,
+		watches: make(chan struct{}, maxWatches),
+		answers: &answerCounters{},
+	}
 }
 
 // Watch registers the agent and answers when something is newer than what it holds, at the latest after the
@@ -54,13 +62,16 @@
 	case l.watches <- struct{}{}:
 		defer func() { <-l.watches }()
 	default:
+		l.answers.refused.Add(1)
 		return nil, connect.NewError(connect.CodeResourceExhausted, &TooManyWatchesError{})
 	}
 	held := request.Msg
 	if held.GetAgent().GetHost() == "" {
+		l.answers.refused.Add(1)
 		return nil, connect.NewError(connect.CodeInvalidArgument, &NoAgentError{})
 	}
 	if l.isEnding() {
+		l.answers.refused.Add(1)
 		return nil, connect.NewError(connect.CodeUnavailable, &EndingError{})
 	}
 	l.soft.Heard(held.GetAgent(), held.GetList())
@@ -70,8 +81,10 @@
 	}
 	answer, err := l.await(ctx, held, compose)
 	if err != nil {
+		l.answers.callerLeft.Add(1)
 		return nil, err
 	}
+	l.answers.count(held, answer)
 	return connect.NewResponse(answer), nil
 }
 
@@ -130,6 +143,7 @@
 // compose returns the answer as of now and whether it holds something that the agent does not.
 func (l *link) compose(held *pb.WatchRequest) (*pb.WatchResponse, bool) {
 	status := l.node.Status()
+	l.soft.NoteCommitted(status.Committed)
 	answer := &pb.WatchResponse{Authoritative: status.Authoritative, MembersSource: l.host}
 	news := l.addState(answer, held, status.Committed)
 	if status.View.GetNumber() > held.GetViewNumber() {
--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -44,6 +44,7 @@
 	soft     *softState
 	platform *platformClient
 	calls    operatorapi.Counters
+	answers  answerCounters // to agents
 	rotation atomic.Uint64
 	homes    atomic.Pointer[homes] // of the newest configuration that a client asked for; nil: none did
 	ending   chan struct{}
@@ -154,6 +155,8 @@
 		p.polls.Go(p.poll)
 	case registry.SendList:
 		p.node.Broadcast(action.List)
+	default:
+		p.logLateness(action)
 	}
 }
 
@@ -180,6 +183,8 @@
 		tick.Place = placeOf(status)
 		tick.Apart = len(status.Live) < quorum.Majority(status.View)
 	}
+	p.soft.NoteCommitted(status.Committed)
+	p.soft.SetLatenessBounds(latenessBounds(p.settings.Current().Bounds), status.Authoritative)
 	p.soft.Tick(tick)
 	p.logChanges(status.Authoritative)
 }
@@ -211,7 +216,7 @@
 // logCounters writes the periodic line.
 func (p *process) logCounters() {
 	picture := p.soft.Picture()
-	p.logger.Info("counters",
+	fields := []zap.Field{
 		zap.Int64("acknowledged", p.calls.Acknowledged.Load()),
 		zap.Int64("refused", p.calls.Refused.Load()),
 		zap.Int64("unavailable", p.calls.Unavailable.Load()),
@@ -220,7 +225,9 @@
 		zap.Int64("polls_failed", p.pollsFailed.Load()),
 		zap.Int("agents_live", picture.members.Live()),
 		zap.Int("servers", picture.list.Len()),
-	)
+	}
+	fields = append(fields, latenessFields(p.soft.Lateness())...)
+	p.logger.Info("counters", append(fields, p.answers.fields()...)...)
 }
 
 // settingsChanged follows new settings.
--- a/internal/controlserver/run.go
+++ b/internal/controlserver/run.go
@@ -185,9 +185,11 @@
 		connect.WithCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessageBytes),
 	}
+	agents := newLink(p.node, p.soft, host, p.ending)
+	agents.answers = &p.answers
 	mux := http.NewServeMux()
 	mux.Handle(fieldrelayv1connect.NewControlPeerHandler(p.node, options...))
-	mux.Handle(fieldrelayv1connect.NewControlLinkHandler(newLink(p.node, p.soft, host, p.ending), options...))
+	mux.Handle(fieldrelayv1connect.NewControlLinkHandler(agents, options...))
 	mux.Handle(fieldrelayv1connect.NewControlStatusHandler(statusService{p}, options...))
 	return mux
 }
--- a/internal/controlserver/softstate.go
+++ b/internal/controlserver/softstate.go
@@ -61,9 +61,12 @@
 	act     func(registry.Action)
 	picture atomic.Pointer[softPicture]
 
+	committed atomic.Uint64 // highest sequence that the lateness was told of
+
 	mutex        sync.Mutex
 	agents       *registry.Agents
 	inventory    *registry.Inventory
+	lateness     *registry.Lateness
 	settlingFrom time.Duration
 	calmFrom     time.Duration // what comes before may have waited for this process
 	lastTick     time.Duration
@@ -79,6 +82,7 @@
 		act:          act,
 		agents:       agents,
 		inventory:    inventory,
+		lateness:     registry.NewLateness(),
 		settlingFrom: now(),
 		lastTick:     now(),
 		changed:      make(chan struct{}),
@@ -102,18 +106,25 @@
 // Heard takes what an agent says of itself and of the list that it holds.
 func (s *softState) Heard(record *pb.AgentRecord, held *pb.ListVersion) {
 	s.update(func(now time.Duration) []registry.Action {
-		if !s.mayHaveWaited(now) && s.agents.Heard(now, record) {
-			s.refresh(now)
+		var late []registry.Action
+		if !s.mayHaveWaited(now) {
+			late = s.lateness.Heard(now, record)
+			if s.agents.Heard(now, record) {
+				s.refresh(now)
+			}
 		}
-		return s.inventory.Step(now, registry.VersionSeen{Version: held})
+		return append(late, s.inventory.Step(now, registry.VersionSeen{Version: held})...)
 	})
 }
 
 // Heartbeat takes the soft part of another control machine's heartbeat.
 func (s *softState) Heartbeat(heartbeat *pb.Heartbeat) {
 	s.update(func(now time.Duration) []registry.Action {
-		if !s.mayHaveWaited(now) && s.agents.Merge(now, heartbeat.GetAgents()) {
-			s.refresh(now)
+		if !s.mayHaveWaited(now) {
+			s.lateness.Merge(now, heartbeat.GetAgents())
+			if s.agents.Merge(now, heartbeat.GetAgents()) {
+				s.refresh(now)
+			}
 		}
 		return s.inventory.Step(now, registry.VersionSeen{Version: heartbeat.GetList(), Peer: true})
 	})
@@ -152,7 +163,7 @@
 		s.tellMembers(now)
 		actions := s.inventory.Step(now, tick)
 		s.notify()
-		return actions
+		return append(actions, s.lateness.Step(now)...)
 	})
 }
 
--- a/internal/controlserver/status.go
+++ b/internal/controlserver/status.go
@@ -35,6 +35,7 @@
 		Catalog:        catalogStatus(held.Committed),
 		Duty:           p.dutyStatus(picture.list),
 		MembersSettled: picture.settled,
+		Lateness:       latenessStatus(p.soft.Lateness()),
 		Agents:         agentStatuses(picture.members.Message(p.now())),
 		Orders: &pb.OrderCounters{
 			Acknowledged: uint64(p.calls.Acknowledged.Load()),
--- /dev/null
+++ b/internal/registry/lateness.go
@@ -0,0 +1,258 @@
+package registry
+
+import (
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/lag"
+)
+
+const (
+	// AgentLateAfter is how long a proxy may lack a committed change before its agent counts as behind.
+	AgentLateAfter = time.Second
+
+	// usualSilence is the time within which an agent that gets its answers reports again: a call is held for a second.
+	usualSilence = time.Second
+)
+
+// LatenessBounds are the deployment's bounds on a change that was acknowledged.
+type LatenessBounds struct {
+	Contact time.Duration // for which a machine must have been in contact before it is judged
+	Apply   time.Duration // from the acknowledgement until the change is in force; 0: nobody is judged
+	Stretch time.Duration // more, while this control machine does not hold the agreed state
+}
+
+// Lateness compares what the agents report of their proxies with what is committed at this control machine, by its
+// steady clock. It decides nothing: its results are for logs and counters. Only agents that this machine heard last from
+// themselves are judged, so that each is judged by one machine.
+type Lateness struct {
+	committed  lag.Marks
+	agents     map[string]*follower
+	bounds     LatenessBounds
+	unsure     bool          // this machine did not hold the agreed state at some time
+	unsureAt   time.Duration // when it last did not
+	violations uint64
+}
+
+// follower is what is known of one agent and its proxy.
+type follower struct {
+	incarnation uint64 // of the agent
+	sequence    uint64 // that its proxy holds, as reported last
+	ready       bool
+	direct      bool          // the last report came from the agent itself
+	judged      bool          // there is a proxy, and it is not about to end
+	heardAt     time.Duration // of the last report
+	since       time.Duration // reports came without a longer break since then, from one life of agent and proxy
+	silence     time.Duration // beyond usualSilence, summed over the times between reports since the proxy was last not behind
+	late        lag.Episode
+	violated    bool // in this episode
+}
+
+// AgentBehind tells that an agent's proxy has begun to be late.
+type AgentBehind struct {
+	Host      string
+	Reported  uint64 // sequence
+	Committed uint64 // sequence
+	Lag       time.Duration
+	Ready     bool // as the agent says of its proxy
+}
+
+// AgentCaughtUp ends what AgentBehind began.
+type AgentCaughtUp struct {
+	Host     string
+	Reported uint64 // sequence
+	Longest  time.Duration
+	Unheard  bool // the agent was not heard again, or by another control machine: it may be behind still
+}
+
+// ProxyLate tells that a proxy whose agent was in contact broke the bound on changes that were acknowledged. It comes
+// once in an episode.
+type ProxyLate struct {
+	Host      string
+	Reported  uint64 // sequence
+	Committed uint64 // sequence
+	Lag       time.Duration
+	Bound     time.Duration
+}
+
+func (AgentBehind) inventoryAction()   {}
+func (AgentCaughtUp) inventoryAction() {}
+func (ProxyLate) inventoryAction()     {}
+
+// LatenessFigures summarise which agents are behind.
+type LatenessFigures struct {
+	Behind     int           // agents heard lately whose proxies are late by more than AgentLateAfter
+	Oldest     time.Duration // the longest lag among all that are judged
+	OldestHost string
+	Violations uint64 // ProxyLate since the start
+}
+
+// NewLateness returns a machine that knows no agents and no committed change.
+func NewLateness() *Lateness { return &Lateness{agents: make(map[string]*follower)} }
+
+// SetBounds changes the deployment's bounds.
+func (l *Lateness) SetBounds(bounds LatenessBounds) { l.bounds = bounds }
+
+// Committed takes the newest sequence that is committed at this machine.
+func (l *Lateness) Committed(now time.Duration, sequence uint64) { l.committed.Note(sequence, now) }
+
+// Unsure tells that this machine does not hold the agreed state now.
+func (l *Lateness) Unsure(now time.Duration) {
+	l.unsure = true
+	l.unsureAt = now
+}
+
+// Heard takes a report that came from the agent itself.
+func (l *Lateness) Heard(now time.Duration, record *pb.AgentRecord) []Action {
+	agent := l.learn(now, record, true)
+	if agent == nil {
+		return nil
+	}
+	events := l.look(now, record.GetHost(), agent)
+	return l.judge(events, now, record.GetHost(), agent)
+}
+
+// Merge takes reports that another control machine heard, with their ages.
+func (l *Lateness) Merge(now time.Duration, records []*pb.AgentRecord) {
+	for _, record := range records {
+		l.learn(now-time.Duration(record.GetAgeMs())*time.Millisecond, record, false)
+	}
+}
+
+// Step looks at what time changes.
+func (l *Lateness) Step(now time.Duration) []Action {
+	var events []Action
+	for host, agent := range l.agents {
+		if now-agent.heardAt >= LiveFor {
+			events = agent.end(events, host)
+			delete(l.agents, host)
+			continue
+		}
+		events = append(events, l.look(now, host, agent)...)
+	}
+	return events
+}
+
+// Figures are those of now.
+func (l *Lateness) Figures(now time.Duration) LatenessFigures {
+	figures := LatenessFigures{Violations: l.violations}
+	for host, agent := range l.agents {
+		lagging := l.lagOf(now, agent)
+		if lagging > AgentLateAfter {
+			figures.Behind++
+		}
+		if lagging > figures.Oldest {
+			figures.Oldest = lagging
+			figures.OldestHost = host
+		}
+	}
+	return figures
+}
+
+// learn takes a report unless a fresher one is known, and returns the agent if it did.
+func (l *Lateness) learn(heardAt time.Duration, record *pb.AgentRecord, direct bool) *follower {
+	if record.GetHost() == "" {
+		return nil
+	}
+	agent := l.agents[record.GetHost()]
+	if agent == nil {
+		if len(l.agents) >= MaxAgents {
+			return nil
+		}
+		agent = &follower{since: heardAt, heardAt: heardAt}
+		l.agents[record.GetHost()] = agent
+	}
+	if heardAt < agent.heardAt || !direct && agent.mayPrecede(heardAt, record) {
+		return nil
+	}
+	agent.take(heardAt, record)
+	agent.direct = direct
+	if l.committed.Lag(heardAt, agent.sequence, agent.since) <= AgentLateAfter {
+		agent.silence = 0
+	}
+	return agent
+}
+
+// mayPrecede reports whether a report told by another control machine may be older than the last one, since its age
+// leaves out the time that it was under way.
+func (f *follower) mayPrecede(heardAt time.Duration, record *pb.AgentRecord) bool {
+	return heardAt <= f.heardAt+recordTolerance && record.GetSequence() < f.sequence
+}
+
+// take learns a report. Another life of the agent or the proxy, or a long break, begins a new time of contact.
+func (f *follower) take(heardAt time.Duration, record *pb.AgentRecord) {
+	silence := heardAt - f.heardAt
+	hasProxy := record.GetEdgeAddress() != "" && !record.GetDraining()
+	anew := record.GetIncarnation() != f.incarnation || record.GetSequence() < f.sequence || !f.judged
+	if silence >= LiveFor || anew {
+		f.since = heardAt
+		f.silence = 0
+	} else {
+		f.silence += max(0, silence-usualSilence)
+	}
+	f.incarnation = record.GetIncarnation()
+	f.sequence = record.GetSequence()
+	f.ready = record.GetReady()
+	f.judged = hasProxy
+	f.heardAt = heardAt
+}
+
+// lagOf is how long an agent's proxy has lacked a committed change; 0 for an agent that is not judged.
+func (l *Lateness) lagOf(now time.Duration, agent *follower) time.Duration {
+	if !agent.judged || !agent.direct {
+		return 0
+	}
+	return l.committed.Lag(now, agent.sequence, agent.since)
+}
+
+// look tells whether an agent has begun or ceased to be behind.
+func (l *Lateness) look(now time.Duration, host string, agent *follower) []Action {
+	if !agent.direct || !agent.judged {
+		return agent.end(nil, host)
+	}
+	lagging := l.lagOf(now, agent)
+	switch agent.late.Look(lagging, AgentLateAfter) {
+	case lag.Began:
+		return []Action{AgentBehind{
+			Host: host, Reported: agent.sequence, Committed: l.committed.Newest(), Lag: lagging, Ready: agent.ready,
+		}}
+	case lag.Ended:
+		agent.violated = false
+		return []Action{AgentCaughtUp{Host: host, Reported: agent.sequence, Longest: agent.late.Longest()}}
+	}
+	return nil
+}
+
+// end adds the end of an episode, if there is one, of an agent that is not judged any more.
+func (f *follower) end(events []Action, host string) []Action {
+	if f.late.Look(0, AgentLateAfter) != lag.Ended {
+		return events
+	}
+	f.violated = false
+	return append(events, AgentCaughtUp{Host: host, Reported: f.sequence, Longest: f.late.Longest(), Unheard: true})
+}
+
+// judge adds a violation of the bound, by a report that has just come from the agent itself.
+func (l *Lateness) judge(events []Action, now time.Duration, host string, agent *follower) []Action {
+	lagging := l.lagOf(now, agent)
+	bound := l.boundFor(now, lagging, agent)
+	inContact := now-agent.since >= l.bounds.Contact
+	if l.bounds.Apply <= 0 || agent.violated || !agent.ready || !inContact || lagging <= bound {
+		return events
+	}
+	agent.violated = true
+	l.violations++
+	return append(events, ProxyLate{
+		Host: host, Reported: agent.sequence, Committed: l.committed.Newest(), Lag: lagging, Bound: bound,
+	})
+}
+
+// boundFor is the longest lag that is allowed. An agent that was silent for longer than usual may have been cut off for
+// that time, and this machine may have been out of touch itself.
+func (l *Lateness) boundFor(now, lagging time.Duration, agent *follower) time.Duration {
+	bound := l.bounds.Apply + agent.silence
+	if l.unsure && now-l.unsureAt < lagging+l.bounds.Contact {
+		bound += l.bounds.Stretch
+	}
+	return bound
+}
--- /dev/null
+++ b/internal/registry/lateness_sim_test.go
@@ -0,0 +1,143 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	followHosts = 10
+	followStep  = 50 * time.Millisecond
+	followTime  = 2 * time.Minute
+	// longestDelivery is the longest time that a change takes from control into a proxy here, for an agent in contact.
+	longestDelivery = 800 * time.Millisecond
+)
+
+// followingEdge is an edge whose proxies follow the changes of one control machine within longestDelivery while their
+// agents reach it. Agents are cut off, and proxies start anew.
+type followingEdge struct {
+	random    *rand.Rand
+	now       time.Duration
+	lateness  *Lateness
+	committed uint64
+	hosts     []*followingHost
+	events    []Action
+}
+
+type followingHost struct {
+	name       string
+	sequence   uint64
+	cutUntil   time.Duration
+	reportAt   time.Duration
+	arrivesAt  time.Duration // of the changes that are under way, up to arrives; 0: none are
+	arrives    uint64
+	stuck      bool          // planted: its proxy takes no changes
+	reportedBy time.Duration // longest time between two reports
+}
+
+func newFollowingEdge(seed uint64) *followingEdge {
+	e := &followingEdge{random: rand.New(rand.NewPCG(seed, 11)), lateness: NewLateness()}
+	e.lateness.SetBounds(testBounds)
+	for index := range followHosts {
+		e.hosts = append(e.hosts, &followingHost{name: fmt.Sprint("edge-", index), reportedBy: time.Second})
+	}
+	return e
+}
+
+func (e *followingEdge) upTo(limit time.Duration) time.Duration {
+	return time.Duration(e.random.Int64N(int64(limit)))
+}
+
+func (e *followingEdge) step() {
+	e.now += followStep
+	if e.random.IntN(10) == 0 {
+		e.committed++
+		e.lateness.Committed(e.now, e.committed)
+	}
+	for _, host := range e.hosts {
+		e.disturb(host)
+		if e.now >= host.cutUntil {
+			e.follow(host)
+		}
+	}
+	e.events = append(e.events, e.lateness.Step(e.now)...)
+}
+
+// disturb cuts a host off at times, or starts its proxy anew.
+func (e *followingEdge) disturb(host *followingHost) {
+	switch e.random.IntN(600) {
+	case 0:
+		host.cutUntil = e.now + e.upTo(5*time.Second)
+		host.arrivesAt = 0
+		host.reportAt = host.cutUntil + e.upTo(300*time.Millisecond)
+	case 1:
+		host.sequence = 0
+		host.arrivesAt = 0
+	}
+}
+
+// follow lets a host in contact get what is under way to it and report what its proxy holds.
+func (e *followingEdge) follow(host *followingHost) {
+	if host.arrivesAt > 0 && e.now >= host.arrivesAt {
+		host.sequence = max(host.sequence, host.arrives)
+		host.arrivesAt = 0
+		host.reportAt = min(host.reportAt, e.now+e.upTo(100*time.Millisecond))
+	}
+	if host.arrivesAt == 0 && host.sequence < e.committed && !host.stuck {
+		host.arrives = e.committed
+		host.arrivesAt = e.now + e.upTo(longestDelivery)
+	}
+	if e.now < host.reportAt {
+		return
+	}
+	host.reportAt = e.now + host.reportedBy
+	record := agentRecord(host.name, 1)
+	record.Sequence = host.sequence
+	e.events = append(e.events, e.lateness.Heard(e.now, record)...)
+}
+
+func (e *followingEdge) run() {
+	for e.now < followTime {
+		e.step()
+	}
+}
+
+// Proxies that take changes while their agents are in contact never break the bound, whatever cuts and starts come.
+func TestProxiesThatFollowAreNeverCalledLate(t *testing.T) {
+	behind := 0
+	for seed := range uint64(40) {
+		e := newFollowingEdge(seed)
+		e.run()
+		require.Zero(t, e.lateness.Figures(e.now).Violations, "seed %d", seed)
+		for _, event := range e.events {
+			if _, is := event.(AgentBehind); is {
+				behind++
+			}
+		}
+	}
+	require.Positive(t, behind, "some were behind after a cut")
+}
+
+// A proxy that takes no changes is found, also if its agent's calls time out, so that it is seldom heard.
+func TestProxyThatTakesNoChangesIsFound(t *testing.T) {
+	for _, reportedBy := range []time.Duration{time.Second, 2200 * time.Millisecond, 2900 * time.Millisecond} {
+		for seed := range uint64(10) {
+			e := newFollowingEdge(seed)
+			e.hosts[3].stuck = true
+			e.hosts[3].reportedBy = reportedBy
+			e.run()
+			found := 0
+			for _, event := range e.events {
+				if late, is := event.(ProxyLate); is {
+					require.Equal(t, "edge-3", late.Host)
+					found++
+				}
+			}
+			require.Positive(t, found, "seed %d, a report each %s", seed, reportedBy)
+		}
+	}
+}
--- a/internal/status/findings.go
+++ b/internal/status/findings.go
@@ -54,6 +54,7 @@
 	reports := s.reports()
 	found.agreement(s, reports)
 	found.duty(reports, s.isComplete())
+	found.lateness(reports)
 	if chosen := bestMembers(reports); chosen.GetMembersSettled() {
 		found.agents(chosen)
 	}
@@ -258,6 +259,21 @@
 	}
 }
 
+// lateness is about changes that machines know to be committed and that proxies lack.
+func (f *findings) lateness(reports []*pb.ControlStatusReport) {
+	for _, report := range reports {
+		host, lateness := report.GetSelf().GetHost(), report.GetLateness()
+		if lateness.GetAgentsBehind() > 0 {
+			f.add(Warning, "%s: %d agents it hears have lacked a change for more than a second, %s for %s",
+				host, lateness.GetAgentsBehind(), lateness.GetOldestHost(), duration(lateness.GetOldestLagMs()))
+		}
+		if lateness.GetLateProxies() > 0 {
+			f.add(Notice, "%s: since its start, proxies in contact were late by more than the bound %d times",
+				host, lateness.GetLateProxies())
+		}
+	}
+}
+
 // hosts adds a finding about several machines, if there are any.
 func (f *findings) hosts(severity Severity, hosts []string, format string) {
 	if len(hosts) > 0 {
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -107,6 +107,12 @@
 				machine.Report.Duty.List = nil
 			}
 		}, []string{"ALARM: no machine that answers has a list"}},
+		"agents lack a change": {func(s *Survey) {
+			s.Machines[1].Report.Lateness = &pb.LatenessStatus{AgentsBehind: 2, OldestLagMs: 2340, OldestHost: "edge-1"}
+		}, []string{"WARNING: core-b: 2 agents it hears have lacked a change for more than a second, edge-1 for 2.3s"}},
+		"a proxy was late": {func(s *Survey) {
+			s.Machines[1].Report.Lateness = &pb.LatenessStatus{OldestLagMs: 40, OldestHost: "edge-1", LateProxies: 3}
+		}, []string{"notice: core-b: since its start, proxies in contact were late by more than the bound 3 times"}},
 		"two hold the duty": {func(s *Survey) {
 			s.Machines[1].Report.Duty.Holder = true
 		}, []string{"notice: core-a and core-b both"}},
