Agent: write the counters at the end of a life too, and want no violation of agents in tests

Cause: an agent that lived for less than a minute, or since the last line, told none of its figures.

Change: the counters' line comes once more at the end. Tests that run a whole agent read it and want no violation.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -146,6 +146,7 @@
 	p.cancel()
 	closeErr := p.server.Close()
 	p.caller.wait()
+	p.core.logCounters(p.now())
 	p.logger.Info("agent ended", zap.Error(err))
 	return errors.CombineErrors(err, errors.Wrap(closeErr, "close the service to other agents"))
 }
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -13,7 +13,9 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest"
+	"go.uber.org/zap/zaptest/observer"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
@@ -311,15 +313,26 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	running := &runningAgent{address: listener.Addr().String(), end: end, ended: make(chan error, 1)}
-	logger := zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel)).Named(host)
+	logged, logs := observer.New(zap.InfoLevel)
+	logger := zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel)).Named(host).WithOptions(
+		zap.WrapCore(func(printed zapcore.Core) zapcore.Core { return zapcore.NewTee(printed, logged) }))
 	go func() { running.ended <- RunWith(ctx, from, logger, options) }()
 	t.Cleanup(func() {
 		end()
 		running.requireEnded(t)
+		requireNoViolations(t, logs)
 	})
 	return running
 }
 
+// requireNoViolations looks at the counters that an agent wrote at its end.
+func requireNoViolations(t *testing.T, logs *observer.ObservedLogs) {
+	t.Helper()
+	counted := logs.FilterMessage("counters").All()
+	require.NotEmpty(t, counted)
+	require.EqualValues(t, 0, counted[len(counted)-1].ContextMap()["violations"])
+}
+
 // requireEnded waits until the agent has ended.
 func (r *runningAgent) requireEnded(t *testing.T) {
 	t.Helper()
