--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -42,6 +42,10 @@
 // countAnswer counts an answer of a control machine and how long its call took.
 func (c *counters) countAnswer(took time.Duration, answer *pb.WatchResponse) {
 	c.longestWatch = max(c.longestWatch, took)
+	if packed := answer.GetPacked(); packed != nil {
+		c.largestAnswer = max(c.largestAnswer, proto.Size(packed)) // the rest was unpacked from it
+		return
+	}
 	if len(answer.GetChanges()) > 0 || answer.GetRepair() != nil {
 		c.largestAnswer = max(c.largestAnswer, proto.Size(answer))
 	}
