--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -309,3 +310,18 @@
 		manyRoutes(1500)
 	}
 }
+
+// Requests are spread over the parts of a split by their shares.
+func TestDrawsSpreadBySharesOfASplit(t *testing.T) {
+	split := &Route{Split: []Share{{"a", 70}, {"b", 25}, {"none", 0}, {"c", 5}}, total: 100}
+	random := rand.New(rand.NewPCG(1, 2))
+	const draws = 100_000
+	picked := map[string]float64{}
+	for range draws {
+		picked[split.PickService(random.Float64())] += 100.0 / draws
+	}
+	require.Len(t, picked, 3)
+	for _, share := range split.Split {
+		require.InDelta(t, share.Weight, picked[share.Service], 1, share.Service)
+	}
+}
