--- a/internal/controlsim/faults_test.go
+++ b/internal/controlsim/faults_test.go
@@ -13,6 +13,7 @@
 	world  *world
 	active int  // troubles under way
 	ended  bool // no more troubles
+	owed   bool // a disk was lost, and the machines have not been whole since; only where losses overlap
 }
 
 func (w *world) addTrouble() *trouble {
@@ -198,9 +199,17 @@
 	}
 }
 
-// mayLoseDisk reports whether the fault budget allows another loss.
+// mayLoseDisk reports whether the fault budget allows another loss. Where losses overlap, a disk may be lost in the
+// midst of other troubles, but not a second one before the machines have been whole again.
 func (t *trouble) mayLoseDisk() bool {
-	return t.active == 0 && t.world.now-t.world.lastHurt >= healing
+	calm := t.active == 0 && t.world.now-t.world.lastHurt >= healing
+	if !t.world.plan.overlapping {
+		return calm
+	}
+	if calm && t.world.converged() {
+		t.owed = false
+	}
+	return !t.owed
 }
 
 // loseDisk takes a disk, or a machine for good, perhaps while all others lose power.
@@ -208,6 +217,7 @@
 	if !t.mayLoseDisk() && !t.world.plan.mutation.wipeTwo {
 		return
 	}
+	t.owed = true
 	host := t.world.anyHost()
 	if t.world.chance(0.3) && len(t.world.hosts) < t.world.plan.machines+4 {
 		t.replace(host)
--- a/internal/controlsim/world_test.go
+++ b/internal/controlsim/world_test.go
@@ -48,6 +48,8 @@
 	processor float64 // share of a core of each host; 0: events take no time
 	// bandwidth of each way between two machines in bytes a second, without queues; 0: no limit
 	bandwidth int
+	// overlapping: a disk may be lost in the midst of other troubles, as long as no second one is lost with it
+	overlapping bool
 	// snapshotRecords is the number of records after which a ring gets a snapshot; 0: usualSnapshotRecords
 	snapshotRecords int
 }
