Fetch the state that a probe's answer tells of; let no slow answer confirm the state

A probe's answer tells how far a machine is and carries no state; where nobody holds the agreed state, agents turned to each machine for 2.9 s before they asked the next. And since an answer may take long now, one that confirms the agreed state may have been written long ago: a proxy that has just started must not be ready by it.

Ruled out: probes that carry state, which up to four machines would send at once.

Change: an agent that learns by a probe of state that it lacks asks for it there at once, within the bound on notices. An answer confirms the state only if its call took no longer than a call was allowed before (2 s).

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -44,6 +44,9 @@
 	// firstWatchBy is when control is told of this machine at the latest, whether the proxy's state is known or not:
 	// an agent that was started anew beside a proxy that is ready shouldn't first say that it isn't.
 	firstWatchBy = 300 * time.Millisecond
+	// confirmWithin is the longest time that a call may have taken whose answer confirms the state: what it says was
+	// true when it was written, and an answer that came slowly may be older than a hold.
+	confirmWithin = watchTimeout
 	// longestSleep is the longest time between two steps.
 	longestSleep = time.Second
 )
@@ -230,7 +233,10 @@
 	c.counters.countAnswer(now-done.call.started, done.response)
 	actions, outcome := c.learn(now, done)
 	c.link.answered(now, done.call, done.response, outcome)
-	if done.response.GetAuthoritative() && !outcome.behind {
+	if done.call.kind == watchProbe && outcome.behind {
+		actions = append(actions, c.fetch(now, done.call.address)...)
+	}
+	if done.response.GetAuthoritative() && !outcome.behind && now-done.call.started <= confirmWithin {
 		c.feed.confirm(done.call.started)
 		c.lateness.confirm(now)
 	}
@@ -238,6 +244,15 @@
 	return actions
 }
 
+// fetch asks a machine for the state that its answer to a probe told of. Nobody may hold the agreed state, and this be
+// the only machine in reach that has a change: a chain that is cut off as a whole acknowledges for a while.
+func (c *core) fetch(now time.Duration, address string) []action {
+	if c.link.notices >= maxNotices {
+		return nil // a later probe tells of it again
+	}
+	return []action{c.notice(c.link.notice(now, address, c.record(), c.held.Snapshot()))}
+}
+
 // learn takes what a control machine told. Any control machine tells committed changes only, whether it holds the
 // agreed state or not.
 func (c *core) learn(now time.Duration, done watchDone) ([]action, watchOutcome) {
