Count the time on the way into the age of a server list

Cause: an answer may take long since, and a list tells its age as of writing: what is left of servers' spans, and the time of their end, would count from later than they began.

Change: the time between the first byte of an answer and its last is added to the age of the list in it; unpacking stands once.

Measured: TestListsAgeWhileTheyAreOnTheirWay; all tests of the agent pass.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -142,6 +142,7 @@
 		err = stalledCause(ctx, err)
 		answer := message(response)
 		if err == nil {
+			ageList(answer.GetList(), progressOf(ctx).coming())
 			err = unpackWatch(answer)
 		}
 		return watchDone{call: call, response: answer, err: err}
@@ -197,11 +198,20 @@
 	response, err := c.peer(call.To).Compare(ctx, connect.NewRequest(compareRequest(c.self, call)))
 	answer := message(response)
 	if err == nil {
+		ageList(answer.GetList(), progressOf(ctx).coming())
 		err = unpackCompare(answer)
 	}
 	return compareDone{call: call, response: answer, err: stalledCause(ctx, err)}
 }
 
+// ageList adds to the age of a server list the time for which it was on its way: its writer told the age as of writing,
+// and what is left of its servers' spans counts from there.
+func ageList(list *pb.ServerList, coming time.Duration) {
+	if list != nil {
+		list.AgeMs += uint32(coming / time.Millisecond)
+	}
+}
+
 func compareRequest(self shuffle.Neighbour, call compareCall) *pb.CompareRequest {
 	return &pb.CompareRequest{From: toMessage(self), Digests: call.Digests, List: call.List, TakesPacked: true}
 }
--- a/internal/agent/progress.go
+++ b/internal/agent/progress.go
@@ -40,6 +40,7 @@
 	timer *time.Timer
 	begun bool
 	ended bool
+	since time.Time // when the answer began to come
 }
 
 type progressKey struct{}
@@ -85,6 +86,9 @@
 	}
 	p.mutex.Lock()
 	first := !p.begun && !p.ended
+	if first {
+		p.since = time.Now()
+	}
 	p.begun = true
 	if !p.ended {
 		p.timer.Reset(stallTimeout)
@@ -95,6 +99,16 @@
 	}
 }
 
+// coming is for how long the answer has been coming; 0 before it began.
+func (p *progress) coming() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.since.IsZero() {
+		return 0
+	}
+	return time.Since(p.since)
+}
+
 func (p *progress) end() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/agent/progress_test.go
+++ b/internal/agent/progress_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
 )
 
 // trickle is an answer's body that gives a byte at a time, each after a pause, and nothing more after the last.
@@ -67,6 +69,23 @@
 	})
 }
 
+// A list that was on its way for long is older than its writer told.
+func TestListsAgeWhileTheyAreOnTheirWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := withProgress(context.Background(), time.Second, nil)
+		defer cancel()
+		noted := progressOf(ctx)
+		require.Zero(t, noted.coming())
+		noted.note()
+		_, err := io.ReadAll(&notedBody{ReadCloser: &trickle{ctx: ctx, left: 3, pause: time.Second, ends: true}, progress: noted})
+		require.NoError(t, err)
+		list := &pb.ServerList{AgeMs: 200}
+		ageList(list, noted.coming())
+		require.EqualValues(t, 3200, list.GetAgeMs())
+		ageList(nil, noted.coming())
+	})
+}
+
 func TestCallsWithoutAnAnswerEndAtTheirLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
--- a/internal/agent/unpack.go
+++ b/internal/agent/unpack.go
@@ -11,13 +11,11 @@
 	if response.GetPacked() == nil {
 		return nil
 	}
-	news, err := packing.Unpack(response.GetPacked())
-	if err != nil {
-		return err
+	news, err := unpack(response.GetPacked(), response.GetChanges())
+	if err == nil {
+		response.Changes, response.Repair = news.GetChanges(), news.GetRepair()
 	}
-	response.Changes = append(news.GetChanges(), response.GetChanges()...)
-	response.Repair = news.GetRepair()
-	return nil
+	return err
 }
 
 // unpackCompare is unpackWatch for the answer of another agent.
@@ -25,11 +23,19 @@
 	if response.GetPacked() == nil {
 		return nil
 	}
-	news, err := packing.Unpack(response.GetPacked())
+	news, err := unpack(response.GetPacked(), response.GetChanges())
+	if err == nil {
+		response.Changes, response.Repair = news.GetChanges(), news.GetRepair()
+	}
+	return err
+}
+
+// unpack gives packed news together with the changes that follow it.
+func unpack(packed *pb.PackedNews, following []*pb.Change) (*pb.StateNews, error) {
+	news, err := packing.Unpack(packed)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	response.Changes = append(news.GetChanges(), response.GetChanges()...)
-	response.Repair = news.GetRepair()
-	return nil
+	news.Changes = append(news.GetChanges(), following...)
+	return news, nil
 }
