--- a/internal/catalog/amend.go
+++ b/internal/catalog/amend.go
@@ -3,16 +3,18 @@
 import (
 	"maps"
 	"slices"
+
+	"fieldrelay/internal/jsonwalk"
 )
 
 // amend makes the difference that an amendment asks for: upserts first, then removals.
 func (w *changeWriter) amend(object []byte, faults *InvalidError) {
-	upserts := member(object, memberUpsert)
-	if upserts != nil && !isObject(upserts) {
+	upserts := jsonwalk.Member(object, memberUpsert)
+	if upserts != nil && !jsonwalk.IsObject(upserts) {
 		faults.add("", memberUpsert, "is not an object")
 		return
 	}
-	removals := parseRemovals(member(object, memberRemove), faults)
+	removals := parseRemovals(jsonwalk.Member(object, memberRemove), faults)
 	var wanted document
 	if upserts != nil {
 		wanted = parseDocument(upserts, faults)
@@ -37,6 +39,9 @@
 	for _, name := range removed {
 		dropped[name] = true
 	}
+	if part.name == KindRoutes {
+		w.sent.add(part.entries)
+	}
 	w.ensureCollection(part.name)
 	last := w.lastOrder(part.name)
 	for _, wanted := range part.entries {
--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"math"
 	"strconv"
+
+	"fieldrelay/internal/jsonwalk"
 )
 
 // Names of members that have a meaning of their own in an order.
@@ -41,8 +43,8 @@
 	if !json.Valid(data) {
 		return nil, invalid("", "", "the body is not JSON")
 	}
-	object := trimJSON(data)
-	if !isObject(object) {
+	object := jsonwalk.Trim(data)
+	if !jsonwalk.IsObject(object) {
 		return nil, invalid("", "", "the body is not a JSON object")
 	}
 	return object, nil
@@ -52,8 +54,8 @@
 func parseDocument(object []byte, faults *InvalidError) document {
 	var parsed document
 	places := make(map[string]int)
-	for key, value := range members(object) {
-		name := textOf(key)
+	for key, value := range jsonwalk.Members(object) {
+		name := jsonwalk.TextOf(key)
 		if name == memberGeneration {
 			continue
 		}
@@ -74,10 +76,10 @@
 		return whole
 	}
 	required := name == KindRoutes || name == KindBackends
-	if required && isNull(value) {
+	if required && jsonwalk.IsNull(value) {
 		return section{name: name, collection: true}
 	}
-	if !isArray(value) {
+	if !jsonwalk.IsArray(value) {
 		if required {
 			faults.add("", name, "is not a list")
 		}
@@ -96,16 +98,16 @@
 // namedEntries reads a list of objects with different names. It tells what is wrong if the list is not one.
 func namedEntries(array []byte) (entries []entry, problem string) {
 	seen := make(map[string]bool)
-	for element := range elements(array) {
+	for element := range jsonwalk.Elements(array) {
 		place := strconv.Itoa(len(entries))
-		if !isObject(element) {
+		if !jsonwalk.IsObject(element) {
 			return nil, "element " + place + " is not an object"
 		}
-		quoted := member(element, "name")
-		if !isString(quoted) {
+		quoted := jsonwalk.Member(element, "name")
+		if !jsonwalk.IsString(quoted) {
 			return nil, "element " + place + " has no name"
 		}
-		name := text(quoted)
+		name := jsonwalk.Text(quoted)
 		if seen[name] {
 			return nil, "the name " + strconv.Quote(name) + " comes twice"
 		}
@@ -120,14 +122,14 @@
 	if value == nil {
 		return nil
 	}
-	if !isObject(value) {
+	if !jsonwalk.IsObject(value) {
 		faults.add("", memberRemove, "is not an object")
 		return nil
 	}
 	removals := make(map[string][]string)
-	for key, list := range members(value) {
-		kind := textOf(key)
-		if isNull(list) {
+	for key, list := range jsonwalk.Members(value) {
+		kind := jsonwalk.TextOf(key)
+		if jsonwalk.IsNull(list) {
 			continue
 		}
 		names, ok := nameList(list)
@@ -143,15 +145,15 @@
 }
 
 func nameList(value []byte) ([]string, bool) {
-	if !isArray(value) {
+	if !jsonwalk.IsArray(value) {
 		return nil, false
 	}
 	var names []string
-	for element := range elements(value) {
-		if !isString(element) {
+	for element := range jsonwalk.Elements(value) {
+		if !jsonwalk.IsString(element) {
 			return nil, false
 		}
-		names = append(names, text(element))
+		names = append(names, jsonwalk.Text(element))
 	}
 	return names, true
 }
@@ -164,24 +166,16 @@
 	if number, err := strconv.ParseUint(string(value), 10, 64); err == nil {
 		return number, true
 	}
-	number, ok := floatNumber(value)
+	number, ok := jsonwalk.Number(value)
 	if !ok || number < 0 || number > largestExactFloat || number != math.Trunc(number) {
 		return 0, false
 	}
 	return uint64(number), true
 }
 
-func floatNumber(value []byte) (float64, bool) {
-	if len(value) == 0 || isString(value) {
-		return 0, false
-	}
-	number, err := strconv.ParseFloat(string(value), 64)
-	return number, err == nil
-}
-
 // generationOf reads the gen of an order and checks that it is above the current one.
 func generationOf(object []byte, current uint64, faults *InvalidError) uint64 {
-	value := member(object, memberGeneration)
+	value := jsonwalk.Member(object, memberGeneration)
 	if value == nil {
 		faults.add("", memberGeneration, "is missing")
 		return 0
--- a/internal/catalog/prepare.go
+++ b/internal/catalog/prepare.go
@@ -68,6 +68,7 @@
 type changeWriter struct {
 	snapshot *Snapshot
 	change   *pb.Change
+	sent     sentRoutes
 }
 
 func newChangeWriter(snapshot *Snapshot, generation uint64) *changeWriter {
@@ -84,7 +85,7 @@
 		return nil, err
 	}
 	faults := &InvalidError{}
-	validate(next, faults)
+	validate(w.snapshot, next, w.sent, faults)
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
@@ -114,6 +115,7 @@
 
 // replace makes the difference between the snapshot and a whole configuration.
 func (w *changeWriter) replace(wanted document) {
+	w.sent.all = true
 	keep := make(map[string]map[string]bool)
 	settings := make([]entry, 0, len(wanted.sections))
 	for _, part := range wanted.sections {
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -1,182 +1,121 @@
 package catalog
 
 import (
-	"strings"
-
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/configitem"
+	"fieldrelay/internal/jsonwalk"
 )
 
 // validate checks the rules of the operator's API that concern routes and services. It runs over the
 // configuration that an order would bring into force and looks at each body once.
-func validate(next *Snapshot, faults *InvalidError) {
-	services := make(map[string]bool)
-	for _, item := range next.Items(KindBackends) {
-		services[item.GetName()] = true
-	}
+//
+// An order is refused for what it brings, not for what was in force before: an earlier version of this program may
+// have accepted what this one refuses, and an amendment of something else has to remain possible.
+func validate(current, next *Snapshot, sent sentRoutes, faults *InvalidError) {
 	routes := next.Items(KindRoutes)
-	checker := routeChecker{services: services, owners: make(map[routeKey]string, len(routes)), faults: faults}
+	checker := routeChecker{
+		sent:     sent,
+		services: namesOf(next.Items(KindBackends)),
+		current:  current,
+		owners:   make(map[configitem.Place]string, len(routes)),
+		faults:   faults,
+	}
 	for _, item := range routes {
 		checker.check(item)
 	}
 }
 
-// routeKey is what no two routes may share.
-type routeKey struct {
-	host   string
-	prefix string
-}
-
-type routeChecker struct {
-	services map[string]bool
-	owners   map[routeKey]string // name of the route that has this host and prefix
-	faults   *InvalidError
-}
-
-// optionalText decodes a JSON string; any other value gives the empty text.
-func optionalText(value []byte) string {
-	if !isString(value) {
-		return ""
+func namesOf(items []*pb.Item) map[string]bool {
+	names := make(map[string]bool, len(items))
+	for _, item := range items {
+		names[item.GetName()] = true
 	}
-	return text(value)
+	return names
 }
 
-// routeFields are the members of a route that the rules are about; nil where they are missing or null.
-type routeFields struct {
-	host, prefix, service, split, deadline []byte
+// sentRoutes tells which routes an order sends.
+type sentRoutes struct {
+	all   bool
+	names map[string]bool
 }
 
-func readRoute(body []byte) routeFields {
-	var fields routeFields
-	if !isObject(body) {
-		return fields
+func (s *sentRoutes) add(entries []entry) {
+	if s.names == nil {
+		s.names = make(map[string]bool, len(entries))
 	}
-	for key, value := range members(body) {
-		if isNull(value) {
-			value = nil
-		}
-		switch string(key) {
-		case "vhost":
-			fields.host = value
-		case "path-prefix":
-			fields.prefix = value
-		case "backend":
-			fields.service = value
-		case "split":
-			fields.split = value
-		case "deadline-ms":
-			fields.deadline = value
-		}
+	for _, sent := range entries {
+		s.names[sent.name] = true
 	}
-	return fields
 }
 
-func (c *routeChecker) check(item *pb.Item) {
-	fields := readRoute(item.GetBody())
-	c.checkPlace(item.GetName(), fields)
-	c.checkDeadline(item.GetName(), fields.deadline)
-	c.checkServices(item.GetName(), fields)
-}
+func (s *sentRoutes) includes(route string) bool { return s.all || s.names[route] }
 
-// fault adds a fault of a route.
-func (c *routeChecker) fault(route, field, format string, arguments ...any) {
-	c.faults.add(KindRoutes+"/"+route, field, format, arguments...)
+type routeChecker struct {
+	sent     sentRoutes
+	services map[string]bool // of the next configuration
+	current  *Snapshot
+	owners   map[configitem.Place]string // name of the route that has this place
+	faults   *InvalidError
 }
 
-// checkPlace refuses a route that no request can be matched with, and two for the same requests.
-func (c *routeChecker) checkPlace(route string, fields routeFields) {
-	key := routeKey{host: optionalText(fields.host), prefix: optionalText(fields.prefix)}
-	if key.host == "" {
-		c.fault(route, "vhost", "is not a host name")
-		return
-	}
-	if !strings.HasPrefix(key.prefix, "/") {
-		c.fault(route, "path-prefix", "does not begin with a slash")
-		return
-	}
-	key.host = strings.ToLower(key.host)
-	if owner, taken := c.owners[key]; taken {
-		c.fault(route, "path-prefix", "route %q has the same host and prefix", owner)
-		return
-	}
-	c.owners[key] = route
+func (c *routeChecker) check(item *pb.Item) {
+	name := item.GetName()
+	route := configitem.TakeRoute(item.GetBody())
+	c.checkPlace(name, &route)
+	if c.sent.includes(name) {
+		_, faults := route.Deadline()
+		c.add(name, faults)
+	}
+	c.checkServices(name, &route)
 }
 
-func (c *routeChecker) checkDeadline(route string, value []byte) {
-	if value == nil {
-		return
-	}
-	deadline, ok := floatNumber(value)
-	if !ok {
-		c.fault(route, "deadline-ms", "is not a number")
-		return
-	}
-	if deadline <= 0 {
-		c.fault(route, "deadline-ms", "is not above 0")
+// add adds faults of a route.
+func (c *routeChecker) add(route string, faults []configitem.Fault) {
+	for _, fault := range faults {
+		c.faults.add(KindRoutes+"/"+route, fault.Field, "%s", fault.Reason)
 	}
 }
 
-// checkServices checks the services that a route names, by "backend" or by "split".
-func (c *routeChecker) checkServices(route string, fields routeFields) {
-	named := fields.service != nil
-	if named {
-		named = c.checkService(route, "backend", fields.service)
-	}
-	if fields.split == nil {
-		if !named {
-			c.fault(route, "backend", "no service is named")
+// checkPlace refuses a route that no request can be matched with, and two for the same requests.
+func (c *routeChecker) checkPlace(name string, route *configitem.Route) {
+	place, faults := route.Place()
+	if faults != nil {
+		if c.sent.includes(name) {
+			c.add(name, faults)
 		}
 		return
 	}
-	if !isArray(fields.split) {
-		c.fault(route, "split", "is not a list")
-		return
+	owner, taken := c.owners[place]
+	if taken && (c.sent.includes(name) || c.sent.includes(owner)) {
+		c.faults.add(KindRoutes+"/"+name, "path-prefix", "route %q has the same host and prefix", owner)
 	}
-	total, count := c.checkSplit(route, fields.split)
-	onlyService := count == 0 && named
-	if total <= 0 && !onlyService {
-		c.fault(route, "split", "the shares add up to 0")
+	if !taken {
+		c.owners[place] = name
 	}
 }
 
-// checkService reports whether a service is named; the empty name stands for none.
-func (c *routeChecker) checkService(route, field string, value []byte) bool {
-	if !isString(value) {
-		c.fault(route, field, "is not a name")
-		return true
-	}
-	name := inner(value)
-	if len(name) == 0 {
-		return false
+// checkServices checks the services that a route names, by "backend" or by "split".
+func (c *routeChecker) checkServices(name string, route *configitem.Route) {
+	destination, faults := route.Destination()
+	if c.sent.includes(name) {
+		c.add(name, faults)
 	}
-	if !c.services[string(name)] && !c.services[textOf(name)] {
-		c.fault(route, field, "there is no service %q", textOf(name))
+	c.checkService(name, "backend", destination.Service)
+	for _, share := range destination.Shares {
+		c.checkService(name, "split", share.Service)
 	}
-	return true
 }
 
-func (c *routeChecker) checkSplit(route string, split []byte) (total float64, count int) {
-	for element := range elements(split) {
-		count++
-		if !isObject(element) {
-			c.fault(route, "split", "element %d is not an object", count-1)
-			continue
-		}
-		if !c.checkService(route, "split", member(element, "backend")) {
-			c.fault(route, "split", "element %d names no service", count-1)
-		}
-		total += c.checkShare(route, member(element, "share"))
+// checkService refuses a service that is not there, unless an earlier version left the route without it.
+func (c *routeChecker) checkService(route, field string, service []byte) {
+	if len(service) == 0 || c.services[string(service)] {
+		return
 	}
-	return total, count
-}
-
-func (c *routeChecker) checkShare(route string, value []byte) float64 {
-	if value == nil {
-		return 0
+	name := jsonwalk.TextOf(service)
+	if c.services[name] {
+		return
 	}
-	share, ok := floatNumber(value)
-	if !ok || share < 0 {
-		c.fault(route, "split", "a share is not a number of 0 or more")
-		return 0
+	if _, removed := c.current.Get(KindBackends, name); removed || c.sent.includes(route) {
+		c.faults.add(KindRoutes+"/"+route, field, "there is no service %q", name)
 	}
-	return share
 }
--- /dev/null
+++ b/internal/jsonwalk/walk.go
@@ -0,0 +1,195 @@
+// Package jsonwalk takes JSON texts apart without decoding them: it gives the members of objects and the elements of
+// lists as parts of the text. It looks at each byte once and copies nothing, so that a configuration of thousands of
+// routes is read in a few milliseconds.
+//
+// Names of members are compared exactly, with regard to case. Where a member comes more than once the last one counts,
+// and a null counts as a member that is missing. A text has no space around it and is one that json.Valid accepts;
+// another one gives any of its parts or none, but no panic.
+package jsonwalk
+
+import (
+	"bytes"
+	"encoding/json"
+	"iter"
+	"strconv"
+	"unicode/utf8"
+)
+
+// Trim drops the white space around a value.
+func Trim(data []byte) []byte { return bytes.Trim(data, " \t\r\n") }
+
+// IsObject reports whether a value is an object.
+func IsObject(value []byte) bool { return len(value) > 0 && value[0] == '{' }
+
+// IsArray reports whether a value is a list.
+func IsArray(value []byte) bool { return len(value) > 0 && value[0] == '[' }
+
+// IsString reports whether a value is a string.
+func IsString(value []byte) bool { return len(value) > 0 && value[0] == '"' }
+
+// IsNull reports whether a value is null.
+func IsNull(value []byte) bool { return string(value) == "null" }
+
+// Members yields the members of an object in the order of the text, each value as a part of it. Keys may be
+// compared, or copied by TextOf.
+func Members(object []byte) iter.Seq2[[]byte, []byte] {
+	return func(yield func(key, value []byte) bool) {
+		position := skipSpace(object, 1)
+		for position < len(object) && object[position] == '"' {
+			keyEnd := stringEnd(object, position)
+			key := Unquoted(object[position:keyEnd])
+			colon := skipSpace(object, keyEnd)
+			start := skipSpace(object, colon+1)
+			end := valueEnd(object, start)
+			if end == start || !yield(key, object[start:end]) {
+				return
+			}
+			position = nextElement(object, end)
+		}
+	}
+}
+
+// Elements yields the elements of a list, each as a part of the text.
+func Elements(array []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		position := skipSpace(array, 1)
+		for position < len(array) && array[position] != ']' {
+			end := valueEnd(array, position)
+			if end == position || !yield(array[position:end]) {
+				return
+			}
+			position = nextElement(array, end)
+		}
+	}
+}
+
+// Member returns the last member of an object that has a name, and nil if there is none or it is null.
+func Member(object []byte, name string) []byte {
+	var found []byte
+	for key, value := range Members(object) {
+		if string(key) == name {
+			found = value
+		}
+	}
+	return Present(found)
+}
+
+// Present gives nil for a null, and any other value as it is.
+func Present(value []byte) []byte {
+	if IsNull(value) {
+		return nil
+	}
+	return value
+}
+
+// Unquoted returns what is between the quotes of a JSON string, decoded only if it has escapes.
+func Unquoted(quoted []byte) []byte {
+	if len(quoted) < 2 {
+		return nil
+	}
+	between := quoted[1 : len(quoted)-1]
+	if bytes.IndexByte(between, '\\') < 0 {
+		return between
+	}
+	var decoded string
+	if err := json.Unmarshal(quoted, &decoded); err != nil {
+		return between
+	}
+	return []byte(decoded)
+}
+
+// TextOf copies a string that Unquoted returned. Bytes that are not UTF-8 become U+FFFD.
+func TextOf(decoded []byte) string {
+	if utf8.Valid(decoded) {
+		return string(decoded)
+	}
+	return string(bytes.ToValidUTF8(decoded, []byte("\uFFFD")))
+}
+
+// Text decodes a JSON string.
+func Text(quoted []byte) string { return TextOf(Unquoted(quoted)) }
+
+// Number decodes a JSON number. It reports false for any other value, and for a number beyond a float64.
+func Number(value []byte) (float64, bool) {
+	if len(value) == 0 || IsString(value) {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(string(value), 64)
+	return number, err == nil
+}
+
+// nextElement returns the place of the next key or element, or of the closing bracket, after a value.
+func nextElement(data []byte, position int) int {
+	position = skipSpace(data, position)
+	if position < len(data) && data[position] == ',' {
+		position = skipSpace(data, position+1)
+	}
+	return position
+}
+
+func skipSpace(data []byte, position int) int {
+	for position < len(data) {
+		switch data[position] {
+		case ' ', '\t', '\r', '\n':
+			position++
+		default:
+			return position
+		}
+	}
+	return len(data)
+}
+
+// valueEnd returns the place after the value that begins at position, which is position itself if none does.
+func valueEnd(data []byte, position int) int {
+	if position >= len(data) {
+		return position
+	}
+	switch data[position] {
+	case '"':
+		return stringEnd(data, position)
+	case '{', '[':
+		return bracketEnd(data, position)
+	}
+	for position < len(data) && !endsScalar(data[position]) {
+		position++
+	}
+	return position
+}
+
+// endsScalar reports whether a byte ends a number, true, false or null.
+func endsScalar(character byte) bool {
+	switch character {
+	case ',', ']', '}', ' ', '\t', '\r', '\n':
+		return true
+	}
+	return false
+}
+
+func stringEnd(data []byte, position int) int {
+	for position++; position < len(data) && data[position] != '"'; position++ {
+		if data[position] == '\\' {
+			position++
+		}
+	}
+	return min(position+1, len(data))
+}
+
+func bracketEnd(data []byte, position int) int {
+	depth := 0
+	for position < len(data) {
+		switch data[position] {
+		case '"':
+			position = stringEnd(data, position)
+			continue
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		position++
+		if depth == 0 {
+			return position
+		}
+	}
+	return position
+}
--- a/internal/catalog/walk_test.go
+++ b/internal/jsonwalk/walk_test.go
@@ -1,8 +1,9 @@
-package catalog
+package jsonwalk
 
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -47,8 +48,8 @@
 		var want map[string]json.RawMessage
 		require.NoError(t, json.Unmarshal(data, &want))
 		got := make(map[string][]byte)
-		for key, value := range members(data) {
-			got[textOf(key)] = value
+		for key, value := range Members(data) {
+			got[TextOf(key)] = value
 		}
 		require.Len(t, got, len(want))
 		for key, value := range want {
@@ -59,58 +60,51 @@
 }
 
 func checkElements(t *rapid.T, value []byte) {
-	if !isArray(value) {
+	if !IsArray(value) {
 		return
 	}
 	var want []json.RawMessage
 	require.NoError(t, json.Unmarshal(value, &want))
 	index := 0
-	for element := range elements(value) {
+	for element := range Elements(value) {
 		requireCompact(t, want[index], element)
 		index++
 	}
 	require.Len(t, want, index)
 }
 
-// TestNoBodyPanics: whatever the operator's call carries gets an answer.
-func TestNoBodyPanics(t *testing.T) {
-	start := []byte(`{"gen":7,"routes":[{"name":"r","vhost":"h","path-prefix":"/","split":[{"backend":"s","share":1}]}],` +
-		`"backends":[{"name":"s"}],"upsert":{"routes":[{"name":"q"}]},"remove":{"routes":["r"]}}`)
-	values := []string{`null`, `1`, `"x"`, `[]`, `{}`, `[1]`, `{"name":null}`, `-0`, `1e999`, `true`}
+// TestNoTextPanics: what is not JSON, which may come from a damaged item, gives some parts or none.
+func TestNoTextPanics(t *testing.T) {
+	pieces := []string{`{`, `}`, `[`, `]`, `"`, `\\`, `:`, `,`, ` `, `"a"`, `1`, `null`, "\xff", `\u00`}
 	rapid.Check(t, func(t *rapid.T) {
-		body := bytes.Clone(start)
-		for range rapid.IntRange(1, 4).Draw(t, "edits") {
-			at := rapid.IntRange(0, len(body)-1).Draw(t, "at")
-			if end := valueEndIfAny(body, at); end > at {
-				replacement := rapid.SampledFrom(values).Draw(t, "value")
-				body = append(append(bytes.Clone(body[:at]), replacement...), body[end:]...)
-			}
+		text := []byte(strings.Join(rapid.SliceOfN(rapid.SampledFrom(pieces), 0, 12).Draw(t, "pieces"), ""))
+		walked := 0
+		for key, value := range Members(text) {
+			walked += len(TextOf(key)) + len(Text(value))
+			require.NotEmpty(t, value)
 		}
-		if rapid.IntRange(0, 9).Draw(t, "cut") == 0 {
-			body = body[:rapid.IntRange(0, len(body)).Draw(t, "length")]
-		}
-		for _, kind := range []orderKind{orderReplace, orderAmend} {
-			change, err := prepare(Empty(), kind, 0, body)
-			if err == nil {
-				_, err = Empty().Apply(change)
-				require.NoError(t, err)
-				continue
-			}
-			var refused OrderError
-			require.ErrorAs(t, err, &refused)
+		for element := range Elements(text) {
+			walked += len(Text(element))
+			require.NotEmpty(t, element)
 		}
+		require.LessOrEqual(t, walked, 8*len(text), "each byte is in few parts")
+		Member(text, "a")
+		Number(text)
 	})
 }
 
-// valueEndIfAny returns the end of the value that begins at a place of valid JSON, or 0.
-func valueEndIfAny(body []byte, at int) int {
-	if !json.Valid(body) || !bytes.ContainsRune([]byte(`"{[123456789`), rune(body[at])) {
-		return 0
-	}
-	for end := at + 1; end <= len(body); end++ {
-		if json.Valid(body[at:end]) {
-			return end
-		}
+func TestMembersAreComparedExactly(t *testing.T) {
+	object := []byte(`{"a":1,"A":2,"\u0062":3,"b":4,"c":5,"c":null,"d":[{"a":6}],"e":{"f":7}}`)
+	require.Equal(t, "1", string(Member(object, "a")))
+	require.Equal(t, "2", string(Member(object, "A")))
+	require.Equal(t, "4", string(Member(object, "b")), "the last one counts, however its name is written")
+	require.Nil(t, Member(object, "c"), "null counts as missing")
+	require.Nil(t, Member(object, "f"))
+}
+
+func TestNumbersBeyondAFloatAreNone(t *testing.T) {
+	for text, want := range map[string]bool{`1`: true, `-0.5e3`: true, `1e308`: true, `1e999`: false, `"1"`: false, `true`: false, `[1]`: false, ``: false} {
+		_, ok := Number([]byte(text))
+		require.Equal(t, want, ok, text)
 	}
-	return 0
 }
--- a/internal/proxy/contact_test.go
+++ b/internal/proxy/contact_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
 )
 
 func TestSilentAgentIsLoggedOnceAndItsReturnToo(t *testing.T) {
@@ -57,7 +58,34 @@
 	for _, field := range r.process.counterFields() {
 		line[field.Key] = true
 	}
-	for _, name := range []string{"repairs", "items-left-out", "applies", "apply-last", "apply-max", "violations", "agent-silence"} {
+	for _, name := range []string{"repairs", "items-left-out", "items-in-part", "applies", "apply-last", "apply-max", "violations", "agent-silence"} {
 		require.True(t, line[name], name)
 	}
 }
+
+// TestItemsThatAreOddAreTold: each one is told by its name and its fault, whether it is served in part or left out.
+func TestItemsThatAreOddAreTold(t *testing.T) {
+	change := rigChange()
+	change.Upserts[0].Body = []byte(`no object`)
+	change.Upserts = append(change.Upserts, &pb.Item{
+		Kind: catalog.KindRoutes, Name: "odd", Body: []byte(`{"vhost":"h","path-prefix":"/odd/","backend":"s1","tries":-1}`),
+	})
+	logged, logs := observer.New(zap.DebugLevel)
+	f := &feed{state: newState(), counters: &counters{}, logger: zap.New(logged), lifecycle: &lifecycle{}}
+	before := f.state.load()
+	held, done := f.state.apply(&pb.ApplyRequest{Changes: []*pb.Change{change}})
+	f.counters.countFed(done)
+	f.report(before, held, done)
+
+	left := logs.FilterMessage("item of the configuration left out").All()
+	require.Len(t, left, 1)
+	require.Contains(t, left[0].ContextMap()["error"], change.Upserts[0].GetName())
+	inPart := logs.FilterMessage("item of the configuration served in part").All()
+	require.Len(t, inPart, 1)
+	require.Contains(t, inPart[0].ContextMap()["error"], `"odd"`)
+	require.Contains(t, inPart[0].ContextMap()["error"], "tries")
+	require.EqualValues(t, 1, f.counters.leftOut.Load())
+	require.EqualValues(t, 1, f.counters.inPart.Load())
+	_, found := held.table.Lookup("h", "/odd/x")
+	require.True(t, found)
+}
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -34,7 +34,8 @@
 	olderStates atomic.Uint64 // states and changes from the agent that were no newer than what was held
 	gaps        atomic.Uint64 // exchanges with the agent whose changes did not follow on what was held
 	repairs     atomic.Uint64 // whole states that were taken in
-	leftOut     atomic.Uint64 // items of the configuration that could not be used
+	leftOut     atomic.Uint64 // items of the configuration of which nothing could be used
+	inPart      atomic.Uint64 // items of the configuration of which some members could not be used
 	applies     atomic.Uint64 // exchanges with the agent that brought something
 	applyLast   atomic.Int64  // nanoseconds that the last of them took
 	applyMax    atomic.Int64  // nanoseconds that the longest of them took
@@ -62,7 +63,8 @@
 func (c *counters) countFed(done update) {
 	c.olderStates.Add(uint64(done.older))
 	c.repairs.Add(uint64(done.repairs))
-	c.leftOut.Add(uint64(len(done.faults)))
+	c.leftOut.Add(uint64(len(done.leftOut)))
+	c.inPart.Add(uint64(len(done.inPart)))
 	if done.gap {
 		c.gaps.Add(1)
 	}
@@ -113,6 +115,7 @@
 		zap.Uint64("gaps", c.gaps.Load()),
 		zap.Uint64("repairs", c.repairs.Load()),
 		zap.Uint64("items-left-out", c.leftOut.Load()),
+		zap.Uint64("items-in-part", c.inPart.Load()),
 		zap.Uint64("applies", c.applies.Load()),
 		zap.Duration("apply-last", time.Duration(c.applyLast.Load())),
 		zap.Duration("apply-max", time.Duration(c.applyMax.Load())),
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -30,7 +30,8 @@
 		})
 	}
 	_, done := r.handler.state.apply(&pb.ApplyRequest{Changes: []*pb.Change{change}})
-	require.Empty(r.t, done.faults)
+	require.Empty(r.t, done.leftOut)
+	require.Empty(r.t, done.inPart)
 }
 
 const (
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -96,8 +96,11 @@
 }
 
 func (f *feed) report(before, held *snapshot, done update) {
-	for _, fault := range done.faults {
-		f.logger.Warn("item of the configuration left out", zap.Error(fault))
+	for _, item := range done.leftOut {
+		f.logger.Warn("item of the configuration left out", zap.Error(item))
+	}
+	for _, item := range done.inPart {
+		f.logger.Warn("item of the configuration served in part", zap.Error(item))
 	}
 	if done.fellBack {
 		f.counters.fellBack.Add(1)
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -283,7 +283,8 @@
 	}
 	h.lifecycle = &lifecycle{held: h.state.load}
 	_, done := h.state.apply(&pb.ApplyRequest{Changes: []*pb.Change{rigChange()}, List: &pb.ServerList{}, Confirmed: true})
-	require.Empty(t, done.faults)
+	require.Empty(t, done.leftOut)
+	require.Empty(t, done.inPart)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	base, abandon := context.WithCancel(context.Background())
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -31,11 +31,20 @@
 type update struct {
 	tableChanged bool
 	listChanged  bool
-	faults       []error // of items that could not be used
-	older        int     // states and changes no newer than what is held, which were left
-	gap          bool    // changes came that do not follow on what is held, and were left
-	repairs      int     // whole states that were taken
-	fellBack     bool    // the new snapshot is older than the one before: this must never be
+	leftOut      []*route.ItemError // items of which nothing could be used
+	inPart       []*route.ItemError // items of which some members could not be used
+	older        int                // states and changes no newer than what is held, which were left
+	gap          bool               // changes came that do not follow on what is held, and were left
+	repairs      int                // whole states that were taken
+	fellBack     bool               // the new snapshot is older than the one before: this must never be
+}
+
+// takeTable puts a new table into a snapshot.
+func (u *update) takeTable(next *snapshot, built route.Built) {
+	next.table = built.Table
+	u.tableChanged = true
+	u.leftOut = append(u.leftOut, built.LeftOut...)
+	u.inPart = append(u.inPart, built.InPart...)
 }
 
 // state holds the snapshot in force. Readers load it without waiting; writers come one at a time.
@@ -90,13 +99,10 @@
 	for _, part := range repair.GetRanges() {
 		items = append(items, part.GetItems()...)
 	}
-	table, faults := route.FromItems(items)
-	next.table = table
+	done.takeTable(next, route.Empty().Rebuild(items, nil, false))
 	next.sequence = repair.GetSequence()
 	next.generation = repair.GetGeneration()
-	done.tableChanged = true
 	done.repairs++
-	done.faults = append(done.faults, faults...)
 	s.gap = false
 }
 
@@ -110,12 +116,9 @@
 		done.gap = true
 		return
 	}
-	table, faults := next.table.With(change.GetUpserts(), change.GetRemovals(), change.GetReplacesAll())
-	next.table = table
+	done.takeTable(next, next.table.Rebuild(change.GetUpserts(), change.GetRemovals(), change.GetReplacesAll()))
 	next.sequence = change.GetSequence()
 	next.generation = change.GetGeneration()
-	done.tableChanged = true
-	done.faults = append(done.faults, faults...)
 	s.gap = false
 }
 
--- a/internal/proxy/state_test.go
+++ b/internal/proxy/state_test.go
@@ -39,7 +39,8 @@
 
 	held, done := s.apply(&pb.ApplyRequest{Changes: []*pb.Change{firstChange()}})
 	require.True(t, done.tableChanged)
-	require.Empty(t, done.faults)
+	require.Empty(t, done.leftOut)
+	require.Empty(t, done.inPart)
 	require.EqualValues(t, 7, held.generation)
 	require.Equal(t, 1, held.table.Routes())
 	require.False(t, s.wantsWhole())
--- a/internal/route/changes_test.go
+++ b/internal/route/changes_test.go
@@ -36,7 +36,7 @@
 			next, err := held.Apply(change)
 			require.NoError(t, err)
 			held = next
-			var faults []error
+			var faults []*route.ItemError
 			table, faults = table.With(change.GetUpserts(), change.GetRemovals(), change.GetReplacesAll())
 			require.Empty(t, faults)
 			whole, faults := route.FromItems(itemsOf(held))
--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -1,44 +1,39 @@
 package route
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
 
-// Fault tells what makes an item of the configuration unusable. It is an error, which an ItemError wraps.
-type Fault uint8
-
-// The faults of items.
-const (
-	FaultUnreadable Fault = iota // its body cannot be read
-	FaultNoService               // a route that leads to no service
-	FaultNoPrefix                // a route without a path prefix
-	FaultKind                    // a route of an unknown kind
-	FaultNegative                // a time, count or share below 0
+	"fieldrelay/internal/configitem"
 )
 
-// Error implements error.
-func (f Fault) Error() string {
-	return [...]string{
-		"it cannot be read",
-		"it leads to no service",
-		"it has no path prefix",
-		"it is of an unknown kind of route",
-		"it holds a negative figure",
-	}[f]
-}
-
-// unreadable wraps what a JSON reader found.
-func unreadable(err error) error { return fmt.Errorf("%w: %w", FaultUnreadable, err) }
-
-// ItemError tells that an item of the configuration could not be used; it is left out of the table.
+// ItemError tells what was wrong with an item of the configuration. Its faults are errors that it wraps.
 type ItemError struct {
 	Kind string // of the item
 	Name string
-	Err  error // wraps a Fault
+	// LeftOut: nothing of the item can be used. Otherwise it is in the table without the members at fault.
+	LeftOut bool
+	Faults  []configitem.Fault // at least one
 }
 
 // Error implements error.
 func (e *ItemError) Error() string {
-	return fmt.Sprintf("route: %s %q left out: %v", e.Kind, e.Name, e.Err)
+	reasons := make([]string, len(e.Faults))
+	for index, fault := range e.Faults {
+		reasons[index] = fault.Error()
+	}
+	outcome := "served in part"
+	if e.LeftOut {
+		outcome = "left out"
+	}
+	return fmt.Sprintf("route: %s %q %s: %s", e.Kind, e.Name, outcome, strings.Join(reasons, "; "))
 }
 
-// Unwrap gives the cause.
-func (e *ItemError) Unwrap() error { return e.Err }
+// Unwrap gives the faults.
+func (e *ItemError) Unwrap() []error {
+	errs := make([]error, len(e.Faults))
+	for index, fault := range e.Faults {
+		errs[index] = fault
+	}
+	return errs
+}
--- a/internal/route/homes.go
+++ b/internal/route/homes.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/configitem"
+	"fieldrelay/internal/jsonwalk"
 )
 
 // Homes tells where requests to a host may be served.
@@ -47,7 +50,7 @@
 
 // Of returns the homes of a host.
 func (i *HomeIndex) Of(host string) Homes {
-	homes := i.hosts[CanonicalHost(host)]
+	homes := i.hosts[configitem.CanonicalHost(host)]
 	homes.Unknown = i.unknown
 	return homes
 }
@@ -58,8 +61,8 @@
 		i.unknown = true
 		return
 	}
-	route, err := parseRoute(item)
-	if err != nil || len(route.HomeRegions) == 0 {
+	route, _ := parseRoute(item)
+	if route == nil || len(route.HomeRegions) == 0 {
 		return
 	}
 	homes := i.hosts[route.Host]
@@ -73,27 +76,57 @@
 	i.hosts[route.Host] = homes
 }
 
-// homesKey is the member of an item that lists its homes.
-var homesKey = []byte(`"home-regions"`)
+// homesName is the member of an item that lists its homes.
+const homesName = "home-regions"
 
-// mentionsHomes reports whether a body has a list of homes that is not empty, without decoding it: most routes have
+var (
+	homesKey = []byte(`"` + homesName + `"`)
+	// escapedCharacter begins a character that is written by its number; such a key is not found as text.
+	escapedCharacter = []byte(`\u`)
+)
+
+// mentionsHomes reports whether a body has homes that are not an empty list, without taking it apart: most routes have
 // none. Inside of a JSON text the quotes of the key would be escaped, so that it is found as a key alone.
 func mentionsHomes(body []byte) bool {
+	if bytes.Contains(body, escapedCharacter) && json.Valid(body) {
+		return hasHomes(jsonwalk.Trim(body))
+	}
 	for {
 		_, rest, found := bytes.Cut(body, homesKey)
 		if !found {
 			return false
 		}
-		value := bytes.TrimLeft(rest, ": \t\r\n")
-		if !bytes.HasPrefix(value, []byte("null")) && !isEmptyList(value) {
+		if tellsHomes(bytes.TrimLeft(rest, ": \t\r\n")) {
 			return true
 		}
 		body = rest
 	}
 }
 
-// isEmptyList reports whether a JSON text begins with a list of nothing.
-func isEmptyList(text []byte) bool {
+// hasHomes looks for such homes anywhere in a JSON value.
+func hasHomes(value []byte) bool {
+	if jsonwalk.IsArray(value) {
+		for element := range jsonwalk.Elements(value) {
+			if hasHomes(element) {
+				return true
+			}
+		}
+	}
+	if jsonwalk.IsObject(value) {
+		for key, member := range jsonwalk.Members(value) {
+			if (string(key) == homesName && tellsHomes(member)) || hasHomes(member) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// tellsHomes reports whether a JSON text begins with a value other than null and a list of nothing.
+func tellsHomes(text []byte) bool {
+	if bytes.HasPrefix(text, []byte("null")) {
+		return false
+	}
 	elements, isList := bytes.CutPrefix(text, []byte("["))
-	return isList && bytes.HasPrefix(bytes.TrimLeft(elements, " \t\r\n"), []byte("]"))
+	return !isList || !bytes.HasPrefix(bytes.TrimLeft(elements, " \t\r\n"), []byte("]"))
 }
--- a/internal/route/homes_test.go
+++ b/internal/route/homes_test.go
@@ -39,6 +39,18 @@
 	require.False(t, index.Of("two.example").Bound())
 }
 
+// A route whose homes cannot be read is bound to regions that are not known: no region's proxies serve it.
+func TestHomesThatCannotBeRead(t *testing.T) {
+	index := NewHomeIndex(stateOf(t,
+		item(catalog.KindRoutes, "a", `{"vhost":"h","path-prefix":"/a/","backend":"s","home-regions":"west"}`),
+		item(catalog.KindRoutes, "b", `{"vhost":"h","path-prefix":"/b/","backend":"s","home\u002dregions":["east"]}`),
+	))
+	homes := index.Of("h:80")
+	require.Equal(t, 2, homes.Routes)
+	require.False(t, homes.AllMayBeIn("west"))
+	require.False(t, homes.AllMayBeIn("east"))
+}
+
 func TestHomesOfOtherItemsMayConcernAllHosts(t *testing.T) {
 	homes := NewHomeIndex(stateOf(t, item("tenants", "t", `{"home-regions":["west"]}`))).Of("any.example")
 	require.True(t, homes.Bound())
@@ -56,6 +68,11 @@
 		`{"o":{"home-regions":[]},"home-regions":["west"]}`: true,
 		`{"note":"\"home-regions\":[1]"}`:                   false,
 		`{"home-regions"`:                                   true,
+		`{"home\u002dregions":["west"]}`:                    true,
+		`{"o":[{"home\u002dregions":["west"]}]}`:            true,
+		`{"home\u002dregions":[ ],"x":null}`:                false,
+		`{"home\u002dregions":null,"note":"\u0041"}`:        false,
+		`{"note":"\u0041","home-regions":"west"}`:           true,
 	}
 	for body, want := range cases {
 		t.Run(strconv.Quote(body), func(t *testing.T) { require.Equal(t, want, mentionsHomes([]byte(body))) })
--- a/internal/route/host.go
+++ b/internal/route/host.go
@@ -3,9 +3,12 @@
 import (
 	"slices"
 	"strings"
+	"unicode/utf8"
+
+	"fieldrelay/internal/configitem"
 )
 
-// longestHost is the longest host name that is looked up (RFC 1035 allows 255).
+// longestHost is the longest host name that is looked up without an allocation (RFC 1035 allows 255).
 const longestHost = 256
 
 // host holds the routes of one host. A path is tried with the lengths that prefixes have, longest first: a
@@ -13,6 +16,9 @@
 type host struct {
 	routes  []*Route       // sorted by path prefix
 	lengths []prefixLength // longest first
+	// hidden are routes whose prefix another route of this host has. Validation accepts none; an earlier version did
+	// where hosts differ by their port.
+	hidden []*Route
 }
 
 // prefixLength tells how many prefixes have a length.
@@ -25,7 +31,7 @@
 	if h == nil {
 		return &host{}
 	}
-	return &host{routes: slices.Clone(h.routes), lengths: slices.Clone(h.lengths)}
+	return &host{routes: slices.Clone(h.routes), lengths: slices.Clone(h.lengths), hidden: slices.Clone(h.hidden)}
 }
 
 func (h *host) find(prefix string) (int, bool) {
@@ -34,25 +40,52 @@
 	})
 }
 
+// put takes a route in. Of two with the same prefix, the one whose name is the lower is served, whichever came first:
+// a table that was changed step by step is like one of the whole state.
 func (h *host) put(route *Route) {
 	i, taken := h.find(route.PathPrefix)
-	if taken {
-		h.routes[i] = route
+	if !taken {
+		h.routes = slices.Insert(h.routes, i, route)
+		h.count(len(route.PathPrefix), 1)
 		return
 	}
-	h.routes = slices.Insert(h.routes, i, route)
-	h.count(len(route.PathPrefix), 1)
+	if other := h.routes[i]; route.Name < other.Name {
+		h.routes[i] = route
+		route = other
+	}
+	h.hidden = append(h.hidden, route)
 }
 
 func (h *host) drop(route *Route) {
 	i, found := h.find(route.PathPrefix)
 	if !found || h.routes[i] != route {
+		h.hidden = slices.DeleteFunc(h.hidden, func(other *Route) bool { return other == route })
+		return
+	}
+	if next := h.reveal(route.PathPrefix); next != nil {
+		h.routes[i] = next
 		return
 	}
 	h.routes = slices.Delete(h.routes, i, i+1)
 	h.count(len(route.PathPrefix), -1)
 }
 
+// reveal takes the hidden route out that is to be served for a prefix; nil if there is none.
+func (h *host) reveal(prefix string) *Route {
+	lowest := -1
+	for i, route := range h.hidden {
+		if route.PathPrefix == prefix && (lowest < 0 || route.Name < h.hidden[lowest].Name) {
+			lowest = i
+		}
+	}
+	if lowest < 0 {
+		return nil
+	}
+	revealed := h.hidden[lowest]
+	h.hidden = slices.Delete(h.hidden, lowest, lowest+1)
+	return revealed
+}
+
 // count adds to the number of prefixes of a length.
 func (h *host) count(length, more int) {
 	i, found := slices.BinarySearchFunc(h.lengths, length, func(have prefixLength, want int) int {
@@ -82,14 +115,18 @@
 	return nil, false
 }
 
-// hostIn finds a host whose name comes with a port or in another case, without an allocation.
+// hostIn finds a host whose name comes with a port or in another case, as configitem.CanonicalHost makes it. It makes
+// no allocation for a name as clients send it.
 func (t *Table) hostIn(name string) *host {
-	name = withoutPort(name)
-	if len(name) > longestHost {
-		return nil
-	}
+	name = configitem.WithoutPort(name)
 	var lower [longestHost]byte
+	if len(name) > len(lower) {
+		return t.hosts[configitem.CanonicalHost(name)]
+	}
 	for i := range len(name) {
+		if name[i] >= utf8.RuneSelf {
+			return t.hosts[configitem.CanonicalHost(name)]
+		}
 		lower[i] = lowerASCII(name[i])
 	}
 	return t.hosts[string(lower[:len(name)])]
--- a/internal/route/parse.go
+++ b/internal/route/parse.go
@@ -1,208 +1,127 @@
 package route
 
 import (
-	"encoding/json"
 	"math"
-	"strings"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/configitem"
+	"fieldrelay/internal/jsonwalk"
 )
 
 // Longest time that is taken from a configuration: larger figures mean "without bound" and must not overflow.
 const longestTime = 24 * time.Hour
 
-// Words for the kinds of route.
-const (
-	wordStreaming  = "streaming"
-	wordIdempotent = "idempotent"
-	wordMutating   = "mutating"
-)
-
-// routeBody is a route as the operator sends it. Numbers may be fractions.
-type routeBody struct {
-	Host       string      `json:"vhost"`
-	PathPrefix string      `json:"path-prefix"`
-	Kind       string      `json:"route-kind"`
-	DeadlineMS float64     `json:"deadline-ms"`
-	TargetMS   float64     `json:"target-ms"`
-	Priority   float64     `json:"prio"`
-	Service    string      `json:"backend"`
-	Split      []shareBody `json:"split"`
-	Tries      float64     `json:"tries"`
-	Pinned     bool        `json:"pinned"`
-	Resumable  bool        `json:"resumable"`
-	GapAimMS   float64     `json:"gap_aim_ms"`
-	Homes      []string    `json:"home-regions"`
-}
-
-type shareBody struct {
-	Service string  `json:"backend"`
-	Share   float64 `json:"share"`
-}
-
-// serviceBody is a service as the operator sends it.
-type serviceBody struct {
-	HealthPath     string       `json:"health-path"`
-	MaxConnections float64      `json:"max-conns"`
-	WarmupS        float64      `json:"warmup-s"`
-	WarmRate       float64      `json:"warm-rate-s"`
-	Runtime        *runtimeBody `json:"runtime"`
-}
-
-type runtimeBody struct {
-	Capacity    float64     `json:"capacity"`
-	CacheTokens float64     `json:"kv-cap"`
-	Stride      float64     `json:"stride"`
-	Models      []modelBody `json:"models"`
-}
-
-type modelBody struct {
-	Name string `json:"name"`
-}
-
-// limitsBody is the setting "req-limits" as the operator sends it.
-type limitsBody struct {
-	MaxHeaderBytes float64 `json:"max-header-bytes"`
-	MaxBodyBytes   float64 `json:"max-body-bytes"`
-	HeaderReadMS   float64 `json:"header-read-ms"`
-	KeepAliveMS    float64 `json:"keepalive-ms"`
-}
-
-func parseRoute(item *pb.Item) (*Route, error) {
-	var body routeBody
-	if err := json.Unmarshal(item.GetBody(), &body); err != nil {
-		return nil, unreadable(err)
-	}
-	kind, err := parseKind(body.Kind)
-	if err != nil {
-		return nil, err
-	}
-	if body.PathPrefix == "" {
-		return nil, FaultNoPrefix
-	}
-	if min(body.DeadlineMS, body.TargetMS, body.GapAimMS, body.Priority, body.Tries) < 0 {
-		return nil, FaultNegative
-	}
+// parseRoute gives the route of an item, with what is wrong with it. It is nil if no request can be matched with it;
+// anything else that cannot be used counts as missing. A route without services is kept, since its requests are to be
+// refused (503) and not denied (404).
+func parseRoute(item *pb.Item) (*Route, []configitem.Fault) {
+	object, faults := configitem.Object(item.GetBody())
+	if faults != nil {
+		return nil, faults
+	}
+	body := configitem.TakeRoute(object)
+	place, faults := body.Place()
+	if faults != nil {
+		return nil, faults
+	}
+	deadline, faults := body.Deadline()
+	destination, more := body.Destination()
+	faults = append(faults, more...)
+	terms, more := body.Terms()
+	faults = append(faults, more...)
 	route := &Route{
 		Name:        item.GetName(),
-		Host:        CanonicalHost(body.Host),
-		PathPrefix:  body.PathPrefix,
-		Kind:        kind,
-		Deadline:    milliseconds(body.DeadlineMS),
-		Target:      milliseconds(body.TargetMS),
-		GapAim:      milliseconds(body.GapAimMS),
-		Priority:    count(body.Priority),
-		Tries:       max(count(body.Tries), 1),
-		Pinned:      body.Pinned,
-		Resumable:   body.Resumable,
-		HomeRegions: body.Homes,
-	}
-	route.Split, route.total, err = parseSplit(&body)
-	return route, err
+		Host:        place.Host,
+		PathPrefix:  place.Prefix,
+		Kind:        kindOf(terms.Kind),
+		Deadline:    deadlineOf(deadline),
+		Target:      milliseconds(terms.Target),
+		GapAim:      milliseconds(terms.GapAim),
+		Priority:    count(terms.Priority),
+		Tries:       max(count(terms.Tries), 1),
+		Pinned:      terms.Pinned,
+		Resumable:   terms.Resumable,
+		HomeRegions: terms.Homes,
+	}
+	route.Split, route.total = splitOf(destination)
+	return route, faults
 }
 
-// parseSplit gives a route's services and the sum of their weights.
-func parseSplit(body *routeBody) ([]Share, float64, error) {
-	if len(body.Split) == 0 {
-		if body.Service == "" {
-			return nil, 0, FaultNoService
+// splitOf gives a route's services and the sum of their weights.
+func splitOf(destination configitem.Destination) ([]Share, float64) {
+	if len(destination.Shares) == 0 {
+		if len(destination.Service) == 0 {
+			return nil, 0
 		}
-		return []Share{{Service: body.Service, Weight: 1}}, 1, nil
+		return []Share{{Service: jsonwalk.TextOf(destination.Service), Weight: 1}}, 1
 	}
-	split := make([]Share, 0, len(body.Split))
+	split := make([]Share, 0, len(destination.Shares))
 	total := 0.0
-	for _, share := range body.Split {
-		if share.Share < 0 {
-			return nil, 0, FaultNegative
-		}
-		split = append(split, Share{Service: share.Service, Weight: share.Share})
-		total += share.Share
-	}
-	if total <= 0 || math.IsInf(total, 0) {
-		return nil, 0, FaultNoService
+	for _, share := range destination.Shares {
+		split = append(split, Share{Service: jsonwalk.TextOf(share.Service), Weight: share.Weight})
+		total += share.Weight
 	}
-	return split, total, nil
+	return split, total
 }
 
-func parseKind(word string) (Kind, error) {
-	switch word {
-	case wordStreaming:
-		return KindStreaming, nil
-	case wordIdempotent:
-		return KindIdempotent, nil
-	case wordMutating, "": // what may run at most once is the safe reading
-		return KindMutating, nil
+func kindOf(kind configitem.Kind) Kind {
+	switch kind {
+	case configitem.KindStreaming:
+		return KindStreaming
+	case configitem.KindIdempotent:
+		return KindIdempotent
+	default:
+		return KindMutating
 	}
-	return KindMutating, FaultKind
 }
 
-func parseService(item *pb.Item) (*Service, error) {
-	var body serviceBody
-	if err := json.Unmarshal(item.GetBody(), &body); err != nil {
-		return nil, unreadable(err)
-	}
-	if min(body.MaxConnections, body.WarmupS, body.WarmRate) < 0 {
-		return nil, FaultNegative
-	}
+// parseService gives the service of an item, with what is wrong with it. What cannot be used counts as missing.
+func parseService(item *pb.Item) (*Service, []configitem.Fault) {
+	body, faults := configitem.ReadService(item.GetBody())
 	service := &Service{
 		Name:           item.GetName(),
 		HealthPath:     body.HealthPath,
 		MaxConnections: count(body.MaxConnections),
-		Warmup:         milliseconds(body.WarmupS * 1000),
+		Warmup:         milliseconds(body.Warmup * 1000),
 		WarmRate:       body.WarmRate,
 	}
 	if body.Runtime != nil {
-		service.Runtime = parseRuntime(body.Runtime)
-	}
-	return service, nil
-}
-
-func parseRuntime(body *runtimeBody) *Runtime {
-	runtime := &Runtime{
-		Capacity:    count(body.Capacity),
-		CacheTokens: count(body.CacheTokens),
-		Stride:      count(body.Stride),
-	}
-	for _, model := range body.Models {
-		runtime.Models = append(runtime.Models, model.Name)
+		service.Runtime = &Runtime{
+			Capacity:    count(body.Runtime.Capacity),
+			CacheTokens: count(body.Runtime.CacheTokens),
+			Stride:      count(body.Runtime.Stride),
+			Models:      body.Runtime.Models,
+		}
 	}
-	return runtime
+	return service, faults
 }
 
-func parseLimits(item *pb.Item) (RequestLimits, error) {
-	var body limitsBody
-	if err := json.Unmarshal(item.GetBody(), &body); err != nil {
-		return RequestLimits{}, unreadable(err)
-	}
-	if min(body.MaxHeaderBytes, body.MaxBodyBytes, body.HeaderReadMS, body.KeepAliveMS) < 0 {
-		return RequestLimits{}, FaultNegative
+// parseLimits gives the request limits of an item, with what is wrong with it. What cannot be used counts as missing.
+func parseLimits(item *pb.Item) (RequestLimits, []configitem.Fault) {
+	body, faults := configitem.ReadLimits(item.GetBody())
+	limits := RequestLimits{
+		MaxHeaderBytes: int64(count(body.MaxHeader)),
+		MaxBodyBytes:   int64(count(body.MaxBody)),
+		HeaderRead:     milliseconds(body.HeaderRead),
+		KeepAlive:      milliseconds(body.KeepAlive),
 	}
-	return RequestLimits{
-		MaxHeaderBytes: int64(count(body.MaxHeaderBytes)),
-		MaxBodyBytes:   int64(count(body.MaxBodyBytes)),
-		HeaderRead:     milliseconds(body.HeaderReadMS),
-		KeepAlive:      milliseconds(body.KeepAliveMS),
-	}, nil
+	return limits, faults
 }
 
 func milliseconds(ms float64) time.Duration {
 	return time.Duration(min(max(ms, 0), float64(longestTime/time.Millisecond)) * float64(time.Millisecond))
 }
 
+// deadlineOf gives a route's deadline from milliseconds. One that is told stays above 0, which stands for none.
+func deadlineOf(ms float64) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	return max(milliseconds(ms), 1)
+}
+
 // count gives a whole number from a figure that may be a fraction or out of range.
 func count(figure float64) int {
 	return int(min(max(figure, 0), math.MaxInt32))
 }
-
-// CanonicalHost is a host without its port and in lower case.
-func CanonicalHost(host string) string { return strings.ToLower(withoutPort(host)) }
-
-// withoutPort cuts ":port" off a host, which may be an IPv6 address in brackets.
-func withoutPort(host string) string {
-	colon := strings.LastIndexByte(host, ':')
-	if colon < 0 || strings.IndexByte(host[colon:], ']') >= 0 {
-		return host
-	}
-	return host[:colon]
-}
--- /dev/null
+++ b/internal/route/reader_test.go
@@ -0,0 +1,149 @@
+package route_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/configitem"
+	"fieldrelay/internal/route"
+)
+
+// drawnMembers are members of a route and of what it may be taken for, beside the name.
+var drawnMembers = []string{
+	"vhost", "path-prefix", "backend", "split", "deadline-ms", "route-kind", "target-ms", "prio", "tries", "pinned",
+	"resumable", "gap_aim_ms", "home-regions", "Vhost", "Path-Prefix", "Backend", "SPLIT", "Tries", "later", `ba\u0063kend`,
+}
+
+// drawnValues are values that fit some of them.
+var drawnValues = []string{
+	`null`, `true`, `false`, `0`, `-1`, `7`, `0.5`, `1e300`, `1e999`, `""`, `"s1"`, `"s2"`, `"s9"`, `"h.example"`, `"H.example:80"`,
+	`"/x/"`, `"\/y\/"`, `"x"`, `"streaming"`, `"Idempotent"`, `[]`, `[null]`, `["cz"]`, `["cz",1]`, `{}`, `{"a":[1]}`,
+	`[{"backend":"s2","share":1}]`, `[{"backend":"s1","share":0},{"backend":"s2","share":3,"later":"x"}]`,
+	`[{"backend":"s2","share":1.7e308},{"backend":"s1","share":1.7e308}]`, `[{"backend":"s1","Share":1,"share":0}]`,
+	`[{"backend":"s9","backend":"s1","share":"x","share":2}]`,
+}
+
+// drawRoute makes a route that is sound but for a few members behind the others, some of them twice.
+func drawRoute(t *rapid.T, name string) string {
+	members := []string{
+		fmt.Sprintf(`"name":%q`, name), `"vhost":"h.example"`, fmt.Sprintf(`"path-prefix":"/%s/"`, name), `"backend":"s1"`,
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "odd members") {
+		members = append(members, fmt.Sprintf(`"%s":%s`, rapid.SampledFrom(drawnMembers).Draw(t, "member"),
+			rapid.SampledFrom(drawnValues).Draw(t, "value")))
+	}
+	return "{" + strings.Join(members, ",") + "}"
+}
+
+// plainRoute is a route as the library reads it: exact names, the last of a repeated member.
+type plainRoute map[string]json.RawMessage
+
+func (p plainRoute) text(t require.TestingT, name string) string {
+	var value string
+	if raw, found := p[name]; found {
+		require.NoError(t, json.Unmarshal(raw, &value))
+	}
+	return value
+}
+
+// weights are the services that the route's requests go to.
+func (p plainRoute) weights(t require.TestingT) map[string]float64 {
+	var split []plainRoute
+	require.NoError(t, json.Unmarshal(append([]byte{}, orNull(p["split"])...), &split))
+	if len(split) == 0 {
+		return map[string]float64{p.text(t, "backend"): 1}
+	}
+	weights := make(map[string]float64)
+	for _, share := range split {
+		var weight float64
+		require.NoError(t, json.Unmarshal(orNull(share["share"]), &weight))
+		if weight > 0 {
+			weights[share.text(t, "backend")] += weight / 4 // so that the sum of large ones is finite
+		}
+	}
+	return weights
+}
+
+func orNull(raw json.RawMessage) json.RawMessage {
+	if raw == nil {
+		return json.RawMessage(`null`)
+	}
+	return raw
+}
+
+// TestWhatValidationAcceptsIsServedAsItWasJudged draws routes with odd members. Each that is accepted is in the table,
+// at the place and with the services that a plain reading of its text gives; where the table takes a member for missing
+// it says so, and never of one that validation judges.
+func TestWhatValidationAcceptsIsServedAsItWasJudged(t *testing.T) {
+	accepted, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		texts := []string{drawRoute(t, "a"), drawRoute(t, "b")}
+		held, valid := accept(t, orderOf(`{"name":"s1"}`, texts...))
+		if !valid {
+			refused++
+			return
+		}
+		accepted++
+		built := route.Empty().Rebuild(itemsOf(held), nil, false)
+		require.Empty(t, built.LeftOut)
+		for _, problem := range built.InPart {
+			for _, fault := range problem.Faults {
+				require.NotContains(t, []string{"", "vhost", "path-prefix", "backend", "split", "deadline-ms"}, fault.Field)
+			}
+		}
+		for _, text := range texts {
+			var plain plainRoute
+			require.NoError(t, json.Unmarshal([]byte(text), &plain))
+			host := plain.text(t, "vhost")
+			found, ok := built.Table.Lookup(host, plain.text(t, "path-prefix")+"1")
+			require.True(t, ok, text)
+			require.Equal(t, plain.text(t, "name"), found.Name, text)
+			require.Equal(t, configitem.CanonicalHost(host), found.Host)
+			requireServices(t, plain.weights(t), found)
+		}
+	})
+	require.Positive(t, accepted)
+	require.Positive(t, refused)
+}
+
+// requireServices checks that a route's requests go to these services, by these weights.
+func requireServices(t require.TestingT, want map[string]float64, found *route.Route) {
+	for _, service := range []string{"s1", "s2", "s9", ""} {
+		require.Equal(t, want[service] > 0, found.LeadsTo(service), service)
+	}
+	total := 0.0
+	for _, weight := range want {
+		total += weight
+	}
+	const draws = 1000
+	picked := make(map[string]float64)
+	for draw := range draws {
+		picked[found.PickService(float64(draw)/draws)] += 1.0 / draws
+	}
+	for service, weight := range want {
+		require.InDelta(t, weight/total, picked[service], 2.0/draws, service)
+	}
+}
+
+// TestStatesOfEarlierVersionsAreServed: a stored state may hold two routes on one place; the others are not touched.
+func TestStatesOfEarlierVersionsAreServed(t *testing.T) {
+	held, valid := accept(t, orderOf(`{"name":"s1"}`, routeText("a"), routeText("b")))
+	require.True(t, valid)
+	items := itemsOf(held)
+	for _, item := range items {
+		if item.GetKind() == catalog.KindRoutes && item.GetName() == "b" {
+			item.Body = []byte(routeText("b", `"vhost":"h.example:80"`, `"path-prefix":"/a/"`))
+		}
+	}
+	table, faults := route.FromItems(items)
+	require.Empty(t, faults)
+	found, ok := table.Lookup("h.example:80", "/a/x")
+	require.True(t, ok)
+	require.Equal(t, "a", found.Name)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -26,14 +26,14 @@
 // Route is one route of the configuration. It is immutable.
 type Route struct {
 	Name        string
-	Host        string // lower case, without a port
-	PathPrefix  string // begins and ends with a slash
+	Host        string // canonical: lower case, without a port
+	PathPrefix  string // begins with a slash
 	Kind        Kind
 	Deadline    time.Duration // longest that a request may be held
 	Target      time.Duration // an answer (a stream's first event) within this has its full worth; 0: not told
 	GapAim      time.Duration // longest pause between a stream's events that is still in time; 0: not told
 	Priority    int           // 0 is the most urgent
-	Split       []Share       // at least one
+	Split       []Share       // empty if no service can be read: requests can only be refused
 	Tries       int           // most servers to which one request may be sent; at least 1
 	Pinned      bool          // requests name the parts of their prompts
 	Resumable   bool          // a stream may be taken up at another server
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -7,6 +7,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/configitem"
 )
 
 // settingLimits is the name of the setting that holds the request limits.
@@ -27,17 +28,35 @@
 // Empty gives the table that holds nothing.
 func Empty() *Table { return emptyTable }
 
-// FromItems makes a table of a whole control state. Items that cannot be used are left out and told, each by
-// an *ItemError.
-func FromItems(items []*pb.Item) (*Table, []error) {
+// Built is a table, with what was wrong with the items that were put in.
+type Built struct {
+	Table *Table
+	// LeftOut are the items of which nothing can be used. They are not in the table, and nor is what stood under their
+	// names before.
+	LeftOut []*ItemError
+	// InPart are the items that are in the table without some of their members.
+	InPart []*ItemError
+}
+
+// FromItems makes a table of a whole control state, and tells the items that are left out.
+func FromItems(items []*pb.Item) (*Table, []*ItemError) {
 	return Empty().With(items, nil, false)
 }
 
-// With gives the table after a change: items are put in or replaced by kind and name, then removals are taken
-// out; with replacesAll the operator's items that are not among the upserts go as well (evacuations stay).
-// Items of kinds without meaning here are ignored; those that cannot be used are left out and told, each by
-// an *ItemError.
-func (t *Table) With(upserts []*pb.Item, removals []*pb.ItemKey, replacesAll bool) (*Table, []error) {
+// With gives the table after a change, as Rebuild does, and tells the items that are left out.
+func (t *Table) With(upserts []*pb.Item, removals []*pb.ItemKey, replacesAll bool) (*Table, []*ItemError) {
+	built := t.Rebuild(upserts, removals, replacesAll)
+	return built.Table, built.LeftOut
+}
+
+// Rebuild gives the table after a change: items are taken out by removals, then others put in or replaced by kind and
+// name; with replacesAll the operator's items that are not among the upserts go as well (evacuations stay). Items of
+// kinds without meaning here are ignored.
+//
+// The table follows from the items that are in force alone. So a body that cannot be used does not leave what stood
+// before in its place: that would be an older configuration, which the order has ended, and another proxy that starts
+// now would not have it.
+func (t *Table) Rebuild(upserts []*pb.Item, removals []*pb.ItemKey, replacesAll bool) Built {
 	change := newChange(t, replacesAll)
 	for _, item := range upserts {
 		change.forget(item.GetKind(), item.GetName())
@@ -48,7 +67,7 @@
 	for _, item := range upserts {
 		change.put(item)
 	}
-	return change.table, change.faults
+	return change.built
 }
 
 // Lookup gives the route of a request: of the routes for its host, without port and in any case, the one with
@@ -100,9 +119,9 @@
 
 // change builds the table that follows another one. The old table is never written to.
 type change struct {
-	table  *Table
+	table  *Table          // the one that is built
 	copied map[string]bool // hosts that are this change's own
-	faults []error
+	built  Built
 }
 
 func newChange(old *Table, replacesAll bool) *change {
@@ -113,7 +132,7 @@
 		maps.Copy(next.hosts, old.hosts)
 		maps.Copy(next.services, old.services)
 	}
-	return &change{table: next, copied: map[string]bool{}}
+	return &change{table: next, copied: map[string]bool{}, built: Built{Table: next}}
 }
 
 // forget takes an item out, if it is there.
@@ -138,46 +157,59 @@
 // put takes an item in, in the place of the one that it replaces.
 func (c *change) put(item *pb.Item) {
 	c.forget(item.GetKind(), item.GetName()) // it may come twice
-	var err error
 	switch item.GetKind() {
 	case catalog.KindRoutes:
-		err = c.putRoute(item)
+		c.putRoute(item)
 	case catalog.KindBackends:
-		err = c.putService(item)
+		c.putService(item)
 	case catalog.KindEvacuation:
 		c.table.evacuated = append(c.table.evacuated, item.GetName())
 		slices.Sort(c.table.evacuated)
 	case catalog.KindSetting:
-		if item.GetName() == settingLimits {
-			c.table.limits, err = parseLimits(item)
-		}
-	}
-	if err != nil {
-		c.faults = append(c.faults, &ItemError{Kind: item.GetKind(), Name: item.GetName(), Err: err})
+		c.putSetting(item)
 	}
 }
 
-func (c *change) putRoute(item *pb.Item) error {
-	route, err := parseRoute(item)
-	if err != nil {
-		return err
+func (c *change) putRoute(item *pb.Item) {
+	route, faults := parseRoute(item)
+	c.tell(item, faults, route == nil)
+	if route == nil {
+		return
 	}
 	i, _ := c.table.find(route.Name) // put has taken out the one of this name
 	c.table.routes = slices.Insert(c.table.routes, i, route)
 	c.own(route.Host).put(route)
-	return nil
 }
 
-func (c *change) putService(item *pb.Item) error {
-	service, err := parseService(item)
-	if err != nil {
-		return err
-	}
+func (c *change) putService(item *pb.Item) {
+	service, faults := parseService(item)
+	c.tell(item, faults, false)
 	c.table.services[service.Name] = service
-	return nil
 }
 
-// drop takes a route out of its host, unless another route has its place.
+func (c *change) putSetting(item *pb.Item) {
+	if item.GetName() != settingLimits {
+		return
+	}
+	limits, faults := parseLimits(item)
+	c.tell(item, faults, false)
+	c.table.limits = limits
+}
+
+// tell notes what is wrong with an item, if anything is.
+func (c *change) tell(item *pb.Item, faults []configitem.Fault, leftOut bool) {
+	if len(faults) == 0 {
+		return
+	}
+	problem := &ItemError{Kind: item.GetKind(), Name: item.GetName(), LeftOut: leftOut, Faults: faults}
+	if leftOut {
+		c.built.LeftOut = append(c.built.LeftOut, problem)
+	} else {
+		c.built.InPart = append(c.built.InPart, problem)
+	}
+}
+
+// drop takes a route out of its host.
 func (c *change) drop(route *Route) {
 	host := c.own(route.Host)
 	host.drop(route)
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -14,6 +14,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/catalog"
+	"fieldrelay/internal/configitem"
 )
 
 func item(kind, name, body string) *pb.Item {
@@ -80,42 +81,202 @@
 	require.Equal(t, []string{"huvo11a", "wuno96b"}, table.Services())
 }
 
+// oddRoute is a route to service "s" at h/a/ with further members, the last of which count.
+func oddRoute(members string) string {
+	return `{"vhost":"h","path-prefix":"/a/","backend":"s","tries":2,"target-ms":700,"route-kind":"streaming",` + members + `}`
+}
+
+// TestItemsThatAreOddAreServedInPartAndTold: the members that can be used count, and each other one is told.
+func TestItemsThatAreOddAreServedInPartAndTold(t *testing.T) {
+	whole := Route{
+		Name: "odd", Host: "h", PathPrefix: "/a/", Kind: KindStreaming, Target: 700 * time.Millisecond, Tries: 2,
+		Split: []Share{{"s", 1}}, total: 1,
+	}
+	cases := map[string]struct {
+		members string
+		fields  []string // told
+		want    func(*Route)
+	}{
+		"wrong type":     {`"tries":"two"`, []string{"tries"}, func(r *Route) { r.Tries = 1 }},
+		"negative time":  {`"target-ms":-1`, []string{"target-ms"}, func(r *Route) { r.Target = 0 }},
+		"beyond a float": {`"target-ms":1e999`, []string{"target-ms"}, func(r *Route) { r.Target = 0 }},
+		"unknown kind":   {`"route-kind":"odd"`, []string{"route-kind"}, func(r *Route) { r.Kind = KindMutating }},
+		"kind in capitals": {`"route-kind":"Idempotent"`, []string{"route-kind"},
+			func(r *Route) { r.Kind = KindMutating }},
+		"kind that is a list": {`"route-kind":[]`, []string{"route-kind"}, func(r *Route) { r.Kind = KindMutating }},
+		"flags of other forms": {`"pinned":1,"resumable":"true"`, []string{"pinned", "resumable"},
+			func(*Route) {}},
+		"two at once": {`"prio":-1,"gap_aim_ms":{}`, []string{"gap_aim_ms", "prio"}, func(*Route) {}},
+		"homes in part": {`"home-regions":["cz",7]`, []string{"home-regions"},
+			func(r *Route) { r.HomeRegions = []string{"cz"} }},
+		"homes that cannot be read": {`"home-regions":"cz"`, []string{"home-regions"},
+			func(r *Route) { r.HomeRegions = []string{configitem.UnreadableRegion} }},
+		"no home that can be read": {`"home-regions":[null]`, []string{"home-regions"},
+			func(r *Route) { r.HomeRegions = []string{configitem.UnreadableRegion} }},
+		"negative share": {`"split":[{"backend":"t","share":-1},{"backend":"u","share":2}]`, []string{"split"},
+			func(r *Route) { r.Split, r.total = []Share{{"t", 0}, {"u", 2}}, 2 }},
+		"split of another form": {`"split":{}`, []string{"split"}, func(*Route) {}},
+		"deadline of 0":         {`"deadline-ms":0`, []string{"deadline-ms"}, func(*Route) {}},
+		"no service":            {`"backend":null`, []string{"backend"}, func(r *Route) { r.Split, r.total = nil, 0 }},
+		"shares of zero": {`"split":[{"backend":"s","share":0}]`, []string{"split"},
+			func(r *Route) { r.Split, r.total = []Share{{"s", 0}}, 0 }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			built := Empty().Rebuild([]*pb.Item{
+				item(catalog.KindRoutes, "odd", oddRoute(c.members)),
+				routeItem("good", "h", "/good/"),
+			}, nil, false)
+			require.Empty(t, built.LeftOut)
+			require.Len(t, built.InPart, 1)
+			requireProblem(t, built.InPart[0], "odd", c.fields, "served in part")
+			require.Equal(t, 2, built.Table.Routes())
+			found, ok := built.Table.Lookup("h", "/a/x")
+			require.True(t, ok)
+			want := whole
+			c.want(&want)
+			require.Equal(t, &want, found)
+			if want.total == 0 {
+				require.Empty(t, found.PickService(0.5), "refused, for no server is of the service without a name")
+			}
+		})
+	}
+}
+
+// requireProblem checks which item and which of its members are told.
+func requireProblem(t *testing.T, problem *ItemError, name string, fields []string, outcome string) {
+	t.Helper()
+	require.Equal(t, name, problem.Name)
+	told := make([]string, 0, len(problem.Faults))
+	for _, fault := range problem.Faults {
+		told = append(told, fault.Field)
+		require.ErrorIs(t, problem, fault)
+		require.Contains(t, problem.Error(), fault.Error())
+	}
+	require.Equal(t, fields, told)
+	require.Contains(t, problem.Error(), outcome)
+}
+
+// TestItemsThatCannotBeUsedAreLeftOutAndTold: no request can be matched with them. What stood under their names before
+// goes, and what stands beside them stays.
 func TestItemsThatCannotBeUsedAreLeftOutAndTold(t *testing.T) {
 	cases := map[string]struct {
 		body string
-		want error
+		want configitem.Fault
 	}{
-		"no JSON":        {`{`, FaultUnreadable},
-		"wrong type":     {`{"path-prefix":"/a/","backend":"s","tries":"two"}`, FaultUnreadable},
-		"no service":     {`{"path-prefix":"/a/"}`, FaultNoService},
-		"no prefix":      {`{"backend":"s"}`, FaultNoPrefix},
-		"shares of zero": {`{"path-prefix":"/a/","split":[{"backend":"s","share":0}]}`, FaultNoService},
-		"negative share": {`{"path-prefix":"/a/","split":[{"backend":"s","share":-1},{"backend":"t","share":2}]}`, FaultNegative},
-		"negative time":  {`{"path-prefix":"/a/","backend":"s","target-ms":-1}`, FaultNegative},
-		"unknown kind":   {`{"path-prefix":"/a/","backend":"s","route-kind":"odd"}`, FaultKind},
+		"no JSON":                {`{`, configitem.FaultNoJSON},
+		"no body":                {``, configitem.FaultNoJSON},
+		"no object":              {`[]`, configitem.FaultNoObject},
+		"no prefix":              {`{"vhost":"h","backend":"s"}`, configitem.FaultPrefix},
+		"prefix without a slash": {`{"vhost":"h","backend":"s","path-prefix":"a/"}`, configitem.FaultPrefix},
+		"prefix of another case": {`{"vhost":"h","backend":"s","Path-Prefix":"/a/"}`, configitem.FaultPrefix},
+		"no host":                {`{"path-prefix":"/a/","backend":"s"}`, configitem.FaultHost},
+		"host that is a number":  {`{"vhost":7,"path-prefix":"/a/","backend":"s"}`, configitem.FaultHost},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			table, faults := FromItems([]*pb.Item{
-				item(catalog.KindRoutes, "bad", c.body),
-				routeItem("good", "h", "/good/"),
-			})
-			require.Len(t, faults, 1)
-			var fault *ItemError
-			require.ErrorAs(t, faults[0], &fault)
-			require.Equal(t, "bad", fault.Name)
-			require.ErrorIs(t, faults[0], c.want)
-			require.Equal(t, 1, table.Routes())
+			before, _ := FromItems([]*pb.Item{routeItem("bad", "h", "/bad/"), routeItem("good", "h", "/good/")})
+			bad := item(catalog.KindRoutes, "bad", c.body)
+			changed := before.Rebuild([]*pb.Item{bad}, nil, false)
+			whole := Empty().Rebuild([]*pb.Item{bad, routeItem("good", "h", "/good/")}, nil, false)
+			for _, built := range []Built{changed, whole} {
+				require.Empty(t, built.InPart)
+				require.Len(t, built.LeftOut, 1)
+				requireProblem(t, built.LeftOut[0], "bad", []string{c.want.Field}, "left out")
+				require.ErrorIs(t, built.LeftOut[0], c.want)
+				require.Equal(t, 1, built.Table.Routes())
+				requireRoute(t, built.Table, "h", "/good/x", "good")
+				_, ok := built.Table.Lookup("h", "/bad/x")
+				require.False(t, ok)
+			}
 		})
 	}
 }
 
+func TestServicesAndLimitsThatAreOddAreKeptInPart(t *testing.T) {
+	built := Empty().Rebuild([]*pb.Item{
+		item(catalog.KindBackends, "a", `{"max-conns":-1,"health-path":"/h","warmup-s":"x","Warm-Rate-S":7}`),
+		item(catalog.KindBackends, "b", `{"runtime":{"capacity":4,"stride":-1,"models":["m",{"name":"n"},{"name":7}]}}`),
+		item(catalog.KindBackends, "c", `{`),
+		item(catalog.KindSetting, "req-limits", `{"max-body-bytes":10,"keepalive-ms":-1,"Max-Header-Bytes":3}`),
+	}, nil, false)
+	require.Empty(t, built.LeftOut)
+	require.Len(t, built.InPart, 4)
+	requireProblem(t, built.InPart[0], "a", []string{"max-conns", "warmup-s"}, "served in part")
+	requireProblem(t, built.InPart[1], "b", []string{"stride", "models", "models"}, "served in part")
+	requireProblem(t, built.InPart[2], "c", []string{""}, "served in part")
+	requireProblem(t, built.InPart[3], "req-limits", []string{"keepalive-ms"}, "served in part")
+	require.Equal(t, []string{"a", "b", "c"}, built.Table.Services())
+	for name, want := range map[string]*Service{
+		"a": {Name: "a", HealthPath: "/h"},
+		"b": {Name: "b", Runtime: &Runtime{Capacity: 4, Models: []string{"n"}}},
+		"c": {Name: "c"},
+	} {
+		kept, _ := built.Table.Service(name)
+		require.Equal(t, want, kept)
+	}
+	require.Equal(t, RequestLimits{MaxBodyBytes: 10}, built.Table.RequestLimits())
+	none := built.Table.Rebuild([]*pb.Item{item(catalog.KindSetting, "req-limits", `null`)}, nil, false)
+	require.Empty(t, none.InPart)
+	require.Zero(t, none.Table.RequestLimits())
+}
+
+// TestRoutesOnOnePlace: an earlier version took hosts that differ by their port for different ones. One of the two is
+// served, the same one at each proxy, and the other one once that is gone.
+func TestRoutesOnOnePlace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		hosts := rapid.SampledFrom([]string{"h", "h:80", "H", "i"})
+		state := map[string]*pb.Item{}
+		table := Empty()
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			name := names.Draw(t, "name")
+			if rapid.Bool().Draw(t, "remove") {
+				delete(state, name)
+				table, _ = table.With(nil, []*pb.ItemKey{key(catalog.KindRoutes, name)}, false)
+			} else {
+				state[name] = routeItem(name, hosts.Draw(t, "host"), "/x/")
+				table, _ = table.With([]*pb.Item{state[name]}, nil, false)
+			}
+			whole, _ := FromItems(slices.Collect(maps.Values(state)))
+			for _, host := range []string{"h", "i:8080"} {
+				want, found := whole.Lookup(host, "/x/1")
+				got, ok := table.Lookup(host, "/x/1")
+				require.Equal(t, found, ok)
+				require.Equal(t, want, got)
+				first := lowestName(state, host)
+				require.Equal(t, first != "", ok)
+				require.True(t, !ok || first == got.Name)
+			}
+		}
+	})
+}
+
+// lowestName is the lowest name of the routes of a host; empty if there are none.
+func lowestName(state map[string]*pb.Item, host string) string {
+	for _, name := range slices.Sorted(maps.Keys(state)) {
+		if parsed, _ := parseRoute(state[name]); parsed.Host == configitem.CanonicalHost(host) {
+			return name
+		}
+	}
+	return ""
+}
+
+// A deadline of 0 stands for one that is not told.
+func TestTheShortestDeadlineIsOne(t *testing.T) {
+	table, faults := FromItems([]*pb.Item{item(catalog.KindRoutes, "r", oddRoute(`"deadline-ms":1e-9`))})
+	require.Empty(t, faults)
+	found, _ := table.Route("r")
+	require.Equal(t, time.Nanosecond, found.Deadline)
+}
+
 func TestLookupTakesTheLongestPrefixOfTheHost(t *testing.T) {
 	table, faults := FromItems([]*pb.Item{
 		routeItem("root", "a.example", "/"),
 		routeItem("one", "a.example", "/one/"),
 		routeItem("two", "a.example", "/one/two/"),
 		routeItem("other", "b.example", "/one/"),
+		routeItem("long", strings.Repeat("x", 1000), "/long/"),
 	})
 	require.Empty(t, faults)
 	cases := []struct{ host, path, want string }{
@@ -129,6 +290,7 @@
 		{"c.example", "/one/", ""},
 		{"a.example", "", ""},
 		{strings.Repeat("x", 1000), "/", ""},
+		{strings.Repeat("X", 1000) + ":80", "/long/", "long"},
 		{"[::1]:80", "/", ""},
 	}
 	for _, c := range cases {
@@ -233,8 +395,8 @@
 func distinct(state map[string]*pb.Item, taken map[string]string) bool {
 	clear(taken)
 	for name, have := range state {
-		parsed, err := parseRoute(have)
-		if err != nil {
+		parsed, faults := parseRoute(have)
+		if len(faults) > 0 {
 			return false
 		}
 		place := parsed.Host + parsed.PathPrefix
@@ -252,8 +414,8 @@
 		for _, path := range []string{"/", "/x/", "/x/q", "/x/y/", "/x/y/z/1", "/xx/1", "/xxx", "no"} {
 			var want *Route
 			for _, have := range state {
-				parsed, err := parseRoute(have)
-				require.NoError(t, err)
+				parsed, faults := parseRoute(have)
+				require.Empty(t, faults)
 				if parsed.Host == host && strings.HasPrefix(path, parsed.PathPrefix) &&
 					(want == nil || len(parsed.PathPrefix) > len(want.PathPrefix)) {
 					want = parsed
