Failing: state that probes tell of is asked for several times; slow lists seem young

TestFetchBringsTheDigestsThatItsMachineAskedFor: an answer of the current machine, which knows less, makes the agent forget that digests are wanted, so that the next fetch is told to bring digests once more.

--- /dev/null
+++ b/internal/agent/fetch_test.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// seekingOthers is a core whose control machine has failed, with probes to the others under way.
+func seekingOthers(t *testing.T) *steps {
+	s := newSteps(t, "core-1:1", "core-2:1", "core-3:1", "core-4:1", "core-5:1")
+	s.now = time.Millisecond
+	s.step(tick{})
+	s.proxyAnswers(&pb.ProxyStatus{Incarnation: 7})
+	s.step(watchDone{call: takeWatch(s, watchLong), err: errModelTimeout})
+	s.now += time.Millisecond
+	s.step(tick{})
+	return s
+}
+
+// askingForState are the open calls whose answers carry the state that is lacked.
+func askingForState(s *steps) []watchCall {
+	var asking []watchCall
+	for _, open := range s.open {
+		if call, isWatch := open.(watchCall); isWatch && call.kind != watchProbe {
+			asking = append(asking, call)
+		}
+	}
+	return asking
+}
+
+// A machine that holds the agreed state becomes the current one: the long poll that goes there at once brings the state.
+func TestStateThatTheNewMachineTellsOfIsAskedForOnce(t *testing.T) {
+	s := seekingOthers(t)
+	probe := takeWatch(s, watchProbe)
+	s.step(watchDone{call: probe, response: &pb.WatchResponse{Authoritative: true, Sequence: 9}})
+	require.Equal(t, probe.address, s.core.link.current)
+	require.Len(t, askingForState(s), 1)
+}
+
+// Several machines that tell of the same state are not all asked for it at once.
+func TestStateThatSeveralProbesTellOfIsAskedForOnce(t *testing.T) {
+	s := seekingOthers(t)
+	for range 3 {
+		s.step(watchDone{call: takeWatch(s, watchProbe), response: &pb.WatchResponse{Sequence: 9}})
+	}
+	require.Len(t, askingForState(s), 1)
+}
+
+// A machine without the changes asks for digests; the current machine, which knows less, does not make that forgotten.
+func TestFetchBringsTheDigestsThatItsMachineAskedFor(t *testing.T) {
+	s := newSteps(t, "core-1:1", "core-2:1")
+	s.now = time.Millisecond
+	s.step(tick{})
+	s.proxyAnswers(&pb.ProxyStatus{Incarnation: 7})
+	first := &pb.Change{Sequence: 1, Generation: 1}
+	s.step(watchDone{call: takeWatch(s, watchLong), response: &pb.WatchResponse{Sequence: 1, Changes: []*pb.Change{first}}})
+	answerCurrent := func() {
+		s.now += longestPause
+		s.step(tick{})
+		for range 2 {
+			s.step(watchDone{call: takeWatch(s, watchLong), response: &pb.WatchResponse{Sequence: 1}})
+			s.now += longestPause
+			s.step(tick{})
+		}
+	}
+	answerCurrent()
+	s.now += doubtPatience
+	s.step(tick{})
+
+	s.step(watchDone{call: takeWatch(s, watchProbe), response: &pb.WatchResponse{Sequence: 300}})
+	s.step(watchDone{call: takeWatch(s, watchNotice), response: &pb.WatchResponse{Sequence: 300, NeedDigests: true}})
+	answerCurrent()
+	s.step(watchDone{call: takeWatch(s, watchProbe), response: &pb.WatchResponse{Sequence: 300}})
+	require.NotNil(t, takeWatch(s, watchNotice).request.GetDigests(), "asked again, it would be told the same again")
+}
+
+// A list of servers is as old as when it was written, however long its way took.
+func TestListThatCameSlowlyIsNotTakenForYounger(t *testing.T) {
+	s, call := linked(t)
+	s.now = call.started + 10*time.Millisecond
+	s.step(watchBegun{id: call.id})
+	writtenBy := s.now
+	s.now = call.started + longestCall - time.Second
+	list := &pb.ServerList{Version: &pb.ListVersion{Epoch: 1, Revision: 1}, Servers: []*pb.Server{{}}}
+	s.step(watchDone{call: call, response: &pb.WatchResponse{Authoritative: true, List: list}})
+	require.NotNil(t, s.core.held.ListVersion())
+	require.LessOrEqual(t, s.core.held.ListNewsAt(), writtenBy)
+}
--- /dev/null
+++ b/internal/agent/fetchload_test.go
@@ -0,0 +1,32 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/packing"
+)
+
+// Agents that begin at once with nothing ask for the whole state once or twice each, not of every machine that has it.
+func TestAgentsThatStartDoNotAskForTheStateOfEveryMachine(t *testing.T) {
+	const slack = 2
+	for seed := range uint64(environment("AGENT_NARROW", 3)) {
+		m := newModel(seed, coreMachines, edgeMachines)
+		m.narrow()
+		m.lose(lostMachines)
+		m.commitRoutes(routesAtFirst)
+		m.commitRoutes(routesInChange)
+		require.True(t, m.runUntil(time.Minute, m.converged))
+		key := packing.Key{Sequence: m.last(), Whole: true}
+		whole := m.controls[coreMachines-1].packer.Packed(key, func() *pb.StateNews {
+			return &pb.StateNews{Repair: m.truth[m.last()].RepairFor(nil)}
+		})
+		once := float64(edgeMachines * proto.Size(whole))
+		t.Logf("seed %d: %.1f MB carried, %.1f MB if each got the state once", seed, m.links.carried/1e6, once/1e6)
+		require.Less(t, m.links.carried, slack*once, "seed %d", seed)
+	}
+}
