--- /dev/null
+++ b/internal/agent/narrowstorm_test.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// defaultNarrowStorms is the number of storms over narrow links; AGENT_NARROW_STORMS sets another one.
+	defaultNarrowStorms = 2
+	narrowRoutes        = 200
+	narrowEvery         = time.Second
+	narrowStormFor      = 12 * time.Second
+)
+
+// Large changes over narrow links, beside agents, proxies and control machines that come and go, reach all proxies in the
+// end.
+func TestAgentsThroughStormsOverNarrowLinks(t *testing.T) {
+	first, count := environment("AGENT_FIRST", 1), environment("AGENT_NARROW_STORMS", defaultNarrowStorms)
+	worst := time.Duration(0)
+	for seed := first; seed < first+count; seed++ {
+		m := newModel(uint64(seed), 3, 6)
+		m.narrow()
+		for machine := range m.links.capacity {
+			m.links.capacity[machine] /= 20
+		}
+		m.commitRoutes(narrowRoutes)
+		require.True(t, m.runUntil(time.Minute, m.converged), "seed %d: the first state", seed)
+		end := m.now + narrowStormFor
+		m.storm(end)
+		for m.now < end {
+			m.commitRoutes(1 + m.random.IntN(narrowRoutes))
+			m.runUntil(narrowEvery, func() bool { return false })
+		}
+		m.runUntil(20*time.Second, func() bool { return false })
+		m.commitRoutes(narrowRoutes)
+		began := m.now
+		require.True(t, m.runUntil(time.Minute, m.converged), "seed %d", seed)
+		worst = max(worst, m.now-began)
+		require.Empty(t, m.failures, "seed %d", seed)
+	}
+	t.Logf("worst after the storm: %v", worst)
+}
