Fetch the state that probes tell of once, and keep in mind that digests are wanted

A probe's answer that is ahead begins a fetch only if its machine doesn't hold the agreed state (one that does becomes the current one, and the long poll asks it at once) and no other fetch is under way. An answer that is neither news nor ahead says nothing of digests.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -233,7 +233,7 @@
 	c.counters.countAnswer(now-done.call.started, done.response)
 	actions, outcome := c.learn(now, done)
 	c.link.answered(now, done.call, done.response, outcome)
-	if done.call.kind == watchProbe && outcome.behind {
+	if done.call.kind == watchProbe && outcome.behind && !done.response.GetAuthoritative() {
 		actions = append(actions, c.fetch(now, done.call.address)...)
 	}
 	if done.response.GetAuthoritative() && !outcome.behind && now-done.call.started <= confirmWithin {
@@ -245,12 +245,16 @@
 }
 
 // fetch asks a machine for the state that its answer to a probe told of. Nobody may hold the agreed state, and this be
-// the only machine in reach that has a change: a chain that is cut off as a whole acknowledges for a while.
+// the only machine in reach that has a change: a chain that is cut off as a whole acknowledges for a while. One machine
+// is asked at a time, so that the same does not come from several; one that holds the agreed state becomes the current
+// one, which the long poll asks.
 func (c *core) fetch(now time.Duration, address string) []action {
-	if c.link.notices >= maxNotices {
+	if c.link.fetching != 0 || c.link.notices >= maxNotices {
 		return nil // a later probe tells of it again
 	}
-	return []action{c.notice(c.link.notice(now, address, c.record(), c.held.Snapshot()))}
+	call := c.link.notice(now, address, c.record(), c.held.Snapshot())
+	c.link.fetching = call.id
+	return []action{c.notice(call)}
 }
 
 // learn takes what a control machine told. Any control machine tells committed changes only, whether it holds the
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -79,7 +79,8 @@
 	calls       uint64 // made so far
 	notices     int    // in flight
 	lastNotice  watchCall
-	noticing    bool // lastNotice is in flight
+	noticing    bool   // lastNotice is in flight
+	fetching    uint64 // the notice in flight that fetches what a probe told of; 0: none
 	probes      probes
 }
 
@@ -155,6 +156,9 @@
 // noticeDone takes the end of a notice.
 func (l *link) noticeDone(call watchCall) {
 	l.notices--
+	if call.id == l.fetching {
+		l.fetching = 0
+	}
 	if call.id == l.lastNotice.id {
 		l.noticing = false
 	}
@@ -199,7 +203,9 @@
 		l.probed(now, call, response, outcome)
 		return
 	}
-	l.wantDigests = outcome.behind && (response.GetNeedDigests() || !outcome.news)
+	if outcome.behind || outcome.news { // else it says nothing of what another machine needs digests for
+		l.wantDigests = outcome.behind && (response.GetNeedDigests() || !outcome.news)
+	}
 	if call.kind == watchNotice {
 		l.noticeDone(call)
 		return
