--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -261,7 +261,8 @@
 // lies far behind tells its digests when it asks again.
 func (m *Machine) addState(response *pb.CompareResponse, asked Asked) {
 	changes, kept := m.held.Since(asked.Digests.GetSequence())
-	if asked.TakesPacked && (!kept || isLarge(changes)) {
+	repairable := len(asked.Digests.GetDigests()) > 0 // a repair brings all, packed news perhaps a part
+	if asked.TakesPacked && (!kept && !repairable || isLarge(changes)) {
 		response.Packed = m.held.Packed(asked.Digests.GetSequence())
 	}
 	switch {
