--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -20,6 +20,8 @@
 	MinSize = 4 << 10
 	// MaxSize bounds the size in bytes of news that is unpacked.
 	MaxSize = 64 << 20
+	// maxInflation bounds how much longer data is than its DEFLATE form: a match of 258 bytes takes two bits or more.
+	maxInflation = 1032
 )
 
 // MalformedError refuses packed news that can't be used.
@@ -58,7 +60,7 @@
 	if size > MaxSize {
 		return nil, malformed(packed, fmt.Sprintf("%d bytes are more than %d", size, MaxSize))
 	}
-	encoded := make([]byte, 0, size)
+	encoded := make([]byte, 0, min(size, maxInflation*len(packed.GetDeflated())))
 	reader := flate.NewReader(bytes.NewReader(packed.GetDeflated()))
 	buffer := bytes.NewBuffer(encoded)
 	read, err := io.Copy(buffer, io.LimitReader(reader, int64(size)+1))
