Try compressed deliveries again after some plain ones; test the age of a slow list at the caller

A machine that once met an earlier version sent plain to it until the way was idle for 30 s; an earlier version that refuses a long compressed delivery before it has come whole looks like a broken connection, and the sender did not fall back.

Change: a client of its own for the other machine: after a refusal, or a failure while it has read nothing compressed yet, the same goes plain; eight deliveries later compression is tried again.

--- a/internal/agent/fetch_test.go
+++ b/internal/agent/fetch_test.go
@@ -77,16 +77,3 @@
 	s.step(watchDone{call: takeWatch(s, watchProbe), response: &pb.WatchResponse{Sequence: 300}})
 	require.NotNil(t, takeWatch(s, watchNotice).request.GetDigests(), "asked again, it would be told the same again")
 }
-
-// A list of servers is as old as when it was written, however long its way took.
-func TestListThatCameSlowlyIsNotTakenForYounger(t *testing.T) {
-	s, call := linked(t)
-	s.now = call.started + 10*time.Millisecond
-	s.step(watchBegun{id: call.id})
-	writtenBy := s.now
-	s.now = call.started + longestCall - time.Second
-	list := &pb.ServerList{Version: &pb.ListVersion{Epoch: 1, Revision: 1}, Servers: []*pb.Server{{}}}
-	s.step(watchDone{call: call, response: &pb.WatchResponse{Authoritative: true, List: list}})
-	require.NotNil(t, s.core.held.ListVersion())
-	require.LessOrEqual(t, s.core.held.ListNewsAt(), writtenBy)
-}
--- a/internal/agent/progress.go
+++ b/internal/agent/progress.go
@@ -117,7 +117,7 @@
 }
 
 // progressTransport notes the progress of the answers to its requests.
-type progressTransport struct{ base *http.Transport }
+type progressTransport struct{ base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t progressTransport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -132,7 +132,11 @@
 }
 
 // CloseIdleConnections lets http.Client close them.
-func (t progressTransport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+func (t progressTransport) CloseIdleConnections() {
+	if closer, closes := t.base.(interface{ CloseIdleConnections() }); closes {
+		closer.CloseIdleConnections()
+	}
+}
 
 // notedBody is the body of an answer.
 type notedBody struct {
--- a/internal/agent/progress_test.go
+++ b/internal/agent/progress_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/shuffle"
 )
 
 // trickle is an answer's body that gives a byte at a time, each after a pause, and nothing more after the last.
@@ -86,6 +88,40 @@
 	})
 }
 
+// A list of servers is as old as when it was written, however long its way took.
+func TestListThatCameSlowlyIsNotTakenForYounger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence, pause = 300 * time.Millisecond, time.Second
+		list := &pb.ServerList{Version: &pb.ListVersion{Epoch: 1, Revision: 1}, AgeMs: 200, Servers: []*pb.Server{{}}}
+		body, err := proto.Marshal(&pb.WatchResponse{Authoritative: true, List: list})
+		require.NoError(t, err)
+		ends := make(chan event, 2)
+		caller := newCaller(t.Context(), shuffle.Neighbour{}, "10.0.0.1:1", func(happened event) { ends <- happened })
+		caller.client.Transport = progressTransport{roundTripFunc(func(request *http.Request) (*http.Response, error) {
+			<-time.After(silence)
+			return &http.Response{
+				StatusCode: http.StatusOK,
+				Header:     http.Header{"Content-Type": {"application/proto"}},
+				Body:       io.NopCloser(io.MultiReader(bytes.NewReader(body[:4]), &slowReader{pause: pause}, bytes.NewReader(body[4:]))),
+			}, nil
+		})}
+		caller.do(watchCall{id: 1, address: "10.0.0.2:1", request: &pb.WatchRequest{}, dial: time.Minute, timeout: watchTimeout})
+		require.Equal(t, watchBegun{id: 1}, <-ends)
+		done := (<-ends).(watchDone)
+		require.NoError(t, done.err)
+		require.EqualValues(t, 1200, done.response.GetList().GetAgeMs())
+		caller.wait()
+	})
+}
+
+// slowReader gives nothing, after a pause.
+type slowReader struct{ pause time.Duration }
+
+func (r *slowReader) Read([]byte) (int, error) {
+	<-time.After(r.pause)
+	return 0, io.EOF
+}
+
 func TestCallsWithoutAnAnswerEndAtTheirLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -8,12 +8,10 @@
 	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
 )
 
 // Bounds of the ways to other machines.
@@ -51,7 +49,7 @@
 type outbox struct {
 	owner  *outboxes
 	key    boxKey
-	client fieldrelayv1connect.ControlPeerClient // of the outbox's goroutine
+	client *peerClient // of the outbox's goroutine
 	wake   chan struct{}
 
 	queue []queued // guarded by the owner's mutex
@@ -112,16 +110,12 @@
 }
 
 func (o *outboxes) open(key boxKey) *outbox {
-	box := &outbox{owner: o, key: key, wake: make(chan struct{}, 1), client: o.peer(key.address, compressing())}
+	box := &outbox{owner: o, key: key, wake: make(chan struct{}, 1), client: newPeerClient(o.client, key.address)}
 	o.boxes[key] = box
 	go box.run()
 	return box
 }
 
-func (o *outboxes) peer(address string, options connect.ClientOption) fieldrelayv1connect.ControlPeerClient {
-	return fieldrelayv1connect.NewControlPeerClient(o.client, "http://"+address, options)
-}
-
 // push replaces a heartbeat that still waits by the newer one.
 func (b *outbox) push(next queued) {
 	if next.message.GetHeartbeat() != nil {
@@ -190,16 +184,10 @@
 		return
 	}
 	request := &pb.DeliverRequest{Messages: messages}
-	limit := callLimit + sendingTime(proto.Size(request))
-	ctx, cancel := context.WithTimeout(b.owner.ctx, limit)
+	size := proto.Size(request)
+	ctx, cancel := context.WithTimeout(b.owner.ctx, callLimit+sendingTime(size))
 	defer cancel()
-	_, err := b.client.Deliver(ctx, connect.NewRequest(request))
-	if connect.CodeOf(err) == connect.CodeUnimplemented {
-		// It is of a version that reads nothing compressed.
-		b.client = b.owner.peer(b.key.address, plain())
-		_, err = b.client.Deliver(ctx, connect.NewRequest(request))
-	}
-	if err != nil {
+	if err := b.client.deliver(ctx, request, size); err != nil {
 		b.owner.counters.failedCalls.Add(1)
 		return
 	}
