End the grace for missing changes with the silence limit, notice short losses of contact

Cause: a machine could claim the agreed state for longer than 1.2 s and a heartbeat's way after it had ceased to hold it.

Change: contact is looked at before a message is noted; the grace ends 1.2 s after the last heartbeat of a member of the chain that told of nothing missing. Each member knows a change to be committed before the head acknowledges it, so that this bounds the age however contact comes and goes. Heartbeats of voters outside of the chain, and those that waited for a machine that stood still, do not count; a new view begins with the whole grace.

--- a/internal/control/authority.go
+++ b/internal/control/authority.go
@@ -8,7 +8,8 @@
 )
 
 // behindLimit is how long a machine may lack a committed change that others have told of before it ceases to be
-// authoritative: changes follow the heartbeats that tell of them within a moment, unless a link is cut.
+// authoritative: changes follow the heartbeats that tell of them within a moment, unless a link is cut. It ceases
+// earlier if the silence limit ends before (see isOverdue).
 const behindLimit = 2 * HeartbeatPeriod
 
 // toldByPeers is the newest that heartbeats of other machines have told of. A machine that is cut off from the
@@ -18,6 +19,9 @@
 	sequence uint64 // newest committed sequence, in the view in force
 	// behindSince is since when this machine has committed less than sequence; 0: it has not.
 	behindSince time.Duration
+	// currentAt is when the last heartbeat of a member of the chain came that told of nothing which this machine
+	// lacked: whatever was acknowledged when it was sent is held here. 0: none came since the start.
+	currentAt time.Duration
 	// apart: heartbeats of a majority were missing, and since they are back not all that they tell of has come.
 	apart bool
 }
@@ -56,21 +60,40 @@
 	if m.told.view > m.View().GetNumber() || m.told.apart {
 		return true
 	}
-	return m.told.behindSince > 0 && m.now-m.told.behindSince >= behindLimit
+	return m.told.behindSince > 0 && m.isOverdue()
+}
+
+// isOverdue reports whether a change that this machine was told of has been missing for too long. It may have been
+// acknowledged at any time since the last heartbeat that did not tell of it, so that the silence limit runs from there.
+func (m *Machine) isOverdue() bool {
+	if m.now-m.told.behindSince >= behindLimit {
+		return true
+	}
+	return m.told.currentAt == 0 || m.now-m.told.currentAt > SilenceLimit
 }
 
 // noteTold remembers what another machine's heartbeat tells of. One that has just started does not know how much
 // of what it has on disk is committed: all of it may be.
-func (m *Machine) noteTold(heartbeat *pb.Heartbeat) {
+func (m *Machine) noteTold(from *pb.Replica, heartbeat *pb.Heartbeat) {
 	m.told.view = max(m.told.view, heartbeat.GetViewNumber())
 	committed := heartbeat.GetCommitted()
 	if committed == 0 {
 		committed = heartbeat.GetSequence()
 	}
 	m.told.sequence = max(m.told.sequence, committed)
+	m.noteCurrent(from, committed)
 	m.compareWithTold()
 }
 
+// noteCurrent notes that a member of the chain told of nothing that this machine lacks. Each member knows a change to
+// be committed before the head acknowledges it. A heartbeat that has waited for this machine shows nothing of now.
+func (m *Machine) noteCurrent(from *pb.Replica, committed uint64) {
+	inChain := quorum.IndexOf(m.View().GetChain(), from.GetIdentity()) != quorum.NotFound
+	if inChain && !m.wakesLate() && committed <= sequenceOf(m.replica.Committed()) {
+		m.told.currentAt = m.now
+	}
+}
+
 // compareWithTold keeps the time since when this machine lacks something that it was told of.
 func (m *Machine) compareWithTold() {
 	if !m.hasHeartbeats() {
@@ -88,8 +111,10 @@
 	}
 }
 
-// forgetTold forgets the sequence told of in an earlier view: whoever follows the new one holds all of it.
+// forgetTold forgets the sequence told of in an earlier view: whoever follows the new one holds all of it. It holds
+// what was acknowledged in the new view until now as well, for it is the head of that or asks for its state from now on.
 func (m *Machine) forgetTold() {
 	m.told.sequence = 0
 	m.told.behindSince = 0
+	m.told.currentAt = m.now
 }
--- a/internal/control/authority_test.go
+++ b/internal/control/authority_test.go
@@ -17,8 +17,11 @@
 	now     time.Duration
 }
 
-func newAgreed(t *testing.T) *agreed {
-	machine, peers := startedAgain(t)
+func newAgreed(t *testing.T) *agreed { return newAgreedIn(t, viewOfFive()) }
+
+// newAgreedIn has the first voter of a view hold the agreed state, which is the head of its chain.
+func newAgreedIn(t *testing.T, view *pb.View) *agreed {
+	machine, peers := startedIn(t, view)
 	a := &agreed{t: t, machine: machine, peers: peers}
 	a.receive(0, &pb.Message{Body: &pb.Message_Acknowledge{Acknowledge: &pb.Acknowledge{ViewNumber: 1}}})
 	a.pass(time.Second, 0, 1)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -49,6 +49,7 @@
 	if own != "" && message.GetCluster() != "" && message.GetCluster() != own {
 		return
 	}
+	m.compareWithTold() // before this message restores contact that was lost since the last tick
 	found := m.peers.note(from, m.now)
 	if heartbeat := message.GetHeartbeat(); heartbeat != nil && !found.take(heartbeat, m.now, m.wakesLate()) {
 		return
@@ -126,7 +127,7 @@
 	if view := m.View(); view != nil && heartbeat.GetViewNumber() < view.GetNumber() {
 		m.send(from, &pb.Message{Body: &pb.Message_Decided{Decided: &pb.Decided{View: view}}})
 	}
-	m.noteTold(heartbeat)
+	m.noteTold(from, heartbeat)
 	m.perform(m.replica.Heard(from, heartbeat))
 }
 
