Send a change again as soon as its delivery has failed

Cause: after a change of 424 KB was lost on its way, the machine before waits until the change could have come through on slow links (32 KiB a tick and link: 2 + 51 ticks over four links, 8 s, as read), and an answer to a request for the state that was lost is not given again for about 14 ticks. The outbox knew of the failure and told nobody.

Weighed and left: a shorter pace for all, by which large changes that are still on their way would be sent again over the same link.

Change: the outbox tells the machine of each failed delivery of its lane for large messages, and of what has waited there for over a second (control.Undelivered). The change is due at the next tick, but not sooner than 0.3 s after it was sent, so that a change that is lost each time is sent no more often than a small one. An event that finds the queue full is dropped; then the pace holds as before. Half of the simulated storms tell senders of losses, and falsely of what came twice.

--- a/internal/chain/append.go
+++ b/internal/chain/append.go
@@ -103,6 +103,23 @@
 	r.send(output, r.successor(), &pb.Message{Body: &pb.Message_Append{Append: message}})
 }
 
+// Undelivered tells that a message of this replica may not have reached its receiver: its repeat need not wait for an
+// answer.
+func (r *Replica) Undelivered(message *pb.Message) {
+	receiver := message.GetToIdentity()
+	switch body := message.GetBody().(type) {
+	case *pb.Message_Append:
+		if r.isCurrent(body.Append.GetViewNumber()) && receiver == r.successor().GetIdentity() {
+			r.passed.lost()
+		}
+	case *pb.Message_SyncResponse:
+		pace, known := r.answered[receiver]
+		if known && r.isCurrent(body.SyncResponse.GetViewNumber()) {
+			pace.lost()
+		}
+	}
+}
+
 // commitTail commits all that the tail has on disk, and tells the predecessor and the learners.
 func (r *Replica) commitTail(output *Output) {
 	before := r.committed
--- a/internal/chain/pacing.go
+++ b/internal/chain/pacing.go
@@ -8,11 +8,24 @@
 )
 
 // pacing keeps large messages from being sent again while they may still be on their way. The zero value is due.
-type pacing struct{ wait int }
+type pacing struct {
+	wait int // ticks until it is due
+	age  int // ticks since it was sent
+}
 
-func (p *pacing) tick() { p.wait = max(0, p.wait-1) }
+func (p *pacing) tick() {
+	p.wait = max(0, p.wait-1)
+	p.age++
+}
 
 func (p *pacing) isDue() bool { return p.wait == 0 }
 
 // sent notes that so many bytes were sent, over so many links until an answer can come.
-func (p *pacing) sent(bytes, links int) { p.wait = shortestPause + links*bytes/tickBytes }
+func (p *pacing) sent(bytes, links int) {
+	p.wait = shortestPause + links*bytes/tickBytes
+	p.age = 0
+}
+
+// lost notes that what was sent is not on its way any more. It is due at the next tick, or after the shortest pause
+// if it was lost at once, so that what is lost each time is sent no more often than a small message.
+func (p *pacing) lost() { p.wait = min(p.wait, max(0, shortestPause-p.age)) }
--- /dev/null
+++ b/internal/chain/undelivered_test.go
@@ -0,0 +1,95 @@
+package chain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// lostAppend has a large change of the head lost on its way to the next machine, and returns the message.
+func lostAppend(t *testing.T) (*cluster, *pb.Message) {
+	c := founded(t)
+	c.propose("a", strings.Repeat("x", 4*tickBytes))
+	c.save("a")
+	require.Len(t, c.messages, 1)
+	lost := c.messages[0].Message
+	lost.ToIdentity = "b"
+	c.messages = nil
+	return c, lost
+}
+
+func (c *cluster) appendsAfter(ticks int) int {
+	count := 0
+	for range ticks {
+		for _, outgoing := range c.replicas["a"].Tick().Messages {
+			if outgoing.Message.GetAppend() != nil {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestAChangeThatIsOnItsWayIsNotRepeated(t *testing.T) {
+	c, _ := lostAppend(t)
+	require.Zero(t, c.appendsAfter(4*shortestPause))
+}
+
+func TestAChangeThatWasLostIsRepeatedOnceAtTheNextTick(t *testing.T) {
+	c, lost := lostAppend(t)
+	require.Zero(t, c.appendsAfter(shortestPause))
+	c.replicas["a"].Undelivered(lost)
+	require.Equal(t, 1, c.appendsAfter(1))
+	require.Zero(t, c.appendsAfter(4*shortestPause))
+}
+
+func TestAChangeThatIsLostAtOnceWaitsForTheShortestPause(t *testing.T) {
+	c, lost := lostAppend(t)
+	for range 5 {
+		c.replicas["a"].Undelivered(lost)
+		require.Zero(t, c.appendsAfter(shortestPause-1))
+		require.Equal(t, 1, c.appendsAfter(1))
+	}
+}
+
+func TestOtherMessagesThatWereLostAreNoReasonToRepeatAChange(t *testing.T) {
+	for name, change := range map[string]func(*pb.Message){
+		"to another machine": func(message *pb.Message) { message.ToIdentity = "c" },
+		"of an earlier view": func(message *pb.Message) { message.GetAppend().ViewNumber-- },
+		"a server list":      func(message *pb.Message) { message.Body = &pb.Message_ServerList{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, lost := lostAppend(t)
+			change(lost)
+			c.replicas["a"].Undelivered(lost)
+			require.Zero(t, c.appendsAfter(4*shortestPause))
+		})
+	}
+}
+
+// An answer to a request for the state is given again as soon as it is known to be lost and asked for again.
+func TestAnAnswerThatWasLostIsGivenAgain(t *testing.T) {
+	c, _ := lostAppend(t)
+	c.holdBack = func(message *pb.Message) bool { return message.GetSyncResponse() != nil }
+	request := &pb.Message{From: replicaNamed("b"), Body: &pb.Message_SyncRequest{SyncRequest: c.requestOf("b")}}
+	c.deliver("a", request)
+	require.Len(t, c.late, 1)
+	c.deliver("a", request)
+	require.Len(t, c.late, 1, "it may be on its way")
+	lost := c.late[0]
+	lost.ToIdentity = "b"
+	c.appendsAfter(shortestPause)
+	c.replicas["a"].Undelivered(lost)
+	c.deliver("a", request)
+	require.Len(t, c.late, 2)
+}
+
+// requestOf is what a replica asks its upstream.
+func (c *cluster) requestOf(name string) *pb.SyncRequest {
+	var output Output
+	c.replicas[name].ask(&output)
+	return output.Messages[0].Message.GetSyncRequest()
+}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -18,6 +18,10 @@
 // Received is a message of another control machine. The machine keeps it.
 type Received struct{ Message *pb.Message }
 
+// Undelivered tells that the message of a Send may not have reached its receiver. It need not be told of each: most are
+// sent again in any case.
+type Undelivered struct{ Message *pb.Message }
+
 // Persisted tells that a Persist action is on disk. Tokens come back in their order.
 type Persisted struct{ Token uint64 }
 
@@ -47,6 +51,7 @@
 func (Started) isEvent()      {}
 func (Tick) isEvent()         {}
 func (Received) isEvent()     {}
+func (Undelivered) isEvent()  {}
 func (Persisted) isEvent()    {}
 func (WriteFailed) isEvent()  {}
 func (Submitted) isEvent()    {}
--- a/internal/control/lane_test.go
+++ b/internal/control/lane_test.go
@@ -16,6 +16,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
+	"fieldrelay/internal/resettest"
 )
 
 // receiver takes deliveries; those that hold a change wait until it is released.
@@ -130,3 +131,34 @@
 		require.Len(t, other.next().GetAppend().GetChanges()[0].GetUpserts(), 1400)
 	}
 }
+
+// A delivery whose connection is reset is told of, message by message; heartbeats are not, for others follow.
+func TestChangesThatWereNotDeliveredAreToldOf(t *testing.T) {
+	server := resettest.New(t)
+	boxes := newOutboxes(t.Context(), &counters{})
+	undelivered := make(chan *pb.Message, 16)
+	boxes.undelivered = func(message *pb.Message) { undelivered <- message }
+	address := strings.TrimPrefix(server.URL, "http://")
+	lost := manyRoutes()
+	for _, message := range []*pb.Message{beat(), lost} {
+		server.Cut(resettest.WholeRequest)
+		boxes.send(address, message)
+		require.Eventually(t, func() bool { return server.Arrivals() == 1 }, 5*time.Second, time.Millisecond)
+	}
+	require.Same(t, lost, <-undelivered)
+	require.Empty(t, undelivered)
+}
+
+func TestChangesThatHaveWaitedForTooLongAreToldOf(t *testing.T) {
+	boxes := newOutboxes(t.Context(), &counters{})
+	var undelivered []*pb.Message
+	boxes.undelivered = func(message *pb.Message) { undelivered = append(undelivered, message) }
+	expired := queued{message: manyRoutes(), at: time.Now().Add(-2 * messageAge)}
+	fresh := queued{message: manyRoutes(), at: time.Now()}
+	for _, lane := range []lane{laneUrgent, laneBulk} {
+		box := &outbox{owner: boxes, key: boxKey{lane: lane}, queue: []queued{expired, fresh}}
+		require.Equal(t, []*pb.Message{fresh.message}, box.take())
+	}
+	require.Len(t, undelivered, 1)
+	require.Same(t, expired.message, undelivered[0])
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// undelivered tells the machine of a message that was lost.
+func (node *Node) undelivered(message *pb.Message) {
+	select {
+	case node.events <- Undelivered{Message: message}:
+	default: // it is sent again, only later
+	}
+}
+
 // addSoftState completes a heartbeat; all messages of one round share it.
 func (node *Node) addSoftState(heartbeat *pb.Heartbeat) {
 	if node.options.Soft == nil {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -128,6 +128,8 @@
 		m.tick()
 	case Received:
 		m.receive(event.Message)
+	case Undelivered:
+		m.replica.Undelivered(event.Message)
 	case Persisted:
 		m.persisted(event.Token)
 	case WriteFailed:
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -113,6 +113,7 @@
 		left:    make(chan bool, 1),
 	}
 	node.outboxes = newOutboxes(ctx, &node.counters)
+	node.outboxes.undelivered = node.undelivered
 	node.writer = newWriter(opened, node.post, &node.counters)
 	node.publish()
 	go node.writer.run(ctx)
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -36,6 +36,9 @@
 	ctx      context.Context
 	client   *http.Client
 	counters *counters
+	// undelivered is told of each message of laneBulk that may not have reached its receiver; nil: nobody is. It must
+	// not block.
+	undelivered func(*pb.Message)
 
 	mutex sync.Mutex
 	boxes map[boxKey]*outbox
@@ -174,14 +177,17 @@
 	defer b.owner.mutex.Unlock()
 	oldest := time.Now().Add(-messageAge)
 	messages := make([]*pb.Message, 0, len(b.queue))
+	var expired []*pb.Message
 	for _, waiting := range b.queue {
 		if waiting.at.Before(oldest) {
-			b.owner.counters.dropped.Add(1)
+			expired = append(expired, waiting.message)
 			continue
 		}
 		messages = append(messages, waiting.message)
 	}
 	b.queue = nil
+	b.owner.counters.dropped.Add(uint64(len(expired)))
+	b.tellUndelivered(expired)
 	return messages
 }
 
@@ -201,7 +207,17 @@
 	}
 	if err != nil {
 		b.owner.counters.failedCalls.Add(1)
+		b.tellUndelivered(messages)
 		return
 	}
 	b.owner.counters.sent.Add(uint64(len(messages)))
 }
+
+func (b *outbox) tellUndelivered(messages []*pb.Message) {
+	if b.key.lane != laneBulk || b.owner.undelivered == nil {
+		return
+	}
+	for _, message := range messages {
+		b.owner.undelivered(message)
+	}
+}
--- a/internal/controlsim/network_test.go
+++ b/internal/controlsim/network_test.go
@@ -9,6 +9,9 @@
 	"fieldrelay/internal/control"
 )
 
+// tellsAfter is how long after a message was sent its sender is told that it may be lost, where it is told at all.
+const tellsAfter = 50 * time.Millisecond
+
 // network carries messages, badly.
 type network struct {
 	world   *world
@@ -19,6 +22,7 @@
 	blocked map[[2]int]bool        // from, to
 	passes  func(*pb.Message) bool // what goes through all the same; nil: nothing
 	loses   func(*pb.Message) bool // what is lost besides; nil: nothing
+	tells   bool                   // senders learn of what is lost, and by mistake of what comes twice
 }
 
 func newNetwork(w *world) network {
@@ -33,12 +37,17 @@
 		n.linger = []float64{0, 0.02, 0.08}[w.random.IntN(3)]
 	}
 	n.slow = []time.Duration{2, 25, 60}[w.random.IntN(3)] * time.Millisecond
+	n.tells = w.plan.seed%2 == 1
 	return n
 }
 
 func (n *network) send(from *host, action control.Send) {
 	to := n.world.byPeer[action.Address]
-	if to == nil || n.world.chance(n.lose) || (n.loses != nil && n.loses(action.Message)) {
+	if to == nil {
+		return
+	}
+	if n.world.chance(n.lose) || (n.loses != nil && n.loses(action.Message)) {
+		n.tell(from, action)
 		return
 	}
 	if hook := n.world.hooks.onSend; hook != nil && !hook(from, action) {
@@ -47,9 +56,23 @@
 	n.carry(from, to, action)
 	if n.world.chance(n.double) {
 		n.carry(from, to, action)
+		n.tell(from, action)
 	}
 }
 
+// tell has a sender learn that a message may not have reached its receiver.
+func (n *network) tell(from *host, action control.Send) {
+	if !n.tells {
+		return
+	}
+	life := from.life
+	n.world.after(tellsAfter, func() {
+		if from.life == life {
+			from.deliver(control.Undelivered{Message: action.Message})
+		}
+	})
+}
+
 func (n *network) carry(from, to *host, action control.Send) {
 	delay := n.world.between(time.Millisecond/2, time.Millisecond+n.slow) + n.world.sendingTime(action.Message)
 	if n.world.chance(n.linger) {
