Send no repair beside a large change that heartbeats have overtaken

Heartbeats have a lane of their own and tell of a change that is still on its way; two of them, 0.3 s apart, had the receiver ask for its upstream's state and get a repair beside the change.

Change: a replica that follows says so when it asks (a new field; an earlier version is answered as before); while the change that it lacks may still be on its way to it (two ticks and what a slow link takes for an eighth of its size), and is not known to be lost, it gets no answer and asks again.

--- a/internal/chain/sync.go
+++ b/internal/chain/sync.go
@@ -57,6 +57,7 @@
 	r.send(output, upstream, &pb.Message{Body: &pb.Message_SyncRequest{SyncRequest: &pb.SyncRequest{
 		ViewNumber: r.state.View.GetNumber(),
 		Digests:    digests,
+		Follows:    r.synchronised,
 	}}})
 }
 
@@ -123,6 +124,9 @@
 	if !r.serves(message.GetFrom()) || len(digests.GetDigests()) != catalog.RangeCount+1 {
 		return
 	}
+	if message.GetSyncRequest().GetFollows() && r.isSuccessor(message.GetFrom()) && r.isPassing(digests.GetSequence()) {
+		return
+	}
 	r.noteStandby(message.GetFrom())
 	pace := r.paceOf(message.GetFrom().GetIdentity())
 	if !pace.isDue() {
@@ -146,6 +150,13 @@
 	r.send(output, message.GetFrom(), &pb.Message{Body: &pb.Message_SyncResponse{SyncResponse: response}})
 }
 
+// isPassing reports whether the changes that a copy lacks are on their way to the successor: heartbeats overtake large
+// ones. A successor that could not take them asks again.
+func (r *Replica) isPassing(sequence uint64) bool {
+	_, kept := r.state.History.Since(sequence)
+	return kept && r.awaitsSuccessor() && r.passed.isOnItsWay()
+}
+
 // noteStandby remembers a machine that neither votes nor is in the chain, so that it is told what is committed from
 // now on.
 func (r *Replica) noteStandby(from *pb.Replica) {
--- a/internal/control/lane_test.go
+++ b/internal/control/lane_test.go
@@ -139,12 +139,16 @@
 	undelivered := make(chan *pb.Message, 16)
 	boxes.undelivered = func(message *pb.Message) { undelivered <- message }
 	address := strings.TrimPrefix(server.URL, "http://")
+	// A machine that has read a compressed delivery is not sent it plain after a failure.
+	boxes.send(address, manyRoutes())
+	require.Eventually(t, func() bool { return boxes.counters.sent.Load() == 1 }, 5*time.Second, time.Millisecond)
 	lost := manyRoutes()
 	for _, message := range []*pb.Message{beat(), lost} {
 		server.Cut(resettest.WholeRequest)
 		boxes.send(address, message)
 		require.Eventually(t, func() bool { return server.Arrivals() == 1 }, 5*time.Second, time.Millisecond)
 	}
+	require.Eventually(t, func() bool { return len(undelivered) > 0 }, 5*time.Second, time.Millisecond)
 	require.Same(t, lost, <-undelivered)
 	require.Empty(t, undelivered)
 }
