Decode settings and migration files by one package, which tells every fault by its line

Cause: internal/settings and internal/migration/planfile each held the same logic: faults and their texts, the index of keys and lines, decoding that blanks out each value of a wrong type and begins anew, faults of syntax. A mend of one did not reach the other.

Ruled out: one way to name keys for both. Settings name a key below [[x]] "x.key", migration files "x[0].key"; both texts stay, by Format.NumberElements. An interface for validation: a function in the Format is enough.

Change: internal/tomlfile holds the logic once, as Format.Parse. settings.Fault, settings.FaultsError and those of planfile are aliases of its types; the texts begin with "settings: " and "migration: " as before. New for planfile: its FaultsError unwraps to its faults, as that of settings did. The tests of both packages are untouched.

--- a/internal/migration/planfile/assemble.go
+++ b/internal/migration/planfile/assemble.go
@@ -11,6 +11,7 @@
 	"fieldrelay/internal/migration/room"
 	"fieldrelay/internal/route"
 	"fieldrelay/internal/settings"
+	"fieldrelay/internal/tomlfile"
 )
 
 // Usual times where neither the file nor the configuration tells them.
@@ -43,7 +44,7 @@
 // Input makes the input of a planner. The error is a *plan.InputError if the file names what is not there, or a
 // *FaultsError if it was not checked.
 func (f *File) Input(inventory *Inventory) (plan.Input, error) {
-	if err := joinFaults(f.validate()); err != nil {
+	if err := tomlfile.Join(formatName, f.validate()); err != nil {
 		return plan.Input{}, err
 	}
 	a := &assembly{file: f, inventory: inventory, addresses: make(map[string]string)}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"fieldrelay/internal/tomlfile"
 )
 
 // check is one value of the file with the rules that it must keep.
@@ -120,7 +122,7 @@
 			faults = append(faults, &Fault{Key: key, Reason: "is needed for this role"})
 		}
 	}
-	return joinFaults(faults)
+	return tomlfile.Join(formatName, faults)
 }
 
 func isIPAddress(value any) error {
--- a/internal/migration/planfile/faults.go
+++ b/internal/tomlfile/faults.go
@@ -1,4 +1,4 @@
-package planfile
+package tomlfile
 
 import (
 	"cmp"
@@ -9,7 +9,7 @@
 
 // Fault is one thing that is wrong with a file.
 type Fault struct {
-	Key    string // for example "replace[1].old"; empty if the file is not TOML
+	Key    string // with its table, for example "bounds.contact-ms" or "replace[1].old"; empty if the file is not TOML
 	Line   int    // counted from 1; 0 if neither the key nor what it lies in is in the file
 	Reason string
 }
@@ -27,6 +27,7 @@
 
 // FaultsError lists everything that is wrong with a file, in the order of its lines.
 type FaultsError struct {
+	Format string // the name of the file's format, which begins the text
 	Faults []*Fault
 }
 
@@ -35,16 +36,25 @@
 	for index, fault := range e.Faults {
 		texts[index] = fault.Error()
 	}
-	return "migration: " + strings.Join(texts, "; ")
+	return e.Format + ": " + strings.Join(texts, "; ")
 }
 
-// joinFaults returns nil for no faults.
-func joinFaults(faults []*Fault) error {
+// Unwrap returns the faults, for errors.As.
+func (e *FaultsError) Unwrap() []error {
+	all := make([]error, len(e.Faults))
+	for index, fault := range e.Faults {
+		all[index] = fault
+	}
+	return all
+}
+
+// Join sorts faults by line and key and makes them one *FaultsError. It returns nil for no faults.
+func Join(format string, faults []*Fault) error {
 	if len(faults) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(faults, func(a, b *Fault) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
 	})
-	return &FaultsError{Faults: faults}
+	return &FaultsError{Format: format, Faults: faults}
 }
--- /dev/null
+++ b/internal/tomlfile/index.go
@@ -0,0 +1,136 @@
+package tomlfile
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// place is where a "key = value" or a table's heading stands.
+type place struct {
+	key        string // with its table, for example "replace[1].old"
+	line       int    // counted from 1
+	start, end int    // offsets of its first line and of the next place
+	blank      bool   // its value is of a wrong type and was blanked out
+}
+
+// keyIndex holds the places of a file in the order of its lines.
+type keyIndex struct {
+	places         []place
+	numberElements bool
+	counts         map[string]int // of the elements so far, by path of an array of tables
+}
+
+// newKeyIndex finds the place of every key. The fault is that of a file that is not TOML.
+func newKeyIndex(data []byte, numberElements bool) (*keyIndex, *Fault) {
+	index := &keyIndex{numberElements: numberElements, counts: make(map[string]int)}
+	var parser unstable.Parser
+	parser.Reset(data)
+	table := ""
+	for parser.NextExpression() {
+		node := parser.Expression()
+		parts, offset := keyParts(node)
+		key := ""
+		if node.Kind == unstable.KeyValue {
+			key = table + strings.Join(parts, ".")
+		} else {
+			key = index.resolve(parts, node.Kind == unstable.ArrayTable)
+			table = key + "."
+		}
+		index.add(data, key, offset)
+	}
+	if err := parser.Error(); err != nil {
+		return nil, syntaxFault(data, err)
+	}
+	return index, nil
+}
+
+func keyParts(node *unstable.Node) (parts []string, offset int) {
+	keys := node.Key()
+	for keys.Next() {
+		if len(parts) == 0 {
+			offset = int(keys.Node().Raw.Offset)
+		}
+		parts = append(parts, string(keys.Node().Data))
+	}
+	return parts, offset
+}
+
+// resolve names a table by the elements that it lies in; a heading in double brackets begins a new element.
+func (x *keyIndex) resolve(parts []string, begins bool) string {
+	if !x.numberElements {
+		return strings.Join(parts, ".")
+	}
+	path := ""
+	for position, part := range parts {
+		path = strings.TrimPrefix(path+"."+part, ".")
+		if begins && position == len(parts)-1 {
+			x.counts[path]++
+		}
+		if count := x.counts[path]; count > 0 {
+			path = fmt.Sprintf("%s[%d]", path, count-1)
+		}
+	}
+	return path
+}
+
+func (x *keyIndex) add(data []byte, key string, offset int) {
+	start := bytes.LastIndexByte(data[:offset], '\n') + 1
+	if last := len(x.places) - 1; last >= 0 {
+		x.places[last].end = start
+	}
+	line := bytes.Count(data[:start], []byte("\n")) + 1
+	x.places = append(x.places, place{key: key, line: line, start: start, end: len(data)})
+}
+
+func syntaxFault(data []byte, err error) *Fault {
+	fault := &Fault{Reason: err.Error()}
+	var parserError *unstable.ParserError
+	if errors.As(err, &parserError) {
+		fault.Reason = parserError.Message
+		// The highlight is a part of data: what the two can hold differs by its offset.
+		offset := cap(data) - cap(parserError.Highlight)
+		if offset >= 0 && offset <= len(data) {
+			fault.Line = bytes.Count(data[:offset], []byte("\n")) + 1
+		}
+	}
+	return fault
+}
+
+// placeAt returns the place that a line belongs to.
+func (x *keyIndex) placeAt(line int) *place {
+	found := &x.places[0]
+	for index := range x.places {
+		if x.places[index].line > line {
+			break
+		}
+		found = &x.places[index]
+	}
+	return found
+}
+
+// isBlank reports whether a key was blanked out, alone or with the array that it lies in.
+func (x *keyIndex) isBlank(key string) bool {
+	for _, one := range x.places {
+		if one.blank && (one.key == key || strings.HasPrefix(key, one.key+"[")) {
+			return true
+		}
+	}
+	return false
+}
+
+// lineOf returns the line of a key, or of the table or value that it lies in; 0 if there is none.
+func (x *keyIndex) lineOf(key string) int {
+	for key != "" {
+		for _, one := range x.places {
+			if one.key == key {
+				return one.line
+			}
+		}
+		key = key[:max(strings.LastIndexAny(key, ".["), 0)]
+	}
+	return 0
+}
