Tell a fleet's options in one type for the sidecar and the fleet

Cause: daemon.FleetOptions and fleet.Options listed the same fields, so that one could be converted into the other: a field had to be added twice.

Ruled out: the type in internal/fleet (the sidecar without a fleet would link all of it) or in internal/daemon (the fleet would link the sidecar's wiring).

Change: internal/fleet/options holds the type; both names are aliases of it. cmd/fieldrelay links of internal/fleet only settings, as before, and options. No behaviour changes.

Tests: fleet/..., fleetsim, daemon, quota, config pass.

--- a/cmd/fieldrelay-fleet/main.go
+++ b/cmd/fieldrelay-fleet/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	daemon.Main(func(o daemon.FleetOptions, log zerolog.Logger) (daemon.Fleet, error) {
-		f, err := fleet.Start(fleet.Options(o), log)
+		f, err := fleet.Start(o, log)
 		if err != nil { // a nil *fleet.Fleet would be no nil Fleet
 			return nil, err
 		}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"fieldrelay/internal/config"
+	"fieldrelay/internal/fleet/options"
 	"fieldrelay/internal/fleet/settings"
 	"fieldrelay/internal/quota"
 	rules "fieldrelay/internal/skew/settings"
@@ -64,23 +65,7 @@
 type StartFleet func(o FleetOptions, log zerolog.Logger) (Fleet, error)
 
 // FleetOptions are what a fleet is started with.
-type FleetOptions struct {
-	Settings settings.Settings
-	Quotas   quota.All
-	Rules    rules.Settings
-	Name     string         // the sidecar's, for settings that give none
-	Words    []verdict.Word // on execute nodes, kept from before
-	// Changed is told all words on execute nodes when they change. It must not block.
-	Changed func(all []verdict.Word)
-	Zone    string // where this sidecar stands
-	// Avoid is told the execute nodes that get nothing new from here by verdict of the fleet. It must not block.
-	Avoid   func(nodes []string)
-	Tenants []logic.Tenant // of the settings
-	// Allot is told what of a tenant's allowance is this member's, in requests a second, likewise.
-	Allot func(tenant string, rate float64)
-	// Drains is told what is new of execute nodes that drain by the word of a member, likewise.
-	Drains func(news []verdict.Word)
-}
+type FleetOptions = options.Options
 
 // Main is the program. Without start it has no fleet in it, and becomes the program beside it that has where one is named.
 func Main(start StartFleet) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,12 +13,12 @@
 
 	"github.com/rs/zerolog"
 
+	"fieldrelay/internal/fleet/options"
 	"fieldrelay/internal/fleet/settings"
 	"fieldrelay/internal/mailbox"
 	"fieldrelay/internal/member"
 	"fieldrelay/internal/peer"
 	"fieldrelay/internal/quota"
-	rulesettings "fieldrelay/internal/skew/settings"
 	"fieldrelay/internal/verdict"
 	"fieldrelay/internal/view"
 	"fieldrelay/logic"
@@ -61,23 +61,7 @@
 }
 
 // Options are what a Fleet is started with.
-type Options struct {
-	Settings settings.Settings
-	Quotas   quota.All
-	Rules    rulesettings.Settings
-	Name     string         // the sidecar's, for settings that give none
-	Words    []verdict.Word // on execute nodes, kept from before
-	// Changed is told all words on execute nodes when they change, on the actor's goroutine. It must not block.
-	Changed func(all []verdict.Word)
-	Zone    string // where this sidecar stands
-	// Avoid is told the execute nodes that get nothing new from here by verdict of the fleet, likewise.
-	Avoid   func(nodes []string)
-	Tenants []logic.Tenant // of the settings
-	// Allot is told what of a tenant's allowance is this member's, in requests a second, likewise.
-	Allot func(tenant string, rate float64)
-	// Drains is told what is new of execute nodes that drain by the word of a member, likewise.
-	Drains func(news []verdict.Word)
-}
+type Options = options.Options
 
 // Start opens the sockets and joins.
 func Start(opts Options, log zerolog.Logger) (*Fleet, error) {
