Answer reads from the own state once the tail confirms it as the newest

Change: a read names the sequence that its origin knows to be committed. If the tail's committed state is that one, and a majority of the voters knows of no later view, the result says only so, and the origin answers from the state that it named, which is immutable. What a read may answer has not changed.

--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"net/http"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -27,7 +26,7 @@
 	id      uint64
 	to      *pb.Replica
 	result  *pb.OrderResult
-	read    *catalog.Snapshot // whose configuration is the body of the result; nil: the result is whole
+	read    *catalog.Snapshot // whose configuration becomes the body of the result; nil: the result is whole
 	votes   map[int]bool      // by index among the voters
 	expires time.Duration
 	sent    time.Duration
@@ -107,12 +106,7 @@
 	if c.read == nil {
 		return c.result
 	}
-	body, err := c.read.Configuration()
-	if err != nil {
-		return &pb.OrderResult{Id: c.result.GetId(), Status: http.StatusInternalServerError}
-	}
-	c.result.Body = body
-	return c.result
+	return readOf(c.result.GetId(), c.read)
 }
 
 func (m *Machine) tickChecks() {
--- a/internal/control/head.go
+++ b/internal/control/head.go
@@ -258,5 +258,11 @@
 		m.result(from, unavailable(order.GetId()))
 		return
 	}
-	m.check(from, &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK}, committed)
+	result := &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK}
+	if order.GetHeld() == committed.Sequence() {
+		result.HeldIsNewest = true
+		m.check(from, result, nil)
+		return
+	}
+	m.check(from, result, committed)
 }
--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/catalog"
 )
 
 // Times and bounds of orders.
@@ -32,6 +33,8 @@
 	deadline time.Duration
 	sent     time.Duration
 	target   string // identity of the machine that it was forwarded to last; empty: there was none
+	// held is what this machine knew to be committed when it forwarded a read last; nil: nothing.
+	held *catalog.Snapshot
 }
 
 // sendingTime is how long a body may need on one link.
@@ -83,6 +86,7 @@
 	target := m.replica.Head()
 	if pending.order.GetKind() == pb.Order_KIND_READ {
 		target = m.replica.Tail()
+		m.nameHeld(pending)
 	}
 	pending.target = target.GetIdentity()
 	if target != nil {
@@ -90,6 +94,17 @@
 	}
 }
 
+// nameHeld tells the tail what this machine holds itself: if that is the newest state, the configuration, which may be
+// large, need not come from the tail.
+func (m *Machine) nameHeld(pending *pendingOrder) {
+	pending.held = m.replica.Committed()
+	pending.order = &pb.Order{
+		Id:   pending.order.GetId(),
+		Kind: pb.Order_KIND_READ,
+		Held: sequenceOf(pending.held),
+	}
+}
+
 // forwardAgain sends all pending orders to the chain of a new view.
 func (m *Machine) forwardAgain() {
 	for _, pending := range slices.Clone(m.origin.pending) {
@@ -118,11 +133,22 @@
 	case pending == nil || pending.target != from.GetIdentity():
 	case result.GetStatus() == statusConfirm:
 		m.confirm(pending, result.GetBody())
+	case result.GetHeldIsNewest():
+		m.answer(pending, readOf(result.GetId(), pending.held))
 	default:
 		m.answer(pending, result)
 	}
 }
 
+// readOf is the result of a read of a state.
+func readOf(id uint64, state *catalog.Snapshot) *pb.OrderResult {
+	body, err := state.Configuration()
+	if err != nil {
+		return &pb.OrderResult{Id: id, Status: http.StatusInternalServerError}
+	}
+	return &pb.OrderResult{Id: id, Status: http.StatusOK, Body: body}
+}
+
 // find returns the order with the given id, nil if there is none.
 func (o *originOrders) find(id uint64) *pendingOrder {
 	for _, pending := range o.pending {
--- /dev/null
+++ b/internal/control/read_test.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// readFor has a lone machine, as the tail, answer a read of another machine that holds a state.
+func readFor(l *lone, held uint64) *pb.OrderResult {
+	l.sent = nil
+	l.step(Received{Message: &pb.Message{
+		From:       &pb.Replica{Identity: "origin", Address: "10.0.0.2:7660"},
+		ToIdentity: l.machine.Self().GetIdentity(),
+		Cluster:    l.machine.View().GetCluster(),
+		Body:       &pb.Message_Order{Order: &pb.Order{Id: 7, Kind: pb.Order_KIND_READ, Held: held}},
+	}})
+	require.Len(l.t, l.sent, 1)
+	return l.sent[0].Message.GetOrderResult()
+}
+
+func TestTheTailSendsTheConfigurationToWhomLacksIt(t *testing.T) {
+	l := newLone(t)
+	require.EqualValues(t, http.StatusServiceUnavailable, readFor(l, 0).GetStatus(), "there is none yet")
+	l.requireStatus(http.StatusOK, replaceOrder(0, 3))
+	l.requireStatus(http.StatusOK, replaceOrder(3, 7))
+	newest := l.machine.Committed().Sequence()
+	for _, held := range []uint64{0, newest - 1, newest + 1} {
+		result := readFor(l, held)
+		require.EqualValues(t, http.StatusOK, result.GetStatus())
+		require.False(t, result.GetHeldIsNewest())
+		require.Contains(t, string(result.GetBody()), `"gen":7`)
+	}
+	result := readFor(l, newest)
+	require.EqualValues(t, http.StatusOK, result.GetStatus())
+	require.True(t, result.GetHeldIsNewest())
+	require.Empty(t, result.GetBody())
+}
+
+// readPendingAt submits a read at the head of a chain, and returns what was sent to the tail.
+func readPendingAt(a *agreed) (*pb.Order, *pb.Replica) {
+	for _, action := range a.machine.Step(a.now, Submitted{Request: 5, Order: &pb.Order{Kind: pb.Order_KIND_READ}}) {
+		if sent, isSend := action.(Send); isSend {
+			return sent.Message.GetOrder(), a.machine.replica.Tail()
+		}
+	}
+	return nil, nil
+}
+
+func (a *agreed) replyAfter(from *pb.Replica, result *pb.OrderResult) *pb.OrderResult {
+	message := &pb.Message{From: from, Body: &pb.Message_OrderResult{OrderResult: result}}
+	for _, action := range a.machine.Step(a.now, Received{Message: message}) {
+		if reply, isReply := action.(Reply); isReply {
+			return reply.Result
+		}
+	}
+	return nil
+}
+
+// A tail of an earlier version names no state and sends all of it.
+func TestAReadPassesOnWhatTheTailSends(t *testing.T) {
+	a := newAgreed(t)
+	order, tail := readPendingAt(a)
+	require.Equal(t, a.machine.Committed().Sequence(), order.GetHeld())
+	body := []byte(`{"gen":12}`)
+	reply := a.replyAfter(tail, &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK, Body: body})
+	require.Equal(t, body, reply.GetBody())
+}
+
+// A read says what was committed when the tail was asked, or something newer.
+func TestAReadAnswersFromTheStateThatItNamed(t *testing.T) {
+	a := newAgreed(t)
+	order, tail := readPendingAt(a)
+	own, err := a.machine.Committed().Configuration()
+	require.NoError(t, err)
+	reply := a.replyAfter(tail, &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK, HeldIsNewest: true})
+	require.EqualValues(t, http.StatusOK, reply.GetStatus())
+	require.Equal(t, string(own), string(reply.GetBody()))
+	require.Nil(t, a.replyAfter(tail, &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK, HeldIsNewest: true}))
+}
