Control: hold no time since the last report against an agent that reports as usual

Cause: an agent calls again as soon as it has a change, mostly before its proxy does, and that call is held for a second.

Change: the lag of a proxy is counted up to the last report, or up to a second ago if that one is older. An agent that goes on reporting the old state is late by the first report that is more than a second after the commit; a silent one 2 s after it.

--- a/internal/registry/lateness.go
+++ b/internal/registry/lateness.go
@@ -197,12 +197,15 @@
 	f.heardAt = heardAt
 }
 
-// lagOf is how long an agent's proxy has lacked a committed change; 0 for an agent that is not judged.
+// lagOf is how long an agent's proxy is known to have lacked a committed change; 0 for an agent that is not judged.
+// The next report is due usualSilence after the last one: until then the proxy may hold the change and the agent have
+// had no occasion to say so.
 func (l *Lateness) lagOf(now time.Duration, agent *follower) time.Duration {
 	if !agent.judged || !agent.direct {
 		return 0
 	}
-	return l.committed.Lag(now, agent.sequence, agent.since)
+	known := max(agent.heardAt, now-usualSilence)
+	return l.committed.Lag(known, agent.sequence, agent.since)
 }
 
 // look tells whether an agent has begun or ceased to be behind.
