Control: tell an agent that knows nothing the view first, then the state

Cause: an agent that starts calls a seed and, as its link is not proven yet, probes the other seeds at the same time; the first of them to answer makes it give the first call up. The answer to that one holds the whole state (186 KB packed with 7,100 routes), loses against a probe each time, and is sent all the same.

Ruled out: smaller send buffers of accepted connections (no difference in a trial).

Change: the answer to an agent without view and state is the view alone, at once. That proves the link, and the state comes with the next call.

--- a/internal/controlserver/link.go
+++ b/internal/controlserver/link.go
@@ -147,6 +147,10 @@
 	status := l.node.Status()
 	l.soft.NoteCommitted(status.Committed)
 	answer := &pb.WatchResponse{Authoritative: status.Authoritative, MembersSource: l.host}
+	if isFirst(held) && len(status.View.GetVoters()) > 0 {
+		answer.View = status.View
+		return answer, true
+	}
 	news := l.addState(answer, held, status.Committed)
 	l.packer.PackAnswer(held, answer)
 	if status.View.GetNumber() > held.GetViewNumber() {
@@ -159,6 +163,12 @@
 	return answer, news
 }
 
+// isFirst tells whether an agent knows nothing yet. It is told of the control machines before anything large: until one
+// has answered it probes the others, and gives the call up for the first of them that does.
+func isFirst(held *pb.WatchRequest) bool {
+	return held.GetViewNumber() == 0 && held.GetSequence() == 0
+}
+
 // addState adds what the agent's copy of the control state lacks.
 func (l *link) addState(answer *pb.WatchResponse, held *pb.WatchRequest, committed *catalog.Snapshot) bool {
 	if committed == nil {
--- a/internal/controlserver/link_test.go
+++ b/internal/controlserver/link_test.go
@@ -159,6 +159,30 @@
 	})
 }
 
+// An agent that starts probes other machines while its first call is under way, and gives that call up for the first one
+// that answers: what is large would be sent in vain.
+func TestWatchTellsAnAgentThatKnowsNothingTheViewFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, node := newTestProcess(t)
+		replace(t, node, 0, 7)
+		view := &pb.View{Number: 2, Voters: []*pb.Replica{{Identity: "a", Address: "10.0.0.1:7660"}}}
+		node.alter(func(status *control.Status) { status.View = view })
+		request := &pb.WatchRequest{Agent: testAgent("edge-1"), HoldMs: 800}
+		first := watch(p, request)
+		require.NoError(t, first.err)
+		require.Zero(t, first.took)
+		require.Equal(t, view, first.answer.GetView())
+		require.Nil(t, first.answer.GetRepair())
+		require.Nil(t, first.answer.GetPacked())
+		require.Nil(t, first.answer.GetMembers())
+
+		request.ViewNumber = view.GetNumber()
+		second := watch(p, request)
+		require.Zero(t, second.took)
+		require.NotNil(t, second.answer.GetRepair(), "the state comes with the next call")
+	})
+}
+
 func TestWatchTellsMembersOnceSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p, _ := newTestProcess(t)
