Soak real control, proxy and agent processes under random troubles

What was missing is a run of all our own processes with real sockets and disks, under troubles that overlap, judged from outside.

For that the roles take a dialer (control, agent) and the address of the feed (proxy) as options, with the production ones by default; faultline's links can announce to a caller that the target was reached, so that a cut holds up the opening of a connection; starting children that end with their parent moves from internal/rig to internal/spawn.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,6 +40,8 @@
 	Listener net.Listener
 	// LinkAddress turns a seed into the address of that control machine's link service.
 	LinkAddress func(seed string) (string, error)
+	// Dial opens connections to control machines, to other agents and to the proxy, as net.Dialer.DialContext does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// SettingsPath is the settings file to follow.
 	SettingsPath string
 }
@@ -112,10 +114,14 @@
 		}
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	calling := newCaller(calls, self, options.Proxy, post)
+	if options.Dial != nil {
+		calling.dialWith(options.Dial)
+	}
 	who := identity{neighbour: self, incarnation: newIncarnation(time.Now())}
 	return &process{
 		core:     newCore(who, seeds, from.Bounds.Grace(), random, logger),
-		caller:   newCaller(calls, self, options.Proxy, post),
+		caller:   calling,
 		server:   newServer(inbox, logger),
 		listener: options.Listener,
 		reloader: newReloader(options.SettingsPath, seeds, options.LinkAddress, logger),
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// dialWith replaces how connections are opened.
+func (c *caller) dialWith(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.client.Transport.(*http.Transport).DialContext = dial
+}
+
 // plain are the options of calls whose answers aren't worth the work of compressing.
 func plain() []connect.ClientOption {
 	return []connect.ClientOption{
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,9 @@
 	deliverWait = 300 * time.Millisecond
 )
 
+// Dial opens a connection, as net.Dialer.DialContext does. It bounds its time by itself.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options configures a Node.
 type Options struct {
 	Settings *settings.Settings
@@ -46,6 +50,8 @@
 	// PeerAddress gives the peer service, ip:port, of a seed; nil: the seed's ip and the first port of the
 	// settings' port range.
 	PeerAddress func(seed string) string
+	// Dial opens connections to other control machines; nil: by TCP.
+	Dial Dial
 	// Storage holds the ring; nil: a folder under the settings' state folder.
 	Storage ring.Files
 }
@@ -113,6 +119,9 @@
 		left:    make(chan bool, 1),
 	}
 	node.outboxes = newOutboxes(ctx, &node.counters)
+	if options.Dial != nil {
+		node.outboxes.dialWith(options.Dial)
+	}
 	node.writer = newWriter(opened, node.post, &node.counters)
 	node.publish()
 	go node.writer.run(ctx)
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// dialWith replaces how connections are opened.
+func (o *outboxes) dialWith(dial Dial) {
+	o.client.Transport.(*http.Transport).DialContext = dial
+}
+
 // limitUnacknowledged ends a connection whose peer does not acknowledge: behind a cut it would hang.
 func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
 	var failure error
--- a/internal/controlserver/process.go
+++ b/internal/controlserver/process.go
@@ -38,6 +38,7 @@
 
 // process is one control process without its sockets.
 type process struct {
+	options  Options
 	logger   *zap.Logger
 	settings *settingsWatch
 	node     Node // set by attach
--- a/internal/controlserver/run.go
+++ b/internal/controlserver/run.go
@@ -35,9 +35,20 @@
 	maxMessageBytes = 32 << 20
 )
 
+// Options replace what a control process does by itself. The zero value replaces nothing.
+type Options struct {
+	// Dial opens connections to other control machines.
+	Dial control.Dial
+}
+
 // Run is the control process: it serves until ctx ends and returns when every call that was taken has been
 // answered. The settings file named by the environment is followed while it runs, also upon SIGHUP.
 func Run(ctx context.Context, initial *settings.Settings, logger *zap.Logger) error {
+	return RunWith(ctx, initial, logger, Options{})
+}
+
+// RunWith is Run with options.
+func RunWith(ctx context.Context, initial *settings.Settings, logger *zap.Logger, options Options) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -46,6 +57,7 @@
 		path = ""
 	}
 	p := newProcess(newSettingsWatch(path, initial, logger), logger, rand.Uint64())
+	p.options = options
 
 	nodeContext, stopNode := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopNode()
@@ -69,6 +81,7 @@
 		Settings:       initial,
 		Logger:         p.logger,
 		ControlAddress: initial.Binds.Control,
+		Dial:           p.options.Dial,
 		Soft:           p.soft.Report,
 		OnHeartbeat:    p.heartbeat,
 		OnServerList:   p.serverList,
--- a/internal/faultline/faultline.go
+++ b/internal/faultline/faultline.go
@@ -63,6 +63,7 @@
 
 	mu            sync.Mutex
 	target        string
+	announces     bool
 	there, back   Fault // towards the target, and from it
 	streams       map[*stream]bool
 	datagrams     uint64 // numbers, from 1
@@ -113,6 +114,17 @@
 	return l, nil
 }
 
+// Announcement is the byte that an announcing link sends to its caller first.
+const Announcement = '+'
+
+// Announce has the link tell each caller by one byte that its connection has reached the target. While a way drops, it
+// does not reach it: a caller that waits for the byte sees what the opening of a connection over a cut looks like.
+func (l *Link) Announce() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announces = true
+}
+
 // Addr is where the link stands.
 func (l *Link) Addr() string { return l.tcp.Addr().String() }
 
@@ -283,6 +295,10 @@
 		io.Copy(io.Discard, s.from) // until the caller, or Close, ends it
 		return
 	}
+	announces, open := l.awaitOpen()
+	if !open {
+		return
+	}
 	nc, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		s.from.SetLinger(0)
@@ -295,6 +311,11 @@
 	if closed {
 		return
 	}
+	if announces {
+		if _, err := s.from.Write([]byte{Announcement}); err != nil {
+			return
+		}
+	}
 	var both sync.WaitGroup
 	both.Add(1)
 	go func() {
@@ -305,6 +326,23 @@
 	both.Wait()
 }
 
+// awaitOpen waits, on a link that announces, until both ways pass. It tells whether it announces, and false if the
+// link was closed meanwhile.
+func (l *Link) awaitOpen() (announces, open bool) {
+	for {
+		l.mu.Lock()
+		announces = l.announces
+		dropped := announces && (l.there.Drop || l.back.Drop)
+		l.mu.Unlock()
+		if !dropped {
+			return announces, true
+		}
+		if !l.sleep(lookAgain) {
+			return announces, false
+		}
+	}
+}
+
 // pass carries one way of a stream. An end is passed on as an end, a reset as a reset.
 func (l *Link) pass(from, to *net.TCPConn, way func() Fault, r *rand.Rand) {
 	fault := func() Fault {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -50,6 +50,7 @@
 
 // process is a running proxy.
 type process struct {
+	options    Options
 	logger     *zap.Logger
 	lifecycle  *lifecycle
 	state      *state
@@ -67,9 +68,20 @@
 	readyAddr  net.Addr
 }
 
+// Options replace what a proxy takes from its settings. The zero value replaces nothing.
+type Options struct {
+	// Feed is the address, ip:port, at which the agent feeds the proxy.
+	Feed string
+}
+
 // Run serves until the context or SIGTERM ends it, and returns when the requests that it took are answered or
 // the grace period is nearly over. It returns an error only if it can't start.
 func Run(ctx context.Context, configured *settings.Settings, logger *zap.Logger) error {
+	return RunWith(ctx, configured, logger, Options{})
+}
+
+// RunWith is Run with options.
+func RunWith(ctx context.Context, configured *settings.Settings, logger *zap.Logger, options Options) error {
 	terminate, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -77,6 +89,7 @@
 	defer signal.Stop(reload)
 
 	p := newProcess(configured, logger)
+	p.options = options
 	if err := p.start(configured); err != nil {
 		p.stop()
 		return err
@@ -140,7 +153,11 @@
 	if p.readyAddr, err = p.serveBeside(configured.Binds.Ready, p.lifecycle); err != nil {
 		return err
 	}
-	p.feedAddr, err = p.serveBeside(configured.LoopbackPort(feedPort), p.feedHandler(configured))
+	feedAddress := p.options.Feed
+	if feedAddress == "" {
+		feedAddress = configured.LoopbackPort(feedPort)
+	}
+	p.feedAddr, err = p.serveBeside(feedAddress, p.feedHandler(configured))
 	return err
 }
 
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -19,7 +19,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,30 +26,9 @@
 	"time"
 
 	"fieldrelay/internal/checker"
+	"fieldrelay/internal/spawn"
 )
 
-// spawn starts a command on a thread of its own, which is never given back: the system's word for "end this process
-// when its parent ends" means the parent's thread.
-var spawn = sync.OnceValue(func() func(*exec.Cmd) error {
-	type ask struct {
-		cmd  *exec.Cmd
-		done chan error
-	}
-	asks := make(chan ask)
-	go func() {
-		runtime.LockOSThread()
-		for a := range asks {
-			a.done <- a.cmd.Start()
-		}
-	}()
-	return func(cmd *exec.Cmd) error {
-		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		a := ask{cmd, make(chan error)}
-		asks <- a
-		return <-a.done
-	}
-})
-
 // Sidecar is one member's place: its name and addresses, and the process that runs there now, if one does.
 type Sidecar struct {
 	Name   string
@@ -96,7 +74,7 @@
 		return err
 	}
 	cmd.Stderr = write
-	err = spawn()(cmd)
+	err = spawn.Start(cmd)
 	write.Close()
 	if err != nil {
 		read.Close()
--- /dev/null
+++ b/internal/soak/prober_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	probePeriod = 30 * time.Millisecond
+	probers     = 2 // at each proxy: one request may hang
+	probeLimit  = 900 * time.Millisecond
+	// freshOrders is the number of newest orders whose routes are probed most.
+	freshOrders = 5
+	freshPart   = 70 // percent of probes
+)
+
+// prober sends requests to one proxy.
+type prober struct {
+	world  *world
+	edge   *machine
+	client *http.Client
+	random *rand.Rand
+	sent   int
+}
+
+func newProber(w *world, edge *machine, number int, seed uint64) *prober {
+	return &prober{
+		world:  w,
+		edge:   edge,
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}, Timeout: probeLimit},
+		random: rand.New(rand.NewPCG(seed, 100+uint64(number))),
+	}
+}
+
+// work probes until ctx ends.
+func (p *prober) work(ctx context.Context) {
+	defer p.client.CloseIdleConnections()
+	for p.world.wait(ctx, probePeriod) {
+		if prefix := p.choose(); prefix != "" {
+			p.probe(ctx, prefix, false)
+		}
+	}
+}
+
+// choose picks a route that was touched by one of the last orders, taken or not, or any other that ever was.
+func (p *prober) choose() (prefix string) {
+	p.world.history.do(func() {
+		orders := p.world.history.orders
+		if len(orders) == 0 {
+			return
+		}
+		if p.random.IntN(100) < freshPart {
+			orders = orders[max(0, len(orders)-freshOrders):]
+		}
+		prefix = p.touched(orders[p.random.IntN(len(orders))])
+	})
+	return prefix
+}
+
+// touched picks a route that an order changed, by its place in the order's list of changes.
+func (p *prober) touched(own *order) string {
+	return own.touched[p.random.IntN(len(own.touched))]
+}
+
+// probe sends one request and notes what came of it.
+func (p *prober) probe(ctx context.Context, prefix string, last bool) probe {
+	p.sent++
+	own := probe{edge: p.edge.name, prefix: prefix, sentAt: p.world.history.now(), service: -1, last: last}
+	address := "http://" + p.edge.settings.Binds.Edge + prefix + "x"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader("probe"))
+	if err != nil {
+		p.world.history.fail("%v", err)
+		return own
+	}
+	request.Host = virtualHost
+	request.Header.Set("X-Fieldrelay-Attempt-Id", fmt.Sprintf("%016x", p.random.Uint64()))
+	request.Header.Set("X-Fieldrelay-Deadline-Ms", strconv.FormatInt(probeLimit.Milliseconds()-100, 10))
+	if response, err := p.client.Do(request); err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if err == nil {
+			own.take(response)
+		}
+	}
+	own.answeredAt = p.world.history.now()
+	p.world.history.do(func() { p.world.history.probes = append(p.world.history.probes, own) })
+	return own
+}
+
+// take reads an answer; what a server adds to it tells which server ran the request.
+func (p *probe) take(response *http.Response) {
+	p.status = response.StatusCode
+	service, err := strconv.Atoi(response.Header.Get(headerService))
+	if err != nil {
+		return
+	}
+	arrived, err := strconv.ParseInt(response.Header.Get(headerArrived), 10, 64)
+	if err != nil {
+		return
+	}
+	p.service, p.arrivedAt, p.zone = service, moment(arrived), response.Header.Get(headerZone)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Environment variables of the long form.
+const (
+	seedsVariable   = "SOAK_SEEDS"   // how many seeds
+	firstVariable   = "SOAK_FIRST"   // the first of them
+	secondsVariable = "SOAK_SECONDS" // how long troubles begin in each run
+	keepVariable    = "SOAK_KEEP"    // folder for what runs leave, also good ones; it has to exist
+)
+
+// The short form, and the calm end of all runs: contact-ms and apply-ms pass, and some time in touch.
+const (
+	shortSeeds    = 2
+	shortTroubled = 9 * time.Second
+	calmEnd       = 8 * time.Second
+)
+
+func numberOf(t *testing.T, variable string, otherwise int) int {
+	text := os.Getenv(variable)
+	if text == "" {
+		return otherwise
+	}
+	number, err := strconv.Atoi(text)
+	require.NoError(t, err, variable)
+	return number
+}
+
+// Seeds differ in size: 3 to 5 control machines, 4 to 8 edge machines in the long form.
+func planOf(seed uint64, seconds int) runPlan {
+	plan := runPlan{seed: seed, controls: 3, edges: 3, troubled: shortTroubled, calm: calmEnd}
+	if seconds > 0 {
+		plan.troubled = time.Duration(seconds) * time.Second
+		plan.controls = 3 + int(seed%3)
+		plan.edges = 4 + int(seed%5)
+	}
+	return plan
+}
+
+func TestTheSystemKeepsItsConfigurationInForce(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts many processes")
+	}
+	seconds := numberOf(t, secondsVariable, 0)
+	first := uint64(numberOf(t, firstVariable, 1))
+	for number := range numberOf(t, seedsVariable, shortSeeds) {
+		seed := first + uint64(number)
+		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if seconds == 0 {
+				t.Parallel()
+			}
+			playSeed(t, planOf(seed, seconds))
+		})
+	}
+}
+
+// playSeed plays one run; what a bad one left is kept.
+func playSeed(t *testing.T, plan runPlan) {
+	folder, err := os.MkdirTemp(os.Getenv(keepVariable), "soak-"+strconv.FormatUint(plan.seed, 10)+"-")
+	require.NoError(t, err)
+	found, err := run(t.Context(), plan, folder)
+	t.Logf("seed %d: %s", plan.seed, found.summary())
+	if err == nil && len(found.broken) == 0 {
+		if os.Getenv(keepVariable) == "" {
+			require.NoError(t, os.RemoveAll(folder))
+		}
+		return
+	}
+	t.Errorf("seed %d: %v; kept in %s", plan.seed, err, folder)
+	for _, broken := range found.broken {
+		t.Error(broken)
+	}
+}
