Share the soak's links, layout and start of a process, and count ticks instead of time

A run of the short form failed with "did not end within 6s of SIGTERM" for all processes: the whole machine had stood still for 23.5 s, and the limit was one of time.

What others can use leaves the soak: the links between machines and the dialer that waits for their announcement go to faultline, with tests; the plan of a system on one host, which the example had, to onehost; reading settings, log and signals, which fieldrelay-region had, to roleprocess.

--- a/cmd/fieldrelay-region/main.go
+++ b/cmd/fieldrelay-region/main.go
@@ -3,21 +3,17 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	"fieldrelay/internal/agent"
 	"fieldrelay/internal/controlserver"
 	"fieldrelay/internal/proxy"
-	"fieldrelay/internal/runtimelimits"
+	"fieldrelay/internal/roleprocess"
 	"fieldrelay/internal/settings"
 )
 
@@ -68,53 +64,16 @@
 type proxyCommand struct{}
 
 // Run runs it until SIGTERM and its drain.
-func (proxyCommand) Run() error { return runRole(proxy.Run) }
+func (proxyCommand) Run() error { return roleprocess.Run(proxy.Run) }
 
 // agentCommand runs an agent.
 type agentCommand struct{}
 
 // Run runs it until SIGTERM and until the proxy beside it needs it no more.
-func (agentCommand) Run() error { return runRole(agent.Run) }
+func (agentCommand) Run() error { return roleprocess.Run(agent.Run) }
 
 // controlCommand runs a control machine.
 type controlCommand struct{}
 
 // Run runs it until SIGTERM.
-func (controlCommand) Run() error { return runRole(controlserver.Run) }
-
-// role is the whole work of a process, done when ctx ends.
-type role func(ctx context.Context, initial *settings.Settings, logger *zap.Logger) error
-
-// runRole reads the settings, fits the runtime to them and runs a role until SIGTERM.
-func runRole(run role) error {
-	// A hangup before the role listens for it must not end the process: the settings are read now anyway.
-	signal.Ignore(syscall.SIGHUP)
-	path, err := settings.Path()
-	if err != nil {
-		return err
-	}
-	initial, err := settings.Load(path)
-	if err != nil {
-		return err
-	}
-	runtimelimits.Apply(int(initial.Limits.MemoryMB))
-	logger, err := newLogger()
-	if err != nil {
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return run(ctx, initial, logger)
-}
-
-// newLogger returns a logger that writes JSON lines to standard error.
-func newLogger() (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Sampling = nil
-	config.DisableCaller = true
-	config.DisableStacktrace = true
-	config.OutputPaths = []string{"stderr"}
-	config.ErrorOutputPaths = []string{"stderr"}
-	logger, err := config.Build()
-	return logger, errors.Wrap(err, "open the log")
-}
+func (controlCommand) Run() error { return roleprocess.Run(controlserver.Run) }
--- a/example/region/main.go
+++ b/example/region/main.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	started, err := startProcesses(program, layout, folder)
+	started, err := startProcesses(program, layout)
 	defer started.stop(output)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/faultline/network.go
@@ -0,0 +1,126 @@
+package faultline
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Way is one direction between two machines, by their names.
+type Way struct{ From, To string }
+
+// Effect is a fault on some ways of a network.
+type Effect struct {
+	Covers func(Way) bool
+	Fault  Fault
+}
+
+// Network is announcing links between machines, one from each caller to each service that it calls. Several effects on
+// a way add up: one that drops is enough, delays are added, and the lowest rate counts.
+type Network struct {
+	seed uint64
+
+	mutex   sync.Mutex
+	links   map[Way]*Link // by caller and callee
+	effects map[*Effect]bool
+}
+
+// NewNetwork is a network without links.
+func NewNetwork(seed uint64) *Network {
+	return &Network{seed: seed, links: make(map[Way]*Link), effects: make(map[*Effect]bool)}
+}
+
+// Open opens the link by which a machine calls a service of another one, and returns the link's address.
+func (n *Network) Open(way Way, target string) (address string, err error) {
+	link, err := NewLink(way.From+" "+way.To, "127.0.0.1", target, n.seed)
+	if err != nil {
+		return "", err
+	}
+	link.Announce()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.links[way] = link
+	return link.Addr(), nil
+}
+
+// Add puts an effect in force and returns what takes it back.
+func (n *Network) Add(added Effect) (remove func()) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.effects[&added] = true
+	n.set()
+	return func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		delete(n.effects, &added)
+		n.set()
+	}
+}
+
+// set tells each link the sum of all effects.
+func (n *Network) set() {
+	for way, link := range n.links {
+		link.Set(n.sum(way), n.sum(Way{From: way.To, To: way.From}))
+	}
+}
+
+func (n *Network) sum(way Way) (sum Fault) {
+	for each := range n.effects {
+		if !each.Covers(way) {
+			continue
+		}
+		sum.Drop = sum.Drop || each.Fault.Drop
+		sum.Delay += each.Fault.Delay
+		if sum.Rate == 0 || each.Fault.Rate > 0 && each.Fault.Rate < sum.Rate {
+			sum.Rate = each.Fault.Rate
+		}
+	}
+	return sum
+}
+
+// Close closes all links.
+func (n *Network) Close() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, link := range n.links {
+		link.Close()
+	}
+}
+
+// Dialer opens connections by announcing links. It returns when a link has reached its target, so that a cut holds it
+// up as it would hold up the opening of a connection.
+type Dialer struct {
+	Links map[string]string // address of the link, by the address of its target; what is not in it is dialed directly
+	Limit time.Duration     // for one connection
+}
+
+// DialContext is net.Dialer's.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Limit)
+	defer cancel()
+	link, found := d.Links[address]
+	if !found {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	connection, err := new(net.Dialer).DialContext(ctx, network, link)
+	if err != nil {
+		return nil, err
+	}
+	if err := awaitAnnouncement(ctx, connection); err != nil {
+		connection.Close()
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	return connection, nil
+}
+
+func awaitAnnouncement(ctx context.Context, connection net.Conn) error {
+	release := context.AfterFunc(ctx, func() { _ = connection.SetReadDeadline(time.Now()) })
+	_, err := connection.Read(make([]byte, 1))
+	if err == nil && !release() {
+		return ctx.Err() // the deadline is set, or will be
+	}
+	return err
+}
