Tell how late configurations came in force in the soak

A run that breaks no rule says little of how near it came. The judge now measures, for each probe that has to follow acknowledged configurations, how long before it the first one was acknowledged that it doesn't follow, judges by that, and tells the longest. Planted histories are found as before.

--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -11,10 +11,18 @@
 // verdict is what a history was found to hold.
 type verdict struct {
 	broken           []string
-	plain, stretched int // probes that had to show an acknowledged configuration, by the bound in force
-	reads            int // answered with a configuration
+	plain, stretched lags // of the probes that had to follow acknowledged configurations, by the bound in force
+	reads            int  // answered with a configuration
 }
 
+// lags are how late configurations came in force, as probes saw it.
+type lags struct {
+	probes  int
+	longest time.Duration
+}
+
+func (l *lags) add(lag time.Duration) { l.probes, l.longest = l.probes+1, max(l.longest, lag) }
+
 // judge looks through a history for rules that were broken.
 type judge struct {
 	history *history
@@ -24,8 +32,6 @@
 }
 
 func newJudge(seen *history, asked touch) *judge {
-	seen.mutex.Lock()
-	defer seen.mutex.Unlock()
 	asked.troubles = seen.troubles
 	orders := slices.Clone(seen.orders)
 	slices.SortStableFunc(orders, func(a, b *order) int { return cmp.Compare(a.generation, b.generation) })
@@ -168,34 +174,40 @@
 	if !asked {
 		return
 	}
-	least := j.floor(own.sentAt - bound)
-	if least == nil {
-		return
-	}
+	lag, missed := j.lag(own)
 	if bound == apply {
-		j.verdict.plain++
+		j.verdict.plain.add(lag)
 	} else {
-		j.verdict.stretched++
+		j.verdict.stretched.add(lag)
 	}
-	if _, found := j.shows(own, least.generation); !found {
-		j.broken("LATE", "%s; generation %d was acknowledged %s before (bound %s)", j.describe(own), least.generation,
-			own.sentAt-least.answeredAt, bound)
+	if lag > bound {
+		j.broken("LATE", "%s; generation %d was acknowledged %s before (bound %s)", j.describe(own), missed, lag, bound)
 	}
 }
 
+// lag is how long before a probe was sent the first configuration was acknowledged that it doesn't follow.
+func (j *judge) lag(own *probe) (lag time.Duration, missed int64) {
+	for _, candidate := range slices.Backward(j.orders) {
+		if candidate.sentAt <= own.answeredAt && candidate.table.allows(own) && !j.dead(candidate) {
+			break
+		}
+		if candidate.result == acknowledged && candidate.answeredAt <= own.sentAt {
+			lag, missed = own.sentAt-candidate.answeredAt, candidate.generation
+		}
+	}
+	return lag, missed
+}
+
 // describe tells what a probe met and the newest order that would have it so.
 func (j *judge) describe(own *probe) string {
-	newest, dead := int64(-1), ""
+	newest := int64(-1)
 	for _, candidate := range j.orders {
 		if candidate.table.allows(own) && candidate.sentAt <= own.answeredAt {
-			newest, dead = candidate.generation, ""
-			if j.dead(candidate) {
-				dead = ", which must never be in force"
-			}
+			newest = candidate.generation
 		}
 	}
-	return fmt.Sprintf("%s %s sent at %s: status %d, service %d, as of generation %d or older%s", own.edge, own.prefix,
-		own.sentAt, own.status, own.service, newest, dead)
+	return fmt.Sprintf("%s %s sent at %s: status %d, service %d, as of generation %d or older", own.edge, own.prefix,
+		own.sentAt, own.status, own.service, newest)
 }
 
 // shown is a moment at which a life of a proxy had shown a generation.
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -17,13 +17,11 @@
 )
 
 const (
-	// callLimit is the silence after which a call of the operator goes to another machine.
-	callLimit = 1200 * time.Millisecond
-	// orderLimit is how long a configuration is sent again before its fate is left open.
-	orderLimit     = 9 * time.Second
-	longestBackoff = 250 * time.Millisecond // before a call is sent again
-	longestThought = 300 * time.Millisecond // between two orders
-	lostAnswers    = 15                     // percent of orders whose connection is cut once they went out
+	callLimit      = 1200 * time.Millisecond // of silence, then a call goes to another machine
+	orderLimit     = 9 * time.Second         // while an order is sent again, then its fate is left open
+	longestBackoff = 250 * time.Millisecond  // before a call is sent again
+	longestThought = 300 * time.Millisecond  // between two orders
+	lostAnswers    = 15                      // percent of orders whose connection is cut once they went out
 	readPeriod     = 60 * time.Millisecond
 	headerBase     = "X-Fieldrelay-Base-Rev"
 )
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -62,7 +62,7 @@
 func TestASoundHistoryBreaksNoRule(t *testing.T) {
 	found := newJudge(soundHistory(), touch{bounds: plantedBounds, controls: 3}).run()
 	require.Empty(t, found.broken)
-	require.Positive(t, found.plain)
+	require.Positive(t, found.plain.probes)
 	require.Equal(t, 2, found.reads)
 }
 
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -14,11 +14,10 @@
 	"fieldrelay/internal/spawn"
 )
 
-// endLimit bounds the end of a process after SIGTERM.
-const endLimit = 3 * graceS * time.Second
-
-// graceS is the time, in seconds, that processes get to end.
-const graceS = 2
+const (
+	graceS   = 2                        // seconds that processes get to end
+	endLimit = 3 * graceS * time.Second // bounds the end of a process after SIGTERM
+)
 
 // process is the place of one process of the system; it lives several times.
 type process struct {
--- a/internal/soak/table_test.go
+++ b/internal/soak/table_test.go
@@ -95,14 +95,14 @@
 
 // amendBody turns one set of routes into another.
 func amendBody(generation int64, before, after routeSet) []byte {
-	type upsert struct {
-		Routes []operator.Route `json:"routes"`
+	type items[T any] struct {
+		Routes []T `json:"routes,omitempty"`
 	}
 	amendment := struct {
-		Gen    int64               `json:"gen"`
-		Upsert upsert              `json:"upsert"`
-		Remove map[string][]string `json:"remove"`
-	}{Gen: generation, Remove: map[string][]string{}}
+		Gen    int64                 `json:"gen"`
+		Upsert items[operator.Route] `json:"upsert"`
+		Remove items[string]         `json:"remove"`
+	}{Gen: generation}
 	for _, name := range slices.Sorted(maps.Keys(after)) {
 		if before[name] != after[name] {
 			amendment.Upsert.Routes = append(amendment.Upsert.Routes, after[name].wire())
@@ -110,7 +110,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(before)) {
 		if _, kept := after[name]; !kept {
-			amendment.Remove["routes"] = append(amendment.Remove["routes"], name)
+			amendment.Remove.Routes = append(amendment.Remove.Routes, name)
 		}
 	}
 	return marshal(amendment)
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -52,45 +51,48 @@
 	{name: "pause control", core: oneControl, does: stops},
 	{name: "wipe control", core: oneControl, does: wipes},
 	{name: "kill all controls", core: allControls, does: kills},
-	{name: "cut control off core", core: oneControl, does: cuts, covers: func(on *struck, way faultline.Way) bool {
-		return isControl(way.From) && isControl(way.To) && (way.From == on.control || way.To == on.control)
-	}},
-	{name: "cut core in halves", core: halfTheCore, does: cuts, covers: func(on *struck, way faultline.Way) bool {
-		return isControl(way.From) && isControl(way.To) && slices.Contains(on.core, way.From) != slices.Contains(on.core, way.To)
-	}},
-	{name: "cut core one way", core: oneControl, does: cuts, covers: func(on *struck, way faultline.Way) bool {
-		return way.From == on.control && way.To == on.other
-	}},
-	{name: "slow control", core: oneControl, does: slows, covers: func(on *struck, way faultline.Way) bool {
-		return way.From == on.control || way.To == on.control
-	}},
+	{name: "cut control off core", core: oneControl, does: cuts, covers: controlInCore},
+	{name: "cut core in halves", core: halfTheCore, does: cuts, covers: betweenHalves},
+	{name: "cut core one way", core: oneControl, does: cuts, covers: controlToOther},
+	{name: "slow control", core: oneControl, does: slows, covers: ofControl},
 	{name: "kill edge", does: kills},
 	{name: "restart edge", does: terminates},
 	{name: "pause edge", does: stops},
 	{name: "kill agent", does: kills, spares: roleProxy},
 	{name: "pause agent", does: stops, spares: roleProxy},
 	{name: "pause proxy", does: stops, spares: roleAgent},
-	{name: "cut edge off core", does: cuts, covers: func(on *struck, way faultline.Way) bool {
-		return way.From == on.edge && isControl(way.To) || isControl(way.From) && way.To == on.edge
-	}},
-	{name: "cut edge one way", does: cuts, covers: func(on *struck, way faultline.Way) bool { return isControl(way.From) && way.To == on.edge }},
-	{name: "cut edge off one control", does: cuts, covers: func(on *struck, way faultline.Way) bool {
-		return way.From == on.edge && way.To == on.control || way.From == on.control && way.To == on.edge
-	}},
-	{name: "cut edge off all", does: cuts, covers: (*struck).ofEdge},
-	{name: "narrow edge", does: slows, covers: (*struck).ofEdge},
-	{name: "hold up edge", does: delays, covers: (*struck).ofEdge},
+	{name: "cut edge off core", does: cuts, covers: edgeAndCore},
+	{name: "cut edge one way", does: cuts, covers: coreToEdge},
+	{name: "cut edge off one control", does: cuts, covers: edgeAndControl},
+	{name: "cut edge off all", does: cuts, covers: ofEdge},
+	{name: "narrow edge", does: slows, covers: ofEdge},
+	{name: "hold up edge", does: delays, covers: ofEdge},
 }
 
+func ofEdge(on *struck, way faultline.Way) bool         { return touches(way, on.edge) }
+func edgeAndCore(on *struck, way faultline.Way) bool    { return ofEdge(on, way) && !inEdge(way) }
+func coreToEdge(on *struck, way faultline.Way) bool     { return isControl(way.From) && way.To == on.edge }
+func edgeAndControl(on *struck, way faultline.Way) bool { return ofEdge(on, way) && ofControl(on, way) }
+func ofControl(on *struck, way faultline.Way) bool      { return touches(way, on.control) }
+func controlInCore(on *struck, way faultline.Way) bool  { return inCore(way) && ofControl(on, way) }
+func controlToOther(on *struck, way faultline.Way) bool {
+	return way == faultline.Way{From: on.control, To: on.other}
+}
+func betweenHalves(on *struck, way faultline.Way) bool {
+	return inCore(way) && slices.Contains(on.core, way.From) != slices.Contains(on.core, way.To)
+}
+
+func touches(way faultline.Way, machine string) bool { return way.From == machine || way.To == machine }
+func inCore(way faultline.Way) bool                  { return isControl(way.From) && isControl(way.To) }
+func inEdge(way faultline.Way) bool                  { return !isControl(way.From) && !isControl(way.To) }
+func isControl(name string) bool                     { return strings.HasPrefix(name, "control-") }
+
 // struck are the names of the machines that a trouble was drawn for, and those of the core that count as lost.
 type struck struct {
 	edge, control, other string
 	core                 []string
 }
 
-// ofEdge covers all ways from and to the edge machine.
-func (s *struck) ofEdge(way faultline.Way) bool { return way.From == s.edge || way.To == s.edge }
-
 // planned is a trouble of the schedule. Machines are told by their numbers, from 0.
 type planned struct {
 	kind                 *kind
@@ -100,11 +102,6 @@
 	fault                faultline.Fault
 }
 
-func (p planned) String() string {
-	return fmt.Sprintf("%7.2f s, %.2f s: %s (edge-%d, control-%d, control-%d, delay %s, rate %d)", p.at.Seconds(), p.lasts.Seconds(),
-		p.kind.name, p.edge+1, p.control+1, p.other+1, p.fault.Delay, p.fault.Rate)
-}
-
 // Bounds of the schedule.
 const (
 	longestTrouble = 5 * time.Second
@@ -166,8 +163,6 @@
 	return next
 }
 
-func isControl(name string) bool { return strings.HasPrefix(name, "control-") }
-
 // strikes tells which machines a trouble strikes, and what the history keeps of it.
 func (p planned) strikes(plan *onehost.Layout) (*struck, *trouble) {
 	controls := hostsOf(plan.Controls)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -54,7 +54,8 @@
 // newWorld starts everything in a folder.
 func newWorld(asked runPlan, folder string) (*world, error) {
 	seen := newHistory()
-	w := &world{history: seen, standins: startStandins(seen), calls: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	calls := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	w := &world{history: seen, standins: startStandins(seen), network: faultline.NewNetwork(asked.seed), calls: calls}
 	plan, err := onehost.New(onehost.Options{
 		Controls: asked.controls, Edges: asked.edges, Folder: folder, Platform: w.standins.platform.Listener.Addr().String(), GraceS: graceS,
 	})
@@ -62,7 +63,6 @@
 		return w, err
 	}
 	w.plan, w.folder = plan, folder
-	w.network = faultline.NewNetwork(asked.seed)
 	if err := openLinks(plan, folder, w.network); err != nil {
 		return w, err
 	}
@@ -71,11 +71,7 @@
 		if err != nil {
 			return w, err
 		}
-		roles := []role{roleProxy, roleAgent}
-		if one.QuorumMember {
-			roles = []role{roleControl}
-		}
-		for _, own := range roles {
+		for _, own := range map[bool][]role{true: {roleControl}, false: {roleProxy, roleAgent}}[one.QuorumMember] {
 			started := &process{machine: one, role: own, settingsPath: path, folder: folder, history: seen}
 			if err := started.start(); err != nil {
 				return w, err
@@ -90,9 +86,7 @@
 // close ends everything.
 func (w *world) close() {
 	each(w.processes, (*process).terminate)
-	if w.network != nil {
-		w.network.Close()
-	}
+	w.network.Close()
 	w.standins.stop()
 }
 
@@ -239,7 +233,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "%+v\n%s\n\nplanned troubles:\n", asked, strings.Join(found.broken, "\n"))
 	for _, one := range schedule {
-		fmt.Fprintln(&text, one)
+		fmt.Fprintf(&text, "%s, %s: %s (%d %d %d) %+v\n", one.at, one.lasts, one.kind.name, one.edge, one.control, one.other, one.fault)
 	}
 	fmt.Fprintln(&text, "\ntroubles as they came:")
 	for _, one := range w.history.troubles {
@@ -254,6 +248,7 @@
 }
 
 // summary is a line on a run.
-func (w verdict) summary() string {
-	return fmt.Sprintf("%d probes judged by the plain bound, %d by the stretched one, %d reads", w.plain, w.stretched, w.reads)
+func (v verdict) summary() string {
+	return fmt.Sprintf("%d probes by the plain bound, at most %s late, %d by the stretched one, at most %s late, %d reads", v.plain.probes,
+		v.plain.longest.Round(time.Millisecond), v.stretched.probes, v.stretched.longest.Round(time.Millisecond), v.reads)
 }
