Let the soak's last order end before the calm time's orders are judged

It was the harness that gave them up: its stop ended the calls under way. The operator now begins no new order then, and sends the last one until its answer is clear. The check is as it was.

--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -50,9 +50,9 @@
 	c.base = first
 }
 
-// work sends orders until ctx ends.
-func (c *chief) work(ctx context.Context) {
-	for c.world.wait(ctx, time.Duration(c.random.Int64N(int64(longestThought)))) {
+// work sends orders until the context for new ones ends; the last one is still sent until its answer is clear.
+func (c *chief) work(ctx, beginning context.Context) {
+	for c.world.wait(beginning, time.Duration(c.random.Int64N(int64(longestThought)))) {
 		c.step(ctx)
 	}
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -132,7 +132,7 @@
 	ordering, stopOrders := context.WithCancel(ctx)
 	defer stopOrders()
 	var orders sync.WaitGroup
-	orders.Go(func() { w.chief.work(ordering) })
+	orders.Go(func() { w.chief.work(ctx, ordering) })
 
 	from := w.history.now() + warmUp
 	schedule := scheduleOf(asked.seed, from, from+asked.troubled, asked.controls, asked.edges)
