Let a given dialer open the connections whose answers are watched for progress

Cause: the join of the soak with the calls that go by progress: an agent with a given dialer ended at its start, as its transport is wrapped now.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -80,7 +80,9 @@
 
 // dialWith replaces how connections are opened.
 func (c *caller) dialWith(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.client.Transport.(*http.Transport).DialContext = dial
+	transport := newTransport()
+	transport.DialContext = dial
+	c.client.Transport = progressTransport{transport}
 }
 
 // plain are the options of calls whose answers aren't worth the work of compressing.
