Tell an agent that is told the view first how far the state goes

Cause: since an agent that holds nothing is told the view alone, by an answer of sequence 0; from a machine that holds the agreed state that read as the confirmation of nothing, after which a proxy that has just started could have been ready on an older state of a neighbour.

Change: the answer tells the committed sequence and generation.

Measured: TestWatchTellsAnAgentThatKnowsNothingTheViewFirst wants the sequence, TestTheViewAloneConfirmsNothing the agent's part; both packages' tests of watches, views and confirmations pass.

--- a/internal/agent/slowanswer_test.go
+++ b/internal/agent/slowanswer_test.go
@@ -71,3 +71,14 @@
 	require.False(t, fetch.request.GetProbe())
 	require.Zero(t, fetch.request.GetSequence())
 }
+
+// An agent that holds nothing is told the view first, by a machine that holds the agreed state: that confirms nothing.
+func TestTheViewAloneConfirmsNothing(t *testing.T) {
+	s, call := linked(t)
+	view := &pb.View{Number: 2, Voters: []*pb.Replica{{Address: "core-1:1"}, {Address: "core-2:1"}}}
+	s.step(watchDone{call: call, response: &pb.WatchResponse{Authoritative: true, Sequence: 5, View: view}})
+	require.False(t, s.core.feed.confirmed)
+	next := takeWatch(s, watchLong)
+	require.EqualValues(t, 2, next.request.GetViewNumber())
+	require.Nil(t, next.request.GetDigests())
+}
--- a/internal/controlserver/link.go
+++ b/internal/controlserver/link.go
@@ -149,6 +149,11 @@
 	answer := &pb.WatchResponse{Authoritative: status.Authoritative, MembersSource: l.host}
 	if isFirst(held) && len(status.View.GetVoters()) > 0 {
 		answer.View = status.View
+		if status.Committed != nil {
+			// The agent must not take the nothing that it holds for confirmed.
+			answer.Sequence = status.Committed.Sequence()
+			answer.Generation = status.Committed.Generation()
+		}
 		return answer, true
 	}
 	news := l.addState(answer, held, status.Committed)
--- a/internal/controlserver/link_test.go
+++ b/internal/controlserver/link_test.go
@@ -172,6 +172,7 @@
 		require.NoError(t, first.err)
 		require.Zero(t, first.took)
 		require.Equal(t, view, first.answer.GetView())
+		require.Equal(t, node.Status().Committed.Sequence(), first.answer.GetSequence(), "it is told that it lacks something")
 		require.Nil(t, first.answer.GetRepair())
 		require.Nil(t, first.answer.GetPacked())
 		require.Nil(t, first.answer.GetMembers())
