Answer a copy that lacks more than what is on its way to it

Cause: let a copy that asks wait while a change for it may be on its way, also where that change does not follow on the copy: after a view the head knows nothing acknowledged and sends its last change alone, again and again, and the copy that lacks others before it got no answer.

Change: it waits only for changes that follow on what it holds, and only for large ones, whose pause is longer than their way.

--- a/internal/chain/append.go
+++ b/internal/chain/append.go
@@ -100,6 +100,7 @@
 		Committed:  sequenceOf(r.committed),
 	}
 	r.passed.sent(proto.Size(message), len(r.state.View.GetChain())-1-r.position())
+	r.passedFrom = r.state.Newest.Sequence() - uint64(len(changes))
 	r.send(output, r.successor(), &pb.Message{Body: &pb.Message_Append{Append: message}})
 }
 
--- a/internal/chain/pacing.go
+++ b/internal/chain/pacing.go
@@ -32,8 +32,11 @@
 	p.isLost = false
 }
 
-// isOnItsWay reports whether what was sent may not have reached the next machine yet, and is not known to be lost.
-func (p *pacing) isOnItsWay() bool { return p.wait > 0 && p.age <= p.onWay && !p.isLost }
+// isOnItsWay reports whether something large that was sent may not have reached the next machine yet, and is not known to
+// be lost. What is small is there within the shortest pause, and sent again after it.
+func (p *pacing) isOnItsWay() bool {
+	return p.onWay > shortestPause && p.wait > 0 && p.age <= p.onWay && !p.isLost
+}
 
 // lost notes that what was sent is not on its way any more. It is due at the next tick, or after the shortest pause
 // if it was lost at once, so that what is lost each time is sent no more often than a small message.
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -42,6 +42,7 @@
 	commitKnown  bool   // something is known to be committed in this view
 	acknowledged uint64 // by the successor
 	passed       pacing // of appends to the successor
+	passedFrom   uint64 // sequence of the copies that the last of these serves, and of later ones
 	lag          int    // heartbeats in a row that told of an upstream that is ahead
 	request      *syncRequest
 	waiting      map[string]*pb.Message // SyncRequests that came too early, by identity
--- a/internal/chain/sync.go
+++ b/internal/chain/sync.go
@@ -153,8 +153,7 @@
 // isPassing reports whether the changes that a copy lacks are on their way to the successor: heartbeats overtake large
 // ones. A successor that could not take them asks again.
 func (r *Replica) isPassing(sequence uint64) bool {
-	_, kept := r.state.History.Since(sequence)
-	return kept && r.awaitsSuccessor() && r.passed.isOnItsWay()
+	return sequence >= r.passedFrom && r.awaitsSuccessor() && r.passed.isOnItsWay()
 }
 
 // noteStandby remembers a machine that neither votes nor is in the chain, so that it is told what is committed from
