Hold registers at a majority of the voters, by Paxos for each name

Change: package register: a replica and proposers of named registers, epochs of voters and the transfer of registers between them; its wire messages; bounds.retain-s in the settings. Nothing uses it yet.

--- a/api/generate.go
+++ b/api/generate.go
@@ -6,3 +6,4 @@
 //go:generate go run ../internal/tools/protogen . fieldrelay/v1/system.proto
 //go:generate go tool oapi-codegen -config operator-types.yaml operator.yaml
 //go:generate go tool oapi-codegen -config operator-server.yaml operator.yaml
+//go:generate go tool oapi-codegen -config coordination.yaml operator.yaml
--- /dev/null
+++ b/internal/region/register/membership.go
@@ -0,0 +1,64 @@
+package register
+
+import (
+	"slices"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Membership is who holds the registers in one epoch.
+type Membership struct {
+	Epoch          uint64 // 0: none is known
+	Voters         []*pb.Replica
+	PreviousEpoch  uint64
+	PreviousVoters []*pb.Replica // empty in the first epoch
+}
+
+// MembershipOf returns the membership that a view brings; the zero Membership for nil, and for a view of an earlier version of
+// this program, which held no registers.
+func MembershipOf(view *pb.View) Membership {
+	if view.GetVotersEpoch() == 0 {
+		return Membership{}
+	}
+	return Membership{
+		Epoch:          view.GetVotersEpoch(),
+		Voters:         view.GetVoters(),
+		PreviousEpoch:  view.GetPreviousEpoch(),
+		PreviousVoters: view.GetPreviousVoters(),
+	}
+}
+
+// NameEpoch sets the epoch of a view that is to follow another one: the same as long as the voters are.
+func NameEpoch(next, before *pb.View) {
+	current := MembershipOf(before)
+	if current.Epoch > 0 && sameReplicas(next.GetVoters(), current.Voters) {
+		next.VotersEpoch = current.Epoch
+		next.PreviousEpoch = current.PreviousEpoch
+		next.PreviousVoters = current.PreviousVoters
+		return
+	}
+	next.VotersEpoch = next.GetNumber()
+	next.PreviousEpoch = current.Epoch
+	next.PreviousVoters = current.Voters
+}
+
+func sameReplicas(a, b []*pb.Replica) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	return !slices.ContainsFunc(a, func(replica *pb.Replica) bool { return !contains(b, replica.GetIdentity()) })
+}
+
+// Majority is the smallest number of the voters that is more than half of them.
+func (m Membership) Majority() int { return len(m.Voters)/2 + 1 }
+
+func (m Membership) previousMajority() int { return len(m.PreviousVoters)/2 + 1 }
+
+// includes reports whether a machine votes in the epoch.
+func (m Membership) includes(identity string) bool { return contains(m.Voters, identity) }
+
+func (m Membership) includedBefore(identity string) bool { return contains(m.PreviousVoters, identity) }
+
+func contains(replicas []*pb.Replica, identity string) bool {
+	return slices.ContainsFunc(replicas, func(replica *pb.Replica) bool { return replica.GetIdentity() == identity })
+}
--- /dev/null
+++ b/internal/region/register/proposer.go
@@ -0,0 +1,458 @@
+package register
+
+import (
+	"slices"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Bounds of a proposer.
+const (
+	// maxQueuedCalls is how many calls may wait at one register.
+	maxQueuedCalls = 128
+	// maxWatchers is how many watches may wait at one register.
+	maxWatchers = 256
+	// callLifetime is how long a call may wait to be executed: its caller has given up by then.
+	callLifetime = 900 * time.Millisecond
+	// resendInterval is the wait before a voter is asked again.
+	resendInterval = 250 * time.Millisecond
+	// phaseTimeout is how long a majority may take to answer before the proposer gives its number up.
+	phaseTimeout = 1500 * time.Millisecond
+	// holdMargin is added to the time of a holder, for clocks that run at slightly different speeds.
+	holdMargin = 20 * time.Millisecond
+)
+
+type phase int
+
+const (
+	// phaseIdle: this machine is not the proposer.
+	phaseIdle phase = iota
+	// phasePreparing: it asks for promises.
+	phasePreparing
+	// phaseLeading: a majority has promised its number.
+	phaseLeading
+)
+
+// proposer writes one register, at one machine.
+type proposer struct {
+	proposers *Proposers
+	name      string
+
+	phase    phase
+	began    time.Duration // when the phase, or the round in flight, began
+	sentAt   time.Duration // when voters were asked last
+	usedAt   time.Duration // when a call came last
+	highest  uint64        // round of the highest number known
+	position *pb.RegisterPosition
+	value    *pb.RegisterValue // at position
+	// heldUntil is the latest time at which the holder of a lock may take itself for the holder.
+	heldUntil time.Duration
+	promises  *promises         // while preparing
+	round     *round            // nil: none is in flight
+	delivered map[string]uint64 // by voter, the sequence that was sent to it last
+
+	queue    []*operation
+	watchers []*operation
+}
+
+// promises are the answers to a prepare.
+type promises struct {
+	granted   map[string]bool
+	accepted  *pb.RegisterPosition
+	value     *pb.RegisterValue
+	grantedAt time.Duration // latest time at which the newest grant of a lock can have been called for
+}
+
+// round has a majority accept one value, or confirm the one before.
+type round struct {
+	poll       uint64
+	operations []*operation
+	results    []*pb.CoordinationResult // nil for a watch that waits
+	change     *pb.RegisterChange
+	base       *pb.RegisterPosition
+	position   *pb.RegisterPosition
+	value      *pb.RegisterValue
+	accepted   map[string]bool
+	repaired   map[string]bool // voters that were sent the whole value
+}
+
+func (p *proposer) voters() []*pb.Replica { return p.proposers.replica.membership.Voters }
+
+func (p *proposer) majority() int { return p.proposers.replica.membership.Majority() }
+
+// submit takes a call.
+func (p *proposer) submit(now time.Duration, from *pb.Replica, call *pb.CoordinationCall) {
+	next := &operation{call: call, from: from, arrived: now}
+	p.usedAt = now
+	if len(p.queue) >= maxQueuedCalls || call.GetWatch() != nil && len(p.watchers) >= maxWatchers {
+		p.reply(next, next.result(&pb.CoordinationResult{Outcome: pb.CoordinationResult_OUTCOME_BUSY}))
+		return
+	}
+	if p.contains(from, call.GetId()) {
+		return
+	}
+	p.queue = append(p.queue, next)
+	p.advance(now)
+}
+
+// contains reports whether a call that came again is still under way.
+func (p *proposer) contains(from *pb.Replica, id uint64) bool {
+	isSame := func(known *operation) bool {
+		return known.call.GetId() == id && known.from.GetIdentity() == from.GetIdentity()
+	}
+	if p.round != nil && slices.ContainsFunc(p.round.operations, isSame) {
+		return true
+	}
+	return slices.ContainsFunc(p.queue, isSame) || slices.ContainsFunc(p.watchers, isSame)
+}
+
+func (p *proposer) reply(done *operation, result *pb.CoordinationResult) {
+	p.proposers.output.Reply(done.from, result)
+}
+
+// advance begins what can be begun.
+func (p *proposer) advance(now time.Duration) {
+	if len(p.queue) == 0 {
+		return
+	}
+	switch {
+	case p.phase == phaseIdle:
+		p.prepare(now)
+	case p.phase == phaseLeading && p.round == nil:
+		p.propose(now)
+	}
+}
+
+// prepare asks all voters for their promises.
+func (p *proposer) prepare(now time.Duration) {
+	held := p.proposers.replica.held(p.name)
+	p.highest = p.proposers.nextRound(max(p.highest, held.promised.GetRound()))
+	p.phase = phasePreparing
+	p.began = now
+	p.position = &pb.RegisterPosition{
+		Epoch:    p.proposers.replica.activeEpoch,
+		Round:    p.highest,
+		Proposer: p.proposers.name,
+	}
+	p.promises = &promises{
+		granted:   make(map[string]bool),
+		accepted:  held.accepted,
+		value:     held.value,
+		grantedAt: held.grantedAt,
+	}
+	p.sendPrepare(now)
+}
+
+func (p *proposer) sendPrepare(now time.Duration) {
+	p.sentAt = now
+	message := &pb.Message{Body: &pb.Message_RegisterPrepare{RegisterPrepare: &pb.RegisterPrepare{
+		Name:   p.name,
+		Number: p.position,
+		Held:   p.promises.accepted,
+	}}}
+	sentFor := p.promises
+	for _, voter := range p.voters() {
+		if p.promises == sentFor && !sentFor.granted[voter.GetIdentity()] {
+			p.proposers.output.Send(voter, message)
+		}
+	}
+}
+
+// promised takes a voter's answer to a prepare.
+func (p *proposer) promised(now time.Duration, from *pb.Replica, promise *pb.RegisterPromise) {
+	if p.phase != phasePreparing || compareNumbers(promise.GetNumber(), p.position) != 0 {
+		return
+	}
+	if !promise.GetGranted() {
+		p.superseded(now, promise.GetPromised())
+		return
+	}
+	p.promises.add(now, promise)
+	p.promises.granted[from.GetIdentity()] = true
+	if len(p.promises.granted) < p.majority() {
+		return
+	}
+	p.lead(now)
+}
+
+// add takes over what a voter has accepted, if it is newer, and what it shows of the time of the newest grant.
+func (p *promises) add(now time.Duration, promise *pb.RegisterPromise) {
+	grantedAt := now - time.Duration(promise.GetAgeMs())*time.Millisecond
+	switch order := ComparePositions(promise.GetAccepted(), p.accepted); {
+	case order > 0:
+		isOtherGrant := promise.GetValue().GetLock().GetGrantedBy() != p.value.GetLock().GetGrantedBy()
+		p.accepted = promise.GetAccepted()
+		p.value = promise.GetValue()
+		if isOtherGrant {
+			p.grantedAt = grantedAt
+		} else {
+			p.grantedAt = min(p.grantedAt, grantedAt)
+		}
+	case order == 0:
+		p.grantedAt = min(p.grantedAt, grantedAt)
+	}
+}
+
+// lead begins to propose: a majority has promised.
+func (p *proposer) lead(now time.Duration) {
+	p.phase = phaseLeading
+	p.value = p.promises.value
+	hold := time.Duration(p.value.GetLock().GetHoldMs()) * time.Millisecond
+	p.heldUntil = p.promises.grantedAt + hold + holdMargin
+	p.promises = nil
+	p.delivered = make(map[string]uint64)
+	p.advance(now)
+}
+
+// propose executes the calls that wait, and has the outcome accepted.
+func (p *proposer) propose(now time.Duration) {
+	p.dropExpired(now)
+	if len(p.queue) == 0 {
+		return
+	}
+	p.proposers.lastPoll++
+	next := &round{
+		poll:     p.proposers.lastPoll,
+		base:     p.position,
+		position: p.position,
+		value:    p.currentValue(),
+		accepted: make(map[string]bool),
+		repaired: make(map[string]bool),
+	}
+	for _, waiting := range p.queue {
+		p.execute(now, next, waiting)
+	}
+	p.queue = nil
+	if next.change == nil && p.position.GetSequence() == 0 {
+		// What an earlier proposer may have had accepted must be held by a majority before a result rests on it.
+		next.change = wholeChange(next.value)
+	}
+	if next.change != nil {
+		next.position = successor(p.position)
+		for _, contained := range next.operations {
+			contained.proposed = true
+		}
+	}
+	p.round = next
+	p.began = now
+	p.sendAccept(now)
+}
+
+// dropExpired answers the calls whose callers have given up.
+func (p *proposer) dropExpired(now time.Duration) {
+	waiting := p.queue
+	p.queue = nil
+	var expired []*operation
+	for _, next := range waiting {
+		if now-next.arrived > callLifetime && next.call.GetWatch() == nil {
+			expired = append(expired, next)
+		} else {
+			p.queue = append(p.queue, next)
+		}
+	}
+	for _, next := range expired {
+		p.reply(next, next.unfinished())
+	}
+}
+
+// currentValue is the value at the position, without the events that this machine has dropped as a replica.
+func (p *proposer) currentValue() *pb.RegisterValue {
+	held := p.proposers.replica.held(p.name)
+	if p.value != nil && ComparePositions(held.accepted, p.position) == 0 {
+		return held.value
+	}
+	return p.value
+}
+
+func (p *proposer) execute(now time.Duration, next *round, waiting *operation) {
+	outcome := p.proposers.execute(next.value, waiting.call, Conditions{HoldRemaining: p.heldUntil - now})
+	next.operations = append(next.operations, waiting)
+	if outcome.Wait {
+		next.results = append(next.results, nil)
+		return
+	}
+	next.results = append(next.results, waiting.result(outcome.Result))
+	if outcome.Change == nil {
+		return
+	}
+	value := ApplyChange(next.value, outcome.Change)
+	next.change = mergeChanges(next.change, outcome.Change, value)
+	next.value = value
+	p.heldUntil = now + outcome.HoldFor + holdMargin
+}
+
+// sendAccept sends the round in flight to the voters that have not accepted it. A voter that was sent the value before
+// gets the change alone.
+func (p *proposer) sendAccept(now time.Duration) {
+	p.sentAt = now
+	current := p.round
+	for _, voter := range p.voters() {
+		if p.round != current {
+			return // accepted by a majority meanwhile, of which this machine is one
+		}
+		identity := voter.GetIdentity()
+		if current.accepted[identity] {
+			continue
+		}
+		change := current.change
+		sequence, wasSent := p.delivered[identity]
+		if change != nil && (!wasSent || sequence != current.base.GetSequence()) {
+			change = wholeChange(current.value)
+		}
+		p.delivered[identity] = current.position.GetSequence()
+		p.sendChange(voter, change)
+	}
+}
+
+func (p *proposer) sendChange(voter *pb.Replica, change *pb.RegisterChange) {
+	p.proposers.output.Send(voter, &pb.Message{Body: &pb.Message_RegisterAccept{RegisterAccept: &pb.RegisterAccept{
+		Name:     p.name,
+		Position: p.round.position,
+		Poll:     p.round.poll,
+		Base:     p.round.base,
+		Change:   change,
+	}}})
+}
+
+// accepted takes a voter's answer to an accept.
+func (p *proposer) accepted(now time.Duration, from *pb.Replica, answer *pb.RegisterAccepted) {
+	isOwn := p.phase == phaseLeading && compareNumbers(answer.GetPosition(), p.position) == 0
+	switch answer.GetOutcome() {
+	case pb.RegisterAccepted_OUTCOME_SUPERSEDED:
+		if isOwn {
+			p.superseded(now, answer.GetPromised())
+		}
+	case pb.RegisterAccepted_OUTCOME_BASE_MISSING:
+		if isOwn {
+			p.repair(from, answer)
+		}
+	case pb.RegisterAccepted_OUTCOME_ACCEPTED:
+		if !isOwn || p.round == nil || answer.GetPoll() != p.round.poll {
+			return
+		}
+		p.round.accepted[from.GetIdentity()] = true
+		if len(p.round.accepted) >= p.majority() {
+			p.commit(now)
+		}
+	}
+}
+
+// repair sends the whole value to a voter that lacks the base of a change; the next one, if the round has ended.
+func (p *proposer) repair(voter *pb.Replica, answer *pb.RegisterAccepted) {
+	identity := voter.GetIdentity()
+	if p.round == nil || answer.GetPoll() != p.round.poll || p.round.repaired[identity] {
+		delete(p.delivered, identity)
+		return
+	}
+	p.round.repaired[identity] = true
+	p.delivered[identity] = p.round.position.GetSequence()
+	p.sendChange(voter, wholeChange(p.round.value))
+}
+
+// commit answers the calls of a round that a majority has accepted, and begins the next one.
+func (p *proposer) commit(now time.Duration) {
+	done := p.round
+	p.round = nil
+	p.position = done.position
+	p.value = done.value
+	for index, contained := range done.operations {
+		if result := done.results[index]; result != nil {
+			p.reply(contained, result)
+		} else {
+			p.watchers = append(p.watchers, contained)
+		}
+	}
+	p.answerWatchers(now)
+	p.advance(now)
+}
+
+// answerWatchers answers the watches that the value at the position has something for, and those whose time is up.
+func (p *proposer) answerWatchers(now time.Duration) {
+	waiting := p.watchers
+	p.watchers = nil
+	type answer struct {
+		to     *operation
+		result *pb.CoordinationResult
+	}
+	var answers []answer
+	for _, watcher := range waiting {
+		outcome := p.proposers.execute(p.value, watcher.call, Conditions{})
+		switch {
+		case !outcome.Wait:
+			answers = append(answers, answer{to: watcher, result: outcome.Result})
+		case now-watcher.arrived >= time.Duration(watcher.call.GetWatch().GetWaitMs())*time.Millisecond:
+			answers = append(answers, answer{to: watcher, result: nothingNew(watcher)})
+		default:
+			p.watchers = append(p.watchers, watcher)
+		}
+	}
+	for _, next := range answers {
+		p.reply(next.to, next.to.result(next.result))
+	}
+}
+
+// nothingNew is the result of a watch whose time is up.
+func nothingNew(watcher *operation) *pb.CoordinationResult {
+	return &pb.CoordinationResult{
+		Outcome:  pb.CoordinationResult_OUTCOME_OK,
+		Revision: watcher.call.GetWatch().GetAfter(),
+	}
+}
+
+// superseded gives the number up: another proposer has a higher one. The calls go back to where they came from, and from
+// there to whoever proposes now.
+func (p *proposer) superseded(now time.Duration, by *pb.RegisterPosition) {
+	p.highest = max(p.highest, by.GetRound())
+	p.stop()
+	p.usedAt = now
+}
+
+// stop ends all work on the register.
+func (p *proposer) stop() {
+	var open []*operation
+	if p.round != nil {
+		open = p.round.operations
+	}
+	open = slices.Concat(open, p.queue, p.watchers)
+	p.phase = phaseIdle
+	p.round = nil
+	p.promises = nil
+	p.value = nil
+	p.queue = nil
+	p.watchers = nil
+	for _, waiting := range open {
+		p.reply(waiting, waiting.unfinished())
+	}
+}
+
+// tick lets time pass.
+func (p *proposer) tick(now time.Duration) {
+	p.answerWatchersInTime(now)
+	isWorking := p.phase == phasePreparing || p.round != nil
+	switch {
+	case !isWorking:
+		p.advance(now)
+	case now-p.began >= phaseTimeout:
+		p.stop()
+	case now-p.sentAt < resendInterval:
+	case p.phase == phasePreparing:
+		p.sendPrepare(now)
+	default:
+		p.delivered = make(map[string]uint64)
+		p.sendAccept(now)
+	}
+}
+
+// answerWatchersInTime ends the watches whose time is up. The value is not confirmed anew for that: the answer tells nothing.
+func (p *proposer) answerWatchersInTime(now time.Duration) {
+	if p.phase == phaseLeading && len(p.watchers) > 0 {
+		p.answerWatchers(now)
+	}
+}
+
+// isIdle reports whether the proposer may be forgotten.
+func (p *proposer) isIdle(now time.Duration) bool {
+	hasWork := p.round != nil || p.phase == phasePreparing || len(p.queue) > 0 || len(p.watchers) > 0
+	return !hasWork && now-p.usedAt > idleTimeout
+}
--- /dev/null
+++ b/internal/region/register/replica.go
@@ -0,0 +1,264 @@
+package register
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// MaxRegisters bounds the registers of a system: a name beyond them cannot be written.
+const MaxRegisters = 65536
+
+// Replica is what one machine has promised and accepted for each register.
+type Replica struct {
+	identity string
+	output   Output
+	// retention is how long the events of a group are kept after they were accepted here.
+	retention time.Duration
+
+	membership  Membership
+	activeEpoch uint64
+	registers   map[string]*acceptor
+	transfer    transfer
+}
+
+// acceptor is one register at one machine.
+type acceptor struct {
+	promised *pb.RegisterPosition // sequence 0
+	accepted *pb.RegisterPosition
+	value    *pb.RegisterValue // at accepted; nil: never written
+	// grantedAt is when the newest grant of a lock was accepted here, or read from disk or from another machine.
+	grantedAt time.Duration
+	// eventTimes are, for each event of a group, when it was accepted here.
+	eventTimes []time.Duration
+}
+
+// NewReplica returns a replica without registers, of the machine with that identity.
+func NewReplica(identity string, retention time.Duration, output Output) *Replica {
+	return &Replica{identity: identity, output: output, retention: retention, registers: make(map[string]*acceptor)}
+}
+
+// Restore takes a record that was on disk; records come in the order in which they were written, before any other call.
+func (r *Replica) Restore(record *pb.RegisterRecord) {
+	if record.GetName() == "" {
+		r.activeEpoch = record.GetActiveEpoch()
+		return
+	}
+	r.register(record.GetName()).apply(0, record)
+}
+
+// Started ends the restoring. What was read counts as accepted now, which is later than it was.
+func (r *Replica) Started(now time.Duration) {
+	for _, found := range r.registers {
+		found.grantedAt = now
+		for index := range found.eventTimes {
+			found.eventTimes[index] = now
+		}
+	}
+}
+
+// Records are what must be on disk for Restore to make an equal replica.
+func (r *Replica) Records() []*pb.RegisterRecord {
+	records := r.registerRecords()
+	if r.activeEpoch == 0 {
+		return records
+	}
+	return append(records, &pb.RegisterRecord{ActiveEpoch: r.activeEpoch})
+}
+
+func (r *Replica) registerRecords() []*pb.RegisterRecord {
+	records := make([]*pb.RegisterRecord, 0, len(r.registers)+1)
+	for _, name := range slices.Sorted(maps.Keys(r.registers)) {
+		records = append(records, r.registers[name].record(name))
+	}
+	return records
+}
+
+// ActiveEpoch is the newest epoch whose registers this machine holds; 0: none.
+func (r *Replica) ActiveEpoch() uint64 { return r.activeEpoch }
+
+// IsActive reports whether this machine votes in the epoch in force.
+func (r *Replica) IsActive() bool {
+	return r.membership.Epoch > 0 && r.activeEpoch == r.membership.Epoch && r.membership.includes(r.identity)
+}
+
+// Membership is the membership in force.
+func (r *Replica) Membership() Membership { return r.membership }
+
+// Len is the number of registers.
+func (r *Replica) Len() int { return len(r.registers) }
+
+func (r *Replica) register(name string) *acceptor {
+	found := r.registers[name]
+	if found == nil {
+		found = &acceptor{}
+		r.registers[name] = found
+	}
+	return found
+}
+
+// answers reports whether this machine answers a proposer.
+func (r *Replica) answers(position *pb.RegisterPosition) bool {
+	return r.IsActive() && position.GetEpoch() == r.activeEpoch
+}
+
+// hasRoom reports whether a register of that name is there, or may be added.
+func (r *Replica) hasRoom(name string) bool {
+	return r.registers[name] != nil || len(r.registers) < MaxRegisters
+}
+
+// Prepare answers the first phase of a proposal.
+func (r *Replica) Prepare(now time.Duration, from *pb.Replica, prepare *pb.RegisterPrepare) {
+	number := prepare.GetNumber()
+	if !r.answers(number) || !r.output.CanPersist() || !r.hasRoom(prepare.GetName()) {
+		return
+	}
+	found := r.register(prepare.GetName())
+	promise := &pb.RegisterPromise{
+		Name:     prepare.GetName(),
+		Number:   number,
+		Promised: found.promised,
+		Accepted: found.accepted,
+	}
+	message := &pb.Message{Body: &pb.Message_RegisterPromise{RegisterPromise: promise}}
+	if compareNumbers(number, found.promised) < 0 {
+		r.output.Send(from, message)
+		return
+	}
+	found.promised = numberOf(number)
+	promise.Granted = true
+	promise.Promised = found.promised
+	promise.AgeMs = uint32((now - found.grantedAt).Milliseconds())
+	if ComparePositions(found.accepted, prepare.GetHeld()) > 0 {
+		promise.Value = found.value
+	}
+	r.output.Persist([]*pb.RegisterRecord{{Name: prepare.GetName(), Promised: found.promised}}, from, message)
+}
+
+// Accept answers the second phase of a proposal, or a confirmation.
+func (r *Replica) Accept(now time.Duration, from *pb.Replica, accept *pb.RegisterAccept) {
+	if !r.answers(accept.GetPosition()) || !r.output.CanPersist() {
+		return
+	}
+	found := r.register(accept.GetName())
+	outcome, record := found.accept(now, accept)
+	if record != nil {
+		r.compact(now, found)
+	}
+	message := &pb.Message{Body: &pb.Message_RegisterAccepted{RegisterAccepted: &pb.RegisterAccepted{
+		Name:     accept.GetName(),
+		Position: accept.GetPosition(),
+		Poll:     accept.GetPoll(),
+		Outcome:  outcome,
+		Promised: found.promised,
+	}}}
+	if outcome != pb.RegisterAccepted_OUTCOME_ACCEPTED {
+		r.output.Send(from, message)
+		return
+	}
+	if record == nil {
+		r.output.Persist(nil, from, message) // what is confirmed may not be on disk yet
+		return
+	}
+	r.output.Persist([]*pb.RegisterRecord{record}, from, message)
+}
+
+// accept returns the outcome, and the record of what has changed, if anything has.
+func (a *acceptor) accept(now time.Duration, accept *pb.RegisterAccept) (pb.RegisterAccepted_Outcome, *pb.RegisterRecord) {
+	position := accept.GetPosition()
+	if compareNumbers(position, a.promised) < 0 {
+		return pb.RegisterAccepted_OUTCOME_SUPERSEDED, nil
+	}
+	isNewer := ComparePositions(position, a.accepted) > 0
+	record := &pb.RegisterRecord{Name: accept.GetName(), Promised: numberOf(position)}
+	switch {
+	case accept.GetChange() == nil && position.GetSequence() == 0:
+		// No value is written under this number: the promise alone is confirmed.
+		if compareNumbers(position, a.promised) == 0 {
+			return pb.RegisterAccepted_OUTCOME_ACCEPTED, nil
+		}
+	case !isNewer:
+		// It was accepted before, itself or within a later value of the same number.
+		return pb.RegisterAccepted_OUTCOME_ACCEPTED, nil
+	case accept.GetChange() == nil || !a.holdsBase(accept):
+		return pb.RegisterAccepted_OUTCOME_BASE_MISSING, nil
+	default:
+		record.Accepted = position
+		record.Change = accept.GetChange()
+	}
+	a.apply(now, record)
+	return pb.RegisterAccepted_OUTCOME_ACCEPTED, record
+}
+
+// holdsBase reports whether the change of a message can be applied here.
+func (a *acceptor) holdsBase(accept *pb.RegisterAccept) bool {
+	return accept.GetChange().GetWhole() != nil || ComparePositions(accept.GetBase(), a.accepted) == 0
+}
+
+// apply takes what a record says.
+func (a *acceptor) apply(now time.Duration, record *pb.RegisterRecord) {
+	if compareNumbers(record.GetPromised(), a.promised) > 0 {
+		a.promised = record.GetPromised()
+	}
+	if record.GetAccepted() == nil {
+		return
+	}
+	before := a.value
+	a.accepted = record.GetAccepted()
+	a.value = ApplyChange(before, record.GetChange())
+	if a.value.GetLock().GetGrantedBy() != before.GetLock().GetGrantedBy() {
+		a.grantedAt = now
+	}
+	a.timeEvents(now, before.GetGroup())
+}
+
+// timeEvents records when the events came that the group did not have before.
+func (a *acceptor) timeEvents(now time.Duration, before *pb.KeyGroupState) {
+	events := a.value.GetGroup().GetEvents()
+	known := make(map[uint64]time.Duration, len(before.GetEvents()))
+	if len(events) == 0 {
+		a.eventTimes = nil
+		return
+	}
+	for index, event := range before.GetEvents() {
+		known[event.GetRevision()] = a.eventTimes[index]
+	}
+	times := make([]time.Duration, len(events))
+	for index, event := range events {
+		if at, found := known[event.GetRevision()]; found {
+			times[index] = at
+		} else {
+			times[index] = now
+		}
+	}
+	a.eventTimes = times
+}
+
+// compact drops the events that are older than the retention.
+func (r *Replica) compact(now time.Duration, found *acceptor) {
+	old := 0
+	for old < len(found.eventTimes) && now-found.eventTimes[old] > r.retention {
+		old++
+	}
+	if old == 0 {
+		return
+	}
+	group := found.value.GetGroup()
+	found.value = groupValue(withoutEventsBefore(group, group.GetEvents()[old-1].GetRevision()))
+	found.eventTimes = slices.Clone(found.eventTimes[old:])
+}
+
+// record is everything that must be on disk of a register.
+func (a *acceptor) record(name string) *pb.RegisterRecord {
+	return &pb.RegisterRecord{Name: name, Promised: a.promised, Accepted: a.accepted, Change: wholeChange(a.value)}
+}
+
+// held is a copy of what this machine holds of a register.
+func (r *Replica) held(name string) acceptor {
+	if found := r.registers[name]; found != nil {
+		return *found
+	}
+	return acceptor{}
+}
--- /dev/null
+++ b/internal/region/register/transfer.go
@@ -0,0 +1,159 @@
+package register
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// transferInterval is the wait before a voter asks again for the registers of the epoch in force.
+const transferInterval = 300 * time.Millisecond
+
+// transfer collects the registers of the epoch in force, which this machine does not hold yet.
+type transfer struct {
+	askedAt time.Duration
+	asked   bool
+	// received are the answers of voters of the previous epoch, by identity.
+	received map[string]*pb.RegisterTransfer
+}
+
+// Enter moves to a later epoch. From then on nothing is accepted in earlier ones. The caller has put the view that brought
+// the epoch on disk, or has queued it as an earlier write, so that a restart does not undo this.
+func (r *Replica) Enter(now time.Duration, membership Membership) {
+	if membership.Epoch <= r.membership.Epoch {
+		return
+	}
+	r.membership = membership
+	r.transfer = transfer{}
+	r.Tick(now)
+}
+
+// Tick lets time pass: a voter that does not hold the registers of the epoch asks for them.
+func (r *Replica) Tick(now time.Duration) {
+	if r.membership.Epoch == 0 || r.IsActive() || !r.membership.includes(r.identity) {
+		return
+	}
+	if len(r.membership.PreviousVoters) == 0 {
+		r.beginEmpty()
+		return
+	}
+	if r.transfer.asked && now-r.transfer.askedAt < transferInterval {
+		return
+	}
+	r.transfer.asked = true
+	r.transfer.askedAt = now
+	r.askForTransfer()
+}
+
+// beginEmpty takes part in the first epoch, in which no register was written before. A machine that holds registers of
+// another epoch does not: it waits for a view that says where they are.
+func (r *Replica) beginEmpty() {
+	if len(r.registers) == 0 && r.output.CanPersist() {
+		r.activate()
+	}
+}
+
+func (r *Replica) askForTransfer() {
+	request := &pb.Message{Body: &pb.Message_RegisterTransferRequest{
+		RegisterTransferRequest: &pb.RegisterTransferRequest{Epoch: r.membership.Epoch},
+	}}
+	asked := make(map[string]bool)
+	for _, voters := range [][]*pb.Replica{r.membership.Voters, r.membership.PreviousVoters} {
+		for _, voter := range voters {
+			if identity := voter.GetIdentity(); !asked[identity] {
+				asked[identity] = true
+				r.output.Send(voter, request)
+			}
+		}
+	}
+}
+
+// TransferRequested answers a voter that collects the registers of an epoch, if this machine has learnt of that epoch, and
+// so accepts nothing in earlier ones. A previous voter that never took part answers with nothing: it has accepted nothing
+// either.
+func (r *Replica) TransferRequested(from *pb.Replica, request *pb.RegisterTransferRequest) {
+	epoch := request.GetEpoch()
+	if r.membership.Epoch != epoch {
+		return
+	}
+	answer := &pb.RegisterTransfer{Epoch: epoch}
+	switch r.activeEpoch {
+	case epoch, r.membership.PreviousEpoch:
+		answer.ActiveEpoch = r.activeEpoch
+		answer.Registers = r.registerRecords()
+	default:
+		if !r.membership.includedBefore(r.identity) {
+			return
+		}
+	}
+	message := &pb.Message{Body: &pb.Message_RegisterTransfer{RegisterTransfer: answer}}
+	// What is sent must be on disk, and so must the view.
+	r.output.Persist(nil, from, message)
+}
+
+// TransferReceived takes the registers of another machine.
+func (r *Replica) TransferReceived(now time.Duration, from *pb.Replica, received *pb.RegisterTransfer) {
+	if received.GetEpoch() != r.membership.Epoch || r.IsActive() || !r.membership.includes(r.identity) {
+		return
+	}
+	if received.GetActiveEpoch() == r.membership.Epoch {
+		r.install(now, []*pb.RegisterTransfer{received})
+		return
+	}
+	if !r.membership.includedBefore(from.GetIdentity()) {
+		return
+	}
+	if r.transfer.received == nil {
+		r.transfer.received = make(map[string]*pb.RegisterTransfer)
+	}
+	r.transfer.received[from.GetIdentity()] = received
+	if len(r.transfer.received) >= r.membership.previousMajority() && r.hasPreviousRegisters() {
+		r.install(now, slices.Collect(maps.Values(r.transfer.received)))
+	}
+}
+
+// hasPreviousRegisters reports whether one of the answers is of a machine that took part in the previous epoch, and so
+// holds what was chosen before it.
+func (r *Replica) hasPreviousRegisters() bool {
+	for _, received := range r.transfer.received {
+		if received.GetActiveEpoch() == r.membership.PreviousEpoch {
+			return true
+		}
+	}
+	return false
+}
+
+// install replaces the registers by the newest values of those that were collected, and takes part in the epoch. What this
+// machine holds itself is among them if it counts: it answers its own request.
+func (r *Replica) install(now time.Duration, collected []*pb.RegisterTransfer) {
+	if !r.output.CanPersist() {
+		return
+	}
+	registers := make(map[string]*acceptor)
+	for _, transfer := range collected {
+		for _, record := range transfer.GetRegisters() {
+			name := record.GetName()
+			if name == "" || record.GetAccepted() == nil {
+				continue
+			}
+			found := registers[name]
+			if found == nil || ComparePositions(record.GetAccepted(), found.accepted) > 0 {
+				found = &acceptor{}
+				found.apply(now, record)
+				registers[name] = found
+			}
+		}
+	}
+	r.registers = registers
+	r.activate()
+}
+
+// activate has everything written, and votes from then on: an answer leaves after that. One write replaces what was on
+// disk, so that no part of it is mixed with what stood there.
+func (r *Replica) activate() {
+	r.activeEpoch = r.membership.Epoch
+	r.transfer = transfer{}
+	r.output.PersistAll()
+}
--- /dev/null
+++ b/internal/region/register/value.go
@@ -0,0 +1,91 @@
+package register
+
+import (
+	"slices"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// ApplyChange returns the value that a change leads to. It does not modify value, which may share memory with the result.
+func ApplyChange(value *pb.RegisterValue, change *pb.RegisterChange) *pb.RegisterValue {
+	switch kind := change.GetKind().(type) {
+	case *pb.RegisterChange_Whole:
+		return kind.Whole
+	case *pb.RegisterChange_Events:
+		return groupValue(AppendEvents(value.GetGroup(), kind.Events.GetEvents()))
+	default:
+		return value
+	}
+}
+
+// AppendEvents returns a group after further events, whose revisions follow those that it has. It does not modify group.
+func AppendEvents(group *pb.KeyGroupState, events []*pb.KeyEvent) *pb.KeyGroupState {
+	if len(events) == 0 {
+		return group
+	}
+	keys := slices.Clone(group.GetKeys())
+	for _, event := range events {
+		keys = slices.DeleteFunc(keys, func(key *pb.KeyEvent) bool { return key.GetName() == event.GetName() })
+		keys = append(keys, event)
+	}
+	return &pb.KeyGroupState{
+		Revision: events[len(events)-1].GetRevision(),
+		Keys:     keys,
+		Events:   append(slices.Clip(group.GetEvents()), events...),
+	}
+}
+
+// withoutEventsBefore returns a group without its events up to a revision.
+func withoutEventsBefore(group *pb.KeyGroupState, revision uint64) *pb.KeyGroupState {
+	first, _ := slices.BinarySearchFunc(group.GetEvents(), revision+1, func(event *pb.KeyEvent, wanted uint64) int {
+		return compareRevisions(event.GetRevision(), wanted)
+	})
+	return &pb.KeyGroupState{
+		Revision: group.GetRevision(),
+		Keys:     group.GetKeys(),
+		Events:   slices.Clone(group.GetEvents()[first:]),
+	}
+}
+
+func compareRevisions(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func groupValue(group *pb.KeyGroupState) *pb.RegisterValue {
+	return &pb.RegisterValue{Kind: &pb.RegisterValue_Group{Group: group}}
+}
+
+// wholeChange is the change that leads to a value from whatever stood before; nil for the value that was never written.
+func wholeChange(value *pb.RegisterValue) *pb.RegisterChange {
+	if value == nil {
+		return nil
+	}
+	return &pb.RegisterChange{Kind: &pb.RegisterChange_Whole{Whole: value}}
+}
+
+// mergeChanges returns the change that leads to value, which is where change leads after earlier.
+func mergeChanges(earlier, change *pb.RegisterChange, value *pb.RegisterValue) *pb.RegisterChange {
+	if earlier == nil {
+		return change
+	}
+	if change == nil {
+		return earlier
+	}
+	if earlier.GetEvents() == nil || change.GetEvents() == nil {
+		return wholeChange(value)
+	}
+	events := slices.Concat(earlier.GetEvents().GetEvents(), change.GetEvents().GetEvents())
+	return EventsChange(events...)
+}
+
+// EventsChange is the change that appends events to a group.
+func EventsChange(events ...*pb.KeyEvent) *pb.RegisterChange {
+	return &pb.RegisterChange{Kind: &pb.RegisterChange_Events{Events: &pb.KeyEvents{Events: events}}}
+}
--- a/internal/region/settings/bounds.go
+++ b/internal/region/settings/bounds.go
@@ -86,6 +86,10 @@
 	// TTLMaxS is the longest time in seconds for which clients may use an answer of the directory; control machines send
 	// it, or a second if that is less. Default: 5.
 	TTLMaxS float64 `toml:"ttl_max_s"`
+
+	// RetainS is the time in seconds for which watches of keys may resume from a revision that they were given. Control
+	// machines keep the puts of a group for twice as long. Default: 20.
+	RetainS float64 `toml:"retain-s"`
 }
 
 // ContactFor returns how long a machine must have been without a fault to count as in contact.
@@ -124,6 +128,9 @@
 // TTLMax returns the longest time for which clients may use an answer of the directory.
 func (b Bounds) TTLMax() time.Duration { return seconds(b.TTLMaxS) }
 
+// Retain returns for how long watches of keys may resume from a revision that they were given.
+func (b Bounds) Retain() time.Duration { return seconds(b.RetainS) }
+
 func milliseconds(value float64) time.Duration { return scale(value, time.Millisecond) }
 
 func seconds(value float64) time.Duration { return scale(value, time.Second) }
--- a/internal/region/settings/defaults.go
+++ b/internal/region/settings/defaults.go
@@ -26,6 +26,7 @@
 			HealS:         12,
 			PassMS:        300,
 			TTLMaxS:       5,
+			RetainS:       20,
 		},
 		CloudAPI: CloudAPI{Rate: 10, MaxLagMS: 1000},
 	}
--- a/internal/region/settings/validate.go
+++ b/internal/region/settings/validate.go
@@ -105,6 +105,7 @@
 		{"bounds.pass_ms", b.PassMS, figure},
 		{"bounds.again_s", b.AgainS, figure},
 		{"bounds.ttl_max_s", b.TTLMaxS, figure},
+		{"bounds.retain-s", b.RetainS, figure},
 	}
 }
 
