--- /dev/null
+++ b/internal/region/coordination/group.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"slices"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/region/register"
+)
+
+// Bounds of one group.
+const (
+	// maxKeys is how many keys it may have.
+	maxKeys = 4096
+	// maxEvents is how many puts may be kept for watches. Beyond it puts are refused until older ones have expired.
+	maxEvents = 16384
+)
+
+// put writes a key. A value that the key was given before returns the revision that it got then: the caller had no answer
+// and sends it again, and values are unique.
+func put(group *pb.KeyGroupState, wanted *pb.PutKey) register.Outcome {
+	if earlier := findPut(group, wanted); earlier != nil {
+		return written(earlier.GetRevision())
+	}
+	present := findKey(group, wanted.GetName())
+	if wanted.ExpectedRevision != nil && wanted.GetExpectedRevision() != present.GetRevision() {
+		return unchanged(&pb.CoordinationResult{
+			Outcome:  pb.CoordinationResult_OUTCOME_REVISION_MISMATCH,
+			Revision: present.GetRevision(),
+		})
+	}
+	isFull := len(group.GetEvents()) >= maxEvents || present == nil && len(group.GetKeys()) >= maxKeys
+	if isFull {
+		return outcomeOnly(pb.CoordinationResult_OUTCOME_BUSY)
+	}
+	event := &pb.KeyEvent{Name: wanted.GetName(), Value: wanted.GetValue(), Revision: group.GetRevision() + 1}
+	outcome := written(event.GetRevision())
+	outcome.Change = register.EventsChange(event)
+	return outcome
+}
+
+func written(revision uint64) register.Outcome {
+	return unchanged(&pb.CoordinationResult{Outcome: pb.CoordinationResult_OUTCOME_OK, Revision: revision})
+}
+
+// findPut returns the earlier put of the same value to the same key, as far as it is kept; nil if there is none.
+func findPut(group *pb.KeyGroupState, wanted *pb.PutKey) *pb.KeyEvent {
+	for _, events := range [][]*pb.KeyEvent{group.GetKeys(), group.GetEvents()} {
+		for _, event := range events {
+			if event.GetName() == wanted.GetName() && event.GetValue() == wanted.GetValue() {
+				return event
+			}
+		}
+	}
+	return nil
+}
+
+// findKey returns the newest put of a key; nil if there is none.
+func findKey(group *pb.KeyGroupState, name string) *pb.KeyEvent {
+	for _, key := range group.GetKeys() {
+		if key.GetName() == name {
+			return key
+		}
+	}
+	return nil
+}
+
+func read(group *pb.KeyGroupState, wanted *pb.ReadKey) register.Outcome {
+	key := findKey(group, wanted.GetName())
+	if key == nil {
+		return outcomeOnly(pb.CoordinationResult_OUTCOME_NOT_FOUND)
+	}
+	return unchanged(&pb.CoordinationResult{
+		Outcome:  pb.CoordinationResult_OUTCOME_OK,
+		Value:    key.GetValue(),
+		Revision: key.GetRevision(),
+	})
+}
+
+// watch returns the puts after a revision; after 0, only the present revision.
+func watch(group *pb.KeyGroupState, wanted *pb.WatchGroup) register.Outcome {
+	after, revision := wanted.GetAfter(), group.GetRevision()
+	switch {
+	case after == 0:
+		return written(revision)
+	case after >= revision:
+		return register.Outcome{Wait: true}
+	}
+	first := slices.IndexFunc(group.GetEvents(), func(event *pb.KeyEvent) bool { return event.GetRevision() > after })
+	if first < 0 || group.GetEvents()[first].GetRevision() != after+1 {
+		return outcomeOnly(pb.CoordinationResult_OUTCOME_COMPACTED)
+	}
+	return unchanged(&pb.CoordinationResult{
+		Outcome:  pb.CoordinationResult_OUTCOME_OK,
+		Revision: revision,
+		Events:   group.GetEvents()[first:],
+	})
+}
--- /dev/null
+++ b/internal/region/coordination/routing.go
@@ -0,0 +1,93 @@
+package coordination
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// suspicionTimeout is how long a machine that did not answer a call in time is asked last.
+const suspicionTimeout = 2 * time.Second
+
+// Peers is what is known of the other control machines.
+type Peers interface {
+	// IsLive reports whether a machine is not suspected to have failed.
+	IsLive(identity string) bool
+	// IsLeaving reports whether a machine is about to end.
+	IsLeaving(identity string) bool
+}
+
+// routing chooses who proposes for a register. All origins choose the same machine as long as they know the same of the
+// others; if they do not, two machines supersede each other, which costs time alone.
+type routing struct {
+	peers          Peers
+	suspectedUntil map[string]time.Duration // by identity
+}
+
+func newRouting(peers Peers) *routing {
+	return &routing{peers: peers, suspectedUntil: make(map[string]time.Duration)}
+}
+
+// suspect records that a machine did not answer in time.
+func (r *routing) suspect(now time.Duration, identity string) {
+	r.suspectedUntil[identity] = now + suspicionTimeout
+}
+
+// trust records that a machine has answered.
+func (r *routing) trust(identity string) { delete(r.suspectedUntil, identity) }
+
+// forget drops the machines that do not vote any more.
+func (r *routing) forget(voters []*pb.Replica) {
+	for identity := range r.suspectedUntil {
+		votes := slices.ContainsFunc(voters, func(voter *pb.Replica) bool { return voter.GetIdentity() == identity })
+		if !votes {
+			delete(r.suspectedUntil, identity)
+		}
+	}
+}
+
+// proposerFor returns the voter that is to propose for a register: by rendezvous hashing among those of the region in which
+// most of the available voters are, since a majority is nearest there. nil: there are no voters.
+func (r *routing) proposerFor(now time.Duration, register string, voters []*pb.Replica) *pb.Replica {
+	candidates := slices.DeleteFunc(slices.Clone(voters), func(voter *pb.Replica) bool {
+		return !r.isAvailable(now, voter.GetIdentity())
+	})
+	if len(candidates) == 0 {
+		candidates = slices.Clone(voters)
+	}
+	region := largestRegion(candidates)
+	var chosen *pb.Replica
+	var highest uint64
+	for _, candidate := range candidates {
+		weight := xxhash.Sum64String(register + "\x00" + candidate.GetIdentity())
+		if candidate.GetRegion() == region && (chosen == nil || weight > highest) {
+			chosen, highest = candidate, weight
+		}
+	}
+	return chosen
+}
+
+func (r *routing) isAvailable(now time.Duration, identity string) bool {
+	isSuspected := r.suspectedUntil[identity] > now
+	return r.peers.IsLive(identity) && !r.peers.IsLeaving(identity) && !isSuspected
+}
+
+// largestRegion is the region of most of the voters; of several, the first by name.
+func largestRegion(voters []*pb.Replica) string {
+	counts := make(map[string]int)
+	for _, voter := range voters {
+		counts[voter.GetRegion()]++
+	}
+	largest := ""
+	for region, count := range counts {
+		isLarger := count > counts[largest] || count == counts[largest] && strings.Compare(region, largest) < 0
+		if largest == "" || isLarger {
+			largest = region
+		}
+	}
+	return largest
+}
