Run the coordination engine within the control machine

Change: the machine hosts the engine: one identity, one disk, one view for both. Views name the epoch of their voters, and voters change only while a majority of them holds the registers. Recorded rings: one was written anew for the new fields, the former one stays and is still recovered (TestGoldenRingsAreRecovered).

--- a/internal/region/control/actions.go
+++ b/internal/region/control/actions.go
@@ -29,6 +29,12 @@
 	Result  *pb.OrderResult
 }
 
+// CallReply answers a CallSubmitted. Each is answered exactly once unless there was a CallCanceled.
+type CallReply struct {
+	Request uint64
+	Result  *pb.CoordinationResult
+}
+
 // Committed reports a newer committed state.
 type Committed struct {
 	Snapshot *catalog.Snapshot
@@ -57,6 +63,7 @@
 func (Send) isAction()               {}
 func (Persist) isAction()            {}
 func (Reply) isAction()              {}
+func (CallReply) isAction()          {}
 func (Committed) isAction()          {}
 func (ViewChanged) isAction()        {}
 func (HeartbeatReceived) isAction()  {}
--- a/internal/region/control/assemble.go
+++ b/internal/region/control/assemble.go
@@ -6,6 +6,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/chain"
+	"fieldrelay/internal/region/coordination"
 	"fieldrelay/internal/region/ring"
 )
 
@@ -29,6 +30,7 @@
 		due:        isNew || state.migrated,
 		maxRecords: cmp.Or(config.SnapshotRecords, snapshotRecords),
 	}
+	machine.coordination.restore(state.registers)
 	machine.origin.lastID = config.Random.Uint64()
 	machine.ids.last = config.Random.Uint64() >> 1 // it must not wrap
 	return machine, nil
@@ -59,6 +61,7 @@
 	m.joinPeers()
 	m.joinAgreement()
 	m.joinOrders()
+	m.joinCoordination()
 }
 
 func (m *Machine) joinPeers() {
@@ -99,6 +102,15 @@
 	}
 }
 
+func (m *Machine) joinCoordination() {
+	m.coordination = &coordinationHost{
+		clock: m.clock, peers: m.peers, planner: m.planner, replica: m.replica, disk: m.disk, output: m.output,
+	}
+	m.coordination.engine = coordination.NewEngine(coordinationConfig(m.config, m.local), m.coordination)
+	m.heartbeat.coordination = m.coordination
+	m.planner.coordination = m.coordination
+}
+
 func (m *Machine) joinOrders() {
 	m.ids = &idSequence{}
 	m.checks = &quorumChecks{
--- a/internal/region/control/config.go
+++ b/internal/region/control/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/chain"
@@ -15,6 +16,8 @@
 	Requirement chain.Requirement
 	// PeerAddress gives the ip:port of the peer service of a machine known by its operator's API.
 	PeerAddress func(controlAddress string) string
+	// WatchRetention is for how long watches of keys may resume from a revision.
+	WatchRetention time.Duration
 	// Random must differ from start to start.
 	Random *rand.Rand
 	// SnapshotRecords is the number of records after which the ring gets a new snapshot; 0: the default.
--- a/internal/region/control/counters.go
+++ b/internal/region/control/counters.go
@@ -20,6 +20,7 @@
 	writes       atomic.Uint64 // to the ring, each of several records
 	failedWrites atomic.Uint64
 
+	calls     atomic.Uint64 // of applications, submitted here
 	orders    atomic.Uint64 // submitted here
 	committed atomic.Uint64 // newer committed states
 	views     atomic.Uint64 // later views
@@ -36,6 +37,7 @@
 		zap.Uint64("failed_calls", c.failedCalls.Load()),
 		zap.Uint64("writes", c.writes.Load()),
 		zap.Uint64("failed_writes", c.failedWrites.Load()),
+		zap.Uint64("calls", c.calls.Load()),
 		zap.Uint64("orders", c.orders.Load()),
 		zap.Uint64("committed", c.committed.Load()),
 		zap.Uint64("views", c.views.Load()),
--- a/internal/region/control/diskqueue.go
+++ b/internal/region/control/diskqueue.go
@@ -12,11 +12,14 @@
 const (
 	// slowWriteThreshold is how long a write may take before the disk counts as unhealthy.
 	slowWriteThreshold = time.Second
-	// maxUnpersistedWrites is the number of pending writes from which no promise is given any more.
+	// maxUnpersistedWrites is the number of pending writes, but for those of registers, from which no promise about views is
+	// given any more.
 	maxUnpersistedWrites = 16
+	// maxUnpersistedRegisterWrites is the same for registers and their writes.
+	maxUnpersistedRegisterWrites = 256
 	// snapshotBytes and snapshotRecords are what may follow a snapshot before the next one is due.
 	snapshotBytes   = 256 << 10
-	snapshotRecords = 512
+	snapshotRecords = 4096
 )
 
 // diskQueue holds the writes that are not on disk yet, the oldest first. It keeps the rule "disk before send": what a
@@ -39,17 +42,23 @@
 	started  time.Duration
 	forChain bool                    // the replica waits for it
 	replies  []chain.OutgoingMessage // may leave once the write is on disk
+	// forRegisters: the write is of the registers; activeEpoch is then the epoch that is on disk with it, 0 if that does not
+	// change.
+	forRegisters bool
+	activeEpoch  uint64
 }
 
 // persist requests that records are written, as a snapshot of everything if one is due.
 func (d *diskQueue) persist(records []ring.Record, forChain bool, replies []chain.OutgoingMessage) {
+	d.enqueue(records, pendingWrite{forChain: forChain, replies: replies})
+}
+
+// enqueue requests that records are written, and holds what is to follow.
+func (d *diskQueue) enqueue(records []ring.Record, write pendingWrite) {
 	d.lastToken++
-	d.pending = append(d.pending, pendingWrite{
-		token:    d.lastToken,
-		started:  d.clock.now,
-		forChain: forChain,
-		replies:  replies,
-	})
+	write.token = d.lastToken
+	write.started = d.clock.now
+	d.pending = append(d.pending, write)
 	action := Persist{Token: d.lastToken, Records: records}
 	d.schedule.add(records)
 	if d.schedule.due {
@@ -89,8 +98,32 @@
 	return len(d.pending) == 0 || d.clock.now-d.pending[0].started < slowWriteThreshold
 }
 
-// accepts reports whether a promise may still be queued.
-func (d *diskQueue) accepts() bool { return len(d.pending) < maxUnpersistedWrites }
+// accepts reports whether a promise about a view may still be queued.
+func (d *diskQueue) accepts() bool {
+	return len(d.pending)-d.registerWrites() < maxUnpersistedWrites
+}
+
+// acceptsRegisters reports whether a write of registers may still be queued.
+func (d *diskQueue) acceptsRegisters() bool {
+	return d.registerWrites() < maxUnpersistedRegisterWrites
+}
+
+// registerWrites is the number of pending writes of registers.
+func (d *diskQueue) registerWrites() int {
+	count := 0
+	for _, write := range d.pending {
+		if write.forRegisters {
+			count++
+		}
+	}
+	return count
+}
+
+// persistSnapshot writes everything anew.
+func (d *diskQueue) persistSnapshot(write pendingWrite) {
+	d.schedule.due = true
+	d.enqueue(nil, write)
+}
 
 // snapshotSchedule decides when a snapshot is due, by what was written since the last one.
 type snapshotSchedule struct {
--- a/internal/region/control/events.go
+++ b/internal/region/control/events.go
@@ -34,6 +34,16 @@
 // same if it is on its way; this machine does no more for it.
 type OrderCanceled struct{ Request uint64 }
 
+// CallSubmitted is a call of an application that arrived at this machine. Its id and origin are set by the Machine.
+type CallSubmitted struct {
+	Request uint64 // comes back in the CallReply
+	Call    *pb.CoordinationCall
+}
+
+// CallCanceled reports that nobody waits for the CallReply to a CallSubmitted any more. The call may be executed all the
+// same.
+type CallCanceled struct{ Request uint64 }
+
 // BroadcastServerList requests that a server list is sent to the other control machines.
 type BroadcastServerList struct{ List *pb.ServerList }
 
@@ -52,6 +62,8 @@
 func (WriteFailed) isEvent()         {}
 func (OrderSubmitted) isEvent()      {}
 func (OrderCanceled) isEvent()       {}
+func (CallSubmitted) isEvent()       {}
+func (CallCanceled) isEvent()        {}
 func (BroadcastServerList) isEvent() {}
 func (SeedsChanged) isEvent()        {}
 func (Leave) isEvent()               {}
--- a/internal/region/control/founding.go
+++ b/internal/region/control/founding.go
@@ -91,10 +91,11 @@
 	})
 	voters = voters[:min(len(voters), quorum.MaxVoters)]
 	return &pb.View{
-		Number:  1,
-		Cluster: strconv.FormatUint(f.random.Uint64(), 36),
-		Voters:  voters,
-		Chain:   chain.InitialChain(voters, f.requirement),
+		Number:      1,
+		Cluster:     strconv.FormatUint(f.random.Uint64(), 36),
+		Voters:      voters,
+		Chain:       chain.InitialChain(voters, f.requirement),
+		VotersEpoch: 1,
 	}
 }
 
--- a/internal/region/control/golden_test.go
+++ b/internal/region/control/golden_test.go
@@ -203,7 +203,7 @@
 // Guards an upgrade in place: the ring of an earlier program is recovered whole, as an operator inspects it and as a
 // machine starts on it.
 func TestGoldenRingsAreRecovered(t *testing.T) {
-	for _, name := range []string{"golden-ring", "golden-ring-machine"} {
+	for _, name := range []string{"golden-ring", "golden-ring-machine", "golden-ring-without-registers"} {
 		content := goldenRead(t, name+".gz")
 		folder := goldenFolder(t, content)
 		found, err := Inspect(folder)
--- a/internal/region/control/heartbeat.go
+++ b/internal/region/control/heartbeat.go
@@ -18,6 +18,8 @@
 	health      *localHealth
 	leaving     *leaving
 	output      *stepOutput
+	// coordination is what the registers of this machine are part of.
+	coordination *coordinationHost
 	contacts    []string // operator's addresses that are tried until this machine votes and is in contact
 	peerAddress func(controlAddress string) string
 }
@@ -66,6 +68,7 @@
 		Bootstrap:      h.local.bootstrap && viewInForce(h.replica) == nil,
 		Incarnation:    h.local.incarnation,
 		Leaving:        h.leaving.begun,
+		RegisterEpoch:  h.coordination.durableEpoch,
 	}}}
 }
 
--- a/internal/region/control/inspect.go
+++ b/internal/region/control/inspect.go
@@ -82,6 +82,8 @@
 		return "repair"
 	case recordSynchronizedView:
 		return "basis"
+	case recordRegister:
+		return "register"
 	default:
 		return fmt.Sprintf("kind %d", kind)
 	}
--- a/internal/region/control/leaving.go
+++ b/internal/region/control/leaving.go
@@ -62,7 +62,7 @@
 	if quorum.IndexOf(view.GetChain(), identity) != quorum.NotFound || !p.isReplicatedElsewhere() {
 		return false
 	}
-	voters, changed := quorum.NextVoters(view, p.votingPeers())
+	voters, changed := p.nextVoters()
 	votes := quorum.IndexOf(view.GetVoters(), identity) != quorum.NotFound
 	losesVote := changed && quorum.IndexOf(voters, identity) == quorum.NotFound
 	return !votes || !losesVote
--- a/internal/region/control/machine.go
+++ b/internal/region/control/machine.go
@@ -46,6 +46,9 @@
 	tail          *tailReads
 	confirmations *confirmations
 	checks        *quorumChecks
+
+	// Calls of applications.
+	coordination *coordinationHost
 }
 
 // Self is this machine, with its identity.
@@ -91,6 +94,10 @@
 		m.origin.submit(event)
 	case OrderCanceled:
 		m.origin.cancel(event.Request)
+	case CallSubmitted:
+		m.coordination.engine.Submit(now, event.Request, event.Call)
+	case CallCanceled:
+		m.coordination.engine.Cancel(event.Request)
 	case BroadcastServerList:
 		m.broadcastServerList(event.List)
 	case SeedsChanged:
@@ -106,8 +113,10 @@
 func (m *Machine) start() {
 	m.clock.start()
 	m.disk.persistStart()
+	m.coordination.engine.Started(m.clock.now)
 	if m.View() != nil {
 		m.output.add(ViewChanged{View: m.View()})
+		m.coordination.engine.Enter(m.clock.now, m.View())
 	}
 	m.heartbeat.sendAll()
 	m.replication.perform(m.replica.Tick())
@@ -130,6 +139,7 @@
 	m.origin.tick()
 	m.head.tick()
 	m.checks.tick()
+	m.coordination.engine.Tick(m.clock.now)
 }
 
 // receive checks that a message is meant for this machine, and records the contact with its sender.
@@ -193,6 +203,8 @@
 		m.checks.receive(from, body.ViewCheckResult)
 	case *pb.Message_ServerList:
 		m.output.add(ServerListReceived{List: body.ServerList})
+	default:
+		m.coordination.engine.Receive(m.clock.now, from, message)
 	}
 }
 
@@ -231,6 +243,9 @@
 		if done.forChain {
 			m.replicaPersisted()
 		}
+		if m.coordination.persisted(done) {
+			m.heartbeat.sendAll()
+		}
 	}
 }
 
@@ -251,6 +266,7 @@
 	if !m.leaving.begin() {
 		return
 	}
+	m.coordination.engine.Leave()
 	m.heartbeat.sendAll()
 	m.proposer.tick()
 }
--- a/internal/region/control/node.go
+++ b/internal/region/control/node.go
@@ -53,6 +53,7 @@
 	changed     chan struct{}
 	history     *catalog.History
 	replies     map[uint64]chan *pb.OrderResult // by request
+	callReplies map[uint64]chan *pb.CoordinationResult
 	lastRequest uint64
 }
 
@@ -80,6 +81,8 @@
 		changed:   make(chan struct{}),
 		history:   catalog.NewHistory(0),
 		replies:   make(map[uint64]chan *pb.OrderResult),
+
+		callReplies: make(map[uint64]chan *pb.CoordinationResult),
 		left:      make(chan bool, 1),
 	}
 	node.senders = newPeerSenders(ctx, &node.counters)
--- a/internal/region/control/nodeloop.go
+++ b/internal/region/control/nodeloop.go
@@ -52,6 +52,8 @@
 			n.writer.queue.put(action)
 		case Reply:
 			n.reply(action)
+		case CallReply:
+			n.replyToCall(action)
 		case Committed:
 			n.counters.committed.Add(1)
 			n.addCommitted(action)
--- a/internal/region/control/nodeoptions.go
+++ b/internal/region/control/nodeoptions.go
@@ -62,8 +62,9 @@
 			Zones:    own.FaultBudget.Zones + 1,
 			Regions:  own.FaultBudget.Regions + 1,
 		},
-		PeerAddress: peerAddress,
-		Random:      newRandom(),
+		PeerAddress:    peerAddress,
+		WatchRetention: own.Bounds.Retain(),
+		Random:         newRandom(),
 	}
 }
 
--- a/internal/region/control/record.go
+++ b/internal/region/control/record.go
@@ -21,6 +21,7 @@
 	recordChange           uint8 = 4 // synchronized view, pb.Change
 	recordRepair           uint8 = 5 // synchronized view, pb.Repair
 	recordSynchronizedView uint8 = 6 // synchronized view
+	recordRegister         uint8 = 7 // pb.RegisterRecord
 )
 
 // RecordError is returned for a record of the ring that cannot be read.
@@ -42,6 +43,7 @@
 	acceptor  *pb.Promise
 	chain     chain.State
 	migrated  bool // the state was of an earlier version
+	registers []*pb.RegisterRecord
 }
 
 func newDurableState() durableState { return durableState{chain: chain.EmptyState()} }
@@ -77,6 +79,10 @@
 	case recordPromise:
 		d.acceptor = &pb.Promise{}
 		return proto.Unmarshal(record.Payload, d.acceptor)
+	case recordRegister:
+		register := &pb.RegisterRecord{}
+		d.registers = append(d.registers, register)
+		return proto.Unmarshal(record.Payload, register)
 	default:
 		write, err := decodeWrite(record)
 		if err != nil {
@@ -107,6 +113,14 @@
 	return encode(recordPromise, nil, acceptor.Record())
 }
 
+func registerRecords(records []*pb.RegisterRecord) []ring.Record {
+	encoded := make([]ring.Record, 0, len(records))
+	for _, record := range records {
+		encoded = append(encoded, encode(recordRegister, nil, record))
+	}
+	return encoded
+}
+
 func writeRecord(write chain.Write) ring.Record {
 	prefix := binary.AppendUvarint(nil, write.SynchronizedView)
 	switch {
--- a/internal/region/control/snapshot.go
+++ b/internal/region/control/snapshot.go
@@ -23,6 +23,7 @@
 	if !m.voter.acceptor.IsEmpty() {
 		records = append(records, promiseRecord(m.voter.acceptor))
 	}
+	records = append(records, registerRecords(m.coordination.engine.Records())...)
 	return joinSnapshot(records)
 }
 
--- a/internal/region/control/viewchange.go
+++ b/internal/region/control/viewchange.go
@@ -47,6 +47,7 @@
 	m.staleness.enterView()
 	m.replication.perform(m.replica.Adopt(view))
 	m.output.add(ViewChanged{View: view})
+	m.coordination.engine.Enter(m.clock.now, view)
 	m.head.enterView()
 	m.origin.forwardAll()
 }
--- a/internal/region/control/viewplan.go
+++ b/internal/region/control/viewplan.go
@@ -4,6 +4,7 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/chain"
 	"fieldrelay/internal/region/quorum"
+	"fieldrelay/internal/region/register"
 )
 
 // viewPlanner derives the view that should follow the one in force from what this machine knows of the others. Machines
@@ -17,6 +18,8 @@
 	leaving     *leaving
 	rejoin      *rejoinBackoff
 	requirement chain.Requirement
+	// coordination is what the registers of this machine are part of.
+	coordination *coordinationHost
 }
 
 // viewChange is in what a wanted view differs from the one in force.
@@ -30,7 +33,7 @@
 // wantedView is the view that should follow; nil when there can be none.
 func (p *viewPlanner) wantedView() (*pb.View, viewChange) {
 	view := viewInForce(p.replica)
-	voters, changed := quorum.NextVoters(view, p.votingPeers())
+	voters, changed := p.nextVoters()
 	members, change := chain.NextChain(view, voters, p.chainCandidates(voters), p.requirement)
 	if members == nil {
 		return nil, viewChange{}
@@ -41,9 +44,44 @@
 		Voters:  voters,
 		Chain:   members,
 	}
+	register.NameEpoch(wanted, view)
 	return wanted, viewChange{Change: change, Voters: changed}
 }
 
+// nextVoters are the voters of the view that should follow, and whether they differ from the present ones. They stay until a
+// majority of them holds the registers: the voters after them collect the registers from these.
+func (p *viewPlanner) nextVoters() ([]*pb.Replica, bool) {
+	view := viewInForce(p.replica)
+	if !p.majorityHoldsRegisters() {
+		return view.GetVoters(), false
+	}
+	return quorum.NextVoters(view, p.votingPeers())
+}
+
+// majorityHoldsRegisters reports whether a majority of the voters has the registers of their epoch on disk.
+func (p *viewPlanner) majorityHoldsRegisters() bool {
+	view := viewInForce(p.replica)
+	epoch := register.MembershipOf(view).Epoch
+	holders := 0
+	for _, voter := range view.GetVoters() {
+		if p.registerEpoch(voter.GetIdentity()) >= epoch {
+			holders++
+		}
+	}
+	return holders >= quorum.Majority(view)
+}
+
+// registerEpoch is the newest epoch whose registers a machine has advertised to be on its disk; 0: none is known.
+func (p *viewPlanner) registerEpoch(identity string) uint64 {
+	if identity == p.local.identity() {
+		return p.coordination.durableEpoch
+	}
+	if found, known := p.peers.known[identity]; known {
+		return found.heartbeat.GetRegisterEpoch()
+	}
+	return 0
+}
+
 // isComplete reports, at little cost, whether the view in force cannot be bettered: the chain is as long as it may be,
 // all voters are live, stay and have a disk that works, and no machine waits to vote.
 func (p *viewPlanner) isComplete() bool {
