Take the calls of applications at the ctl addresses

Change: package coordinationapi, by the calls that api/operator.yaml now describes, at every address that serves ctl.

--- a/internal/region/controlserver/fake_test.go
+++ b/internal/region/controlserver/fake_test.go
@@ -74,6 +74,10 @@
 	return &pb.OrderResult{Status: 200}
 }
 
+func (n *fakeNode) Call(_ context.Context, _ *pb.CoordinationCall) *pb.CoordinationResult {
+	return &pb.CoordinationResult{Outcome: pb.CoordinationResult_OUTCOME_UNAVAILABLE}
+}
+
 func prepare(snapshot *catalog.Snapshot, order *pb.Order) (*pb.Change, error) {
 	switch order.Kind {
 	case pb.Order_KIND_REPLACE:
--- a/internal/region/controlserver/listeners.go
+++ b/internal/region/controlserver/listeners.go
@@ -16,6 +16,7 @@
 
 	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
 	"fieldrelay/internal/region/control"
+	"fieldrelay/internal/region/coordinationapi"
 	"fieldrelay/internal/region/operatorapi"
 )
 
@@ -90,12 +91,37 @@
 	}
 	handlers := map[string]http.Handler{current.Port(peerPortIndex): p.peerHandler(current.Hostname)}
 	operatorServer := operatorapi.New(p.operatorOptions())
+	calls := coordinationapi.New(p.coordinationOptions()).Handler()
 	for address, chosen := range services {
 		handlers[address] = operatorServer.Handler(chosen)
+		if chosen.Operator {
+			handlers[address] = withCoordination(calls, handlers[address])
+		}
 	}
 	return handlers
 }
 
+// withCoordination serves the calls of applications, and everything else by another handler.
+func withCoordination(calls, others http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if coordinationapi.Serves(r.URL.Path) {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		others.ServeHTTP(w, r)
+	})
+}
+
+// coordinationOptions configures the API of applications.
+func (p *process) coordinationOptions() coordinationapi.Options {
+	return coordinationapi.Options{
+		Calls:        p.node,
+		Ready:        func() bool { return p.node.Status().Founded },
+		ShuttingDown: p.shuttingDown,
+		Counters:     &p.callCounters,
+	}
+}
+
 // peerHandler serves the other control machines and the agents. Responses are not compressed one by one: a compressor
 // takes more memory than everything else here. What is large in them is compressed once for all agents.
 func (p *process) peerHandler(host string) http.Handler {
--- a/internal/region/controlserver/node.go
+++ b/internal/region/controlserver/node.go
@@ -21,6 +21,8 @@
 type Node interface {
 	// Submit submits an order of the operator and waits for its result.
 	Submit(ctx context.Context, order *pb.Order) *pb.OrderResult
+	// Call executes a call of an application and waits for its result.
+	Call(ctx context.Context, call *pb.CoordinationCall) *pb.CoordinationResult
 	// Status returns the node's present status.
 	Status() control.Status
 	// Changed returns a channel that is closed at the next change of Status.
--- a/internal/region/controlserver/process.go
+++ b/internal/region/controlserver/process.go
@@ -12,6 +12,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/control"
+	"fieldrelay/internal/region/coordinationapi"
 	"fieldrelay/internal/region/operatorapi"
 	"fieldrelay/internal/region/quorum"
 	"fieldrelay/internal/region/registry"
@@ -33,6 +34,7 @@
 	soft             *softState
 	platform         *platformClient
 	operatorCounters operatorapi.Counters
+	callCounters     coordinationapi.Counters
 	watchCounters    watchCounters
 	rotation         atomic.Uint64                  // of the endpoints in answers of the directory
 	homeIndex        atomic.Pointer[homeIndexCache] // nil until the first lookup
--- /dev/null
+++ b/internal/region/coordinationapi/server.go
@@ -0,0 +1,203 @@
+// Package coordinationapi serves the calls of applications at a control machine over HTTP: locks, numbers, keys and watches, as
+// specified by api/operator.yaml. It checks the form of a call, passes it to the coordination engine and converts the
+// result into a response.
+//
+// It has no state but the slots of open calls. docs/region/coordination.md describes its responses.
+package coordinationapi
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"fieldrelay/api/coordination"
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// pathPrefixes are the beginnings of the paths that a Server serves.
+var pathPrefixes = []string{"/api/locks/", "/api/numbers/", "/api/cells/", "/api/watch/"}
+
+// Serves reports whether a path is one of this package.
+func Serves(path string) bool {
+	return slices.ContainsFunc(pathPrefixes, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+}
+
+// Bounds of calls.
+const (
+	// maxConcurrentCalls bounds the open calls that are not watches.
+	maxConcurrentCalls = 512
+	// maxConcurrentWatches bounds the open watches.
+	maxConcurrentWatches = 512
+	// maxWatchWait is the longest time for which a watch waits.
+	maxWatchWait = time.Minute
+)
+
+// Calls is the coordination engine as this package uses it. It is safe for concurrent use.
+type Calls interface {
+	// Call executes a call and waits for its result. An outcome UNAVAILABLE says that it was not executed and never will
+	// be, UNKNOWN that it may be.
+	Call(ctx context.Context, call *pb.CoordinationCall) *pb.CoordinationResult
+}
+
+// Options configures a Server. All are required.
+type Options struct {
+	Calls Calls
+	// Ready reports whether this machine knows a view. While it does not, calls are rejected at once.
+	Ready func() bool
+	// ShuttingDown is closed when the machine begins to end: open watches are answered then.
+	ShuttingDown <-chan struct{}
+	Counters     *Counters
+}
+
+// Server implements the operations of applications. It is safe for concurrent use.
+type Server struct {
+	options    Options
+	callSlots  chan struct{} // one token per open call
+	watchSlots chan struct{} // one token per open watch
+}
+
+// New returns a server.
+func New(options Options) *Server {
+	return &Server{
+		options:    options,
+		callSlots:  make(chan struct{}, maxConcurrentCalls),
+		watchSlots: make(chan struct{}, maxConcurrentWatches),
+	}
+}
+
+// Handler returns the handler of all operations.
+func (s *Server) Handler() http.Handler {
+	return coordination.HandlerWithOptions(s, coordination.StdHTTPServerOptions{
+		ErrorHandlerFunc: func(w http.ResponseWriter, _ *http.Request, err error) {
+			s.reject(w, http.StatusBadRequest, err.Error())
+		},
+	})
+}
+
+// AcquireLock acquires a lock.
+func (s *Server) AcquireLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
+	var body coordination.LockAcquisition
+	if !s.read(w, r, &body, validateID(id), func() error { return validateHold(body.Holder, body.HoldMs) }) {
+		return
+	}
+	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Acquire{Acquire: &pb.AcquireLock{
+		Name:   id,
+		Holder: body.Holder,
+		HoldMs: uint32(body.HoldMs),
+	}}}, respondGrant)
+}
+
+// RenewLock gives the holder of a lock more time.
+func (s *Server) RenewLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
+	var body coordination.LockRenewal
+	if !s.read(w, r, &body, validateID(id), func() error { return validateHold(body.Holder, body.HoldMs) }) {
+		return
+	}
+	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Renew{Renew: &pb.RenewLock{
+		Name:   id,
+		Holder: body.Holder,
+		Fence:  body.Fence,
+		HoldMs: uint32(body.HoldMs),
+	}}}, respondDone)
+}
+
+// ReleaseLock releases a lock.
+func (s *Server) ReleaseLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
+	var body coordination.LockRelease
+	if !s.read(w, r, &body, validateID(id), func() error { return validateHolder(body.Holder) }) {
+		return
+	}
+	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Release{Release: &pb.ReleaseLock{
+		Name:   id,
+		Holder: body.Holder,
+		Fence:  body.Fence,
+	}}}, respondDone)
+}
+
+// NextNumber gives a number.
+func (s *Server) NextNumber(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
+	if err := validateID(id); err != nil {
+		s.reject(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_NextNumber{
+		NextNumber: &pb.NextNumber{Name: id},
+	}}, respondNumber)
+}
+
+// PutKey writes a key.
+func (s *Server) PutKey(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
+	var body coordination.KeyPut
+	if !s.read(w, r, &body, validateID(id), func() error { return validateValue(body.Val) }) {
+		return
+	}
+	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Put{Put: &pb.PutKey{
+		Name:             id,
+		Value:            body.Val,
+		ExpectedRevision: body.Enabled,
+	}}}, respondRevision)
+}
+
+// ReadKey reads a key.
+func (s *Server) ReadKey(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
+	if err := validateID(id); err != nil {
+		s.reject(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Read{Read: &pb.ReadKey{Name: id}}}, respondValue)
+}
+
+// WatchGroup waits for puts to the keys of a group.
+func (s *Server) WatchGroup(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID, params coordination.WatchGroupParams) {
+	if err := validateID(id); err != nil {
+		s.reject(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	watch := &pb.WatchGroup{Group: id}
+	if params.After != nil {
+		watch.After = *params.After
+	}
+	if params.WaitMs != nil {
+		wait := min(max(*params.WaitMs, 0), float64(maxWatchWait.Milliseconds()))
+		watch.WaitMs = uint32(wait)
+	}
+	s.watch(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Watch{Watch: watch}})
+}
+
+// call executes a call and responds with its result.
+func (s *Server) call(w http.ResponseWriter, r *http.Request, call *pb.CoordinationCall, respond responder) {
+	s.execute(w, r.Context(), s.callSlots, call, respond)
+}
+
+// watch is call for a watch, which ends when the machine does.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, call *pb.CoordinationCall) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-s.options.ShuttingDown:
+			cancel()
+		case <-stop:
+		}
+	}()
+	s.execute(w, ctx, s.watchSlots, call, respondEvents)
+}
+
+func (s *Server) execute(w http.ResponseWriter, ctx context.Context, slots chan struct{}, call *pb.CoordinationCall, respond responder) {
+	if !s.options.Ready() {
+		s.reject(w, http.StatusServiceUnavailable, "this machine has not joined the others yet")
+		return
+	}
+	select {
+	case slots <- struct{}{}:
+	default:
+		s.reject(w, http.StatusTooManyRequests, "too many calls are under way at this machine")
+		return
+	}
+	defer func() { <-slots }()
+	s.respond(w, s.options.Calls.Call(ctx, call), respond)
+}
