Transfer newer registers alone; have a superseded proposer prepare again

Cause: each voter asked every other one for all registers at a change of voters; and a proposer that met a higher number gave its calls back at once, to wait for the next tick of their origins. Change: a request lists what is held, the answer leaves out what is not newer; a superseded proposer prepares a higher number once in a tenth of a second. Hold times are rounded up.

--- a/internal/region/coordinationapi/server.go
+++ b/internal/region/coordinationapi/server.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -85,7 +86,7 @@
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Acquire{Acquire: &pb.AcquireLock{
 		Name:   id,
 		Holder: body.Holder,
-		HoldMs: uint32(body.HoldMs),
+		HoldMs: holdMilliseconds(body.HoldMs),
 	}}}, respondGrant)
 }
 
@@ -99,10 +100,13 @@
 		Name:   id,
 		Holder: body.Holder,
 		Fence:  body.Fence,
-		HoldMs: uint32(body.HoldMs),
+		HoldMs: holdMilliseconds(body.HoldMs),
 	}}}, respondDone)
 }
 
+// holdMilliseconds rounds up: the caller takes itself for the holder for all of the time that it names.
+func holdMilliseconds(hold float64) uint32 { return uint32(math.Ceil(hold)) }
+
 // ReleaseLock releases a lock.
 func (s *Server) ReleaseLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	var body coordination.LockRelease
--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -19,6 +19,8 @@
 	resendInterval = 250 * time.Millisecond
 	// phaseTimeout is how long a majority may take to answer before the proposer gives its number up.
 	phaseTimeout = 1500 * time.Millisecond
+	// retryInterval is the least time between two prepares after another proposer had a higher number.
+	retryInterval = 100 * time.Millisecond
 	// holdMargin is added to the time of a holder, for clocks that run at slightly different speeds.
 	holdMargin = 20 * time.Millisecond
 )
@@ -43,6 +45,7 @@
 	began    time.Duration // when the phase, or the round in flight, began
 	sentAt   time.Duration // when voters were asked last
 	usedAt   time.Duration // when a call came last
+	retried  time.Duration // when it last prepared again after another proposer had a higher number
 	highest  uint64        // round of the highest number known
 	position *pb.RegisterPosition
 	value    *pb.RegisterValue // at position
@@ -400,12 +403,24 @@
 	}
 }
 
-// superseded gives the number up: another proposer has a higher one. The calls go back to where they came from, and from
-// there to whoever proposes now.
+// superseded gives the number up: another proposer has a higher one. It prepares a higher one itself for the calls that wait,
+// unless it did so just before; then they go back to where they came from, and from there to whoever proposes by then.
 func (p *proposer) superseded(now time.Duration, by *pb.RegisterPosition) {
 	p.highest = max(p.highest, by.GetRound())
+	if now-p.retried < retryInterval {
+		p.stop()
+		return
+	}
+	p.retried = now
+	waiting := p.queue
+	if p.round != nil {
+		waiting = slices.Concat(p.round.operations, waiting)
+	}
+	p.round = nil
+	p.queue = nil
 	p.stop()
-	p.usedAt = now
+	p.queue = slices.Concat(waiting, p.queue)
+	p.advance(now)
 }
 
 // stop ends all work on the register.
--- a/internal/region/register/transfer.go
+++ b/internal/region/register/transfer.go
@@ -9,7 +9,7 @@
 )
 
 // transferInterval is the wait before a voter asks again for the registers of the epoch in force.
-const transferInterval = 300 * time.Millisecond
+const transferInterval = 150 * time.Millisecond
 
 // transfer collects the registers of the epoch in force, which this machine does not hold yet.
 type transfer struct {
@@ -57,7 +57,7 @@
 
 func (r *Replica) askForTransfer() {
 	request := &pb.Message{Body: &pb.Message_RegisterTransferRequest{
-		RegisterTransferRequest: &pb.RegisterTransferRequest{Epoch: r.membership.Epoch},
+		RegisterTransferRequest: &pb.RegisterTransferRequest{Epoch: r.membership.Epoch, Held: r.heldPositions()},
 	}}
 	asked := make(map[string]bool)
 	for _, voters := range [][]*pb.Replica{r.membership.Voters, r.membership.PreviousVoters} {
@@ -70,6 +70,34 @@
 	}
 }
 
+// tookPart reports whether this machine voted in the previous epoch and held its registers, so that what it holds counts.
+func (r *Replica) tookPart() bool {
+	return r.activeEpoch == r.membership.PreviousEpoch && r.membership.includedBefore(r.identity)
+}
+
+// heldPositions are the positions of what this machine holds, if that counts.
+func (r *Replica) heldPositions() []*pb.RegisterRecord {
+	if !r.tookPart() {
+		return nil
+	}
+	records := make([]*pb.RegisterRecord, 0, len(r.registers))
+	for _, name := range slices.Sorted(maps.Keys(r.registers)) {
+		records = append(records, &pb.RegisterRecord{Name: name, Accepted: r.registers[name].accepted})
+	}
+	return records
+}
+
+// recordsBeyond are the registers that are newer here than in a list of positions.
+func (r *Replica) recordsBeyond(held []*pb.RegisterRecord) []*pb.RegisterRecord {
+	known := make(map[string]*pb.RegisterPosition, len(held))
+	for _, record := range held {
+		known[record.GetName()] = record.GetAccepted()
+	}
+	return slices.DeleteFunc(r.registerRecords(), func(record *pb.RegisterRecord) bool {
+		return ComparePositions(record.GetAccepted(), known[record.GetName()]) <= 0
+	})
+}
+
 // TransferRequested answers a voter that collects the registers of an epoch, if this machine has learnt of that epoch, and
 // so accepts nothing in earlier ones. A previous voter that never took part answers with nothing: it has accepted nothing
 // either.
@@ -82,7 +110,7 @@
 	switch r.activeEpoch {
 	case epoch, r.membership.PreviousEpoch:
 		answer.ActiveEpoch = r.activeEpoch
-		answer.Registers = r.registerRecords()
+		answer.Registers = r.recordsBeyond(request.GetHeld())
 	default:
 		if !r.membership.includedBefore(r.identity) {
 			return
@@ -125,13 +153,16 @@
 	return false
 }
 
-// install replaces the registers by the newest values of those that were collected, and takes part in the epoch. What this
-// machine holds itself is among them if it counts: it answers its own request.
+// install takes over the newest values of those that were collected, beside what this machine holds if that counts, and
+// takes part in the epoch.
 func (r *Replica) install(now time.Duration, collected []*pb.RegisterTransfer) {
 	if !r.output.CanPersist() {
 		return
 	}
 	registers := make(map[string]*acceptor)
+	if r.tookPart() {
+		registers = r.registers
+	}
 	for _, transfer := range collected {
 		for _, record := range transfer.GetRegisters() {
 			name := record.GetName()
