--- a/internal/region/control/heartbeat.go
+++ b/internal/region/control/heartbeat.go
@@ -11,17 +11,17 @@
 
 // heartbeats sends the heartbeats of this machine: they show that it is up, how far it is, and what view it follows.
 type heartbeats struct {
-	clock       *clock
-	local       *localMachine
-	peers       *peerTable
-	replica     *chain.Replica
-	health      *localHealth
-	leaving     *leaving
-	output      *stepOutput
+	clock   *clock
+	local   *localMachine
+	peers   *peerTable
+	replica *chain.Replica
+	health  *localHealth
+	leaving *leaving
+	output  *stepOutput
 	// coordination is what the registers of this machine are part of.
 	coordination *coordinationHost
-	contacts    []string // operator's addresses that are tried until this machine votes and is in contact
-	peerAddress func(controlAddress string) string
+	contacts     []string // operator's addresses that are tried until this machine votes and is in contact
+	peerAddress  func(controlAddress string) string
 }
 
 // isDue reports whether heartbeats are sent at this tick. Before it knows a view, a machine sends at each.
--- a/internal/region/control/node.go
+++ b/internal/region/control/node.go
@@ -83,7 +83,7 @@
 		replies:   make(map[uint64]chan *pb.OrderResult),
 
 		callReplies: make(map[uint64]chan *pb.CoordinationResult),
-		left:      make(chan bool, 1),
+		left:        make(chan bool, 1),
 	}
 	node.senders = newPeerSenders(ctx, &node.counters)
 	node.senders.undelivered = node.postUndelivered
