--- /dev/null
+++ b/internal/testkit/history/groups.go
@@ -0,0 +1,238 @@
+package history
+
+// A put may be sent several times; together these are one write, which has its effect once at most.
+type write struct {
+	key, value string
+	attempts   []*Call
+	// shown is what told of the write; nil: nothing did.
+	shown    *Call
+	revision uint64
+}
+
+type writeName struct{ key, value string }
+
+// sent is the first attempt.
+func (w *write) first() *Call { return w.attempts[0] }
+
+// rejection is the answer that says that the write has not happened and never will; nil: there is none. Another attempt
+// without a clear answer may have succeeded where one was refused, but not where one found another revision.
+func (w *write) rejection() *Call {
+	var refused *Call
+	isOpen := false
+	for _, attempt := range w.attempts {
+		switch attempt.Outcome {
+		case Mismatch:
+			return attempt
+		case Refused:
+			refused = attempt
+		default:
+			isOpen = true
+		}
+	}
+	if isOpen {
+		return nil
+	}
+	return refused
+}
+
+// group is the history of one group of keys.
+type group struct {
+	checker    *checker
+	name       string
+	calls      []*Call
+	names      []writeName
+	writes     map[writeName]*write
+	byRevision map[uint64]*write
+}
+
+// checkGroups judges puts, reads and watches.
+func (c *checker) checkGroups(calls []*Call) {
+	names, parts := partition(calls, func(call *Call) string {
+		if call.Kind == Watch {
+			return call.Name
+		}
+		return groupOf(call.Name)
+	})
+	for _, name := range names {
+		checked := &group{
+			checker:    c,
+			name:       name,
+			calls:      parts[name],
+			writes:     make(map[writeName]*write),
+			byRevision: make(map[uint64]*write),
+		}
+		checked.check()
+	}
+}
+
+func (g *group) check() {
+	g.collectWrites()
+	g.collectShown()
+	g.checkWrites()
+	g.checkConditions()
+	g.checkReads()
+	g.checkWatches()
+}
+
+func (g *group) collectWrites() {
+	for _, call := range g.calls {
+		if call.Kind != Put {
+			continue
+		}
+		name := writeName{call.Name, call.Value}
+		if g.writes[name] == nil {
+			g.names = append(g.names, name)
+			g.writes[name] = &write{key: call.Name, value: call.Value}
+		}
+		g.writes[name].attempts = append(g.writes[name].attempts, call)
+	}
+}
+
+// collectShown takes what answers tell of writes: each value was put to that key, before, and has one revision, which is no
+// other one's.
+func (g *group) collectShown() {
+	for _, call := range g.calls {
+		switch {
+		case call.Outcome != OK:
+		case call.Kind == Put || call.Kind == Read:
+			g.show(call, Event{Key: call.Name, Value: call.Value, Revision: call.Revision})
+		case call.Kind == Watch:
+			for _, event := range call.Events {
+				g.show(call, event)
+			}
+		}
+	}
+}
+
+func (g *group) show(by *Call, event Event) {
+	shown := g.writes[writeName{event.Key, event.Value}]
+	if shown == nil {
+		g.checker.report(RuleMixed, []*Call{by}, "value %q of %s was never put", event.Value, event.Key)
+		return
+	}
+	if by.Answered < shown.first().Sent {
+		g.checker.report(RuleMixed, []*Call{shown.first(), by}, "value %q of %s is shown before it was put", event.Value, event.Key)
+	}
+	if rejection := shown.rejection(); rejection != nil {
+		g.checker.report(RuleRefused, []*Call{rejection, by}, "value %q of %s is shown though its put was rejected", event.Value, event.Key)
+	}
+	if shown.shown != nil && shown.revision != event.Revision {
+		g.checker.report(RuleMixed, []*Call{shown.shown, by}, "value %q of %s has the revisions %d and %d",
+			event.Value, event.Key, shown.revision, event.Revision)
+		return
+	}
+	if other := g.byRevision[event.Revision]; other != nil && other != shown {
+		g.checker.report(RuleOrder, []*Call{other.shown, by}, "revision %d of group %s is given twice", event.Revision, g.name)
+		return
+	}
+	if shown.shown == nil || by.Answered < shown.shown.Answered {
+		shown.shown = by
+	}
+	shown.revision = event.Revision
+	g.byRevision[event.Revision] = shown
+}
+
+// shownRevision is the highest revision of the group that an answer shows.
+func shownRevision(call *Call) uint64 {
+	switch call.Outcome {
+	case OK, Mismatch:
+		return call.Revision
+	default:
+		return 0
+	}
+}
+
+// checkWrites requires that the revision of a write is above all that were shown before it was sent first.
+func (g *group) checkWrites() {
+	earlier := newHighest(g.calls, shownRevision)
+	for _, name := range g.names {
+		wrote := g.writes[name]
+		if wrote.shown == nil {
+			continue
+		}
+		before := earlier.before(wrote.first())
+		if before != nil && wrote.revision <= shownRevision(before) {
+			g.checker.report(RuleOrder, []*Call{before, wrote.first(), wrote.shown},
+				"revision %d of group %s is not above %d, which was shown before the put was sent", wrote.revision, g.name, shownRevision(before))
+		}
+	}
+}
+
+// checkConditions requires that a conditional put that succeeded followed the revision that it expected.
+func (g *group) checkConditions() {
+	for _, name := range g.names {
+		wrote := g.writes[name]
+		if wrote.shown == nil || wrote.first().Expected == nil {
+			continue
+		}
+		expected := *wrote.first().Expected
+		if replaced := g.byRevision[expected]; replaced != nil && replaced.key != wrote.key {
+			g.checker.report(RuleOrder, []*Call{replaced.shown, wrote.first(), wrote.shown},
+				"a put to %s succeeded over revision %d, which is of %s", wrote.key, expected, replaced.key)
+		}
+		for _, otherName := range g.names {
+			other := g.writes[otherName]
+			isBetween := other.shown != nil && other.key == wrote.key && expected < other.revision && other.revision < wrote.revision
+			if isBetween {
+				g.checker.report(RuleOrder, []*Call{other.shown, wrote.first(), wrote.shown},
+					"a put to %s over revision %d succeeded as %d over %d", wrote.key, expected, wrote.revision, other.revision)
+				break
+			}
+		}
+	}
+}
+
+// checkReads requires that an answer about a key is not older than what was shown of it before the call was sent.
+func (g *group) checkReads() {
+	ofKeys := make([]*Call, 0, len(g.calls))
+	for _, call := range g.calls {
+		if call.Kind != Watch {
+			ofKeys = append(ofKeys, call)
+		}
+	}
+	keys, parts := partition(ofKeys, nameOf)
+	for _, key := range keys {
+		earlier := newHighest(parts[key], shownRevision)
+		for _, call := range parts[key] {
+			isAnswer := call.Outcome == Mismatch || call.Kind == Read && (call.Outcome == OK || call.Outcome == NotFound)
+			if !isAnswer {
+				continue
+			}
+			if before := earlier.before(call); before != nil && shownRevision(call) < shownRevision(before) {
+				g.checker.report(ruleOf(call, RuleStale), []*Call{before, call}, "revision %d of %s is below %d, which was shown before the call was sent",
+					shownRevision(call), key, shownRevision(before))
+			}
+			if call.Outcome == Mismatch {
+				g.checkMismatch(call)
+			}
+		}
+	}
+}
+
+// checkMismatch requires that a rejected condition names a revision of the key, and another one than was expected.
+func (g *group) checkMismatch(call *Call) {
+	if call.Expected != nil && *call.Expected == call.Revision {
+		g.checker.report(RuleRefused, []*Call{call}, "a put to %s is rejected for the revision that it expected", call.Name)
+	}
+	if call.Revision == 0 {
+		return
+	}
+	named := g.byRevision[call.Revision]
+	switch {
+	case named != nil && named.key != call.Name:
+		g.checker.report(RuleMixed, []*Call{named.shown, call}, "revision %d is not of %s but of %s", call.Revision, call.Name, named.key)
+	case named == nil && !g.mayHaveRevision(call.Name):
+		g.checker.report(RuleMixed, []*Call{call}, "no put gave %s the revision %d", call.Name, call.Revision)
+	}
+}
+
+// mayHaveRevision reports whether there is a put to a key whose revision nobody was shown, if it has one.
+func (g *group) mayHaveRevision(key string) bool {
+	for _, name := range g.names {
+		wrote := g.writes[name]
+		if wrote.key == key && wrote.shown == nil && wrote.rejection() == nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/testkit/history/watches.go
@@ -0,0 +1,71 @@
+package history
+
+import (
+	"maps"
+	"slices"
+)
+
+// checkWatches requires that the events of a watch rise and skip no put, that a watch without a revision returns none that is
+// out of date, and that a watch can resume.
+func (g *group) checkWatches() {
+	revisions := slices.Sorted(maps.Keys(g.byRevision))
+	earlier := newHighest(g.calls, shownRevision)
+	for _, call := range g.calls {
+		switch {
+		case call.Kind != Watch:
+		case call.Outcome == Compacted:
+			g.checkCompacted(call)
+		case call.Outcome != OK:
+		case call.After == 0:
+			if before := earlier.before(call); before != nil && call.Revision < shownRevision(before) {
+				g.checker.report(ruleOf(call, RuleStale), []*Call{before, call}, "revision %d of group %s is below %d, which was shown before the call was sent",
+					call.Revision, g.name, shownRevision(before))
+			}
+		default:
+			g.checkRise(call)
+			g.checkComplete(call, revisions)
+		}
+	}
+}
+
+func (g *group) checkRise(call *Call) {
+	last := call.After
+	for _, event := range call.Events {
+		if event.Revision <= last || event.Revision > call.Revision {
+			g.checker.report(RuleOrder, []*Call{call}, "revision %d of a watch of %s after %d does not rise, or is beyond %d",
+				event.Revision, g.name, last, call.Revision)
+			return
+		}
+		last = event.Revision
+	}
+	if call.Revision < call.After {
+		g.checker.report(RuleOrder, []*Call{call}, "a watch of %s goes back from %d to %d", g.name, call.After, call.Revision)
+	}
+}
+
+// checkComplete requires that a watch tells of each put between its revisions.
+func (g *group) checkComplete(call *Call, revisions []uint64) {
+	first, _ := slices.BinarySearch(revisions, call.After+1)
+	for _, revision := range revisions[first:] {
+		if revision > call.Revision {
+			return
+		}
+		isTold := slices.ContainsFunc(call.Events, func(event Event) bool { return event.Revision == revision })
+		if !isTold {
+			g.checker.report(ruleOf(call, RuleOrder), []*Call{g.byRevision[revision].shown, call}, "a watch of %s after %d up to %d skips %d",
+				g.name, call.After, call.Revision, revision)
+			return
+		}
+	}
+}
+
+// checkCompacted requires that a watch is not told too early that its revision is not kept any more.
+func (g *group) checkCompacted(call *Call) {
+	for _, given := range g.calls {
+		isGiven := given.Kind == Watch && given.Outcome == OK && given.Caller == call.Caller && given.Revision == call.After
+		if isGiven && given.isBefore(call) && call.Answered-given.Answered < g.checker.options.Retention {
+			g.checker.report(RuleLost, []*Call{given, call}, "revision %d of group %s is not kept for %v", call.After, g.name, g.checker.options.Retention)
+			return
+		}
+	}
+}
