Write an unwritten register before a result rests on it

A proposer that found no value confirmed its promise alone. A refusal (412) rested on that, and a value that an earlier proposer had had accepted by a minority could still come up afterwards, with the refused put in it. The first round under a number now always writes, an empty value if there is none. TestRejectionOnAnUnwrittenRegisterStandsAgainstEarlierProposals failed before.

--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -228,7 +228,11 @@
 	}
 	p.queue = nil
 	if next.change == nil && p.position.GetSequence() == 0 {
-		// What an earlier proposer may have had accepted must be held by a majority before a result rests on it.
+	if next.value == nil {
+		next.value = &pb.RegisterValue{}
+	}
+		// What an earlier proposer may have had accepted must be held by a majority before a result rests on it, and if no
+		// majority can have accepted anything, a value of an earlier proposer must not come up later.
 		next.change = wholeChange(next.value)
 	}
 	if next.change != nil {
--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -174,11 +174,6 @@
 	isNewer := ComparePositions(position, a.accepted) > 0
 	record := &pb.RegisterRecord{Name: accept.GetName(), Promised: numberOf(position)}
 	switch {
-	case accept.GetChange() == nil && position.GetSequence() == 0:
-		// No value is written under this number: the promise alone is confirmed.
-		if compareNumbers(position, a.promised) == 0 {
-			return pb.RegisterAccepted_OUTCOME_ACCEPTED, nil
-		}
 	case !isNewer:
 		// It was accepted before, itself or within a later value of the same number.
 		return pb.RegisterAccepted_OUTCOME_ACCEPTED, nil
