Count the time of a lock from the execution that granted it

A renewal that two proposers executed kept its name, so that a replica counted its time from the first execution, while the value held the time left at the second: a lock could be given away too early where a renewal was shorter than the time left. A grant is now named by its round. TestRenewalThatIsExecutedAgainIsAnotherGrant failed before.

--- a/internal/region/coordination/execute.go
+++ b/internal/region/coordination/execute.go
@@ -9,9 +9,9 @@
 func Execute(value *pb.RegisterValue, call *pb.CoordinationCall, conditions register.Conditions) register.Outcome {
 	switch operation := call.GetOperation().(type) {
 	case *pb.CoordinationCall_Acquire:
-		return acquire(value.GetLock(), callName(call), operation.Acquire, conditions.HoldRemaining)
+		return acquire(value.GetLock(), callName(call), operation.Acquire, conditions)
 	case *pb.CoordinationCall_Renew:
-		return renew(value.GetLock(), callName(call), operation.Renew, conditions.HoldRemaining)
+		return renew(value.GetLock(), operation.Renew, conditions)
 	case *pb.CoordinationCall_Release:
 		return release(value.GetLock(), operation.Release)
 	case *pb.CoordinationCall_NextNumber:
--- a/internal/region/coordination/lock.go
+++ b/internal/region/coordination/lock.go
@@ -15,7 +15,8 @@
 
 // acquire gives a lock that nobody holds, or that the caller holds. Every acquisition has a fence of its own, also one by
 // the present holder: a release of the earlier fence that arrives late then ends nothing.
-func acquire(lock *pb.LockState, call string, wanted *pb.AcquireLock, remaining time.Duration) register.Outcome {
+func acquire(lock *pb.LockState, call string, wanted *pb.AcquireLock, conditions register.Conditions) register.Outcome {
+	remaining := conditions.HoldRemaining
 	isHeld := lock.GetHolder() != "" && remaining > 0
 	isHolder := lock.GetHolder() == wanted.GetHolder()
 	switch {
@@ -35,12 +36,13 @@
 	} else {
 		remaining = 0
 	}
-	return grant(next, call, wanted.GetHoldMs(), remaining)
+	return grant(next, conditions.Round, wanted.GetHoldMs(), remaining)
 }
 
 // renew gives the holder more time. It counts as the holder also by the fence of an earlier acquisition of its own, as long as
 // no other caller has held the lock since: of two acquisitions that it sent, it may have the answer to the first.
-func renew(lock *pb.LockState, call string, wanted *pb.RenewLock, remaining time.Duration) register.Outcome {
+func renew(lock *pb.LockState, wanted *pb.RenewLock, conditions register.Conditions) register.Outcome {
+	remaining := conditions.HoldRemaining
 	isHolder := lock.GetHolder() != "" && lock.GetHolder() == wanted.GetHolder()
 	isOwnFence := wanted.GetFence() >= lock.GetFirstFence() && wanted.GetFence() <= lock.GetFence()
 	if !isHolder || !isOwnFence || remaining <= 0 {
@@ -52,7 +54,7 @@
 		AcquiredBy: lock.GetAcquiredBy(),
 		FirstFence: lock.GetFirstFence(),
 	}
-	return grant(next, call, wanted.GetHoldMs(), remaining)
+	return grant(next, conditions.Round, wanted.GetHoldMs(), remaining)
 }
 
 // release ends the hold of a fence; what is not held by it stays as it is.
@@ -65,11 +67,12 @@
 }
 
 // grant completes a state that gives a lock to its holder, for as long as the call asks for and not shorter than it was
-// given before: the caller may have had no answer to this call yet, and goes by the one before.
-func grant(next *pb.LockState, call string, holdMs uint32, remaining time.Duration) register.Outcome {
+// given before: the caller may have had no answer to this call yet, and goes by the one before. A grant is known by its round,
+// not by its call: executed again, a call gives the time that is left by then, from then on.
+func grant(next *pb.LockState, round string, holdMs uint32, remaining time.Duration) register.Outcome {
 	hold := max(time.Duration(holdMs)*time.Millisecond, remaining)
 	next.HoldMs = uint32(hold.Milliseconds()) + 1 // rounded up
-	next.GrantedBy = call
+	next.GrantedBy = round
 	outcome := granted(next.GetFence())
 	outcome.Change = whole(lockValue(next))
 	outcome.HoldFor = hold
--- a/internal/region/register/call.go
+++ b/internal/region/register/call.go
@@ -11,6 +11,8 @@
 	// HoldRemaining is how much longer the holder of a lock may take itself for the holder, at most; negative when that
 	// time is over.
 	HoldRemaining time.Duration
+	// Round names the round among those of all proposers. A call that is executed again is executed in another one.
+	Round string
 }
 
 // Outcome is what a call does to a value.
--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -273,7 +274,10 @@
 }
 
 func (p *proposer) execute(now time.Duration, next *round, waiting *operation) {
-	outcome := p.proposers.execute(next.value, waiting.call, Conditions{HoldRemaining: p.heldUntil - now})
+	outcome := p.proposers.execute(next.value, waiting.call, Conditions{
+		HoldRemaining: p.heldUntil - now,
+		Round:         p.proposers.name + "/" + strconv.FormatUint(next.poll, 36),
+	})
 	next.operations = append(next.operations, waiting)
 	if outcome.Wait {
 		next.results = append(next.results, nil)
