Drop old events on confirmations too

Events were dropped only with a write. A group that was full refused all puts, so that nothing was written and nothing dropped. TestOldEventsAreDroppedWithoutFurtherWrites failed before.

--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -144,7 +144,7 @@
 	}
 	found := r.register(accept.GetName())
 	outcome, record := found.accept(now, accept)
-	if record != nil {
+	if outcome == pb.RegisterAccepted_OUTCOME_ACCEPTED {
 		r.compact(now, found)
 	}
 	message := &pb.Message{Body: &pb.Message_RegisterAccepted{RegisterAccepted: &pb.RegisterAccepted{
