Keep an event as long as any other if its revision was given before

A replica that had accepted an event which was not chosen took its time for that of the event which got the revision later, and dropped that too early: a watch could get 410 for a revision within the retention. TestEventThatReplacesAnUnchosenOneIsKeptAsLongAsAnyOther failed before.

--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -212,18 +212,18 @@
 // timeEvents records when the events came that the group did not have before.
 func (a *acceptor) timeEvents(now time.Duration, before *pb.KeyGroupState) {
 	events := a.value.GetGroup().GetEvents()
-	known := make(map[uint64]time.Duration, len(before.GetEvents()))
+	known := make(map[uint64]int, len(before.GetEvents()))
 	if len(events) == 0 {
 		a.eventTimes = nil
 		return
 	}
 	for index, event := range before.GetEvents() {
-		known[event.GetRevision()] = a.eventTimes[index]
+		known[event.GetRevision()] = index
 	}
 	times := make([]time.Duration, len(events))
 	for index, event := range events {
-		if at, found := known[event.GetRevision()]; found {
-			times[index] = at
+		if earlier, found := known[event.GetRevision()]; found && isSameEvent(event, before.GetEvents()[earlier]) {
+			times[index] = a.eventTimes[earlier]
 		} else {
 			times[index] = now
 		}
@@ -231,6 +231,12 @@
 	a.eventTimes = times
 }
 
+// isSameEvent reports whether two events of one revision are the same put. A proposal that was not chosen may have given the
+// revision to another one.
+func isSameEvent(a, b *pb.KeyEvent) bool {
+	return a.GetName() == b.GetName() && a.GetValue() == b.GetValue()
+}
+
 // compact drops the events that are older than the retention.
 func (r *Replica) compact(now time.Duration, found *acceptor) {
 	old := 0
