Ask for the registers once what is held is durable; queue none on a full disk

An answer leaves out what the request lists. A machine that lost power after it had asked, and before its last records were durable, could install an answer that left them out. And requests and answers are not queued without bound behind a disk that takes nothing. Answers are installed in the order of identities, not by chance. TestTransferIsRequestedOnceWhatItListsIsDurable and TestFullDiskQueuesNoTransfers failed before.

--- a/internal/region/register/transfer.go
+++ b/internal/region/register/transfer.go
@@ -39,7 +39,8 @@
 		r.beginEmpty()
 		return
 	}
-	if r.transfer.asked && now-r.transfer.askedAt < transferInterval {
+	isTooEarly := r.transfer.asked && now-r.transfer.askedAt < transferInterval
+	if isTooEarly || !r.output.CanPersist() {
 		return
 	}
 	r.transfer.asked = true
@@ -55,6 +56,7 @@
 	}
 }
 
+// askForTransfer asks once what it says to hold is durable: an answer leaves that out.
 func (r *Replica) askForTransfer() {
 	request := &pb.Message{Body: &pb.Message_RegisterTransferRequest{
 		RegisterTransferRequest: &pb.RegisterTransferRequest{Epoch: r.membership.Epoch, Held: r.heldPositions()},
@@ -64,7 +66,7 @@
 		for _, voter := range voters {
 			if identity := voter.GetIdentity(); !asked[identity] {
 				asked[identity] = true
-				r.output.Send(voter, request)
+				r.output.Persist(nil, voter, request)
 			}
 		}
 	}
@@ -103,7 +105,7 @@
 // either.
 func (r *Replica) TransferRequested(from *pb.Replica, request *pb.RegisterTransferRequest) {
 	epoch := request.GetEpoch()
-	if r.membership.Epoch != epoch {
+	if r.membership.Epoch != epoch || !r.output.CanPersist() {
 		return
 	}
 	answer := &pb.RegisterTransfer{Epoch: epoch}
@@ -138,10 +140,19 @@
 	}
 	r.transfer.received[from.GetIdentity()] = received
 	if len(r.transfer.received) >= r.membership.previousMajority() && r.hasPreviousRegisters() {
-		r.install(now, slices.Collect(maps.Values(r.transfer.received)))
+		r.install(now, r.collected())
 	}
 }
 
+// collected are the answers of the previous voters, in an order that does not depend on chance.
+func (r *Replica) collected() []*pb.RegisterTransfer {
+	collected := make([]*pb.RegisterTransfer, 0, len(r.transfer.received))
+	for _, identity := range slices.Sorted(maps.Keys(r.transfer.received)) {
+		collected = append(collected, r.transfer.received[identity])
+	}
+	return collected
+}
+
 // hasPreviousRegisters reports whether one of the answers is of a machine that took part in the previous epoch, and so
 // holds what was chosen before it.
 func (r *Replica) hasPreviousRegisters() bool {
