Refuse forwarded calls of a kind that this version does not know

Such a call named the register "", whose records read as that of the active epoch: a restart forgot that the machine had taken part. TestCallWithoutAnOperationWritesNoRegister failed before.

--- a/internal/region/coordination/engine.go
+++ b/internal/region/coordination/engine.go
@@ -164,17 +164,18 @@
 }
 
 // receiveCall takes a call that was forwarded here. One that may have waited for a stalled process is dropped: its origin
-// has asked another machine meanwhile.
+// has asked another machine meanwhile. One of a kind that this version does not know is refused.
 func (e *Engine) receiveCall(now time.Duration, from *pb.Replica, call *pb.CoordinationCall) {
 	if e.host.IsStalled() {
 		return
 	}
-	if e.leaving {
+	register := registerOf(call)
+	if e.leaving || register == "" {
 		e.host.Send(from, &pb.Message{Body: &pb.Message_CoordinationResult{CoordinationResult: &pb.CoordinationResult{
 			Id:      call.GetId(),
 			Outcome: pb.CoordinationResult_OUTCOME_UNAVAILABLE,
 		}}})
 		return
 	}
-	e.proposers.Submit(now, registerOf(call), from, call)
+	e.proposers.Submit(now, register, from, call)
 }
