--- /dev/null
+++ b/internal/region/coordination/simulatednetwork_test.go
@@ -0,0 +1,86 @@
+package coordination
+
+import (
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// network carries messages between machines: it loses, doubles, delays and reorders them, and may be cut.
+type network struct {
+	simulation *simulation
+	loss       float64
+	doubling   float64
+	lateness   float64 // share of messages that take very long
+	cuts       map[link]int
+}
+
+type link struct{ from, to string }
+
+func newNetwork(s *simulation) *network {
+	return &network{
+		simulation: s,
+		loss:       0.03 * s.random.Float64(),
+		doubling:   0.05 * s.random.Float64(),
+		lateness:   0.02 * s.random.Float64(),
+		cuts:       make(map[link]int),
+	}
+}
+
+// isOpen reports whether two machines reach each other.
+func (n *network) isOpen(a, b *machine) bool {
+	isCut := n.cuts[link{a.identity(), b.identity()}] > 0 || n.cuts[link{b.identity(), a.identity()}] > 0
+	return b.running && !isCut
+}
+
+// send carries a message of the protocol. Calls and their results come once at most, as the transport of the control
+// machines sends nothing again.
+func (n *network) send(from, to *machine, message *pb.Message) {
+	copies := 1
+	isRepeatable := message.GetCoordinationCall() == nil && message.GetCoordinationResult() == nil
+	if isRepeatable && n.simulation.chance(n.doubling) {
+		copies = 2
+	}
+	n.transmit(from, to, copies, func() { to.receive(from.replica, message) })
+}
+
+// transmit has the receiver do something, if the message arrives.
+func (n *network) transmit(from, to *machine, copies int, arrive func()) {
+	s := n.simulation
+	if n.cuts[link{from.identity(), to.identity()}] > 0 {
+		return
+	}
+	for range copies {
+		if !s.chance(n.loss) {
+			s.after(n.delay(from, to), func() { to.do(arrive) })
+		}
+	}
+}
+
+func (n *network) delay(from, to *machine) time.Duration {
+	s := n.simulation
+	if s.chance(n.lateness) {
+		return s.between(50, 3000)
+	}
+	if from.replica.GetRegion() == to.replica.GetRegion() {
+		return s.between(1, 3)
+	}
+	return s.between(12, 20)
+}
+
+// cut closes links for a while.
+func (n *network) cut(links []link, pause time.Duration) {
+	for _, closed := range links {
+		n.cuts[closed]++
+	}
+	n.simulation.after(pause, func() {
+		for _, closed := range links {
+			n.cuts[closed]--
+		}
+	})
+}
+
+// calm ends the faults that belong to no cut.
+func (n *network) calm() {
+	n.loss, n.doubling, n.lateness = 0, 0, 0
+}
--- /dev/null
+++ b/internal/region/coordination/simulation_test.go
@@ -0,0 +1,168 @@
+package coordination
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/testkit/history"
+)
+
+// Lengths of a simulated run.
+const (
+	faultsFor  = 12 * time.Second // faults come and go
+	settleFor  = 8 * time.Second  // everything works again, callers go on
+	finalFor   = 6 * time.Second  // final calls
+	retention  = 4 * time.Second
+	zoneCount  = 3
+	spareCount = 2
+)
+
+// simulation is a few machines, each with an engine, a clock and a disk, the network between them, and callers. Everything that
+// happens in it is drawn from a seed.
+type simulation struct {
+	seed    uint64
+	random  *rand.Rand
+	now     time.Duration // of no machine's clock
+	events  eventQueue
+	lastID  uint64
+	planted planted
+
+	machines   []*machine // that have a disk, whether they run or not
+	byIdentity map[string]*machine
+	network    *network
+	view       *pb.View // that was decided last
+	faulty     bool
+	calls      []*history.Call
+}
+
+// runSimulation returns the history of the calls of a run.
+func runSimulation(seed uint64, fault planted) []history.Call {
+	s := newSimulation(seed, fault)
+	s.found()
+	s.faulty = true
+	s.startFaults()
+	callers := s.startCallers()
+	s.runUntil(faultsFor)
+	s.heal()
+	s.runUntil(faultsFor + settleFor)
+	callers.stop()
+	s.runUntil(faultsFor + settleFor + finalPause)
+	s.startFinalCalls(callers)
+	s.runUntil(faultsFor + settleFor + finalPause + finalFor)
+	calls := make([]history.Call, 0, len(s.calls))
+	for _, call := range s.calls {
+		calls = append(calls, *call)
+	}
+	return calls
+}
+
+func newSimulation(seed uint64, fault planted) *simulation {
+	s := &simulation{
+		seed:       seed,
+		random:     rand.New(rand.NewPCG(seed, 0)),
+		planted:    fault,
+		byIdentity: make(map[string]*machine),
+	}
+	s.network = newNetwork(s)
+	return s
+}
+
+// found starts the machines, and decides on view 1.
+func (s *simulation) found() {
+	voters := 3 + 2*s.random.IntN(2)
+	for range voters + spareCount {
+		s.addMachine()
+	}
+	s.view = &pb.View{Number: 1, VotersEpoch: 1}
+	for _, member := range s.machines[:voters] {
+		s.view.Voters = append(s.view.Voters, member.replica)
+	}
+	for _, member := range s.machines[:voters] {
+		member.adopt(s.view)
+	}
+	s.repeat(s.between(200, 400), s.changeView)
+}
+
+// addMachine starts a machine with an empty disk.
+func (s *simulation) addMachine() *machine {
+	number := len(s.byIdentity)
+	added := &machine{
+		simulation: s,
+		replica: &pb.Replica{
+			Host:     fmt.Sprintf("host%d", number),
+			Identity: fmt.Sprintf("m%d", number),
+			Region:   fmt.Sprintf("region%d", number%zoneCount/2),
+		},
+	}
+	added.disk = &disk{machine: added}
+	s.machines = append(s.machines, added)
+	s.byIdentity[added.identity()] = added
+	added.start()
+	return added
+}
+
+// after has something happen later.
+func (s *simulation) after(delay time.Duration, action func()) {
+	s.lastID++
+	heap.Push(&s.events, &event{at: s.now + delay, id: s.lastID, action: action})
+}
+
+// repeat has something happen again and again.
+func (s *simulation) repeat(interval time.Duration, action func()) {
+	s.after(interval, func() {
+		action()
+		s.repeat(interval, action)
+	})
+}
+
+func (s *simulation) runUntil(end time.Duration) {
+	for s.events.Len() > 0 && s.events[0].at <= end {
+		next := heap.Pop(&s.events).(*event)
+		s.now = next.at
+		next.action()
+	}
+	s.now = end
+}
+
+// chance is true with a probability.
+func (s *simulation) chance(probability float64) bool { return s.random.Float64() < probability }
+
+// between draws a time; the bounds are milliseconds.
+func (s *simulation) between(least, most float64) time.Duration {
+	return time.Duration((least + s.random.Float64()*(most-least)) * float64(time.Millisecond))
+}
+
+// pick draws one of several.
+func pick[T any](s *simulation, from []T) T { return from[s.random.IntN(len(from))] }
+
+type event struct {
+	at     time.Duration
+	id     uint64
+	action func()
+}
+
+// eventQueue implements heap.Interface.
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(a, b int) bool {
+	if q[a].at != q[b].at {
+		return q[a].at < q[b].at
+	}
+	return q[a].id < q[b].id
+}
+
+func (q eventQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+
+func (q *eventQueue) Push(item any) { *q = append(*q, item.(*event)) }
+
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	item := (*q)[last]
+	*q = (*q)[:last]
+	return item
+}
--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -228,10 +228,10 @@
 		p.execute(now, next, waiting)
 	}
 	p.queue = nil
-	if next.change == nil && p.position.GetSequence() == 0 {
 	if next.value == nil {
 		next.value = &pb.RegisterValue{}
 	}
+	if next.change == nil && p.position.GetSequence() == 0 {
 		// What an earlier proposer may have had accepted must be held by a majority before a result rests on it, and if no
 		// majority can have accepted anything, a value of an earlier proposer must not come up later.
 		next.change = wholeChange(next.value)
--- /dev/null
+++ b/internal/region/register/transfer_test.go
@@ -0,0 +1,137 @@
+package register
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+func secondEpoch(before []string, voters ...string) Membership {
+	return Membership{Epoch: 2, Voters: replicasOf(voters...), PreviousEpoch: 1, PreviousVoters: replicasOf(before...)}
+}
+
+func TestNewVoterHoldsWhatWasChosenBefore(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c"), "a", "b", "c")
+	c.members["a"].submit(numberCall(1))
+	c.deliver("a", "b")
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b", "c", "d")
+	c.deliver("b", "c", "d")
+	for _, identity := range []string{"b", "c", "d"} {
+		require.True(t, c.members[identity].replica.IsActive(), identity)
+	}
+	c.members["d"].submit(numberCall(2))
+	c.deliver("c", "d")
+	assert.Equal(t, uint64(2), c.members["d"].result(t, 2).GetNumber())
+}
+
+func TestNoVoterTakesPartWithoutAMajorityOfThePreviousOnes(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c"), "a", "b", "c")
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "c", "d")
+	c.deliver("c", "d")
+	assert.False(t, c.members["d"].replica.IsActive())
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b")
+	c.pass(transferInterval)
+	c.tick("d")
+	c.deliver("b", "c", "d")
+	assert.True(t, c.members["d"].replica.IsActive())
+}
+
+func TestNoVoterTakesPartWhileNoneHoldsThePreviousRegisters(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b", "c", "d")
+	c.deliver("b", "c", "d")
+	assert.False(t, c.members["d"].replica.IsActive())
+}
+
+func TestVoterThatNeverTookPartCountsForTheMajority(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c"), "a", "b")
+	c.members["a"].submit(numberCall(1))
+	c.deliver("a", "b")
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b", "c", "d")
+	c.deliver("b", "c", "d")
+	require.True(t, c.members["d"].replica.IsActive())
+	assert.Equal(t, uint64(1), c.members["d"].replica.held("x").value.GetCounter().GetValue())
+}
+
+func TestVoterAcceptsNothingInAnEarlierEpoch(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c"), "a", "b", "c")
+	c.members["a"].submit(numberCall(1))
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b", "c", "d")
+	c.deliver("a", "b", "c", "d")
+	assert.Empty(t, c.members["a"].results)
+	assert.Nil(t, c.members["b"].replica.held("x").value)
+}
+
+func TestVoterOfAnOlderEpochGivesUpWhatItHolds(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c", "d"), "a", "b", "c", "d")
+	c.members["d"].submit(numberCall(1))
+	c.deliver("d") // accepted nowhere
+	c.members["d"].replica.register("x").accepted = &pb.RegisterPosition{Epoch: 1, Round: 99, Proposer: "d/1", Sequence: 1}
+	c.members["a"].submit(numberCall(2))
+	c.deliver("a", "b", "c")
+	third := Membership{Epoch: 3, Voters: replicasOf("a", "b", "d"), PreviousEpoch: 2, PreviousVoters: replicasOf("a", "b", "c")}
+	c.enter(secondEpoch([]string{"a", "b", "c", "d"}, "a", "b", "c"), "a", "b", "c")
+	c.deliver("a", "b", "c")
+	c.enter(third, "a", "b", "c", "d")
+	c.deliver("a", "b", "c", "d")
+	require.True(t, c.members["d"].replica.IsActive())
+	assert.Equal(t, uint64(1), c.members["d"].replica.held("x").value.GetCounter().GetValue())
+}
+
+func TestMachineWithRegistersDoesNotBeginEmpty(t *testing.T) {
+	c := foundedCluster("a", "b", "c")
+	c.members["a"].submit(numberCall(1))
+	c.deliver("a", "b", "c")
+	c.enter(Membership{Epoch: 7, Voters: replicasOf("a", "b", "c")}, "a")
+	assert.False(t, c.members["a"].replica.IsActive())
+	assert.NotNil(t, c.members["a"].replica.held("x").value)
+}
+
+// An answer leaves out what the request lists, so the request must not list what a restart may forget.
+func TestTransferIsRequestedOnceWhatItListsIsDurable(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c"), "a", "b", "c")
+	c.members["a"].submit(numberCall(1))
+	c.deliver("a", "b", "c")
+	c.members["b"].slowDisk = true
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b")
+	assert.Empty(t, c.wire)
+	c.members["b"].sync()
+	assert.NotEmpty(t, c.wire)
+}
+
+func TestEpochIsTheSameWhileTheVotersAre(t *testing.T) {
+	first := &pb.View{Number: 1, Voters: replicasOf("a", "b", "c")}
+	NameEpoch(first, nil)
+	assert.Equal(t, Membership{Epoch: 1, Voters: first.GetVoters()}, MembershipOf(first))
+	second := &pb.View{Number: 2, Voters: replicasOf("c", "b", "a")}
+	NameEpoch(second, first)
+	assert.Equal(t, uint64(1), MembershipOf(second).Epoch)
+	third := &pb.View{Number: 3, Voters: replicasOf("a", "b", "d")}
+	NameEpoch(third, second)
+	assert.Equal(t, uint64(3), MembershipOf(third).Epoch)
+	assert.Equal(t, uint64(1), MembershipOf(third).PreviousEpoch)
+	assert.Equal(t, second.GetVoters(), MembershipOf(third).PreviousVoters)
+	fourth := &pb.View{Number: 4, Voters: third.GetVoters()}
+	NameEpoch(fourth, third)
+	assert.Equal(t, MembershipOf(third), MembershipOf(fourth))
+	assert.Equal(t, Membership{}, MembershipOf(&pb.View{Number: 9, Voters: first.GetVoters()}))
+}
+
+func TestFullDiskQueuesNoTransfers(t *testing.T) {
+	c := newCluster("a", "b", "c", "d")
+	c.enter(firstEpoch("a", "b", "c"), "a", "b", "c")
+	c.members["b"].fullDisk = true
+	c.members["b"].slowDisk = true
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b", "c", "d")
+	c.deliver("b", "c", "d")
+	assert.Empty(t, c.members["b"].unsent)
+}
