--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
@@ -227,8 +228,12 @@
 		p.execute(now, next, waiting)
 	}
 	p.queue = nil
+	if next.value == nil {
+		next.value = &pb.RegisterValue{}
+	}
 	if next.change == nil && p.position.GetSequence() == 0 {
-		// What an earlier proposer may have had accepted must be held by a majority before a result rests on it.
+		// What an earlier proposer may have had accepted must be held by a majority before a result rests on it, and if no
+		// majority can have accepted anything, a value of an earlier proposer must not come up later.
 		next.change = wholeChange(next.value)
 	}
 	if next.change != nil {
@@ -269,7 +274,10 @@
 }
 
 func (p *proposer) execute(now time.Duration, next *round, waiting *operation) {
-	outcome := p.proposers.execute(next.value, waiting.call, Conditions{HoldRemaining: p.heldUntil - now})
+	outcome := p.proposers.execute(next.value, waiting.call, Conditions{
+		HoldRemaining: p.heldUntil - now,
+		Round:         p.proposers.name + "/" + strconv.FormatUint(next.poll, 36),
+	})
 	next.operations = append(next.operations, waiting)
 	if outcome.Wait {
 		next.results = append(next.results, nil)
--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -144,7 +144,7 @@
 	}
 	found := r.register(accept.GetName())
 	outcome, record := found.accept(now, accept)
-	if record != nil {
+	if outcome == pb.RegisterAccepted_OUTCOME_ACCEPTED {
 		r.compact(now, found)
 	}
 	message := &pb.Message{Body: &pb.Message_RegisterAccepted{RegisterAccepted: &pb.RegisterAccepted{
@@ -174,11 +174,6 @@
 	isNewer := ComparePositions(position, a.accepted) > 0
 	record := &pb.RegisterRecord{Name: accept.GetName(), Promised: numberOf(position)}
 	switch {
-	case accept.GetChange() == nil && position.GetSequence() == 0:
-		// No value is written under this number: the promise alone is confirmed.
-		if compareNumbers(position, a.promised) == 0 {
-			return pb.RegisterAccepted_OUTCOME_ACCEPTED, nil
-		}
 	case !isNewer:
 		// It was accepted before, itself or within a later value of the same number.
 		return pb.RegisterAccepted_OUTCOME_ACCEPTED, nil
@@ -217,18 +212,18 @@
 // timeEvents records when the events came that the group did not have before.
 func (a *acceptor) timeEvents(now time.Duration, before *pb.KeyGroupState) {
 	events := a.value.GetGroup().GetEvents()
-	known := make(map[uint64]time.Duration, len(before.GetEvents()))
+	known := make(map[uint64]int, len(before.GetEvents()))
 	if len(events) == 0 {
 		a.eventTimes = nil
 		return
 	}
 	for index, event := range before.GetEvents() {
-		known[event.GetRevision()] = a.eventTimes[index]
+		known[event.GetRevision()] = index
 	}
 	times := make([]time.Duration, len(events))
 	for index, event := range events {
-		if at, found := known[event.GetRevision()]; found {
-			times[index] = at
+		if earlier, found := known[event.GetRevision()]; found && isSameEvent(event, before.GetEvents()[earlier]) {
+			times[index] = a.eventTimes[earlier]
 		} else {
 			times[index] = now
 		}
@@ -236,6 +231,12 @@
 	a.eventTimes = times
 }
 
+// isSameEvent reports whether two events of one revision are the same put. A proposal that was not chosen may have given the
+// revision to another one.
+func isSameEvent(a, b *pb.KeyEvent) bool {
+	return a.GetName() == b.GetName() && a.GetValue() == b.GetValue()
+}
+
 // compact drops the events that are older than the retention.
 func (r *Replica) compact(now time.Duration, found *acceptor) {
 	old := 0
