Reject calls of applications by typed errors that name key and place

Faults of calls were texts with a status beside them. A body that was not UTF-8 was taken with other characters in its place, so that a value could be shown that nobody put; a whole number written 41.0 was refused for a fence or a revision; a member that was missing counted as empty; a body could take for ever to arrive; a watch that ended with the machine was answered 504 although nothing can come of it.

What the operator's API has in common with it (reading of bodies, their errors, slots, JSON responses) stands once, in httpapi; its recorded refusals are as they were. The recorded interface changes for the type of fences and expected revisions alone; the record of the refusals is new.

--- a/api/coordination/coordination.gen.go
+++ b/api/coordination/coordination.gen.go
@@ -33,8 +33,8 @@
 // KeyPut defines model for KeyPut.
 type KeyPut struct {
 	// Enabled The revision that the key must have, 0 if it must not exist. Without it the put is unconditional.
-	Enabled *uint64 `json:"enabled,omitempty"`
-	Val     string  `json:"val"`
+	Enabled *WholeNumber `json:"enabled,omitempty"`
+	Val     string       `json:"val"`
 }
 
 // KeyValue defines model for KeyValue.
@@ -60,15 +60,15 @@
 
 // LockRelease defines model for LockRelease.
 type LockRelease struct {
-	Fence  uint64 `json:"fence"`
-	Holder string `json:"holder"`
+	Fence  WholeNumber `json:"fence"`
+	Holder string      `json:"holder"`
 }
 
 // LockRenewal defines model for LockRenewal.
 type LockRenewal struct {
-	Fence  uint64  `json:"fence"`
-	HoldMs float64 `json:"hold-ms"`
-	Holder string  `json:"holder"`
+	Fence  WholeNumber `json:"fence"`
+	HoldMs float64     `json:"hold-ms"`
+	Holder string      `json:"holder"`
 }
 
 // Number defines model for Number.
--- a/internal/region/coordinationapi/responses.go
+++ b/internal/region/coordinationapi/responses.go
@@ -2,14 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
-	"strconv"
 
 	"fieldrelay/api/coordination"
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/region/httpapi"
 )
 
-// retryAfterSeconds is the Retry-After of calls that were not executed.
+// retryAfterSeconds is the Retry-After of calls that were not executed. RFC 9110 knows whole seconds only; api/operator.yaml
+// allows fractions.
 const retryAfterSeconds = "0.1"
 
 // responder gives the body of a response to a call that was executed.
@@ -45,70 +47,59 @@
 	return coordination.WatchAnswer{Events: events, Revision: result.GetRevision()}
 }
 
-// respond converts a result into a response. Only what is known not to be executed gets 429 or 503.
+// respond converts a result into a response.
 func (s *Server) respond(w http.ResponseWriter, result *pb.CoordinationResult, body responder) {
 	switch result.GetOutcome() {
 	case pb.CoordinationResult_OUTCOME_OK:
 		s.write(w, http.StatusOK, body(result))
-	case pb.CoordinationResult_OUTCOME_HELD_BY_OTHER:
-		s.reject(w, http.StatusConflict, "another caller holds the lock, or it is lost")
 	case pb.CoordinationResult_OUTCOME_REVISION_MISMATCH:
 		s.write(w, http.StatusPreconditionFailed, respondRevision(result))
+	default:
+		s.reject(w, rejectionOf(result.GetOutcome()))
+	}
+}
+
+// rejectionOf is the error for an outcome without a value. Only what is known not to be executed gets 429 or 503.
+func rejectionOf(outcome pb.CoordinationResult_Outcome) httpapi.RejectionError {
+	switch outcome {
+	case pb.CoordinationResult_OUTCOME_HELD_BY_OTHER:
+		return &LockHeldError{}
 	case pb.CoordinationResult_OUTCOME_NOT_FOUND:
-		s.reject(w, http.StatusNotFound, "the key was never written")
+		return &KeyNotFoundError{}
 	case pb.CoordinationResult_OUTCOME_COMPACTED:
-		s.reject(w, http.StatusGone, "what follows this revision is not kept any more")
+		return &CompactedError{}
 	case pb.CoordinationResult_OUTCOME_BUSY:
-		s.reject(w, http.StatusTooManyRequests, "too many calls wait for this name")
+		return &NameBusyError{}
 	case pb.CoordinationResult_OUTCOME_UNAVAILABLE:
-		s.reject(w, http.StatusServiceUnavailable, "the call was not executed; it may be sent again")
+		return &NotExecutedError{}
 	default:
-		s.reject(w, http.StatusGatewayTimeout, "it is not known whether the call was executed; it may be sent again")
+		return &UnknownOutcomeError{}
 	}
 }
 
-// reject responds with an error.
-func (s *Server) reject(w http.ResponseWriter, status int, message string) {
-	detail := coordination.RefusalDetail{Code: rejectionCode(status), Message: message}
-	s.write(w, status, coordination.Refusal{Error: detail})
-}
-
-// rejectionCode is the code of an error for programs.
-func rejectionCode(status int) string {
-	switch status {
-	case http.StatusBadRequest:
-		return "invalid_call"
-	case http.StatusNotFound:
-		return "not_found"
-	case http.StatusConflict:
-		return "lock_held"
-	case http.StatusGone:
-		return "compacted"
-	case http.StatusRequestEntityTooLarge:
-		return "body_too_large"
-	case http.StatusTooManyRequests:
-		return "busy"
-	case http.StatusServiceUnavailable:
-		return "unavailable"
-	default:
-		return "unknown_outcome"
+// reject responds with an error. One that is no RejectionError says nothing about the call.
+func (s *Server) reject(w http.ResponseWriter, err error) {
+	cause, known := errors.AsType[httpapi.RejectionError](err)
+	if !known {
+		cause = &UnknownOutcomeError{}
+	}
+	detail := coordination.RefusalDetail{Code: cause.Code(), Message: cause.Error()}
+	if invalid, isInvalid := errors.AsType[*InvalidCallError](err); isInvalid {
+		detail.Faults = &invalid.Faults
 	}
+	s.write(w, cause.Status(), coordination.Refusal{Error: detail})
 }
 
-// write sends a complete response.
+// write sends and counts a complete response.
 func (s *Server) write(w http.ResponseWriter, status int, content any) {
 	s.options.Counters.count(status)
 	body, err := json.Marshal(content)
 	if err != nil {
 		body = []byte("{}") // no content of this package fails to marshal
 	}
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	retryAfter := ""
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		header.Set("Retry-After", retryAfterSeconds)
+		retryAfter = retryAfterSeconds
 	}
-	w.WriteHeader(status)
-	// A failed write means that the caller is gone.
-	_, _ = w.Write(body)
+	httpapi.WriteJSON(w, status, body, retryAfter)
 }
--- a/internal/region/coordinationapi/server.go
+++ b/internal/region/coordinationapi/server.go
@@ -15,6 +15,7 @@
 
 	"fieldrelay/api/coordination"
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/region/httpapi"
 )
 
 // pathPrefixes are the beginnings of the paths that a Server serves.
@@ -55,16 +56,16 @@
 // Server implements the operations of applications. It is safe for concurrent use.
 type Server struct {
 	options    Options
-	callSlots  chan struct{} // one token per open call
-	watchSlots chan struct{} // one token per open watch
+	callSlots  httpapi.Slots // one per open call
+	watchSlots httpapi.Slots // one per open watch
 }
 
 // New returns a server.
 func New(options Options) *Server {
 	return &Server{
 		options:    options,
-		callSlots:  make(chan struct{}, maxConcurrentCalls),
-		watchSlots: make(chan struct{}, maxConcurrentWatches),
+		callSlots:  httpapi.NewSlots(maxConcurrentCalls),
+		watchSlots: httpapi.NewSlots(maxConcurrentWatches),
 	}
 }
 
@@ -72,7 +73,7 @@
 func (s *Server) Handler() http.Handler {
 	return coordination.HandlerWithOptions(s, coordination.StdHTTPServerOptions{
 		ErrorHandlerFunc: func(w http.ResponseWriter, _ *http.Request, err error) {
-			s.reject(w, http.StatusBadRequest, err.Error())
+			s.reject(w, parameterError(err))
 		},
 	})
 }
@@ -80,7 +81,12 @@
 // AcquireLock acquires a lock.
 func (s *Server) AcquireLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	var body coordination.LockAcquisition
-	if !s.read(w, r, &body, validateID(id), func() error { return validateHold(body.Holder, body.HoldMs) }) {
+	err := readCall(w, r, id, &body, fieldHolder, fieldHold)
+	if err == nil {
+		err = validateHold(body.Holder, body.HoldMs)
+	}
+	if err != nil {
+		s.reject(w, err)
 		return
 	}
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Acquire{Acquire: &pb.AcquireLock{
@@ -93,13 +99,18 @@
 // RenewLock gives the holder of a lock more time.
 func (s *Server) RenewLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	var body coordination.LockRenewal
-	if !s.read(w, r, &body, validateID(id), func() error { return validateHold(body.Holder, body.HoldMs) }) {
+	err := readCall(w, r, id, &body, fieldHolder, fieldFence, fieldHold)
+	if err == nil {
+		err = validateHold(body.Holder, body.HoldMs)
+	}
+	if err != nil {
+		s.reject(w, err)
 		return
 	}
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Renew{Renew: &pb.RenewLock{
 		Name:   id,
 		Holder: body.Holder,
-		Fence:  body.Fence,
+		Fence:  uint64(body.Fence),
 		HoldMs: holdMilliseconds(body.HoldMs),
 	}}}, respondDone)
 }
@@ -110,20 +121,25 @@
 // ReleaseLock releases a lock.
 func (s *Server) ReleaseLock(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	var body coordination.LockRelease
-	if !s.read(w, r, &body, validateID(id), func() error { return validateHolder(body.Holder) }) {
+	err := readCall(w, r, id, &body, fieldHolder, fieldFence)
+	if err == nil {
+		err = validateHolder(body.Holder)
+	}
+	if err != nil {
+		s.reject(w, err)
 		return
 	}
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Release{Release: &pb.ReleaseLock{
 		Name:   id,
 		Holder: body.Holder,
-		Fence:  body.Fence,
+		Fence:  uint64(body.Fence),
 	}}}, respondDone)
 }
 
 // NextNumber gives a number.
 func (s *Server) NextNumber(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	if err := validateID(id); err != nil {
-		s.reject(w, http.StatusBadRequest, err.Error())
+		s.reject(w, err)
 		return
 	}
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_NextNumber{
@@ -134,20 +150,25 @@
 // PutKey writes a key.
 func (s *Server) PutKey(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	var body coordination.KeyPut
-	if !s.read(w, r, &body, validateID(id), func() error { return validateValue(body.Val) }) {
+	err := readCall(w, r, id, &body, fieldValue)
+	if err == nil {
+		err = validateValue(body.Val)
+	}
+	if err != nil {
+		s.reject(w, err)
 		return
 	}
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Put{Put: &pb.PutKey{
 		Name:             id,
 		Value:            body.Val,
-		ExpectedRevision: body.Enabled,
+		ExpectedRevision: (*uint64)(body.Enabled),
 	}}}, respondRevision)
 }
 
 // ReadKey reads a key.
 func (s *Server) ReadKey(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID) {
 	if err := validateID(id); err != nil {
-		s.reject(w, http.StatusBadRequest, err.Error())
+		s.reject(w, err)
 		return
 	}
 	s.call(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Read{Read: &pb.ReadKey{Name: id}}}, respondValue)
@@ -155,8 +176,8 @@
 
 // WatchGroup waits for puts to the keys of a group.
 func (s *Server) WatchGroup(w http.ResponseWriter, r *http.Request, id coordination.CoordinationID, params coordination.WatchGroupParams) {
-	if err := validateID(id); err != nil {
-		s.reject(w, http.StatusBadRequest, err.Error())
+	if err := validateWatch(id, params.WaitMs); err != nil {
+		s.reject(w, err)
 		return
 	}
 	watch := &pb.WatchGroup{Group: id}
@@ -164,44 +185,52 @@
 		watch.After = *params.After
 	}
 	if params.WaitMs != nil {
-		wait := min(max(*params.WaitMs, 0), float64(maxWatchWait.Milliseconds()))
-		watch.WaitMs = uint32(wait)
+		watch.WaitMs = uint32(min(*params.WaitMs, float64(maxWatchWait.Milliseconds())))
 	}
 	s.watch(w, r, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Watch{Watch: watch}})
 }
 
 // call executes a call and responds with its result.
 func (s *Server) call(w http.ResponseWriter, r *http.Request, call *pb.CoordinationCall, respond responder) {
-	s.execute(w, r.Context(), s.callSlots, call, respond)
+	result, err := s.execute(r.Context(), s.callSlots, call)
+	if err != nil {
+		s.reject(w, err)
+		return
+	}
+	s.respond(w, result, respond)
 }
 
-// watch is call for a watch, which ends when the machine does.
+// watch is call for a watch, which ends when the machine does. A watch has no effect, so that one without a result was not
+// executed.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, call *pb.CoordinationCall) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
 	go func() {
 		select {
 		case <-s.options.ShuttingDown:
 			cancel()
-		case <-stop:
+		case <-ctx.Done():
 		}
 	}()
-	s.execute(w, ctx, s.watchSlots, call, respondEvents)
+	result, err := s.execute(ctx, s.watchSlots, call)
+	switch {
+	case err != nil:
+		s.reject(w, err)
+	case result.GetOutcome() == pb.CoordinationResult_OUTCOME_UNKNOWN:
+		s.reject(w, &NotExecutedError{})
+	default:
+		s.respond(w, result, respondEvents)
+	}
 }
 
-func (s *Server) execute(w http.ResponseWriter, ctx context.Context, slots chan struct{}, call *pb.CoordinationCall, respond responder) {
+// execute executes a call, unless this machine cannot. The error is a RejectionError: the call was not executed.
+func (s *Server) execute(ctx context.Context, slots httpapi.Slots, call *pb.CoordinationCall) (*pb.CoordinationResult, error) {
 	if !s.options.Ready() {
-		s.reject(w, http.StatusServiceUnavailable, "this machine has not joined the others yet")
-		return
+		return nil, &httpapi.NotReadyError{}
 	}
-	select {
-	case slots <- struct{}{}:
-	default:
-		s.reject(w, http.StatusTooManyRequests, "too many calls are under way at this machine")
-		return
+	if !slots.TryAcquire() {
+		return nil, &TooManyCallsError{}
 	}
-	defer func() { <-slots }()
-	s.respond(w, s.options.Calls.Call(ctx, call), respond)
+	defer slots.Release()
+	return s.options.Calls.Call(ctx, call), nil
 }
--- a/internal/region/coordinationapi/validate.go
+++ b/internal/region/coordinationapi/validate.go
@@ -1,25 +1,41 @@
 package coordinationapi
 
 import (
-	"encoding/json"
 	"errors"
-	"net/http"
 	"time"
 	"unicode/utf8"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"fieldrelay/api/coordination"
+	engine "fieldrelay/internal/region/coordination"
 )
 
 // Bounds of what a call may contain.
 const (
 	maxNameBytes  = 256
 	maxValueBytes = 64 << 10
-	maxBodyBytes  = 2 * maxValueBytes
 	maxHold       = time.Hour
 )
 
-// errInvalidText is the fault of a text that is not UTF-8.
-var errInvalidText = validation.NewError("validation_utf8", "must be UTF-8")
+// Members of calls, as their faults name them.
+const (
+	fieldID     = "id"
+	fieldHolder = "holder"
+	fieldHold   = "hold-ms"
+	fieldFence  = "fence"
+	fieldValue  = "val"
+	fieldWait   = "wait-ms"
+)
+
+// Faults of members.
+var (
+	errInvalidText  = validation.NewError("validation_utf8", "must be UTF-8")
+	errNoGroup      = validation.NewError("validation_group", "must be a group: the name of a key up to its first dot, dot included")
+	errNotPositive  = validation.NewError("validation_positive", "must be no less than 1")
+	errNegative     = validation.NewError("validation_negative", "must be no less than 0")
+	errMemberAbsent = validation.NewError("validation_absent", "is missing")
+)
 
 // isText accepts UTF-8 alone.
 var isText = validation.By(func(value any) error {
@@ -29,20 +45,50 @@
 	return nil
 })
 
+// isGroup accepts the names of groups.
+var isGroup = validation.By(func(value any) error {
+	if text, _ := value.(string); engine.GroupOf(text) != text {
+		return errNoGroup
+	}
+	return nil
+})
+
+// isHold accepts the times for which a lock may be held.
+var isHold = validation.By(func(value any) error {
+	if hold, _ := value.(float64); hold < 1 {
+		return errNotPositive
+	}
+	return validation.Validate(value, validation.Max(float64(maxHold.Milliseconds())))
+})
+
+// isWait accepts the times for which a watch may wait; NaN is none.
+var isWait = validation.By(func(value any) error {
+	if wait, _ := value.(*float64); wait != nil && !(*wait >= 0) {
+		return errNegative
+	}
+	return nil
+})
+
 func validateID(id string) error {
-	return validation.Errors{"id": validation.Validate(id, validation.Required, validation.Length(1, maxNameBytes), isText)}.Filter()
+	return invalidFields(validation.Errors{fieldID: validateName(id)})
+}
+
+func validateWatch(group string, waitMS *float64) error {
+	return invalidFields(validation.Errors{
+		fieldID:   validation.Validate(group, validation.Required, validation.Length(1, maxNameBytes), isText, isGroup),
+		fieldWait: validation.Validate(waitMS, isWait),
+	})
 }
 
 func validateHolder(holder string) error {
-	return validation.Errors{"holder": validateName(holder)}.Filter()
+	return invalidFields(validation.Errors{fieldHolder: validateName(holder)})
 }
 
 func validateHold(holder string, holdMS float64) error {
-	return validation.Errors{
-		"holder": validateName(holder),
-		"hold-ms": validation.Validate(holdMS,
-			validation.Required, validation.Min(1.0), validation.Max(float64(maxHold.Milliseconds()))),
-	}.Filter()
+	return invalidFields(validation.Errors{
+		fieldHolder: validateName(holder),
+		fieldHold:   validation.Validate(holdMS, isHold),
+	})
 }
 
 func validateName(name string) error {
@@ -50,28 +96,13 @@
 }
 
 func validateValue(value string) error {
-	return validation.Errors{"val": validation.Validate(value, validation.Length(0, maxValueBytes))}.Filter()
+	return invalidFields(validation.Errors{fieldValue: validation.Validate(value, validation.Length(0, maxValueBytes))})
 }
 
-// read reads the body of a call and checks it; it responds and returns false if there is a fault.
-func (s *Server) read(w http.ResponseWriter, r *http.Request, body any, idFault error, validate func() error) bool {
-	if idFault != nil {
-		s.reject(w, http.StatusBadRequest, idFault.Error())
-		return false
-	}
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err := decoder.Decode(body); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			s.reject(w, http.StatusRequestEntityTooLarge, err.Error())
-		} else {
-			s.reject(w, http.StatusBadRequest, "the body cannot be read: "+err.Error())
-		}
-		return false
-	}
-	if err := validate(); err != nil {
-		s.reject(w, http.StatusBadRequest, err.Error())
-		return false
+// parameterError is the rejection for a parameter of a path or query that cannot be read.
+func parameterError(err error) error {
+	if invalid, isInvalid := errors.AsType[*coordination.InvalidParamFormatError](err); isInvalid {
+		return invalidField(invalid.ParamName, invalid.Err.Error())
 	}
-	return true
+	return invalidField("parameters", err.Error())
 }
--- a/internal/region/operatorapi/body.go
+++ b/internal/region/operatorapi/body.go
@@ -4,17 +4,14 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
-	"time"
+
+	"fieldrelay/internal/region/httpapi"
 )
 
 const (
 	// smallBodyBytes is the size up to which a body counts as small.
 	smallBodyBytes = 64 << 10
 
-	// bodyReadTimeout is the longest time in which a body may arrive.
-	bodyReadTimeout = 10 * time.Second
-
 	// maxConcurrentLargeBodies bounds the bodies in memory that are not small: they are the bulk of the memory that
 	// orders take.
 	maxConcurrentLargeBodies = 3
@@ -22,13 +19,13 @@
 
 // largeBodySlot is the slot of one body among the large bodies in memory, acquired once the body is known to be large.
 type largeBodySlot struct {
-	slots    chan struct{}
+	slots    httpapi.Slots
 	acquired bool
 }
 
 // acquire acquires a slot. The error is a *BusyError if all are in use.
 func (l *largeBodySlot) acquire() error {
-	if !tryAcquire(l.slots) {
+	if !l.slots.TryAcquire() {
 		return &BusyError{}
 	}
 	l.acquired = true
@@ -38,15 +35,13 @@
 // release returns the slot if one was acquired.
 func (l *largeBodySlot) release() {
 	if l.acquired {
-		releaseSlot(l.slots)
+		l.slots.Release()
 	}
 }
 
 // readBody reads the complete body within the bounds of size and time. The error is a RejectionError.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, large *largeBodySlot) ([]byte, error) {
-	// If the deadline cannot be set, the timeouts of the connection itself stay in force.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	limited := http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes)
+	limited := httpapi.LimitBody(w, r, s.options.MaxBodyBytes)
 	body, err := readAll(limited, r.ContentLength, large)
 	if err == nil {
 		return body, nil
@@ -54,14 +49,7 @@
 	if busy, full := errors.AsType[*BusyError](err); full {
 		return nil, busy
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, &BodyTimeoutError{}
-	}
-	return nil, &BodyIncompleteError{Cause: err}
+	return nil, httpapi.BodyError(err)
 }
 
 // readAll reads to the end, into a buffer of the right size if the length is known (not negative), and acquires the
--- a/internal/region/operatorapi/interface_test.go
+++ b/internal/region/operatorapi/interface_test.go
@@ -13,6 +13,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/catalog"
+	"fieldrelay/internal/region/httpapi"
 	"fieldrelay/internal/region/operatorapi/rejection"
 	"fieldrelay/internal/testkit/recordedtest"
 )
@@ -28,8 +29,8 @@
 			answer.Header().Get("Content-Length"), answer.Header().Get("Retry-After"), answer.Body))
 	}
 	cause := errors.New("CAUSE")
-	for _, refusal := range []error{&NotReadyError{}, &NotAuthoritativeError{}, &BusyError{}, &CallerGoneError{}, &NoEndpointsError{},
-		&BodyTooLargeError{LimitBytes: 7}, &BodyTimeoutError{}, &BodyIncompleteError{Cause: cause}, &BadParameterError{Cause: cause},
+	for _, refusal := range []error{&httpapi.NotReadyError{}, &NotAuthoritativeError{}, &BusyError{}, &CallerGoneError{}, &NoEndpointsError{},
+		&httpapi.BodyTooLargeError{LimitBytes: 7}, &httpapi.BodyTimeoutError{}, &httpapi.BodyIncompleteError{Cause: cause}, &BadParameterError{Cause: cause},
 		&MissingBaseError{}, &UnknownZoneError{Zone: "z"}, cause} {
 		answer := httptest.NewRecorder()
 		server.reject(answer, refusal)
--- a/internal/region/operatorapi/orders.go
+++ b/internal/region/operatorapi/orders.go
@@ -7,6 +7,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/api/operator"
+	"fieldrelay/internal/region/httpapi"
 )
 
 const (
@@ -63,7 +64,7 @@
 
 // unknownZone returns the rejection of an order for a zone that is not known here. A machine that is not authoritative
 // may just not know it yet.
-func (s *Server) unknownZone(zone string) RejectionError {
+func (s *Server) unknownZone(zone string) httpapi.RejectionError {
 	if !s.options.Authoritative() {
 		return &NotAuthoritativeError{}
 	}
@@ -77,11 +78,11 @@
 		return
 	}
 	if !s.options.Ready() {
-		s.reject(w, &NotReadyError{})
+		s.reject(w, &httpapi.NotReadyError{})
 		return
 	}
 	if r.ContentLength > s.options.MaxBodyBytes {
-		s.reject(w, &BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes})
+		s.reject(w, &httpapi.BodyTooLargeError{LimitBytes: s.options.MaxBodyBytes})
 		return
 	}
 	large := &largeBodySlot{slots: s.largeBodySlots}
@@ -97,14 +98,14 @@
 // submit submits an order and responds with its result.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, order *pb.Order) {
 	if !s.options.Ready() {
-		s.reject(w, &NotReadyError{})
+		s.reject(w, &httpapi.NotReadyError{})
 		return
 	}
-	if !tryAcquire(s.orderSlots) {
+	if !s.orderSlots.TryAcquire() {
 		s.reject(w, &BusyError{})
 		return
 	}
-	defer releaseSlot(s.orderSlots)
+	defer s.orderSlots.Release()
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeoutFor(len(order.Body)))
 	defer cancel()
 	s.writeResult(w, s.options.Orders.Submit(ctx, order))
@@ -116,16 +117,3 @@
 	timeout := submitTimeout + time.Duration(beyond>>10)*submitTimeoutPerKiB
 	return min(timeout, maxSubmitTimeout)
 }
-
-// tryAcquire acquires a slot if one is free.
-func tryAcquire(slots chan struct{}) bool {
-	select {
-	case slots <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
-// releaseSlot returns a slot that tryAcquire acquired.
-func releaseSlot(slots chan struct{}) { <-slots }
--- a/internal/region/operatorapi/responses.go
+++ b/internal/region/operatorapi/responses.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"net/http"
-	"strconv"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/api/operator"
+	"fieldrelay/internal/region/httpapi"
 	"fieldrelay/internal/region/operatorapi/rejection"
 )
 
@@ -15,8 +15,6 @@
 	// api/operator.yaml allows fractions.
 	retryAfterSeconds = "0.2"
 
-	contentTypeJSON = "application/json"
-
 	maxHTTPStatus = 599
 )
 
@@ -45,7 +43,7 @@
 
 // reject responds with an error. One that is no RejectionError becomes 503.
 func (s *Server) reject(w http.ResponseWriter, err error) {
-	cause, known := errors.AsType[RejectionError](err)
+	cause, known := errors.AsType[httpapi.RejectionError](err)
 	if !known {
 		cause = &ResultError{HTTPStatus: http.StatusServiceUnavailable}
 	}
@@ -56,13 +54,9 @@
 
 // writeJSON sends a complete response.
 func writeJSON(w http.ResponseWriter, status int, body []byte) {
-	header := w.Header()
-	header.Set("Content-Type", contentTypeJSON)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	retryAfter := ""
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", retryAfterSeconds)
+		retryAfter = retryAfterSeconds
 	}
-	w.WriteHeader(status)
-	// A failed write means that the caller is gone; it retries.
-	_, _ = w.Write(body)
+	httpapi.WriteJSON(w, status, body, retryAfter)
 }
--- a/internal/region/operatorapi/server.go
+++ b/internal/region/operatorapi/server.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"fieldrelay/api/operator"
+	"fieldrelay/internal/region/httpapi"
 )
 
 const (
@@ -22,8 +23,8 @@
 // Server implements the operations of api/operator.yaml. It is safe for concurrent use.
 type Server struct {
 	options        Options
-	orderSlots     chan struct{} // one token per open order
-	largeBodySlots chan struct{} // one token per large body in memory
+	orderSlots     httpapi.Slots // one per open order
+	largeBodySlots httpapi.Slots // one per large body in memory
 }
 
 // New returns a server with the defaults of options filled in.
@@ -36,8 +37,8 @@
 	}
 	return &Server{
 		options:        options,
-		orderSlots:     make(chan struct{}, maxConcurrentOrders),
-		largeBodySlots: make(chan struct{}, maxConcurrentLargeBodies),
+		orderSlots:     httpapi.NewSlots(maxConcurrentOrders),
+		largeBodySlots: httpapi.NewSlots(maxConcurrentLargeBodies),
 	}
 }
 
