Tell of calls and registers in status and in the counters

status shows for each control machine the registers that it holds and their epoch, those that it proposes for, calls and watches that wait, and what became of calls; a voter without the registers of the epoch in force is a warning, a majority without them an alarm.

--- a/internal/region/control/machine.go
+++ b/internal/region/control/machine.go
@@ -73,6 +73,11 @@
 	return hosts
 }
 
+// CoordinationStatus describes the calls of applications and the registers behind them.
+func (m *Machine) CoordinationStatus() CoordinationStatus {
+	return CoordinationStatus{Stats: m.coordination.engine.Stats(), Epoch: m.coordination.durableEpoch}
+}
+
 // Step handles one event and returns what the shell must do, in this order. The time is of a steady clock that does not
 // go backwards; its zero is of no importance.
 func (m *Machine) Step(now time.Duration, event Event) []Action {
--- a/internal/region/control/node.go
+++ b/internal/region/control/node.go
@@ -45,9 +45,10 @@
 	startedAt time.Time
 	running   sync.WaitGroup // the loop and the writer
 
-	status     atomic.Pointer[Status]
-	lastTickAt atomic.Int64 // when the loop handled a tick last, since startedAt, in nanoseconds
-	left       chan bool    // receives once, when the Machine has left, whether the others agreed
+	status       atomic.Pointer[Status]
+	coordination atomic.Pointer[CoordinationStatus] // nil before the first tick
+	lastTickAt   atomic.Int64                       // when the loop handled a tick last, since startedAt, in nanoseconds
+	left         chan bool                          // receives once, when the Machine has left, whether the others agreed
 
 	mu          sync.Mutex // guards what follows
 	changed     chan struct{}
--- a/internal/region/control/nodeloop.go
+++ b/internal/region/control/nodeloop.go
@@ -30,6 +30,7 @@
 		case <-ticker.C:
 			n.step(Tick{})
 			n.publish()
+			n.publishCoordination()
 			n.lastTickAt.Store(int64(time.Since(n.startedAt)))
 		case <-report.C:
 			n.counters.log(n.logger, n.Status())
--- a/internal/region/control/status.go
+++ b/internal/region/control/status.go
@@ -6,6 +6,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/catalog"
+	"fieldrelay/internal/region/coordination"
 )
 
 // Status is an immutable description of what a Node holds.
@@ -27,6 +28,27 @@
 		slices.Equal(s.Live, other.Live)
 }
 
+// CoordinationStatus is what a Node tells of the calls of applications and of the registers behind them.
+type CoordinationStatus struct {
+	coordination.Stats
+	// Epoch is the newest epoch of voters whose registers are on this machine's disk; 0: none.
+	Epoch uint64
+}
+
+// CoordinationStatus returns the figures of the newest tick. It is safe for concurrent use.
+func (n *Node) CoordinationStatus() CoordinationStatus {
+	if status := n.coordination.Load(); status != nil {
+		return *status
+	}
+	return CoordinationStatus{}
+}
+
+// publishCoordination replaces the CoordinationStatus. The loop calls it.
+func (n *Node) publishCoordination() {
+	status := n.machine.CoordinationStatus()
+	n.coordination.Store(&status)
+}
+
 // Status returns what the node holds now. It is safe for concurrent use. While the loop is stalled, nothing would show
 // that the state has grown old, so that the status is not authoritative then.
 func (n *Node) Status() Status {
--- a/internal/region/controlserver/fake_test.go
+++ b/internal/region/controlserver/fake_test.go
@@ -34,6 +34,8 @@
 	waiting   atomic.Int64  // orders that do
 	leaving   chan struct{} // Leave waits for it, if set
 	left      atomic.Int64  // calls of Leave
+
+	coordination control.CoordinationStatus
 }
 
 func newFakeNode() *fakeNode {
@@ -126,6 +128,8 @@
 	return n.status
 }
 
+func (n *fakeNode) CoordinationStatus() control.CoordinationStatus { return n.coordination }
+
 func (n *fakeNode) Changed() <-chan struct{} {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/region/controlserver/logging.go
+++ b/internal/region/controlserver/logging.go
@@ -56,20 +56,33 @@
 		zap.Int64("orders_acknowledged", p.operatorCounters.Acknowledged.Load()),
 		zap.Int64("orders_rejected", p.operatorCounters.Rejected.Load()),
 		zap.Int64("orders_unavailable", p.operatorCounters.Unavailable.Load()),
-		zap.Int64("calls_executed", p.callCounters.Executed.Load()),
-		zap.Int64("calls_refused", p.callCounters.Refused.Load()),
-		zap.Int64("calls_not_executed", p.callCounters.NotExecuted.Load()),
-		zap.Int64("calls_unknown", p.callCounters.Unknown.Load()),
 		zap.Int64("lookups", p.operatorCounters.Lookups.Load()),
 		zap.Int64("polls_succeeded", p.pollsSucceeded.Load()),
 		zap.Int64("polls_failed", p.pollsFailed.Load()),
 		zap.Int("agents_live", snapshot.members.Live()),
 		zap.Int("servers", snapshot.list.Len()),
 	}
+	fields = append(fields, p.coordinationFields()...)
 	fields = append(fields, lagFields(p.soft.LagStats())...)
 	p.logger.Info("counters", append(fields, p.watchCounters.fields()...)...)
 }
 
+// coordinationFields are the figures about the calls of applications in the line of counters.
+func (p *process) coordinationFields() []zap.Field {
+	status := p.node.CoordinationStatus()
+	return []zap.Field{
+		zap.Int64("calls_executed", p.callCounters.Executed.Load()),
+		zap.Int64("calls_refused", p.callCounters.Refused.Load()),
+		zap.Int64("calls_not_executed", p.callCounters.NotExecuted.Load()),
+		zap.Int64("calls_unknown", p.callCounters.Unknown.Load()),
+		zap.Int("calls_pending", status.Pending),
+		zap.Int("watches_waiting", status.Watches),
+		zap.Int("registers", status.Registers),
+		zap.Int("registers_proposing", status.Proposing),
+		zap.Uint64("register_epoch", status.Epoch),
+	}
+}
+
 // lagFields are the figures of the lag monitor in the line of counters.
 func lagFields(stats registry.LagStats) []zap.Field {
 	return []zap.Field{
--- a/internal/region/controlserver/node.go
+++ b/internal/region/controlserver/node.go
@@ -25,6 +25,8 @@
 	Call(ctx context.Context, call *pb.CoordinationCall) *pb.CoordinationResult
 	// Status returns the node's present status.
 	Status() control.Status
+	// CoordinationStatus returns figures about the calls of applications.
+	CoordinationStatus() control.CoordinationStatus
 	// Changed returns a channel that is closed at the next change of Status.
 	Changed() <-chan struct{}
 	// Since returns the committed changes after a sequence; false if they are no longer in the history.
--- a/internal/region/controlserver/statusservice.go
+++ b/internal/region/controlserver/statusservice.go
@@ -43,6 +43,25 @@
 			Unavailable:  uint64(p.operatorCounters.Unavailable.Load()),
 			Lookups:      uint64(p.operatorCounters.Lookups.Load()),
 		},
+		Coordination: p.coordinationStatus(),
+	}
+}
+
+// coordinationStatus is the part of a report about the calls of applications.
+func (p *process) coordinationStatus() *pb.CoordinationStatus {
+	status := p.node.CoordinationStatus()
+	return &pb.CoordinationStatus{
+		Epoch:     status.Epoch,
+		Registers: uint32(status.Registers),
+		Proposing: uint32(status.Proposing),
+		Pending:   uint32(status.Pending),
+		Watches:   uint32(status.Watches),
+		Calls: &pb.CallCounters{
+			Executed:    uint64(p.callCounters.Executed.Load()),
+			Refused:     uint64(p.callCounters.Refused.Load()),
+			NotExecuted: uint64(p.callCounters.NotExecuted.Load()),
+			Unknown:     uint64(p.callCounters.Unknown.Load()),
+		},
 	}
 }
 
--- a/internal/region/controlserver/statusservice_test.go
+++ b/internal/region/controlserver/statusservice_test.go
@@ -7,10 +7,13 @@
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/api/fieldrelay/v1/fieldrelayv1connect"
 	"fieldrelay/internal/region/control"
+	"fieldrelay/internal/region/coordination"
 	"fieldrelay/internal/region/registry"
 )
 
@@ -66,3 +69,40 @@
 	require.True(t, report.Agents[0].Lost, "edge-1 has had no contact")
 	require.False(t, report.Agents[1].Lost)
 }
+
+// An on-call person sees from outside which machine lacks the registers, and what became of calls.
+func TestStatusAndCountersTellOfCallsAndRegisters(t *testing.T) {
+	p, node := newTestProcess(t)
+	core, logged := observer.New(zap.InfoLevel)
+	p.logger = zap.New(core)
+	node.coordination = control.CoordinationStatus{
+		Epoch: 3,
+		Stats: coordination.Stats{Registers: 41, Proposing: 17, Pending: 6, Watches: 9},
+	}
+	server := operatorServer(t, p)
+	for _, call := range []struct {
+		status int
+		body   string
+	}{{503, `{"holder":"a","hold-ms":3000}`}, {400, `{}`}} {
+		status, _ := request(t, "POST", server.URL+"/api/locks/l/begin", "", call.body)
+		require.Equal(t, call.status, status)
+	}
+	status, _ := request(t, "GET", server.URL+"/api/conf/read", "", "")
+	require.Equal(t, 200, status, "the operator's calls are served at the same address")
+
+	report := describe(t, p).GetCoordination()
+	require.Equal(t, (&pb.CoordinationStatus{
+		Epoch: 3, Registers: 41, Proposing: 17, Pending: 6, Watches: 9,
+		Calls: &pb.CallCounters{Refused: 1, NotExecuted: 1},
+	}).String(), report.String())
+
+	p.logCounters()
+	line := logged.FilterMessage("counters").All()[0].ContextMap()
+	for field, want := range map[string]any{
+		"calls_executed": int64(0), "calls_refused": int64(1), "calls_not_executed": int64(1), "calls_unknown": int64(0),
+		"calls_pending": int64(6), "watches_waiting": int64(9),
+		"registers": int64(41), "registers_proposing": int64(17), "register_epoch": uint64(3),
+	} {
+		require.Equal(t, want, line[field], field)
+	}
+}
--- a/internal/region/status/clusterfindings.go
+++ b/internal/region/status/clusterfindings.go
@@ -39,7 +39,8 @@
 		}
 	}
 	if voters := len(view.GetVoters()); 2*(voters-unreachable) <= voters {
-		f.add(Alarm, "only %d of %d voters answer: without more than half no order is acknowledged", voters-unreachable, voters)
+		f.add(Alarm, "only %d of %d voters answer: without more than half no order is acknowledged and no call of an application executed",
+			voters-unreachable, voters)
 	}
 }
 
--- a/internal/region/status/findings.go
+++ b/internal/region/status/findings.go
@@ -52,6 +52,7 @@
 	var found findings
 	reports := s.reports()
 	found.checkViews(s, reports)
+	found.checkRegisters(reports)
 	found.checkPollingRole(reports, s.isComplete())
 	found.checkAgentLag(reports)
 	if chosen := mostReliableMembers(reports); chosen.GetMembersSettled() {
--- a/internal/region/status/status_test.go
+++ b/internal/region/status/status_test.go
@@ -27,7 +27,7 @@
 
 // healthy returns the survey of three machines without findings.
 func healthy() *Survey {
-	view := &pb.View{Number: 4, Cluster: "c1"}
+	view := &pb.View{Number: 4, Cluster: "c1", VotersEpoch: 3}
 	for _, host := range hosts {
 		view.Voters = append(view.Voters, replica(host))
 		view.Chain = append(view.Chain, replica(host))
@@ -43,6 +43,10 @@
 			},
 			Agents: []*pb.AgentStatus{agent("edge-1"), agent("edge-2")},
 			Orders: &pb.OrderCounters{Acknowledged: 5, Refused: 2},
+			Coordination: &pb.CoordinationStatus{
+				Epoch: 3, Registers: 41, Proposing: 17, Pending: 6, Watches: 9,
+				Calls: &pb.CallCounters{Executed: 1234, Refused: 56, NotExecuted: 7, Unknown: 8},
+			},
 		}})
 	}
 	return survey
@@ -76,7 +80,7 @@
 			s.Machines[1].Report.Self = &pb.Replica{Host: "core-b", Identity: "other"}
 		}, []string{"WARNING: core-b lost its disk"}},
 		"a machine knows an older view": {func(s *Survey) {
-			s.Machines[1].Report.View = &pb.View{Number: 3, Voters: s.Machines[0].Report.View.Voters}
+			s.Machines[1].Report.View = &pb.View{Number: 3, Voters: s.Machines[0].Report.View.Voters, VotersEpoch: 3}
 		}, []string{"WARNING: core-b holds view 3, view 4 is in force"}},
 		"a replica lags": {func(s *Survey) {
 			s.Machines[2].Report.Catalog = &pb.CatalogStatus{Sequence: 10}
@@ -107,6 +111,29 @@
 				machine.Report.Duty.List = nil
 			}
 		}, []string{"ALARM: no machine that answers has a list"}},
+		"a voter lacks the registers": {func(s *Survey) {
+			s.Machines[1].Report.Coordination.Epoch = 0
+		}, []string{"WARNING: core-b holds the registers of epoch 0, epoch 3 is in force"}},
+		"a voter that has just started lacks the registers": {func(s *Survey) {
+			s.Machines[1].Report.Coordination.Epoch = 0
+			s.Machines[1].Report.UptimeMs = 500
+		}, nil},
+		"a majority lacks the registers": {func(s *Survey) {
+			s.Machines[0].Report.Coordination.Epoch = 2
+			s.Machines[1].Report.Coordination.Epoch = 2
+		}, []string{"ALARM: at most 1 of 3 voters hold the registers of epoch 3", "WARNING: core-a holds", "WARNING: core-b holds"}},
+		"one machine that lacks the registers is queried": {func(s *Survey) {
+			s.Machines = s.Machines[1:2]
+			s.Machines[0].Report.Coordination.Epoch = 2
+		}, []string{"WARNING: core-b holds the registers of epoch 2"}},
+		"a machine of an earlier version says nothing of registers": {func(s *Survey) {
+			s.Machines[1].Report.Coordination = nil
+		}, nil},
+		"the view is of an earlier version": {func(s *Survey) {
+			for _, machine := range s.Machines {
+				machine.Report.View.VotersEpoch = 0
+			}
+		}, []string{"WARNING: view 4 is of an earlier version"}},
 		"agents lag": {func(s *Survey) {
 			s.Machines[1].Report.Lateness = &pb.LagStatus{AgentsBehind: 2, OldestLagMs: 2340, OldestHost: "edge-1"}
 		}, []string{"WARNING: core-b: 2 agents it hears have lacked a change for more than a second, edge-1 for 2.3s"}},
@@ -160,6 +187,8 @@
 		"chain, head first: core-a (zone-core-a) -> core-b (zone-core-b) -> core-c (zone-core-c)",
 		"head, reads the list", "brno-hala", "2/core-a/7", "900ms", "14, 1 draining", "80, 1 failed",
 		"core-b   silent", "tail",
+		"calls of applications, registers of epoch 3",
+		"core-a   3      41         17        6        9        1234      56       7             8",
 		"agents as core-a knows them: 1 live, 1 lost", "lost",
 	} {
 		require.Contains(t, text.String(), part)
--- a/internal/region/status/text.go
+++ b/internal/region/status/text.go
@@ -13,12 +13,14 @@
 // columnPadding separates the columns of tables.
 const columnPadding = 2
 
-// WriteText writes a survey for people: the findings first, then the view, the control machines and the agents.
+// WriteText writes a survey for people: the findings first, then the view, the control machines, the calls of applications
+// and the agents.
 func (s *Survey) WriteText(output io.Writer) error {
 	var text strings.Builder
 	s.writeFindings(&text)
 	s.writeView(&text)
 	s.writeMachines(&text)
+	s.writeCoordination(&text)
 	if report := mostReliableMembers(s.reports()); report != nil {
 		writeAgents(&text, report)
 	}
