--- a/internal/region/control/machine_test.go
+++ b/internal/region/control/machine_test.go
@@ -23,6 +23,7 @@
 	holdWrites       bool
 	heldWrites       []Persist
 	replies          []*pb.OrderResult
+	callReplies      []*pb.CoordinationResult
 	sent             []Send
 	committedChanges []*pb.Change // of the Committed actions
 	left             []Left
@@ -45,13 +46,18 @@
 		PeerAddress:     func(string) string { return "10.0.0.1:7660" },
 		Random:          rand.New(rand.NewPCG(1, uint64(l.now))),
 		SnapshotRecords: 5,
-	}, &ring.Recovered{Snapshot: l.snapshot, Records: l.records})
+	}, l.recovered())
 	require.NoError(l.t, err)
 	l.machine = machine
 	l.step(Started{})
 	l.tick(10)
 }
 
+// recovered is what is on disk.
+func (l *singleMachine) recovered() *ring.Recovered {
+	return &ring.Recovered{Snapshot: l.snapshot, Records: l.records}
+}
+
 func (l *singleMachine) step(event Event) {
 	for _, action := range l.machine.Step(l.now, event) {
 		switch action := action.(type) {
@@ -59,6 +65,8 @@
 			l.heldWrites = append(l.heldWrites, action)
 		case Reply:
 			l.replies = append(l.replies, action.Result)
+		case CallReply:
+			l.callReplies = append(l.callReplies, action.Result)
 		case Send:
 			l.sent = append(l.sent, action)
 		case Committed:
--- a/internal/region/control/node_test.go
+++ b/internal/region/control/node_test.go
@@ -73,6 +73,7 @@
 				Bootstrap:   true,
 				StateDir:    t.TempDir(),
 				FaultBudget: settings.FaultBudget{Hosts: 1, Zones: 1},
+				Bounds:      settings.Bounds{RetainS: 20},
 			},
 		})
 	}
--- a/internal/region/control/trafficclass_test.go
+++ b/internal/region/control/trafficclass_test.go
@@ -109,6 +109,23 @@
 	require.Equal(t, classBulk, classOf(&pb.Message{Body: &pb.Message_Order{Order: large}}))
 }
 
+// A call waits neither behind a configuration nor behind the registers of others, and what a voter is asked comes in order.
+func TestCallsAndRegistersHaveConnectionsOfTheirOwn(t *testing.T) {
+	for class, messages := range map[trafficClass][]*pb.Message{
+		classRegisters: {
+			{Body: &pb.Message_RegisterPrepare{}}, {Body: &pb.Message_RegisterPromise{}},
+			{Body: &pb.Message_RegisterAccept{}}, {Body: &pb.Message_RegisterAccepted{}},
+		},
+		classCalls:  {{Body: &pb.Message_CoordinationCall{}}, {Body: &pb.Message_CoordinationResult{}}},
+		classBulk:   {{Body: &pb.Message_RegisterTransfer{}}},
+		classUrgent: {{Body: &pb.Message_RegisterTransferRequest{}}},
+	} {
+		for _, message := range messages {
+			require.Equal(t, class, classOf(message), "%T", message.GetBody())
+		}
+	}
+}
+
 func TestLargeDeliveriesAreCompressed(t *testing.T) {
 	other := newDeliveryReceiver(t, CompressedDeliveries())
 	close(other.release)
