Deliver the calls of applications at most once

Callers could be told 503, that nothing was done and never will be, of a large put that was carried out later: a compressed delivery whose response was lost is sent a second time, plain, to a machine not yet known to read compressed ones. The first copy may have been answered that it was not executed, and the second one was then.

Deliveries of calls are not compressed, and so sent once. Before the change, TestLargeCallsAreDeliveredOnce counted two arrivals.

--- a/internal/region/control/peerclient.go
+++ b/internal/region/control/peerclient.go
@@ -62,6 +62,11 @@
 	return nil
 }
 
+// deliverOnce delivers a request at most once, uncompressed.
+func (c *peerClient) deliverOnce(ctx context.Context, request *pb.DeliverRequest) error {
+	return call(ctx, c.plain, request)
+}
+
 func call(ctx context.Context, client fieldrelayv1connect.ControlPeerClient, request *pb.DeliverRequest) error {
 	_, err := client.Deliver(ctx, connect.NewRequest(request))
 	return err
--- a/internal/region/control/peersender.go
+++ b/internal/region/control/peersender.go
@@ -201,7 +201,7 @@
 	size := proto.Size(request)
 	ctx, cancel := context.WithTimeout(s.owner.ctx, deliverTimeout+transferTime(size))
 	defer cancel()
-	if err := s.client.deliver(ctx, request, size); err != nil {
+	if err := s.deliverRequest(ctx, request, size); err != nil {
 		s.owner.counters.failedCalls.Add(1)
 		s.reportUndelivered(messages)
 		return
@@ -209,6 +209,15 @@
 	s.owner.counters.sent.Add(uint64(len(messages)))
 }
 
+// deliverRequest delivers a request. A call of an application must not come once more after it was answered that nothing
+// was done.
+func (s *peerSender) deliverRequest(ctx context.Context, request *pb.DeliverRequest, size int) error {
+	if s.key.class == classCalls {
+		return s.client.deliverOnce(ctx, request)
+	}
+	return s.client.deliver(ctx, request, size)
+}
+
 func (s *peerSender) reportUndelivered(messages []*pb.Message) {
 	if s.key.class != classBulk || s.owner.undelivered == nil {
 		return
--- a/internal/region/control/trafficclass_test.go
+++ b/internal/region/control/trafficclass_test.go
@@ -171,6 +171,22 @@
 	require.Empty(t, undelivered)
 }
 
+// A copy of a call that comes after the answer that nothing was done would break that promise.
+func TestLargeCallsAreDeliveredOnce(t *testing.T) {
+	server := resettest.New(t)
+	senders := newPeerSenders(t.Context(), &counters{})
+	server.ResetAfter(resettest.CompleteRequest)
+	senders.send(strings.TrimPrefix(server.URL, "http://"), &pb.Message{Body: &pb.Message_CoordinationCall{
+		CoordinationCall: &pb.CoordinationCall{Operation: &pb.CoordinationCall_Put{
+			Put: &pb.PutKey{Name: "g.k", Value: strings.Repeat("x", 2*minCompressedBytes)},
+		}},
+	}})
+	require.Eventually(t, func() bool {
+		return senders.counters.sent.Load()+senders.counters.failedCalls.Load() == 1
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, server.Arrivals())
+}
+
 func TestChangesThatHaveWaitedForTooLongAreToldOf(t *testing.T) {
 	senders := newPeerSenders(t.Context(), &counters{})
 	var undelivered []*pb.Message
