--- a/internal/region/control/doc.go
+++ b/internal/region/control/doc.go
@@ -1,10 +1,12 @@
-// Package control runs the agreed view, the chain and the operator's orders on one control machine.
+// Package control runs the agreed view, the chain, the operator's orders and the coordination of applications on one control
+// machine.
 //
 // # What it promises
 //
 // An order that is answered 200 is on the disk of every replica of the chain and is found by every later read. An order
 // that is refused (4xx) is not in force later. A read is at least as new as the newest order acknowledged before it. An
-// order answered 503 may or may not be in force. It promises no liveness without a majority of the voters, and what it
+// order answered 503 may or may not be in force. What a call of an application is promised stands in package
+// coordination. It promises no liveness without a majority of the voters, and what it
 // hands on as soft state (Heartbeat.Agents, server lists) is not agreed on.
 //
 // # Machine and Node
@@ -24,7 +26,8 @@
 //     its rule, and durability is the shell's;
 //   - send WriteFailed when a write fails, and try it again until it succeeds;
 //   - carry each Send as far as the network allows; a message may be lost, or arrive late, out of order or twice;
-//   - answer the caller of an OrderSubmitted with its Reply, or say with OrderCanceled that nobody waits any more;
+//   - answer the caller of an OrderSubmitted with its Reply, or say with OrderCanceled that nobody waits any more; a
+//     CallSubmitted likewise with its CallReply or CallCanceled;
 //   - keep the ring for the next start: a machine whose disk is lost must come back with an empty ring, as another
 //     identity.
 //
@@ -39,6 +42,13 @@
 // it is answered. A result that rests on the state without changing it (a read, a refusal, an order that changes nothing)
 // leaves only after a majority of the voters has confirmed that it knows of no later view.
 //
+// Calls of applications do not pass through the chain: the coordination engine (package coordination) keeps a register for
+// each name at a majority of the voters (package register), and shares the machine's connections, its disk, its identity and
+// its view. Its messages (RegisterPrepare, RegisterPromise, RegisterAccept, RegisterAccepted, RegisterTransferRequest,
+// RegisterTransfer, CoordinationCall and CoordinationResult) are passed to it as they come. What holds for the other
+// answers of an acceptor holds for those of the registers: the record is on disk before the answer leaves. The voters
+// change only while a majority of them advertises the registers of its epoch.
+//
 // # Files by concern
 //
 //	machine.go         Machine: the parts, dispatch of events and messages
@@ -65,6 +75,7 @@
 //	confirmation.go    confirmation tokens of evacuations
 //	tailreads.go       reads at the tail
 //	quorumcheck.go     quorum checks before answers
+//	coordination.go    this machine as the host of the coordination engine
 //	stepoutput.go      actions of one step, addresses of messages
 //	diskqueue.go       writes that are not on disk yet
 //	record.go          records in the ring; snapshot.go: snapshots of them
@@ -74,8 +85,8 @@
 //
 //	node.go            Node, its start and its goroutines; nodeoptions.go: Options
 //	nodeloop.go        the goroutine that steps the Machine
-//	submit.go          waiting callers of orders
-//	status.go          Status, committed changes
+//	submit.go          waiting callers of orders; submitcall.go: of calls of applications
+//	status.go          Status, committed changes, CoordinationStatus
 //	openring.go        opening the ring, replacing a corrupt one
 //	ringwriter.go      the goroutine that writes
 //	writequeue.go      what the loop and that goroutine pass each other
