--- a/internal/region/control/trafficclass_test.go
+++ b/internal/region/control/trafficclass_test.go
@@ -109,6 +109,23 @@
 	require.Equal(t, classBulk, classOf(&pb.Message{Body: &pb.Message_Order{Order: large}}))
 }
 
+// A call waits neither behind a configuration nor behind the registers of others, and what a voter is asked comes in order.
+func TestCallsAndRegistersHaveConnectionsOfTheirOwn(t *testing.T) {
+	for class, messages := range map[trafficClass][]*pb.Message{
+		classRegisters: {
+			{Body: &pb.Message_RegisterPrepare{}}, {Body: &pb.Message_RegisterPromise{}},
+			{Body: &pb.Message_RegisterAccept{}}, {Body: &pb.Message_RegisterAccepted{}},
+		},
+		classCalls:  {{Body: &pb.Message_CoordinationCall{}}, {Body: &pb.Message_CoordinationResult{}}},
+		classBulk:   {{Body: &pb.Message_RegisterTransfer{}}},
+		classUrgent: {{Body: &pb.Message_RegisterTransferRequest{}}},
+	} {
+		for _, message := range messages {
+			require.Equal(t, class, classOf(message), "%T", message.GetBody())
+		}
+	}
+}
+
 func TestLargeDeliveriesAreCompressed(t *testing.T) {
 	other := newDeliveryReceiver(t, CompressedDeliveries())
 	close(other.release)
@@ -154,6 +171,22 @@
 	require.Empty(t, undelivered)
 }
 
+// A copy of a call that comes after the answer that nothing was done would break that promise.
+func TestLargeCallsAreDeliveredOnce(t *testing.T) {
+	server := resettest.New(t)
+	senders := newPeerSenders(t.Context(), &counters{})
+	server.ResetAfter(resettest.CompleteRequest)
+	senders.send(strings.TrimPrefix(server.URL, "http://"), &pb.Message{Body: &pb.Message_CoordinationCall{
+		CoordinationCall: &pb.CoordinationCall{Operation: &pb.CoordinationCall_Put{
+			Put: &pb.PutKey{Name: "g.k", Value: strings.Repeat("x", 2*minCompressedBytes)},
+		}},
+	}})
+	require.Eventually(t, func() bool {
+		return senders.counters.sent.Load()+senders.counters.failedCalls.Load() == 1
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, server.Arrivals())
+}
+
 func TestChangesThatHaveWaitedForTooLongAreToldOf(t *testing.T) {
 	senders := newPeerSenders(t.Context(), &counters{})
 	var undelivered []*pb.Message
