Say what a control machine lacks for its authority, and why reads fail

The log told that a machine is authoritative or not, and counters told of 503 to the operator once in 30 s. After a restart of all machines that does not tell whether the state, the knowledge of what is committed, heartbeats or the processor is missing.

The line 'authority changed' names what is missing, also when that alone changes. The lines 'reads unavailable' and 'reads available' tell when reads of the configuration begin to get 503 at a machine, why, and when they end. No logic is changed: whoever waits for a change of status is not woken by another reason.

--- a/internal/region/chain/replica.go
+++ b/internal/region/chain/replica.go
@@ -122,6 +122,9 @@
 	return r.committed.Sequence() == r.state.Newest.Sequence()
 }
 
+// Synchronized reports whether the replica holds the state of its view.
+func (r *Replica) Synchronized() bool { return r.synchronized }
+
 // KnowsCommitted reports whether the replica knows what is committed in its view.
 func (r *Replica) KnowsCommitted() bool { return r.synchronized && r.commitKnown }
 
--- a/internal/region/control/actions.go
+++ b/internal/region/control/actions.go
@@ -27,6 +27,7 @@
 type Reply struct {
 	Request uint64
 	Result  *pb.OrderResult
+	Cause   UnavailableCause // of a 503
 }
 
 // Committed reports a newer committed state.
--- a/internal/region/control/machine.go
+++ b/internal/region/control/machine.go
@@ -59,7 +59,10 @@
 
 // Authoritative reports whether the machine holds the state of the view in force, has had heartbeats of a majority of the
 // voters within FailureTimeout, and knows neither of a later view nor of changes that it does not get.
-func (m *Machine) Authoritative() bool { return m.staleness.isAuthoritative() }
+func (m *Machine) Authoritative() bool { return m.AuthorityGap() == GapNone }
+
+// AuthorityGap names what the machine lacks to be authoritative.
+func (m *Machine) AuthorityGap() AuthorityGap { return m.staleness.gap() }
 
 // Live lists the hosts of the live voters in the order of the view.
 func (m *Machine) Live() []string {
--- a/internal/region/control/node.go
+++ b/internal/region/control/node.go
@@ -40,6 +40,7 @@
 	senders  *peerSenders
 	writer   *ringWriter
 	counters counters
+	reads    readMonitor
 
 	machine   *Machine // of the loop
 	startedAt time.Time
@@ -52,7 +53,7 @@
 	mu          sync.Mutex // guards what follows
 	changed     chan struct{}
 	history     *catalog.History
-	replies     map[uint64]chan *pb.OrderResult // by request
+	replies     map[uint64]chan Reply // by request
 	lastRequest uint64
 }
 
@@ -79,9 +80,10 @@
 		machine:   machine,
 		changed:   make(chan struct{}),
 		history:   catalog.NewHistory(0),
-		replies:   make(map[uint64]chan *pb.OrderResult),
+		replies:   make(map[uint64]chan Reply),
 		left:      make(chan bool, 1),
 	}
+	node.reads.logger = node.logger
 	node.senders = newPeerSenders(ctx, &node.counters)
 	node.senders.undelivered = node.postUndelivered
 	if options.Dial != nil {
--- a/internal/region/control/originorders.go
+++ b/internal/region/control/originorders.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -35,9 +36,8 @@
 // submit accepts an order of the operator and forwards it. An order that may have waited for a stalled process is
 // refused: its caller may have given up, and may have ordered something else since.
 func (o *originOrders) submit(event OrderSubmitted) {
-	isFull := len(o.pending) >= maxPendingOrders
-	if !o.peers.hasMajority(viewInForce(o.replica)) || o.clock.isStalled() || isFull {
-		o.output.add(Reply{Request: event.Request, Result: unavailable(0)})
+	if cause := o.obstacle(); cause != "" {
+		o.output.add(Reply{Request: event.Request, Result: unavailable(0), Cause: cause})
 		return
 	}
 	o.lastID++
@@ -57,6 +57,20 @@
 	o.forward(pending)
 }
 
+// obstacle is why no order is accepted now; empty: none is in the way.
+func (o *originOrders) obstacle() UnavailableCause {
+	switch {
+	case !o.peers.hasMajority(viewInForce(o.replica)):
+		return CauseNoMajority
+	case o.clock.isStalled():
+		return CauseStalled
+	case len(o.pending) >= maxPendingOrders:
+		return CauseFull
+	default:
+		return ""
+	}
+}
+
 // cancel forgets an order whose caller has gone: it is neither sent again nor confirmed.
 func (o *originOrders) cancel(request uint64) {
 	o.pending = slices.DeleteFunc(o.pending, func(pending *pendingOrder) bool {
@@ -101,7 +115,7 @@
 	for _, pending := range slices.Clone(o.pending) {
 		switch {
 		case o.clock.now >= pending.deadline:
-			o.answer(pending, unavailable(pending.order.GetId()))
+			o.answerWithCause(pending, unavailable(pending.order.GetId()), CauseTimeout)
 		case o.clock.now-pending.sentAt >= orderResendInterval+transferTime(len(pending.order.GetBody())):
 			o.forward(pending)
 		}
@@ -147,10 +161,18 @@
 
 // answer gives the operator the result of an order, which is no longer pending from then on: it is answered once.
 func (o *originOrders) answer(pending *pendingOrder, result *pb.OrderResult) {
+	cause := UnavailableCause("")
+	if result.GetStatus() == http.StatusServiceUnavailable {
+		cause = CauseRejected
+	}
+	o.answerWithCause(pending, result, cause)
+}
+
+func (o *originOrders) answerWithCause(pending *pendingOrder, result *pb.OrderResult, cause UnavailableCause) {
 	index := slices.Index(o.pending, pending)
 	if index < 0 {
 		return
 	}
 	o.pending = slices.Delete(o.pending, index, index+1)
-	o.output.add(Reply{Request: pending.request, Result: result})
+	o.output.add(Reply{Request: pending.request, Result: result, Cause: cause})
 }
--- a/internal/region/control/staleness.go
+++ b/internal/region/control/staleness.go
@@ -33,27 +33,54 @@
 	partitioned bool
 }
 
-// isAuthoritative reports whether this machine holds the state of the view in force, has had heartbeats of a majority of
-// the voters lately, and knows neither of a later view nor of changes that it does not get.
-func (s *staleness) isAuthoritative() bool {
-	return s.replica.KnowsCommitted() && s.hasHeartbeats() && !s.isBehind()
+// gap returns what this machine lacks to be authoritative. It lacks nothing if it holds the state of the view in force,
+// has had heartbeats of a majority of the voters lately, and knows neither of a later view nor of changes that it does
+// not get.
+func (s *staleness) gap() AuthorityGap {
+	view := viewInForce(s.replica)
+	switch {
+	case view == nil:
+		return GapView
+	case !s.replica.Synchronized():
+		return GapState
+	case !s.replica.KnowsCommitted():
+		return GapCommit
+	}
+	if missing := s.heartbeatGap(); missing != GapNone {
+		return missing
+	}
+	return s.stateGap()
 }
 
-// hasHeartbeats reports whether heartbeats came lately from a majority of the voters, this one included, and from a
-// member of the chain: a chain that is out of reach as a whole may still acknowledge what was on its way. Other messages
-// do not count, for they do not advertise how far their sender is, and a stall of this process is no excuse.
-func (s *staleness) hasHeartbeats() bool {
+// heartbeatGap looks for heartbeats of a majority of the voters, this one included, and of a member of the chain: a
+// chain that is out of reach as a whole may still acknowledge what was on its way. Other messages do not count, for they
+// do not advertise how far their sender is, and a stall of this process is no excuse.
+func (s *staleness) heartbeatGap() AuthorityGap {
 	view := viewInForce(s.replica)
-	return view != nil &&
-		s.peers.heartbeatsWithin(view.GetVoters()) >= quorum.Majority(view) &&
-		s.peers.heartbeatsWithin(view.GetChain()) > 0
+	switch {
+	case view == nil:
+		return GapView
+	case s.peers.heartbeatsWithin(view.GetVoters()) < quorum.Majority(view):
+		return GapMajority
+	case s.peers.heartbeatsWithin(view.GetChain()) == 0:
+		return GapChain
+	default:
+		return GapNone
+	}
 }
 
-func (s *staleness) isBehind() bool {
-	if s.advertisedView > viewInForce(s.replica).GetNumber() || s.partitioned {
-		return true
+func (s *staleness) hasHeartbeats() bool { return s.heartbeatGap() == GapNone }
+
+// stateGap looks for a later view and for changes that this machine does not get.
+func (s *staleness) stateGap() AuthorityGap {
+	switch {
+	case s.advertisedView > viewInForce(s.replica).GetNumber():
+		return GapLaterView
+	case s.partitioned, s.behindSince > 0 && s.isOverdue():
+		return GapChanges
+	default:
+		return GapNone
 	}
-	return s.behindSince > 0 && s.isOverdue()
 }
 
 // isOverdue reports whether an advertised change has been missing for too long. It may have been acknowledged at any
--- a/internal/region/control/status.go
+++ b/internal/region/control/status.go
@@ -16,8 +16,9 @@
 	// Authoritative: this machine holds the state of the agreed view and has received heartbeats from a majority of the
 	// voters within FailureTimeout.
 	Authoritative bool
-	Live          []string // hosts of the live voters, this one included, in the order of the view
-	Founded       bool     // a view is known
+	AuthorityGap  AuthorityGap // what it lacks to be authoritative
+	Live          []string     // hosts of the live voters, this one included, in the order of the view
+	Founded       bool         // a view is known
 }
 
 func (s *Status) equal(other *Status) bool {
@@ -33,6 +34,7 @@
 	status := *n.status.Load()
 	if time.Since(n.startedAt)-time.Duration(n.lastTickAt.Load()) >= stallThreshold {
 		status.Authoritative = false
+		status.AuthorityGap = GapTick
 	}
 	return status
 }
@@ -56,15 +58,21 @@
 // publish replaces the Status if anything in it differs, and wakes those who wait for a change. The loop calls it.
 func (n *Node) publish() {
 	machine := n.machine
+	gap := machine.AuthorityGap()
 	status := &Status{
 		View:          machine.View(),
 		Self:          machine.Self(),
 		Committed:     machine.Committed(),
-		Authoritative: machine.Authoritative(),
+		Authoritative: gap == GapNone,
+		AuthorityGap:  gap,
 		Live:          machine.Live(),
 		Founded:       machine.View() != nil,
 	}
-	if old := n.status.Load(); old != nil && old.equal(status) {
+	old := n.status.Load()
+	if old != nil && old.equal(status) {
+		if old.AuthorityGap != gap {
+			n.status.Store(status) // nobody waits for a change of the reason alone
+		}
 		return
 	}
 	n.status.Store(status)
--- a/internal/region/control/submit.go
+++ b/internal/region/control/submit.go
@@ -14,7 +14,13 @@
 // a second, or longer for a large body. It never returns nil. It is safe for concurrent use.
 func (n *Node) Submit(ctx context.Context, order *pb.Order) *pb.OrderResult {
 	n.counters.orders.Add(1)
-	answer := make(chan *pb.OrderResult, 1) // so that the loop never waits for a caller
+	reply := n.submit(ctx, order)
+	n.reads.observe(order, reply.Cause)
+	return reply.Result
+}
+
+func (n *Node) submit(ctx context.Context, order *pb.Order) Reply {
+	answer := make(chan Reply, 1) // so that the loop never waits for a caller
 	request := n.registerReply(answer)
 	defer n.unregisterReply(request)
 	ctx, cancel := context.WithTimeout(ctx, orderTimeoutOf(order)+submitSlack)
@@ -22,14 +28,14 @@
 	select {
 	case n.events <- OrderSubmitted{Request: request, Order: order}:
 	case <-ctx.Done():
-		return unavailable(0)
+		return Reply{Result: unavailable(0), Cause: CauseLoop}
 	}
 	select {
-	case result := <-answer:
-		return result
+	case reply := <-answer:
+		return reply
 	case <-ctx.Done():
 		n.cancelOrder(request)
-		return unavailable(0)
+		return Reply{Result: unavailable(0), Cause: CauseTimeout}
 	}
 }
 
@@ -42,7 +48,7 @@
 	}
 }
 
-func (n *Node) registerReply(answer chan *pb.OrderResult) uint64 {
+func (n *Node) registerReply(answer chan Reply) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lastRequest++
@@ -63,6 +69,6 @@
 	delete(n.replies, action.Request)
 	n.mu.Unlock()
 	if answer != nil {
-		answer <- action.Result
+		answer <- action
 	}
 }
--- a/internal/region/controlserver/logging.go
+++ b/internal/region/controlserver/logging.go
@@ -5,17 +5,22 @@
 
 	"go.uber.org/zap"
 
+	"fieldrelay/internal/region/control"
 	"fieldrelay/internal/region/registry"
 )
 
 // countersInterval is the time between two log lines with counters.
 const countersInterval = 30 * time.Second
 
-// logRoleChanges logs a change of this machine's authority, and of its ownership of the polling role.
-func (p *process) logRoleChanges(authoritative bool) {
-	if authoritative != p.wasAuthoritative {
-		p.wasAuthoritative = authoritative
-		p.logger.Info("authority changed", zap.Bool("authoritative", authoritative))
+// logRoleChanges logs a change of this machine's authority, or of what it lacks for it, and of its ownership of the
+// polling role.
+func (p *process) logRoleChanges(status control.Status) {
+	if status.Authoritative != p.wasAuthoritative || status.AuthorityGap != p.lastAuthorityGap {
+		p.wasAuthoritative = status.Authoritative
+		p.lastAuthorityGap = status.AuthorityGap
+		p.logger.Info("authority changed",
+			zap.Bool("authoritative", status.Authoritative),
+			zap.String("missing", string(status.AuthorityGap)))
 	}
 	if owner := p.soft.IsOwner(); owner != p.wasOwner {
 		p.wasOwner = owner
--- a/internal/region/controlserver/process.go
+++ b/internal/region/controlserver/process.go
@@ -23,7 +23,7 @@
 
 // process is one control process without its sockets.
 //
-// The goroutine of runLoop owns wasOwner and wasAuthoritative. Polls run in goroutines of the group polls, which
+// The goroutine of runLoop owns wasOwner, wasAuthoritative and lastAuthorityGap. Polls run in goroutines of the group polls, which
 // shutDown waits for. Everything else is safe for concurrent use once attach has returned.
 type process struct {
 	options          Options
@@ -47,6 +47,7 @@
 
 	wasOwner         bool
 	wasAuthoritative bool
+	lastAuthorityGap control.AuthorityGap
 }
 
 // newProcess returns a process with empty state. seed determines its epochs, its random waits and the first version of
@@ -114,7 +115,7 @@
 	p.soft.ObserveCommitted(status.Committed)
 	p.soft.SetLagBounds(lagBounds(p.settings.Current().Bounds), status.Authoritative)
 	p.soft.Tick(tick)
-	p.logRoleChanges(status.Authoritative)
+	p.logRoleChanges(status)
 }
 
 // successionPosition returns the position of this machine among the voters, by which it takes the polling role over;
