Show that a full link of the tail keeps reads at all machines from an answer

While everything that the tail of the chain sends comes 0.5 s late or more, reads at each other control machine get 503 after 0.9 s. The tail stays in the chain, as its heartbeats come regularly, so that this lasts as long as its link is full.

--- a/internal/region/controlsim/network_test.go
+++ b/internal/region/controlsim/network_test.go
@@ -22,6 +22,7 @@
 	blocked            map[[2]int]bool        // from, to
 	exempt             func(*pb.Message) bool // what goes through all the same; nil: nothing
 	alsoLoses          func(*pb.Message) bool // what is lost besides; nil: nothing
+	uplinkDelay        map[int]time.Duration  // by index of the sender, whose link is full; nil: none is
 	reportsUndelivered bool                   // senders learn of what is lost, and by mistake of what comes twice
 }
 
@@ -81,6 +82,7 @@
 	if bandwidth := n.world.plan.bandwidth; bandwidth > 0 {
 		delay += time.Duration(proto.Size(action.Message)) * time.Second / time.Duration(bandwidth)
 	}
+	delay += n.uplinkDelay[from.index]
 	incarnation := to.incarnation
 	n.world.after(delay, func() {
 		blocked := n.blocked[[2]int{from.index, to.index}]
