Answer reads at each member of the chain, so that a slow tail holds up none

Callers saw 503 to GET /api/conf/read at all control machines but one while what the tail sends was 0.5 s late or more, for as long as that lasted.

Cause: only the tail answered reads, after a check of a majority. Its check and its answer are two ways over its link, and an order ends after 0.9 s. The tail is not replaced, as its heartbeats come regularly, only late.

Whatever was acknowledged is on the disk of each member of the chain. So each member answers with its committed state once a majority knows of no later view and all that it held when the read came is committed.

--- a/internal/region/chain/position.go
+++ b/internal/region/chain/position.go
@@ -26,6 +26,9 @@
 // position is this replica's index in the chain in force, or quorum.NotFound.
 func (r *Replica) position() int { return r.state.position(r.self) }
 
+// IsMember reports whether the replica is in the chain in force.
+func (r *Replica) IsMember() bool { return r.position() != quorum.NotFound }
+
 func (r *Replica) isHead() bool { return r.position() == 0 }
 
 // isLearner reports whether the replica is outside of the chain in force.
--- a/internal/region/control/assemble.go
+++ b/internal/region/control/assemble.go
@@ -105,10 +105,10 @@
 		clock: m.clock, replica: m.replica, electorate: m.electorate, output: m.output, ids: m.ids,
 	}
 	m.confirmations = &confirmations{clock: m.clock, output: m.output, ids: m.ids}
-	m.origin = &originOrders{clock: m.clock, peers: m.peers, replica: m.replica, output: m.output}
+	m.origin = &originOrders{clock: m.clock, local: m.local, peers: m.peers, replica: m.replica, output: m.output}
 	m.head = &headOrders{
 		clock: m.clock, local: m.local, replica: m.replica, replication: m.replication, output: m.output,
 		checks: m.checks, confirmations: m.confirmations, requirement: m.config.Requirement,
 	}
-	m.tail = &tailReads{local: m.local, replica: m.replica, output: m.output, checks: m.checks}
+	m.reads = &chainReads{local: m.local, replica: m.replica, output: m.output, checks: m.checks}
 }
--- a/internal/region/control/headorders.go
+++ b/internal/region/control/headorders.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if change == nil {
-		h.checks.begin(next.from, &pb.OrderResult{Id: next.order.GetId(), Status: http.StatusOK}, nil)
+		h.checks.begin(next.from, &pb.OrderResult{Id: next.order.GetId(), Status: http.StatusOK})
 		return
 	}
 	output, err := h.replica.Propose(change)
@@ -168,7 +168,7 @@
 		h.output.sendResult(next.from, result)
 		return
 	}
-	h.checks.begin(next.from, result, nil)
+	h.checks.begin(next.from, result)
 }
 
 func refusalBody(refusal catalog.OrderError) []byte {
--- a/internal/region/control/machine.go
+++ b/internal/region/control/machine.go
@@ -43,7 +43,7 @@
 	// Orders of the operator.
 	origin        *originOrders
 	head          *headOrders
-	tail          *tailReads
+	reads         *chainReads
 	confirmations *confirmations
 	checks        *quorumChecks
 }
@@ -101,6 +101,7 @@
 	case Leave:
 		m.leave()
 	}
+	m.checks.sendComplete()
 	m.head.proposeNext()
 	m.leaving.report(m.planner, m.output)
 	return m.output.takeActions()
@@ -218,7 +219,7 @@
 
 func (m *Machine) receiveOrder(from *pb.Replica, order *pb.Order) {
 	if order.GetKind() == pb.Order_KIND_READ {
-		m.tail.receive(from, order)
+		m.reads.receive(from, order)
 		return
 	}
 	m.head.receive(from, order)
--- a/internal/region/control/originorders.go
+++ b/internal/region/control/originorders.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -11,9 +12,11 @@
 )
 
 // originOrders are the orders that were submitted at this machine, the oldest first. It forwards each to the head of the
-// chain, or to the tail if it is a read, again and again until it has an answer or time is up, and answers it once.
+// chain, or to one member after the other if it is a read, again and again until it has an answer or time is up, and
+// answers it once.
 type originOrders struct {
 	clock   *clock
+	local   *localMachine
 	peers   *peerTable
 	replica *chain.Replica
 	output  *stepOutput
@@ -29,6 +32,8 @@
 	deadline time.Duration
 	sentAt   time.Duration
 	target   string // identity of the machine that it was forwarded to last; empty: there was none
+	// earlierTargets are the machines that a read was forwarded to before in the view in force.
+	earlierTargets []string
 	// heldState is what this machine knew to be committed when it forwarded a read last; nil: nothing.
 	heldState *catalog.Snapshot
 }
@@ -78,12 +83,12 @@
 	})
 }
 
-// forward sends an order to the head, or to the tail if it is a read.
+// forward sends an order to the head, or to a member of the chain if it is a read.
 func (o *originOrders) forward(pending *pendingOrder) {
 	pending.sentAt = o.clock.now
 	target := o.replica.Head()
 	if pending.order.GetKind() == pb.Order_KIND_READ {
-		target = o.replica.Tail()
+		target = o.readTarget(len(pending.earlierTargets))
 		o.nameHeldState(pending)
 	}
 	pending.target = target.GetIdentity()
@@ -92,8 +97,32 @@
 	}
 }
 
-// nameHeldState names to the tail what this machine holds itself: if that is the newest state, the configuration, which
-// may be large, need not come from the tail.
+// readTarget is the member of the chain that a read goes to at an attempt, counted from 0: the tail, where what is
+// committed is known first, then this machine if it is a member, then the others. The link of any of them may be so full
+// that it answers too late.
+func (o *originOrders) readTarget(attempt int) *pb.Replica {
+	members := slices.Clone(viewInForce(o.replica).GetChain())
+	if len(members) == 0 {
+		return nil
+	}
+	slices.Reverse(members)
+	tail, others := members[0], members[1:]
+	slices.SortStableFunc(others, func(a, b *pb.Replica) int {
+		return cmp.Compare(o.readRank(a), o.readRank(b))
+	})
+	return append([]*pb.Replica{tail}, others...)[attempt%len(members)]
+}
+
+// readRank puts this machine before the others.
+func (o *originOrders) readRank(member *pb.Replica) int {
+	if o.local.is(member) {
+		return 0
+	}
+	return 1
+}
+
+// nameHeldState names to a member what this machine holds itself: if that is the newest state, the configuration, which
+// may be large, need not come from there.
 func (o *originOrders) nameHeldState(pending *pendingOrder) {
 	pending.heldState = o.replica.Committed()
 	pending.order = &pb.Order{
@@ -107,6 +136,7 @@
 // hence the copy of the list.
 func (o *originOrders) forwardAll() {
 	for _, pending := range slices.Clone(o.pending) {
+		pending.earlierTargets = nil
 		o.forward(pending)
 	}
 }
@@ -117,18 +147,31 @@
 		case o.clock.now >= pending.deadline:
 			o.answerWithCause(pending, unavailable(pending.order.GetId()), CauseTimeout)
 		case o.clock.now-pending.sentAt >= orderResendInterval+transferTime(len(pending.order.GetBody())):
-			o.forward(pending)
+			o.forwardAgain(pending)
 		}
 	}
 }
 
+// forwardAgain sends an order that is not answered yet to the head once more, or to another member if it is a read.
+func (o *originOrders) forwardAgain(pending *pendingOrder) {
+	if pending.order.GetKind() == pb.Order_KIND_READ {
+		pending.earlierTargets = append(pending.earlierTargets, pending.target)
+	}
+	o.forward(pending)
+}
+
+// isTarget reports whether an order was forwarded to a machine in the view in force.
+func (p *pendingOrder) isTarget(from *pb.Replica) bool {
+	return p.target == from.GetIdentity() || slices.Contains(p.earlierTargets, from.GetIdentity())
+}
+
 // receiveResult answers the operator, or confirms the order if the head asks for that. A result that comes twice or too
-// late is dropped, as is one of another machine than the order was forwarded to last: a machine that was the head or the
-// tail of an earlier view no longer speaks for the chain.
+// late is dropped, as is one of a machine that the order was not forwarded to in the view in force: a machine that was
+// the head or a member of the chain of an earlier view no longer speaks for the chain.
 func (o *originOrders) receiveResult(from *pb.Replica, result *pb.OrderResult) {
 	pending := o.find(result.GetId())
 	switch {
-	case pending == nil || pending.target != from.GetIdentity():
+	case pending == nil || !pending.isTarget(from):
 	case result.GetStatus() == statusConfirm:
 		o.confirm(pending, result.GetBody())
 	case result.GetHeldIsNewest():
--- a/internal/region/control/quorumcheck.go
+++ b/internal/region/control/quorumcheck.go
@@ -1,11 +1,11 @@
 package control
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
-	"fieldrelay/internal/region/catalog"
 	"fieldrelay/internal/region/chain"
 	"fieldrelay/internal/region/quorum"
 )
@@ -36,14 +36,31 @@
 	id      uint64
 	to      *pb.Replica
 	result  *pb.OrderResult
-	read    *catalog.Snapshot // whose configuration becomes the body of the result; nil: the result is complete
-	votes   map[int]bool      // by index among the voters
+	read    *checkedRead // nil: the result is complete
+	votes   map[int]bool // by index among the voters
+	agreed  bool         // by a majority
 	expires time.Duration
 	sentAt  time.Duration
 }
 
+// checkedRead is a read whose result waits: it tells the committed state.
+type checkedRead struct {
+	least uint64 // sequence that the state must have reached
+	held  uint64 // sequence of the state that the origin holds
+}
+
 // begin asks the voters; the result leaves when a majority has agreed.
-func (c *quorumChecks) begin(to *pb.Replica, result *pb.OrderResult, read *catalog.Snapshot) {
+func (c *quorumChecks) begin(to *pb.Replica, result *pb.OrderResult) {
+	c.add(to, result, nil)
+}
+
+// beginRead asks the voters; the result leaves when a majority has agreed and the state has reached a sequence.
+func (c *quorumChecks) beginRead(to *pb.Replica, order *pb.Order, least uint64) {
+	result := &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK}
+	c.add(to, result, &checkedRead{least: least, held: order.GetHeld()})
+}
+
+func (c *quorumChecks) add(to *pb.Replica, result *pb.OrderResult, read *checkedRead) {
 	if len(c.pending) >= maxQuorumChecks {
 		c.output.sendResult(to, unavailable(result.GetId()))
 		return
@@ -91,18 +108,41 @@
 	}
 	check := c.pending[index]
 	check.votes[voter] = true
-	if len(check.votes) >= quorum.Majority(view) {
+	check.agreed = len(check.votes) >= quorum.Majority(view)
+	c.sendComplete()
+}
+
+// sendComplete sends the results that wait for nothing any more.
+func (c *quorumChecks) sendComplete() {
+	for {
+		index := slices.IndexFunc(c.pending, c.isComplete)
+		if index < 0 {
+			return
+		}
+		check := c.pending[index]
 		c.pending = slices.Delete(c.pending, index, index+1)
-		c.output.sendResult(check.to, check.outcome())
+		c.output.sendResult(check.to, c.outcome(check))
+	}
+}
+
+func (c *quorumChecks) isComplete(check *quorumCheck) bool {
+	if !check.agreed || check.read == nil {
+		return check.agreed
 	}
+	return c.replica.KnowsCommitted() && c.replica.Committed().Sequence() >= check.read.least
 }
 
-// outcome is the result, with the configuration if it is that of a read.
-func (c *quorumCheck) outcome() *pb.OrderResult {
-	if c.read == nil {
-		return c.result
+// outcome is the result, with the configuration if it is that of a read whose origin lacks it.
+func (c *quorumChecks) outcome(check *quorumCheck) *pb.OrderResult {
+	if check.read == nil {
+		return check.result
+	}
+	committed := c.replica.Committed()
+	if check.read.held == committed.Sequence() {
+		check.result.HeldIsNewest = true
+		return check.result
 	}
-	return readResult(c.result.GetId(), c.read)
+	return readResult(check.result.GetId(), committed)
 }
 
 // tick drops the checks whose time is up and asks again for the others. Asking this machine itself may complete a check,
@@ -110,7 +150,7 @@
 func (c *quorumChecks) tick() {
 	c.pending = slices.DeleteFunc(c.pending, func(check *quorumCheck) bool { return c.clock.now >= check.expires })
 	for _, check := range slices.Clone(c.pending) {
-		if c.clock.now-check.sentAt >= quorumCheckResendInterval {
+		if !check.agreed && c.clock.now-check.sentAt >= quorumCheckResendInterval {
 			c.queryVoters(check)
 		}
 	}
