--- a/internal/region/control/machine.go
+++ b/internal/region/control/machine.go
@@ -43,7 +43,7 @@
 	// Orders of the operator.
 	origin        *originOrders
 	head          *headOrders
-	tail          *tailReads
+	reads         *chainReads
 	confirmations *confirmations
 	checks        *quorumChecks
 
@@ -62,7 +62,10 @@
 
 // Authoritative reports whether the machine holds the state of the view in force, has had heartbeats of a majority of the
 // voters within FailureTimeout, and knows neither of a later view nor of changes that it does not get.
-func (m *Machine) Authoritative() bool { return m.staleness.isAuthoritative() }
+func (m *Machine) Authoritative() bool { return m.AuthorityGap() == GapNone }
+
+// AuthorityGap names what the machine lacks to be authoritative.
+func (m *Machine) AuthorityGap() AuthorityGap { return m.staleness.gap() }
 
 // Live lists the hosts of the live voters in the order of the view.
 func (m *Machine) Live() []string {
@@ -110,6 +113,7 @@
 	case Leave:
 		m.leave()
 	}
+	m.checks.sendComplete()
 	m.head.proposeNext()
 	m.leaving.report(m.planner, m.output)
 	return m.output.takeActions()
@@ -232,7 +236,7 @@
 
 func (m *Machine) receiveOrder(from *pb.Replica, order *pb.Order) {
 	if order.GetKind() == pb.Order_KIND_READ {
-		m.tail.receive(from, order)
+		m.reads.receive(from, order)
 		return
 	}
 	m.head.receive(from, order)
