Record who has what in work at a node's peak, and all shares around it

TestNodeLimitHolds failed with 13 requests in work where 12 are allowed, and could not tell whose. Each sidecar now reaches a node at an address of its own; the node keeps the jobs of its greatest peak with address, id, time and budget; the test asks all sidecars for their limits every 100 ms. A failure logs both.

--- a/internal/testkit/fakebackend/fakebackend.go
+++ b/internal/testkit/fakebackend/fakebackend.go
@@ -50,34 +50,59 @@
 	// Ran is told of each job before it is answered; drop means that the node knows the key and does no work. Set it
 	// before the first job comes; nil: none is told.
 	Ran func(id, key, class string) (drop bool)
-	ln  net.Listener
+	// Work records who has how much in work. Set it before the first job comes; nil: nothing is recorded.
+	Work   *WorkLog
+	server *fasthttp.Server
+	mu     sync.Mutex
+	lns    []net.Listener // the first is that of Addr
 }
 
 // NewNode starts an execute node.
 func NewNode(delay time.Duration, size int) (*Node, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	n := &Node{ln: ln, started: time.Now()}
+	n := &Node{started: time.Now()}
 	n.Delay.Store(int64(delay))
 	n.Size.Store(int64(size))
-	server := &fasthttp.Server{Handler: n.serve, MaxRequestBodySize: mostBody, Concurrency: 1 << 16,
+	n.server = &fasthttp.Server{Handler: n.serve, MaxRequestBodySize: mostBody, Concurrency: 1 << 16,
 		DisablePreParseMultipartForm: true, ReduceMemoryUsage: true, Logger: discardLogger{},
 		ConnState: func(_ net.Conn, s fasthttp.ConnState) {
 			if s == fasthttp.StateNew {
 				n.Tally.Add()
 			}
 		}}
-	go func() { _ = server.Serve(ln) }()
+	if _, err := n.Listen(); err != nil {
+		return nil, err
+	}
 	return n, nil
 }
 
-// Addr is the address of the node.
-func (n *Node) Addr() string { return n.ln.Addr().String() }
+// Listen has the node take jobs at one more address, which tells who sent a job where each sender has its own.
+func (n *Node) Listen() (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lns = append(n.lns, ln)
+	go func() { _ = n.server.Serve(ln) }()
+	return ln.Addr().String(), nil
+}
+
+// Addr is the first address of the node.
+func (n *Node) Addr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lns[0].Addr().String()
+}
 
-// Close ends the node's listener; what it has taken goes on.
-func (n *Node) Close() { _ = n.ln.Close() }
+// Close ends the node's listeners; what it has taken goes on.
+func (n *Node) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, ln := range n.lns {
+		_ = ln.Close()
+	}
+}
 
 // Tally keeps when something happened. The zero Tally is ready.
 type Tally struct {
@@ -164,6 +189,10 @@
 		}
 	}
 	defer n.Now.Add(-1)
+	if n.Work != nil {
+		defer n.Work.begin(Job{Address: ctx.LocalAddr().String(), ID: string(ctx.Request.Header.Peek("X-Call-Id")), Began: time.Now(),
+			Budget: string(ctx.Request.Header.Peek("X-Budget"))})()
+	}
 	delay := n.Delay.Load()
 	if len(ctx.PostBody()) >= LargeBody {
 		delay = n.Slow.Load()
--- a/internal/testkit/processfleet/fleet.go
+++ b/internal/testkit/processfleet/fleet.go
@@ -57,6 +57,8 @@
 	nodes []*fakebackend.Node
 	lists []*fakebackend.Discovery
 	links map[linkID]*faultline.Link
+	// senders are the sidecars by the addresses of nodes that are theirs alone.
+	senders map[string]string
 
 	mu   sync.Mutex
 	keys map[string]time.Time // of keyed work begun, for all nodes
@@ -75,7 +77,7 @@
 	if opts.Lease == 0 {
 		opts.Lease = 20 * opts.Pace
 	}
-	r = &Fleet{opts: opts, History: opts.History, links: map[linkID]*faultline.Link{}, keys: map[string]time.Time{}}
+	r = &Fleet{opts: opts, History: opts.History, links: map[linkID]*faultline.Link{}, senders: map[string]string{}, keys: map[string]time.Time{}}
 	if r.History == nil {
 		r.History = checker.NewHistory()
 	}
@@ -116,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	n.Cores, n.Queue = r.opts.Cores, 10*r.opts.Cores
+	n.Cores, n.Queue, n.Work = r.opts.Cores, 10*r.opts.Cores, &fakebackend.WorkLog{}
 	name := nodeName(index)
 	n.Ran = func(id, key, class string) bool { return r.ran(name, id, key, class) }
 	r.nodes = append(r.nodes, n)
--- a/internal/testkit/processfleet/quota_test.go
+++ b/internal/testkit/processfleet/quota_test.go
@@ -215,6 +215,7 @@
 		n.Heeds.Store(true)
 	}
 	until(t, r, 60*time.Second, "one view", r.Agreed)
+	shares := logShares(t, r)
 	ctx, end := context.WithCancel(context.Background())
 	var load sync.WaitGroup
 	load.Go(func() { r.Load(ctx, 400) }) // 20 in work at each node, without the limit
@@ -253,6 +254,7 @@
 	require.NoError(t, r.Sidecars[3].Stop())
 	from = time.Now()
 	until(t, r, 30*time.Second, "a lease", func() bool { return time.Since(from) > r.opts.Lease+time.Second })
+	went := time.Now()
 	require.NoError(t, r.Sidecars[3].Continue())
 	require.NoError(t, r.Sidecars[1].Start())
 	until(t, r, 60*time.Second, "all have parts again", leased)
@@ -261,6 +263,8 @@
 	for i, n := range r.nodes {
 		if peak := n.Peak.Load(); peak > most || peak < most/2 {
 			t.Errorf("%d in work at n%d at the most, the limit is %d", peak, i+1, most)
+			t.Logf("%s went on and %s was started at %s; %s", r.Sidecars[3].Name, r.Sidecars[1].Name, went.Format(time.StampMicro),
+				peakOf(r, n, "each/"+nodeName(i), shares))
 		} else {
 			t.Logf("%d of %d in work at n%d at the most", peak, most, i+1)
 		}
--- a/internal/testkit/processfleet/settings.go
+++ b/internal/testkit/processfleet/settings.go
@@ -46,7 +46,12 @@
 		return nil
 	}
 	for i, n := range r.nodes {
-		if err := link(s.Name, nodeName(i), n.Addr()); err != nil {
+		address, err := n.Listen()
+		if err != nil {
+			return err
+		}
+		r.senders[address] = s.Name
+		if err := link(s.Name, nodeName(i), address); err != nil {
 			return err
 		}
 	}
