Tell the observer of listed servers before requests are sent to them

Cause: a relay gave its module a list first and told its observer after. The module's step sends the requests that had waited for a server, and a server that the limits of the fleet do not know has none. So a sidecar that had just started sent more than its share to each node, and likewise to one that was ready again after a drain or a suspension: 13 in work at a node where 12 are allowed. Change: the observer hears of the list before the module's step.

--- a/internal/sidecar/relay/observe.go
+++ b/internal/sidecar/relay/observe.go
@@ -17,7 +17,8 @@
 		release func(), ok bool)
 	// AttemptEnded is the outcome of an attempt at the server of a name, and the time since its start.
 	AttemptEnded(server string, outcome logic.Outcome, took time.Duration)
-	// ServersListed is all servers that the list has as ready, but for suspended ones.
+	// ServersListed is all servers that the list has as ready, but for suspended ones. It is called before the first attempt
+	// at any of them.
 	ServersListed(servers []ListedServer)
 	// DrainChanged is that the list now has a server, by its start, as draining or gone, or again as ready.
 	DrainChanged(server string, startedAt time.Duration, draining bool)
@@ -29,7 +30,8 @@
 	Since      time.Duration // its start, by the list
 }
 
-// notifyListed notifies the observer of the ready servers.
+// notifyListed notifies the observer of the ready servers. It comes before the module's step on them, which sends the requests
+// that wait for a server.
 func (r *Relay) notifyListed() {
 	if r.observer == nil {
 		return
--- a/internal/sidecar/relay/observe_test.go
+++ b/internal/sidecar/relay/observe_test.go
@@ -19,6 +19,7 @@
 	reserved  int
 	capacity  float64
 	rejecting bool // no attempt may start
+	unlisted  int  // attempts at servers that the observer was not notified of
 }
 
 // An attempt that the limits do not admit is never written: the module goes on as its rules allow, and what the others
@@ -73,8 +74,11 @@
 	}
 }
 
-func (w *recordingObserver) BeforeAttempt(_, _, _ string, _ bool, capacity float64, _ time.Time) (func(), bool) {
+func (w *recordingObserver) BeforeAttempt(server, _, _ string, _ bool, capacity float64, _ time.Time) (func(), bool) {
 	w.capacity = capacity
+	if !slices.Contains(w.listed, server) {
+		w.unlisted++
+	}
 	if w.rejecting {
 		return nil, false
 	}
@@ -106,6 +110,51 @@
 	slices.Sort(w.listed)
 }
 
+// Requests that wait for a server are sent as soon as there is one: an observer that did not know of it by then could not
+// limit those attempts.
+func TestObserverKnowsAServerBeforeItsFirstAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait func(b *bench, m Member) // from when requests wait
+		send func(b *bench, m Member)
+	}{
+		"the first list": {func(*bench, Member) {}, func(b *bench, m Member) { b.list(true, m) }},
+		"a server that was drained is ready again": {func(b *bench, m Member) {
+			m.State = logic.Draining
+			b.list(true, m)
+		}, func(b *bench, m Member) { b.list(false, m) }},
+		"a suspension ends": {func(b *bench, m Member) {
+			b.list(true, m)
+			b.Suspend(m.Name, true, func([]string, error) {})
+			synctest.Wait()
+		}, func(b *bench, m Member) {
+			b.Restore(m.Name, func([]string, error) {})
+			synctest.Wait()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := logic.Config{Tick: 5 * time.Millisecond, Classes: []logic.Class{{Name: "safe", Deadline: time.Second}},
+					Limits: logic.Limits{MaxAttempts: 3}}
+				w := &recordingObserver{outcomes: map[string]int{}}
+				b := newBench(t, cfg, 1, w)
+				m := member(8)
+				m.Name = "a"
+				c.wait(b, m)
+				for range 3 {
+					b.submit("safe")
+				}
+				if reserved, _ := w.state(b); reserved != 0 {
+					t.Fatalf("%d sent before", reserved)
+				}
+				c.send(b, m)
+				if reserved, _ := w.state(b); reserved == 0 || w.unlisted != 0 {
+					t.Errorf("%d sent, %d of them at a server that the observer does not know", reserved, w.unlisted)
+				}
+			})
+		})
+	}
+}
+
 // Servers that are ejected get no attempt, come back as they were, and are used all the same where nothing else is ready.
 func TestEjectedServersGetNoAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sidecar/relay/server.go
+++ b/internal/sidecar/relay/server.go
@@ -89,6 +89,7 @@
 	if l.Complete {
 		r.markOthersRemoved(listed)
 	}
+	r.notifyListed()
 	r.step(&ev)
 	for id, s := range r.servers {
 		r.closeIfGone(id, s)
@@ -171,6 +172,7 @@
 		effective.ListedAt = time.Now()
 		s.Update(effective)
 	}
+	r.notifyListed()
 	r.step(&logic.Event{Kind: logic.EvMembers, Servers: []logic.Server{effective.Server}})
 	r.updateReadiness()
 }
@@ -213,8 +215,7 @@
 	return int(r.listed.Load()), int(r.unavailable.Load())
 }
 
-// updateReadiness updates readiness and the counts of servers, notifies the observer, and returns how many
-// servers take attempts.
+// updateReadiness updates readiness and the counts of servers, and returns how many servers take attempts.
 func (r *Relay) updateReadiness() (usable int) {
 	listed, unavailable := 0, 0
 	for _, s := range r.servers {
@@ -232,6 +233,5 @@
 	r.listed.Store(int64(listed))
 	r.unavailable.Store(int64(unavailable))
 	r.ready.Store(usable > 0)
-	r.notifyListed()
 	return usable
 }
