Report what is in flight only after a change of the shares has taken effect

Cause: a member that got a grant of a smaller share while its report was due read what it had in flight and reported that before its gate had the smaller share. Requests that were admitted in between by the larger one were in no report, and the rest of the share was granted to another member. It takes a member that stood still for a moment. Change: the report waits for the next step, which follows at once.

--- a/internal/sidecar/fleet/core.go
+++ b/internal/sidecar/fleet/core.go
@@ -46,6 +46,8 @@
 	now time.Duration
 	rng *rand.Rand
 	out []Action
+	// sharesChanged is set while out has QuotaSharesChanged.
+	sharesChanged bool
 
 	member    *member.Machine
 	views     *view.Machine
@@ -120,7 +122,7 @@
 
 // Step takes an event at a time, on the clock of NewCore, that is not before that of the last call.
 func (c *Core) Step(now time.Duration, event Event) []Action {
-	c.out, c.now = nil, max(now, c.now)
+	c.out, c.sharesChanged, c.now = nil, false, max(now, c.now)
 	if c.mode == Yielded {
 		return nil
 	}
@@ -157,7 +159,7 @@
 	case SetLimits:
 		c.holder.SetLimits(event.Limits)
 		c.granter.SetLimits(event.Limits)
-		c.out = append(c.out, QuotaSharesChanged{})
+		c.changeShares()
 	case Leave:
 		c.handleMember(c.member.Step(now, member.Leave{}))
 	case PushRules:
--- a/internal/sidecar/fleet/corequota.go
+++ b/internal/sidecar/fleet/corequota.go
@@ -31,7 +31,9 @@
 	} else {
 		c.granter.Follow()
 	}
-	if c.holder.Next() > c.now {
+	// What is in use is read only once the caller has carried out a change of the shares: until then it may still grow by the
+	// old ones, beyond what is reported.
+	if c.holder.Next() > c.now || c.sharesChanged {
 		return
 	}
 	if c.cfg.Demand != nil {
@@ -60,6 +62,12 @@
 // applyGrant takes in a grant for this member.
 func (c *Core) applyGrant(g quota.Grant) {
 	if c.holder.ReceiveGrant(c.now, g) {
-		c.out = append(c.out, QuotaSharesChanged{})
+		c.changeShares()
 	}
 }
+
+// changeShares tells the caller that this member's shares may have changed.
+func (c *Core) changeShares() {
+	c.sharesChanged = true
+	c.out = append(c.out, QuotaSharesChanged{})
+}
--- a/internal/testkit/fleetsim/fleetsim.go
+++ b/internal/testkit/fleetsim/fleetsim.go
@@ -37,6 +37,7 @@
 	Refound     bool // the voters found anew by themselves where that is safe
 	Limits      []quota.Limit
 	Demand      func(member int, now time.Duration) quota.Unit // of each limit, by the world's time
+	InUse       func(member int) quota.Unit                    // in flight, of each limit, when a report is made; nil: nothing
 	MutateQuota quota.Mutation
 	Rules       func(member int) *versionskew.Config // of each start; nil: no rules
 	Station     *Station                             // execute nodes that the members send to; nil: none, and no verdicts
@@ -229,7 +230,13 @@
 	}
 	var demand func(limit string, now time.Duration) (demand, used quota.Unit)
 	if w.opts.Demand != nil {
-		demand = func(limit string, _ time.Duration) (quota.Unit, quota.Unit) { return w.opts.Demand(n.Index, w.now), 0 }
+		demand = func(string, time.Duration) (quota.Unit, quota.Unit) {
+			used := quota.Unit(0)
+			if w.opts.InUse != nil {
+				used = w.opts.InUse(n.Index)
+			}
+			return w.opts.Demand(n.Index, w.now), used
+		}
 	}
 	cfg := fleet.CoreConfig{Fleet: "sim",
 		Limits: w.opts.Limits, MutateQuota: w.opts.MutateQuota, Demand: demand,
