Answer 412 only if no other machine may still execute the put

A put whose condition names a later revision than the present one was answered 412 by one proposer, while another one that had been asked first executed it once the key had come to that revision. The origin answers 504 in that case.

--- a/internal/region/coordination/origin.go
+++ b/internal/region/coordination/origin.go
@@ -110,6 +110,11 @@
 			return
 		}
 		pending.answered(isLast)
+	case pb.CoordinationResult_OUTCOME_REVISION_MISMATCH:
+		if pending.maySucceedLater(result) {
+			result = &pb.CoordinationResult{Outcome: pb.CoordinationResult_OUTCOME_UNKNOWN}
+		}
+		o.finish(pending, result)
 	default:
 		if pending.call.GetWatch() != nil && o.isUnfinishedWatch(now, pending, result) {
 			pending.answered(isLast)
@@ -120,6 +125,12 @@
 	}
 }
 
+// maySucceedLater reports whether a put that found another revision than it expected may succeed all the same: another machine
+// that was asked executes it when the key has come to that revision.
+func (p *pendingCall) maySucceedLater(mismatch *pb.CoordinationResult) bool {
+	return p.maybeExecuted && mismatch.GetRevision() < p.call.GetPut().GetExpectedRevision()
+}
+
 // answered records that the machine that was asked last need not be waited for.
 func (p *pendingCall) answered(isLast bool) {
 	if isLast {
