--- a/internal/region/coordination/engine_test.go
+++ b/internal/region/coordination/engine_test.go
@@ -120,3 +120,19 @@
 	assert.Equal(t, pb.CoordinationResult_OUTCOME_UNAVAILABLE, host.sent[0].GetCoordinationResult().GetOutcome())
 	assert.Len(t, engine.Records(), 1)
 }
+
+// A condition that names a later revision than the present one may still become true where the call was sent first.
+func TestMismatchIsNotFinalWhileAnotherMachineMayExecuteThePut(t *testing.T) {
+	for expected, outcome := range map[uint64]pb.CoordinationResult_Outcome{
+		1: pb.CoordinationResult_OUTCOME_REVISION_MISMATCH,
+		5: pb.CoordinationResult_OUTCOME_UNKNOWN,
+	} {
+		engine, host := newEngineAmong(fiveVoters()...)
+		engine.Submit(time.Minute, 1, putCall("g.a", "x", expected))
+		engine.Tick(time.Minute + attemptTimeout)
+		engine.Receive(time.Minute+attemptTimeout, fiveVoters()[1], &pb.Message{Body: &pb.Message_CoordinationResult{
+			CoordinationResult: &pb.CoordinationResult{Id: 1, Outcome: pb.CoordinationResult_OUTCOME_REVISION_MISMATCH, Revision: 2},
+		}})
+		assert.Equal(t, outcome, host.results[1].GetOutcome())
+	}
+}
--- a/internal/region/coordination/simulatedfaults_test.go
+++ b/internal/region/coordination/simulatedfaults_test.go
@@ -209,6 +209,7 @@
 // heal ends all faults.
 func (s *simulation) heal() {
 	s.faulty = false
+	s.slowSync = quickSync
 	s.network.calm()
 	s.network.cuts = make(map[link]int)
 	for _, member := range slices.Clone(s.machines) {
--- a/internal/region/coordination/simulation_test.go
+++ b/internal/region/coordination/simulation_test.go
@@ -18,6 +18,7 @@
 	retention  = 4 * time.Second
 	zoneCount  = 3
 	spareCount = 2
+	quickSync  = 3 // milliseconds
 )
 
 // simulation is a few machines, each with an engine, a clock and a disk, the network between them, and callers. Everything that
@@ -35,6 +36,7 @@
 	network    *network
 	view       *pb.View // that was decided last
 	faulty     bool
+	slowSync   float64 // milliseconds that a sync of a disk may take
 	calls      []*history.Call
 }
 
@@ -67,6 +69,7 @@
 		byIdentity: make(map[string]*machine),
 	}
 	s.network = newNetwork(s)
+	s.slowSync = pick(s, []float64{quickSync, quickSync, 30, 150})
 	return s
 }
 
