Keep the vote of a machine that lost its disk from its earlier identity

Callers got 503 for as long as another machine was down, although a majority had its disks: a machine that returned without its disk within the failure timeout was admitted in place of its earlier identity, and then the earlier one in place of it: the others took it for a joiner on the host of a voter while they had heard from it lately, and took the voter for silent, since nothing had come from it yet. The vote was then that of a replica that does not exist.

Of two identities of a host the one that was received from last counts, and a voter that nothing came from yet is silent since the view in force, not since the start.

--- a/internal/region/control/coordinationcluster_test.go
+++ b/internal/region/control/coordinationcluster_test.go
@@ -68,7 +68,10 @@
 		if isClear {
 			return status, answer
 		}
-		require.True(a.t, time.Now().Before(deadline), "%s gets %d", path, status)
+		if time.Now().After(deadline) {
+			a.logMachines()
+			require.FailNow(a.t, "no clear answer", "%s gets %d", path, status)
+		}
 		select {
 		case <-changed:
 		case <-time.After(50 * time.Millisecond):
@@ -76,6 +79,14 @@
 	}
 }
 
+// logMachines logs what the machines hold.
+func (a *application) logMachines() {
+	for index, machine := range a.cluster.machines {
+		status := machine.node.Status()
+		a.t.Logf("machine %d: live %v, view %v, coordination %+v", index, status.Live, status.View, machine.node.CoordinationStatus())
+	}
+}
+
 func (a *application) callOnce(machine int, method, path, body string) (int, callAnswer) {
 	a.t.Helper()
 	request, err := http.NewRequestWithContext(a.t.Context(), method, a.urls[machine]+path, strings.NewReader(body))
--- a/internal/region/control/viewplan.go
+++ b/internal/region/control/viewplan.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/chain"
 	"fieldrelay/internal/region/quorum"
@@ -18,6 +20,7 @@
 	leaving     *leaving
 	rejoin      *rejoinBackoff
 	requirement chain.Requirement
+	enteredAt   time.Duration // when the view in force was entered; 0: it was on disk at the start
 	// coordination is what the registers of this machine are part of.
 	coordination *coordinationHost
 }
@@ -146,13 +149,26 @@
 	identity := replica.GetIdentity()
 	return quorum.Peer{
 		Replica:      replica,
-		SinceContact: p.peers.sinceContact(identity),
+		SinceContact: p.sinceContact(identity),
 		Live:         p.peers.isLive(identity),
 		Leaving:      p.isLeaving(identity),
 		Left:         p.hasLeftChain(identity),
 	}
 }
 
+// sinceContact is the time since the last message of a machine. One that nothing came from yet cannot have been silent for
+// longer than the view has been in force: it may be that view that brought it.
+func (p *viewPlanner) sinceContact(identity string) time.Duration {
+	silence := p.peers.sinceContact(identity)
+	if _, known := p.peers.known[identity]; known {
+		return silence
+	}
+	return min(silence, p.clock.now-p.enteredAt)
+}
+
+// enterView records that another view is in force.
+func (p *viewPlanner) enterView() { p.enteredAt = p.clock.now }
+
 // knowsView reports whether a machine has advertised the view in force or the one before.
 func (p *viewPlanner) knowsView(heartbeat *pb.Heartbeat) bool {
 	number := heartbeat.GetViewNumber()
--- a/internal/region/quorum/admission.go
+++ b/internal/region/quorum/admission.go
@@ -26,7 +26,7 @@
 // or is suspected; a vote of its own, if that is of use; or that of a voter whose zone has too many.
 func admitJoiner(view *pb.View, peers map[string]Peer, joiners []*pb.Replica) ([]*pb.Replica, bool) {
 	voters := slices.Clone(view.GetVoters())
-	if replaceEarlierIdentity(voters, joiners) {
+	if replaceEarlierIdentity(voters, joiners, peers) {
 		return voters, true
 	}
 	if index := replaceableVoter(voters, peers); index != NotFound {
@@ -49,11 +49,12 @@
 }
 
 // replaceEarlierIdentity replaces a voter, in place, by a joiner on the same host: a machine that lost its disk has a
-// new identity.
-func replaceEarlierIdentity(voters, joiners []*pb.Replica) bool {
+// new identity. That is the one of the two that was received from last.
+func replaceEarlierIdentity(voters, joiners []*pb.Replica, peers map[string]Peer) bool {
 	for _, joiner := range joiners {
+		sinceContact := peers[joiner.GetIdentity()].SinceContact
 		index := slices.IndexFunc(voters, func(voter *pb.Replica) bool {
-			return voter.GetHost() == joiner.GetHost()
+			return voter.GetHost() == joiner.GetHost() && sinceContact < peers[voter.GetIdentity()].SinceContact
 		})
 		if index != NotFound {
 			voters[index] = joiner
--- a/internal/region/quorum/membership_test.go
+++ b/internal/region/quorum/membership_test.go
@@ -121,6 +121,11 @@
 			peers:  []Peer{live("a"), suspected("b", time.Second), live("c"), onHost(live("d"), "host-b")},
 			want:   "a d c",
 		},
+		{
+			name:   "what a voter on the host was before does not take its place",
+			voters: "a b c",
+			peers:  []Peer{live("a"), live("b"), live("c"), onHost(contactedBefore("d", time.Second), "host-b")},
+		},
 		{
 			name:   "a joiner takes the place of the longest silent voter",
 			voters: "a b c d e",
