--- a/api/coordination/wholenumber.go
+++ b/api/coordination/wholenumber.go
@@ -1,3 +1,4 @@
+// Package coordination has the types and the HTTP server of the calls of applications, generated from api/operator.yaml.
 package coordination
 
 import (
--- a/internal/region/control/coordination_test.go
+++ b/internal/region/control/coordination_test.go
@@ -9,8 +9,8 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
-func nextNumberCall(name string) *pb.CoordinationCall {
-	return &pb.CoordinationCall{Operation: &pb.CoordinationCall_NextNumber{NextNumber: &pb.NextNumber{Name: name}}}
+func nextNumberCall() *pb.CoordinationCall {
+	return &pb.CoordinationCall{Operation: &pb.CoordinationCall_NextNumber{NextNumber: &pb.NextNumber{Name: "n"}}}
 }
 
 // submitCall passes a call to the machine.
@@ -19,11 +19,11 @@
 	l.step(CallSubmitted{Request: l.lastRequest, Call: call})
 }
 
-// number returns the next number of a name, which must come at once.
-func (l *singleMachine) number(name string) uint64 {
+// number returns the next number of the name n, which must come at once.
+func (l *singleMachine) number() uint64 {
 	l.t.Helper()
 	l.callReplies = nil
-	l.submitCall(nextNumberCall(name))
+	l.submitCall(nextNumberCall())
 	require.Len(l.t, l.callReplies, 1)
 	require.Equal(l.t, pb.CoordinationResult_OUTCOME_OK, l.callReplies[0].GetOutcome())
 	return l.callReplies[0].GetNumber()
@@ -45,7 +45,7 @@
 func TestNoCallIsAnsweredBeforeItIsOnDisk(t *testing.T) {
 	l := newSingleMachine(t)
 	l.holdWrites = true
-	l.submitCall(nextNumberCall("n"))
+	l.submitCall(nextNumberCall())
 	for len(l.callReplies) == 0 {
 		require.NotEmpty(t, l.heldWrites, "the answer waits for the disk")
 		l.releaseOne()
@@ -54,7 +54,7 @@
 	l.heldWrites = nil
 	l.holdWrites = false
 	l.restart()
-	require.EqualValues(t, 2, l.number("n"))
+	require.EqualValues(t, 2, l.number())
 }
 
 func TestNumbersOfBeforeARestartAreNotGivenAgain(t *testing.T) {
@@ -62,19 +62,19 @@
 	last := uint64(0)
 	for range 3 { // more records than fit before a snapshot
 		for range 4 {
-			next := l.number("n")
+			next := l.number()
 			require.Greater(t, next, last)
 			last = next
 		}
 		l.restart()
 	}
-	require.Greater(t, l.number("n"), last)
+	require.Greater(t, l.number(), last)
 }
 
 func TestCallsGetNoClearAnswerWhileTheDiskHangs(t *testing.T) {
 	l := newSingleMachine(t)
 	l.holdWrites = true
-	l.submitCall(nextNumberCall("n"))
+	l.submitCall(nextNumberCall())
 	l.tick(7)
 	require.Len(t, l.callReplies, 1)
 	require.Equal(t, pb.CoordinationResult_OUTCOME_UNKNOWN, l.callReplies[0].GetOutcome())
@@ -83,11 +83,11 @@
 func TestCallsAreRefusedRightAfterALateWake(t *testing.T) {
 	l := newSingleMachine(t)
 	l.now += time.Second
-	l.submitCall(nextNumberCall("n"))
+	l.submitCall(nextNumberCall())
 	require.Len(t, l.callReplies, 1)
 	require.Equal(t, pb.CoordinationResult_OUTCOME_UNAVAILABLE, l.callReplies[0].GetOutcome())
 	l.tick(5)
-	require.EqualValues(t, 1, l.number("n"))
+	require.EqualValues(t, 1, l.number())
 }
 
 // advertisedEpoch is the epoch of registers that a heartbeat sent now would carry.
@@ -204,13 +204,13 @@
 
 func TestNothingIsPromisedWithoutRoomForItsRecord(t *testing.T) {
 	l := newSingleMachine(t)
-	require.EqualValues(t, 1, l.number("n"))
+	require.EqualValues(t, 1, l.number())
 	l.holdWrites = true
 	for range maxUnpersistedRegisterWrites {
 		l.machine.disk.enqueue(nil, pendingWrite{forRegisters: true})
 	}
 	l.callReplies = nil
-	l.submitCall(nextNumberCall("n"))
+	l.submitCall(nextNumberCall())
 	l.tick(7)
 	require.Len(t, l.callReplies, 1)
 	require.NotEqual(t, pb.CoordinationResult_OUTCOME_OK, l.callReplies[0].GetOutcome())
--- a/internal/region/coordinationapi/server_test.go
+++ b/internal/region/coordinationapi/server_test.go
@@ -85,9 +85,10 @@
 	}}}
 }
 
-func acquireFor(holdMS uint32) *pb.CoordinationCall {
+// acquired is the call of begin.
+func acquired() *pb.CoordinationCall {
 	return &pb.CoordinationCall{Operation: &pb.CoordinationCall_Acquire{Acquire: &pb.AcquireLock{
-		Name: "l1f", Holder: "a3.7", HoldMs: holdMS,
+		Name: "l1f", Holder: "a3.7", HoldMs: 3000,
 	}}}
 }
 
@@ -108,7 +109,7 @@
 		sent request
 		want *pb.CoordinationCall
 	}{
-		"begin": {begin, acquireFor(3000)},
+		"begin": {begin, acquired()},
 		"renew": {renew, renewWith(41)},
 		"finish": {finish, &pb.CoordinationCall{Operation: &pb.CoordinationCall_Release{Release: &pb.ReleaseLock{
 			Name: "l1f", Holder: "a3.7", Fence: 41,
@@ -123,9 +124,9 @@
 		"watch from the start": {watch.at("/api/watch/g1."), watchFor(0, 0)},
 		"watch for too long":   {watch.at("/api/watch/g1.?after=1&wait-ms=1e9"), watchFor(1, 60_000)},
 
-		"unknown members":            {begin.with(`{"holder":"a3.7","hold-ms":3000,"else":[{}]}`), acquireFor(3000)},
-		"a whole number as a float":  {begin.with(`{"holder":"a3.7","hold-ms":3000.0}`), acquireFor(3000)},
-		"a fraction is rounded up":   {begin.with(`{"holder":"a3.7","hold-ms":2999.2}`), acquireFor(3000)},
+		"unknown members":            {begin.with(`{"holder":"a3.7","hold-ms":3000,"else":[{}]}`), acquired()},
+		"a whole number as a float":  {begin.with(`{"holder":"a3.7","hold-ms":3000.0}`), acquired()},
+		"a fraction is rounded up":   {begin.with(`{"holder":"a3.7","hold-ms":2999.2}`), acquired()},
 		"a fence as a float":         {renew.with(`{"holder":"a3.7","fence":41.0,"hold-ms":3e3}`), renewWith(41)},
 		"a revision as a float":      {replace.with(`{"val":"5c0e7a21d94b36f8","enabled":9.07e2}`), putWith(pointerTo(uint64(907)))},
 		"a fence beyond exact float": {renew.with(`{"holder":"a3.7","fence":9007199254740993,"hold-ms":3000}`), renewWith(1<<53 + 1)},
