--- /dev/null
+++ b/internal/region/register/anyorder_test.go
@@ -0,0 +1,114 @@
+package register
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// anyOrder is a cluster of three voters, of which two propose and one loses power, whose messages come in any order, several
+// times or never.
+type anyOrder struct {
+	*rapid.T
+	cluster *cluster
+	lastID  uint64
+	floors  map[uint64]uint64 // by call, the highest number that was given before it
+	given   map[uint64]uint64 // by number, the call that it was given to
+	highest uint64
+	checked map[*member]int // how many of its results were
+}
+
+func TestNumbersRiseInAnyOrderOfMessages(t *testing.T) {
+	const checksInHundreds = 10
+	for range checksInHundreds {
+		rapid.Check(t, checkAnyOrder)
+	}
+}
+
+func checkAnyOrder(t *rapid.T) {
+	run := &anyOrder{
+		T: t, cluster: foundedCluster("a", "b", "c"),
+		floors: make(map[uint64]uint64), given: make(map[uint64]uint64), checked: make(map[*member]int),
+	}
+	run.cluster.members["c"].slowDisk = true
+	for range rapid.IntRange(10, 120).Draw(t, "steps") {
+		run.step()
+		run.check()
+	}
+}
+
+func (r *anyOrder) step() {
+	switch rapid.IntRange(0, 15).Draw(r.T, "action") {
+	case 0, 1, 2:
+		r.submit(rapid.SampledFrom([]string{"a", "b"}).Draw(r.T, "proposer"))
+	case 3:
+		r.cluster.pass(resendInterval)
+		r.cluster.tick("a", "b", "c")
+	case 4:
+		r.cluster.members["c"].restart(firstEpoch("a", "b", "c"))
+	case 5, 6:
+		r.cluster.members["c"].sync()
+	case 7:
+		r.deliver(true)
+	case 8:
+		r.lose()
+	default:
+		r.deliver(false)
+	}
+}
+
+func (r *anyOrder) submit(proposer string) {
+	r.lastID++
+	r.floors[r.lastID] = r.highest
+	r.cluster.members[proposer].submit(numberCall(r.lastID))
+}
+
+// take draws a message on the wire; false: there is none.
+func (r *anyOrder) take(stays bool) (sentMessage, bool) {
+	wire := r.cluster.wire
+	if len(wire) == 0 {
+		return sentMessage{}, false
+	}
+	index := rapid.IntRange(0, len(wire)-1).Draw(r.T, "message")
+	taken := wire[index]
+	if !stays {
+		r.cluster.wire = append(wire[:index:index], wire[index+1:]...)
+	}
+	return taken, true
+}
+
+func (r *anyOrder) deliver(again bool) {
+	if taken, found := r.take(again); found {
+		r.cluster.members[taken.to].receive(&pb.Replica{Identity: taken.from}, taken.message)
+	}
+}
+
+func (r *anyOrder) lose() { r.take(false) }
+
+// check requires that the numbers given since the last check are new, and above all that were given before their calls.
+func (r *anyOrder) check() {
+	for _, proposer := range []string{"a", "b"} {
+		answered := r.cluster.members[proposer]
+		for _, result := range answered.results[r.checked[answered]:] {
+			r.checkResult(result)
+		}
+		r.checked[answered] = len(answered.results)
+	}
+}
+
+func (r *anyOrder) checkResult(result *pb.CoordinationResult) {
+	if result.GetOutcome() != ok {
+		return
+	}
+	number, id := result.GetNumber(), result.GetId()
+	if other, isGiven := r.given[number]; isGiven {
+		r.Fatalf("number %d is given to calls %d and %d", number, other, id)
+	}
+	if number <= r.floors[id] {
+		r.Fatalf("call %d gets %d after %d was given", id, number, r.floors[id])
+	}
+	r.given[number] = id
+	r.highest = max(r.highest, number)
+}
