Stay until the next voters hold the registers; count silence from the vote on

Cause: a machine that left in order asked the gate on voters whether its vote goes, and ended while it still voted: six voters with three gone stood still for ever. And with each view the silence of a voter that was never heard began anew, so that a second lost voter was replaced 1.2 s later than the first. Change: a leaving machine waits for the view that takes its vote and until a majority holds the registers; silence counts from when a voter came to vote. Requests for registers of a later epoch wait for it.

--- a/internal/region/control/leaving.go
+++ b/internal/region/control/leaving.go
@@ -62,7 +62,10 @@
 	if quorum.IndexOf(view.GetChain(), identity) != quorum.NotFound || !p.isReplicatedElsewhere() {
 		return false
 	}
-	voters, changed := p.nextVoters()
+	if !p.majorityHoldsRegisters() {
+		return false // the voters in force may still collect them from this machine
+	}
+	voters, changed := quorum.NextVoters(view, p.votingPeers())
 	votes := quorum.IndexOf(view.GetVoters(), identity) != quorum.NotFound
 	losesVote := changed && quorum.IndexOf(voters, identity) == quorum.NotFound
 	return !votes || !losesVote
--- a/internal/region/control/viewchange.go
+++ b/internal/region/control/viewchange.go
@@ -42,7 +42,7 @@
 		return
 	}
 	m.rejoin.observeChange(before, view, m.planner.isLeaving)
-	m.planner.enterView()
+	m.planner.enterView(before, view)
 	m.voter.enterView(view)
 	m.proposer.enterView()
 	m.staleness.enterView()
--- a/internal/region/control/viewplan.go
+++ b/internal/region/control/viewplan.go
@@ -20,7 +20,8 @@
 	leaving     *leaving
 	rejoin      *rejoinBackoff
 	requirement chain.Requirement
-	enteredAt   time.Duration // when the view in force was entered; 0: it was on disk at the start
+	// votingSince is, by identity, when a later view brought a voter; those of the view at the start are not in it.
+	votingSince map[string]time.Duration
 	// coordination is what the registers of this machine are part of.
 	coordination *coordinationHost
 }
@@ -157,17 +158,27 @@
 }
 
 // sinceContact is the time since the last message of a machine. One that nothing came from yet cannot have been silent for
-// longer than the view has been in force: it may be that view that brought it.
+// longer than it votes.
 func (p *viewPlanner) sinceContact(identity string) time.Duration {
 	silence := p.peers.sinceContact(identity)
 	if _, known := p.peers.known[identity]; known {
 		return silence
 	}
-	return min(silence, p.clock.now-p.enteredAt)
+	return min(silence, p.clock.now-p.votingSince[identity])
 }
 
-// enterView records that another view is in force.
-func (p *viewPlanner) enterView() { p.enteredAt = p.clock.now }
+// enterView records which voters a view has brought.
+func (p *viewPlanner) enterView(before, view *pb.View) {
+	votingSince := make(map[string]time.Duration, len(view.GetVoters()))
+	for _, voter := range view.GetVoters() {
+		identity := voter.GetIdentity()
+		votingSince[identity] = p.clock.now
+		if quorum.IndexOf(before.GetVoters(), identity) != quorum.NotFound {
+			votingSince[identity] = p.votingSince[identity]
+		}
+	}
+	p.votingSince = votingSince
+}
 
 // knowsView reports whether a machine has advertised the view in force or the one before.
 func (p *viewPlanner) knowsView(heartbeat *pb.Heartbeat) bool {
--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -22,6 +22,8 @@
 	activeEpoch uint64
 	registers   map[string]*acceptor
 	transfer    transfer
+	// earlyRequests are of epochs that this machine has not learnt of yet.
+	earlyRequests []earlyRequest
 }
 
 // acceptor is one register at one machine.
--- a/internal/region/register/transfer.go
+++ b/internal/region/register/transfer.go
@@ -8,6 +8,9 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
+// maxEarlyRequests bounds the requests that wait for this machine to learn of their epoch.
+const maxEarlyRequests = 16
+
 // transferInterval is the wait before a voter asks again for the registers of the epoch in force.
 const transferInterval = 150 * time.Millisecond
 
@@ -28,6 +31,32 @@
 	r.membership = membership
 	r.transfer = transfer{}
 	r.Tick(now)
+	r.answerEarlyRequests()
+}
+
+// earlyRequest is a request for the registers of an epoch that this machine has not learnt of yet.
+type earlyRequest struct {
+	from    *pb.Replica
+	request *pb.RegisterTransferRequest
+}
+
+// keepEarlyRequest keeps a request until this machine learns of its epoch; the newest of each sender counts.
+func (r *Replica) keepEarlyRequest(from *pb.Replica, request *pb.RegisterTransferRequest) {
+	r.earlyRequests = slices.DeleteFunc(r.earlyRequests, func(earlier earlyRequest) bool {
+		return earlier.from.GetIdentity() == from.GetIdentity()
+	})
+	if len(r.earlyRequests) < maxEarlyRequests {
+		r.earlyRequests = append(r.earlyRequests, earlyRequest{from: from, request: request})
+	}
+}
+
+// answerEarlyRequests answers the requests for the epoch in force, and drops those for earlier ones.
+func (r *Replica) answerEarlyRequests() {
+	waiting := r.earlyRequests
+	r.earlyRequests = nil
+	for _, early := range waiting {
+		r.TransferRequested(early.from, early.request)
+	}
 }
 
 // Tick lets time pass: a voter that does not hold the registers of the epoch asks for them.
@@ -105,7 +134,11 @@
 // either.
 func (r *Replica) TransferRequested(from *pb.Replica, request *pb.RegisterTransferRequest) {
 	epoch := request.GetEpoch()
-	if r.membership.Epoch != epoch || !r.output.CanPersist() {
+	if epoch > r.membership.Epoch {
+		r.keepEarlyRequest(from, request)
+		return
+	}
+	if epoch < r.membership.Epoch || !r.output.CanPersist() {
 		return
 	}
 	answer := &pb.RegisterTransfer{Epoch: epoch}
