--- a/internal/region/coordination/lock.go
+++ b/internal/region/coordination/lock.go
@@ -20,8 +20,8 @@
 	isHeld := lock.GetHolder() != "" && remaining > 0
 	isHolder := lock.GetHolder() == wanted.GetHolder()
 	switch {
-	case isHolder && lock.GetAcquiredBy() == call:
-		return granted(lock.GetFence())
+	case lock.GetAcquiredBy() == call:
+		return granted(lock.GetFence()) // executed before, and perhaps released since
 	case isHeld && !isHolder:
 		return outcomeOnly(pb.CoordinationResult_OUTCOME_HELD_BY_OTHER)
 	}
@@ -61,7 +61,7 @@
 func release(lock *pb.LockState, wanted *pb.ReleaseLock) register.Outcome {
 	outcome := outcomeOnly(pb.CoordinationResult_OUTCOME_OK)
 	if lock.GetHolder() != "" && lock.GetHolder() == wanted.GetHolder() && lock.GetFence() == wanted.GetFence() {
-		outcome.Change = whole(lockValue(&pb.LockState{Fence: lock.GetFence()}))
+		outcome.Change = whole(lockValue(&pb.LockState{Fence: lock.GetFence(), AcquiredBy: lock.GetAcquiredBy()}))
 	}
 	return outcome
 }
--- a/internal/region/coordination/lock_test.go
+++ b/internal/region/coordination/lock_test.go
@@ -161,3 +161,15 @@
 	requireOutcome(t, outcomeHeld, lock.execute(time.Second, renewCall("a", 1, hold)))
 	requireOutcome(t, outcomeOK, lock.execute(time.Second, renewCall("a", 2, hold)))
 }
+
+// The caller of an acquisition that is executed once more has released the lock, and nobody else would.
+func TestAcquisitionExecutedAgainAfterItsReleaseHoldsNothing(t *testing.T) {
+	lock := &object{}
+	call := acquireCall("a", hold)
+	lock.execute(0, call)
+	requireOutcome(t, outcomeOK, lock.execute(hold, releaseCall("a", 1)))
+	assert.Nil(t, lock.executeAgain(hold, call).Change)
+	next := lock.execute(hold, acquireCall("b", hold))
+	requireOutcome(t, outcomeOK, next)
+	assert.Equal(t, uint64(2), next.Result.GetFence())
+}
