Take the members of calls by their exact names, and no halves of surrogate pairs

Cause: the decoder of JSON takes a member named Val for val, and puts U+FFFD in the place of an escape that is half of a surrogate pair.

Change: members whose names differ from those of a call by case alone are dropped as unknown ones; a body that escapes half of a surrogate pair gets 400.

--- a/internal/region/coordinationapi/body.go
+++ b/internal/region/coordinationapi/body.go
@@ -4,7 +4,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf16"
 	"unicode/utf8"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
@@ -34,6 +39,9 @@
 	if offset := invalidTextOffset(body); offset >= 0 {
 		return &MalformedBodyError{Offset: int64(offset), Reason: "it is not UTF-8"}
 	}
+	if offset := loneSurrogateOffset(body); offset >= 0 {
+		return &MalformedBodyError{Offset: int64(offset), Reason: "it escapes half of a surrogate pair"}
+	}
 	var members map[string]json.RawMessage
 	if err := json.Unmarshal(body, &members); err != nil {
 		return decodeError(err)
@@ -47,7 +55,22 @@
 	if err := invalidFields(faults); err != nil {
 		return err
 	}
-	return decodeError(json.Unmarshal(body, into))
+	exact, err := json.Marshal(exactMembers(members))
+	if err != nil {
+		return decodeError(err)
+	}
+	return decodeError(json.Unmarshal(exact, into))
+}
+
+// exactMembers drops the members whose names are those of a call but for the case of letters: the decoder of JSON would take
+// them for these.
+func exactMembers(members map[string]json.RawMessage) map[string]json.RawMessage {
+	maps.DeleteFunc(members, func(name string, _ json.RawMessage) bool {
+		return slices.ContainsFunc(bodyFields, func(field string) bool {
+			return name != field && strings.EqualFold(name, field)
+		})
+	})
+	return members
 }
 
 // invalidTextOffset is the offset of the first byte that is not part of UTF-8 text, negative without one. The decoder of JSON
@@ -67,6 +90,42 @@
 	return offset
 }
 
+// escapedUnitBytes is the length of an escaped UTF-16 code unit in JSON: \uXXXX.
+const escapedUnitBytes = 6
+
+// loneSurrogateOffset is the offset of the first escape that is half of a surrogate pair, negative without one. It stands for
+// no character, and the decoder of JSON would put another one in its place.
+func loneSurrogateOffset(body []byte) int {
+	for offset := 0; offset < len(body); offset++ {
+		if body[offset] != '\\' {
+			continue
+		}
+		unit, isUnit := escapedUnit(body[offset:])
+		if !isUnit {
+			offset++ // the escaped character
+			continue
+		}
+		if utf16.IsSurrogate(unit) {
+			next, _ := escapedUnit(body[offset+escapedUnitBytes:])
+			if utf16.DecodeRune(unit, next) == utf8.RuneError {
+				return offset
+			}
+			offset += escapedUnitBytes
+		}
+		offset += escapedUnitBytes - 1
+	}
+	return -1
+}
+
+// escapedUnit is the UTF-16 code unit that text begins with an escape of; false: it begins with none.
+func escapedUnit(text []byte) (rune, bool) {
+	if len(text) < escapedUnitBytes || text[0] != '\\' || text[1] != 'u' {
+		return 0, false
+	}
+	unit, err := strconv.ParseUint(string(text[2:escapedUnitBytes]), 16, 16)
+	return rune(unit), err == nil
+}
+
 // decodeError is the rejection for an error of decoding; nil without one.
 func decodeError(err error) error {
 	var wrongType *json.UnmarshalTypeError
--- a/internal/region/coordinationapi/server_test.go
+++ b/internal/region/coordinationapi/server_test.go
@@ -377,3 +377,25 @@
 		require.False(t, Serves(path), path)
 	}
 }
+
+func TestAValueIsTakenFromItsOwnMemberAlone(t *testing.T) {
+	calls := answeringWith(&pb.CoordinationResult{Outcome: pb.CoordinationResult_OUTCOME_OK})
+	body := `{"val":"5c0e7a21d94b36f8","enabled":907,"Val":"other","ENABLED":1}`
+	require.Equal(t, http.StatusOK, replace.with(body).to(New(optionsWith(calls))).Code)
+	require.Len(t, calls.calls, 1)
+	require.Equal(t, "5c0e7a21d94b36f8", calls.calls[0].GetPut().GetValue())
+	require.EqualValues(t, 907, calls.calls[0].GetPut().GetExpectedRevision())
+}
+
+func TestTextThatNoDecoderCanKeepIsRejected(t *testing.T) {
+	calls := answeringWith(&pb.CoordinationResult{Outcome: pb.CoordinationResult_OUTCOME_OK})
+	server := New(optionsWith(calls))
+	for _, value := range []string{`\ud800`, `a\udc00b`, `\ud800\u0041`, `\uD83D\n`, `\\\ud83d`} {
+		response := replace.with(`{"val":"` + value + `"}`).to(server)
+		require.Equal(t, http.StatusBadRequest, response.Code, value)
+	}
+	require.Empty(t, calls.calls)
+	for _, value := range []string{`\ud83d\ude00`, `\\ud800`, `\ufffd`} {
+		require.Equal(t, http.StatusOK, replace.with(`{"val":"`+value+`"}`).to(server).Code, value)
+	}
+}
--- a/internal/region/coordinationapi/validate.go
+++ b/internal/region/coordinationapi/validate.go
@@ -20,14 +20,18 @@
 
 // Members of calls, as their faults name them.
 const (
-	fieldID     = "id"
-	fieldHolder = "holder"
-	fieldHold   = "hold-ms"
-	fieldFence  = "fence"
-	fieldValue  = "val"
-	fieldWait   = "wait-ms"
+	fieldID       = "id"
+	fieldHolder   = "holder"
+	fieldHold     = "hold-ms"
+	fieldFence    = "fence"
+	fieldValue    = "val"
+	fieldRevision = "enabled"
+	fieldWait     = "wait-ms"
 )
 
+// bodyFields are the members of the bodies of all calls.
+var bodyFields = []string{fieldHolder, fieldHold, fieldFence, fieldValue, fieldRevision}
+
 // Faults of members.
 var (
 	errInvalidText  = validation.NewError("validation_utf8", "must be UTF-8")
