Ask the next member of the chain for a read that one cannot answer

Cause: a read goes to the members of the chain in turn, but the first of them that answered 503 ended it: a member without the state of its view, or the tail before it knows what is committed. That happened also while another member had been asked and was about to answer.

Change: such a result moves the read to the next member at once; it ends the read only after the last one. One of a member that was asked earlier is dropped.

--- a/internal/region/control/originorders.go
+++ b/internal/region/control/originorders.go
@@ -176,11 +176,25 @@
 		o.confirm(pending, result.GetBody())
 	case result.GetHeldIsNewest():
 		o.answer(pending, readResult(result.GetId(), pending.heldState))
+	case isUnansweredRead(pending, result) && pending.target != from.GetIdentity():
+		// the member that was asked last may still answer
+	case isUnansweredRead(pending, result) && o.hasFurtherMember(pending):
+		o.forwardAgain(pending)
 	default:
 		o.answer(pending, result)
 	}
 }
 
+// isUnansweredRead reports whether a result is that of a member of the chain that cannot answer a read now.
+func isUnansweredRead(pending *pendingOrder, result *pb.OrderResult) bool {
+	return pending.order.GetKind() == pb.Order_KIND_READ && result.GetStatus() == http.StatusServiceUnavailable
+}
+
+// hasFurtherMember reports whether the chain has a member that a read was not forwarded to yet.
+func (o *originOrders) hasFurtherMember(pending *pendingOrder) bool {
+	return len(pending.earlierTargets)+1 < len(viewInForce(o.replica).GetChain())
+}
+
 // confirm sends an order again with the token that the head has issued for it. It does not once the order's time is up:
 // a token must only come back while the caller waits.
 func (o *originOrders) confirm(pending *pendingOrder, token []byte) {
--- a/internal/region/control/readorders_test.go
+++ b/internal/region/control/readorders_test.go
@@ -81,3 +81,14 @@
 	require.Equal(t, string(own), string(reply.GetBody()))
 	require.Nil(t, a.replyAfter(tail, &pb.OrderResult{Id: order.GetId(), Status: http.StatusOK, HeldIsNewest: true}))
 }
+
+func TestAReadThatOneMemberCannotAnswerGoesToAnother(t *testing.T) {
+	a := newAuthoritativeMachine(t)
+	order, tail := readPendingAt(a)
+	unanswered := &pb.OrderResult{Id: order.GetId(), Status: http.StatusServiceUnavailable}
+	require.Nil(t, a.replyAfter(tail, unanswered))
+	pending := a.machine.origin.pending
+	require.Len(t, pending, 1)
+	require.NotEqual(t, tail.GetIdentity(), pending[0].target)
+	require.Nil(t, a.replyAfter(tail, unanswered), "the other may still answer")
+}
