--- a/internal/testkit/soak/history_test.go
+++ b/internal/testkit/soak/history_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fieldrelay/internal/region/settings"
+	callhistory "fieldrelay/internal/testkit/history"
 )
 
 // moment is a time since the begin of a run, by the steady clock.
@@ -96,7 +97,8 @@
 	evacuations []*evacuation
 	lives       []*life
 	troubles    []*trouble
-	failures    []string // found while it ran
+	calls       []callhistory.Call // of applications, by the time of their ends
+	failures    []string           // found while it ran
 }
 
 func newHistory() *history { return &history{began: time.Now(), clock: steadyNS()} }
--- a/internal/testkit/soak/judge_test.go
+++ b/internal/testkit/soak/judge_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	callhistory "fieldrelay/internal/testkit/history"
 )
 
 // verdict is what a history was found to hold.
@@ -13,6 +15,7 @@
 	broken           []string
 	plain, stretched lags // of the probes that had to follow acknowledged configurations, by the bound in force
 	reads            int  // answered with a configuration
+	calls, answered  int  // of applications
 }
 
 // lags are how late configurations came in force, as probes saw it.
@@ -49,6 +52,7 @@
 	j.regressions()
 	j.reads()
 	j.evacuations()
+	j.calls()
 	return j.verdict
 }
 
@@ -56,6 +60,20 @@
 	j.verdict.broken = append(j.verdict.broken, rule+": "+fmt.Sprintf(format, arguments...))
 }
 
+// calls: what applications were answered keeps the rules of coordination.
+func (j *judge) calls() {
+	j.verdict.calls = len(j.history.calls)
+	for _, call := range j.history.calls {
+		if call.Outcome != callhistory.Unclear && call.Outcome != callhistory.Refused {
+			j.verdict.answered++
+		}
+	}
+	found := callhistory.Check(j.history.calls, callhistory.Options{Retention: j.touch.bounds.Retain()})
+	for _, violation := range found.Violations {
+		j.broken(string(violation.Rule), "%s", violation)
+	}
+}
+
 // dead tells whether an order must never be in force: it was refused, is invalid, or lost against another one on the
 // same base.
 func (j *judge) dead(own *order) bool {
--- a/internal/testkit/soak/planted_test.go
+++ b/internal/testkit/soak/planted_test.go
@@ -13,7 +13,7 @@
 
 // plantedBounds are the figures of the planted histories.
 var plantedBounds = settings.Bounds{
-	ContactMS: 4000, ApplyMS: 2500, StretchMS: 6000, RevertSlackMS: 250, EvacuateMS: 5000, AckByMS: 5000,
+	ContactMS: 4000, ApplyMS: 2500, StretchMS: 6000, RevertSlackMS: 250, EvacuateMS: 5000, AckByMS: 5000, RetainS: 20,
 }
 
 // configured is an acknowledged order.
@@ -159,8 +159,9 @@
 // The same seed gives the same troubles; a disk is not lost while another one may still be filled again.
 func TestSchedulesComeFromTheirSeeds(t *testing.T) {
 	for seed := range uint64(200) {
-		schedule := scheduleOf(seed, 0, time.Minute, 3, 4)
-		require.Equal(t, schedule, scheduleOf(seed, 0, time.Minute, 3, 4))
+		drawn := kindsFor(runPlan{applications: seed%2 > 0})
+		schedule := scheduleOf(drawn, seed, 0, time.Minute, 3, 4)
+		require.Equal(t, schedule, scheduleOf(drawn, seed, 0, time.Minute, 3, 4))
 		require.Greater(t, len(schedule), 1)
 		wiped := -forever
 		for _, one := range schedule {
--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -23,7 +23,9 @@
 	shortTroubled = 9 * time.Second
 	calmEnd       = 8 * time.Second
 	largeRoutes   = 1200
-	mostTold      = 20 // broken rules of a run that the test prints; the report has all
+	// applicationSeed is the seed of the short form whose run has applications.
+	applicationSeed = 2
+	mostTold        = 20 // broken rules of a run that the test prints; the report has all
 )
 
 func numberOf(t *testing.T, variable string, otherwise int) int {
@@ -39,6 +41,7 @@
 // Seeds differ in size in the long form: 3 to 5 control machines, 4 to 8 edge machines, few routes or many.
 func planOf(seed uint64, seconds int) runPlan {
 	plan := runPlan{seed: seed, controls: 3, edges: 3, routes: fewRoutes, troubled: shortTroubled, calm: calmEnd}
+	plan.applications = seconds > 0 || seed == applicationSeed
 	if seconds > 0 {
 		plan.troubled = time.Duration(seconds) * time.Second
 		plan.controls = 3 + int(seed%3)
--- a/internal/testkit/soak/trouble_test.go
+++ b/internal/testkit/soak/trouble_test.go
@@ -20,6 +20,7 @@
 	terminates
 	stops  // and lets go on
 	wipes  // kills and empties the disk
+	series // stops and lets go on several times, machine after machine, and kills in the end
 	cuts   // links
 	slows  // links
 	delays // links
@@ -32,16 +33,18 @@
 	noControl extent = iota // but an edge machine
 	oneControl
 	halfTheCore
+	mostControls // all but one
 	allControls
 )
 
 // kind is a kind of trouble.
 type kind struct {
-	name   string
-	core   extent
-	does   deed
-	spares role                                     // a process of the machine that it leaves alone
-	covers func(on *struck, way faultline.Way) bool // the ways that it cuts, slows or delays
+	name        string
+	core        extent
+	does        deed
+	afterAnswer bool                                     // it waits for the next acknowledgement of a call
+	spares      role                                     // a process of the machine that it leaves alone
+	covers      func(on *struck, way faultline.Way) bool // the ways that it cuts, slows or delays
 }
 
 // kinds are all kinds of troubles.
@@ -69,6 +72,27 @@
 	{name: "hold up edge", does: delays, covers: ofEdge},
 }
 
+// callKinds are troubles for runs with applications, besides all others: most of them strike the core.
+var callKinds = []*kind{
+	{name: "kill all controls after an answer", core: allControls, does: kills, afterAnswer: true},
+	{name: "kill most controls after an answer", core: mostControls, does: kills, afterAnswer: true},
+	{name: "kill control after an answer", core: oneControl, does: kills, afterAnswer: true},
+	{name: "wipe control after an answer", core: oneControl, does: wipes, afterAnswer: true},
+	{name: "series of signals to controls", core: allControls, does: series},
+	{name: "series of signals to most controls", core: mostControls, does: series},
+}
+
+// callKindsWeight is how often a trouble of callKinds is drawn as compared with one of kinds.
+const callKindsWeight = 3
+
+// kindsFor are the kinds of troubles of a run.
+func kindsFor(asked runPlan) []*kind {
+	if !asked.applications {
+		return kinds
+	}
+	return slices.Concat(kinds, slices.Repeat(callKinds, callKindsWeight))
+}
+
 func ofEdge(on *struck, way faultline.Way) bool         { return touches(way, on.edge) }
 func edgeAndCore(on *struck, way faultline.Way) bool    { return ofEdge(on, way) && !inEdge(way) }
 func coreToEdge(on *struck, way faultline.Way) bool     { return isControl(way.From) && way.To == on.edge }
@@ -117,13 +141,13 @@
 )
 
 // scheduleOf draws groups of two or three troubles that overlap, with calm times between them, short ones mostly.
-func scheduleOf(seed uint64, from, until moment, controls, edges int) []planned {
+func scheduleOf(from []*kind, seed uint64, begin, until moment, controls, edges int) []planned {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var schedule []planned
-	for at := from; at < until; {
+	for at := begin; at < until; {
 		end, wiped := at, false
 		for range 2 + random.IntN(2) {
-			next := drawTrouble(random, controls, edges)
+			next := drawTrouble(random, from, controls, edges)
 			if next.kind.does == wipes && wiped {
 				continue
 			}
@@ -145,9 +169,9 @@
 	return schedule
 }
 
-func drawTrouble(random *rand.Rand, controls, edges int) planned {
+func drawTrouble(random *rand.Rand, from []*kind, controls, edges int) planned {
 	lasts := shortestDown + time.Duration(random.Int64N(int64(longestTrouble-shortestDown)))
-	next := planned{kind: kinds[random.IntN(len(kinds))], lasts: lasts, control: random.IntN(controls), edge: random.IntN(edges)}
+	next := planned{kind: from[random.IntN(len(from))], lasts: lasts, control: random.IntN(controls), edge: random.IntN(edges)}
 	next.other = (next.control + 1 + random.IntN(controls-1)) % controls
 	switch next.kind.does {
 	case cuts:
@@ -157,7 +181,7 @@
 	case delays:
 		next.fault.Delay = time.Duration(random.Int64N(int64(longestHold)))
 	}
-	if next.kind.core == allControls {
+	if next.kind.core >= mostControls {
 		next.lasts = min(next.lasts, longestAllDown)
 	}
 	return next
@@ -173,6 +197,8 @@
 		on.core = []string{on.control}
 	case halfTheCore:
 		on.core = controls[:len(controls)/2]
+	case mostControls:
+		on.core = slices.DeleteFunc(controls, func(name string) bool { return name == on.control })
 	case allControls:
 		on.core = controls
 	default:
--- a/internal/testkit/soak/villain_test.go
+++ b/internal/testkit/soak/villain_test.go
@@ -13,6 +13,11 @@
 	"fieldrelay/internal/testkit/faultline"
 )
 
+const (
+	longestAnswer = time.Second // until a trouble that waits for an acknowledgement begins
+	seriesRounds  = 3
+)
+
 // villain does the troubles of a schedule.
 type villain struct {
 	world *world
@@ -82,7 +87,12 @@
 	processes := slices.DeleteFunc(slices.Clone(v.world.processes), func(one *process) bool {
 		return !slices.Contains(machines, one.machine.Hostname) || one.role == next.kind.spares
 	})
+	if next.kind.afterAnswer {
+		v.awaitAnswer(ctx)
+	}
 	switch next.kind.does {
+	case series:
+		v.signalSeries(ctx, next.lasts, processes)
 	case stops:
 		each(processes, func(p *process) { p.signal(syscall.SIGSTOP) })
 		v.world.wait(ctx, next.lasts)
@@ -104,6 +114,39 @@
 	})
 }
 
+// awaitAnswer waits for the next acknowledgement of a call, for some time.
+func (v *villain) awaitAnswer(ctx context.Context) {
+	acknowledged := v.world.applications.acknowledgement()
+	timer := time.NewTimer(longestAnswer)
+	defer timer.Stop()
+	select {
+	case <-acknowledged:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// signalSeries stops processes and lets them go on, in spans that overlap from one to the next, and kills them while they
+// are stopped for the last time.
+func (v *villain) signalSeries(ctx context.Context, lasts time.Duration, processes []*process) {
+	span := lasts / (2 * seriesRounds)
+	var group sync.WaitGroup
+	for index, one := range processes {
+		group.Go(func() {
+			v.world.wait(ctx, span*time.Duration(index)/time.Duration(len(processes)))
+			for range seriesRounds {
+				one.signal(syscall.SIGSTOP)
+				v.world.wait(ctx, span)
+				one.signal(syscall.SIGCONT)
+				v.world.wait(ctx, span)
+			}
+			one.signal(syscall.SIGSTOP)
+			one.kill()
+		})
+	}
+	group.Wait()
+}
+
 // wipe empties the disk of a control machine that is down; it is no longer the first start of the system then.
 func (v *villain) wipe(of *process) {
 	own := of.machine
--- a/internal/testkit/soak/world_test.go
+++ b/internal/testkit/soak/world_test.go
@@ -24,6 +24,7 @@
 	controls, edges int
 	routes          int           // of the first configuration
 	troubled        time.Duration // how long troubles begin
+	applications    bool          // they call for locks, numbers, keys and watches
 	calm            time.Duration // after everything is in force again, under further changes
 }
 
@@ -49,6 +50,8 @@
 	processes []*process
 	chief     *chief
 	calls     *http.Client
+	// applications is nil in runs without them.
+	applications *applications
 }
 
 // newWorld starts everything in a folder.
@@ -80,6 +83,9 @@
 		}
 	}
 	w.chief = newChief(w, asked.seed)
+	if asked.applications {
+		w.applications = newApplications(w, asked.seed)
+	}
 	return w, nil
 }
 
@@ -109,7 +115,7 @@
 		return verdict{}, err
 	}
 	found := newJudge(w.history, touch{bounds: w.plan.Controls[0].Bounds, controls: asked.controls}).run()
-	return found, w.writeReport(asked, schedule, found)
+	return found, errors.CombineErrors(w.writeCalls(), w.writeReport(asked, schedule, found))
 }
 
 // play has the operator, the clients and the troubles at work, and then a calm time.
@@ -129,18 +135,29 @@
 			group.Go(func() { newProber(w, edge, index*probers+number, asked.seed).work(working) })
 		}
 	}
+	calling, stopCalls := context.WithCancel(ctx)
+	defer stopCalls()
+	var callers sync.WaitGroup
+	if w.applications != nil {
+		callers.Go(func() { w.applications.work(calling) })
+	}
 	ordering, stopOrders := context.WithCancel(ctx)
 	defer stopOrders()
 	var orders sync.WaitGroup
 	orders.Go(func() { w.chief.work(ctx, ordering) })
 
 	from := w.history.now() + warmUp
-	schedule := scheduleOf(asked.seed, from, from+asked.troubled, asked.controls, asked.edges)
+	schedule := scheduleOf(kindsFor(asked), asked.seed, from, from+asked.troubled, asked.controls, asked.edges)
 	(&villain{world: w}).play(ctx, schedule)
 	w.wait(ctx, asked.calm)
 	stopOrders()
 	orders.Wait()
 	err := w.end(ctx)
+	stopCalls()
+	callers.Wait()
+	if w.applications != nil {
+		w.applications.finish(ctx)
+	}
 	stopWork()
 	group.Wait()
 	return schedule, err
@@ -249,6 +266,6 @@
 
 // summary is a line on a run.
 func (v verdict) summary() string {
-	return fmt.Sprintf("%d probes by the plain bound, at most %s late, %d by the stretched one, at most %s late, %d reads", v.plain.probes,
-		v.plain.longest.Round(time.Millisecond), v.stretched.probes, v.stretched.longest.Round(time.Millisecond), v.reads)
+	return fmt.Sprintf("%d probes by the plain bound, at most %s late, %d by the stretched one, at most %s late, %d reads, %d calls of which %d answered", v.plain.probes,
+		v.plain.longest.Round(time.Millisecond), v.stretched.probes, v.stretched.longest.Round(time.Millisecond), v.reads, v.calls, v.answered)
 }
