Move the simulated callers of the coordination service into a library

Cause: the simulation of whole machines needs the same applications as that of the engines alone. Change: internal/testkit/callers plays them in a World, which carries calls and keeps time.

--- /dev/null
+++ b/internal/region/coordination/simulatedtransport_test.go
@@ -0,0 +1,44 @@
+package coordination
+
+import (
+	"time"
+
+	pb "fieldrelay/api/fieldrelay/v1"
+)
+
+// Now implements callers.World.
+func (s *simulation) Now() time.Duration { return s.now }
+
+// After implements callers.World.
+func (s *simulation) After(delay time.Duration, action func()) { s.after(delay, action) }
+
+// Submit implements callers.World.
+func (s *simulation) Submit(turn int, call *pb.CoordinationCall, answer func(*pb.CoordinationResult)) func() {
+	isCanceled := false
+	cancel := func() {}
+	target := s.machines[turn%len(s.machines)]
+	s.after(s.between(1, 5), func() {
+		if !target.running {
+			answer(nil)
+			return
+		}
+		target.do(func() {
+			if !isCanceled {
+				cancel = target.submit(call, func(result *pb.CoordinationResult) { s.sendAnswer(result, answer) })
+			}
+		})
+	})
+	return func() {
+		isCanceled = true
+		cancel()
+	}
+}
+
+// sendAnswer carries a result back, late now and then.
+func (s *simulation) sendAnswer(result *pb.CoordinationResult, answer func(*pb.CoordinationResult)) {
+	delay := s.between(1, 5)
+	if s.chance(s.network.lateness) {
+		delay = s.between(5, 1500)
+	}
+	s.after(delay, func() { answer(result) })
+}
--- a/internal/region/coordination/simulation_test.go
+++ b/internal/region/coordination/simulation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/testkit/callers"
 	"fieldrelay/internal/testkit/history"
 )
 
@@ -37,7 +38,6 @@
 	view       *pb.View // that was decided last
 	faulty     bool
 	slowSync   float64 // milliseconds that a sync of a disk may take
-	calls      []*history.Call
 }
 
 // runSimulation returns the history of the calls of a run.
@@ -46,19 +46,15 @@
 	s.found()
 	s.faulty = true
 	s.startFaults()
-	callers := s.startCallers()
+	applications := callers.Start(s, s.random)
 	s.runUntil(faultsFor)
 	s.heal()
 	s.runUntil(faultsFor + settleFor)
-	callers.stop()
-	s.runUntil(faultsFor + settleFor + finalPause)
-	s.startFinalCalls(callers)
-	s.runUntil(faultsFor + settleFor + finalPause + finalFor)
-	calls := make([]history.Call, 0, len(s.calls))
-	for _, call := range s.calls {
-		calls = append(calls, *call)
-	}
-	return calls
+	applications.Stop()
+	s.runUntil(faultsFor + settleFor + callers.FinalPause)
+	applications.StartFinalCalls()
+	s.runUntil(faultsFor + settleFor + callers.FinalPause + finalFor)
+	return applications.History()
 }
 
 func newSimulation(seed uint64, fault planted) *simulation {
--- /dev/null
+++ b/internal/testkit/callers/keys.go
@@ -0,0 +1,82 @@
+package callers
+
+import (
+	"fmt"
+	"time"
+
+	"fieldrelay/internal/testkit/history"
+)
+
+func (c *caller) takeNumbers() {
+	c.call(history.Call{Kind: history.Number, Name: pick(c.all.random, counterNames)}, func(*history.Call) {
+		c.pause(c.pace, c.takeNumbers)
+	})
+}
+
+// someKey is one of the keys that are used all the time, or the fresh one.
+func (c *caller) someKey() string {
+	if c.all.chance(0.2) {
+		return fmt.Sprintf("fresh%d.a", c.all.world.Now()/freshKeyInterval)
+	}
+	return pick(c.all.random, keyNames)
+}
+
+func (c *caller) readKeys() {
+	c.call(history.Call{Kind: history.Read, Name: c.someKey()}, func(*history.Call) {
+		c.pause(c.pace, c.readKeys)
+	})
+}
+
+// watcher resumes from the revision that it was given last.
+type watcher struct {
+	*caller
+	group string
+	after uint64
+}
+
+func (w *watcher) watch() {
+	w.call(history.Call{Kind: history.Watch, Name: w.group, After: w.after}, func(call *history.Call) {
+		switch call.Outcome {
+		case history.OK:
+			w.after = call.Revision
+		case history.Compacted:
+			w.after = 0
+		}
+		w.pause(w.pace, w.watch)
+	})
+}
+
+// putter writes keys, with a condition or without one, and sends again what had no clear answer.
+type putter struct {
+	*caller
+	known  map[string]uint64 // by key
+	values int
+}
+
+func (p *putter) rest() { p.pause(p.pace, p.begin) }
+
+func (p *putter) begin() {
+	p.values++
+	put := history.Call{Kind: history.Put, Name: p.someKey(), Value: fmt.Sprintf("%s-%d", p.name, p.values)}
+	if p.all.chance(0.6) {
+		expected := p.known[put.Name]
+		if p.all.chance(0.1) {
+			expected += uint64(p.all.random.IntN(2))
+		}
+		put.Expected = &expected
+	}
+	p.send(put, p.all.world.Now()+putAgainFor)
+}
+
+func (p *putter) send(put history.Call, until time.Duration) {
+	p.call(put, func(call *history.Call) {
+		switch {
+		case isOpen(call) && call.Answered < until:
+			p.pause(50*time.Millisecond, func() { p.send(put, until) })
+			return
+		case call.Outcome == history.OK || call.Outcome == history.Mismatch:
+			p.known[put.Name] = call.Revision
+		}
+		p.rest()
+	})
+}
--- /dev/null
+++ b/internal/testkit/callers/locker.go
@@ -0,0 +1,109 @@
+package callers
+
+import (
+	"time"
+
+	"fieldrelay/internal/testkit/history"
+)
+
+// locker holds locks: briefly or long, and some time it dies while it holds, or sleeps past its time.
+type locker struct {
+	*caller
+	lock  string
+	fence uint64
+	until time.Duration
+}
+
+func (l *locker) rest() { l.pause(l.pace, l.begin) }
+
+func (l *locker) hold() time.Duration {
+	return pick(l.all.random, []time.Duration{200 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second})
+}
+
+func (l *locker) begin() {
+	l.lock = pick(l.all.random, lockNames)
+	l.acquire(l.usePlan)
+}
+
+// acquire asks for the lock, which it may hold already.
+func (l *locker) acquire(then func()) {
+	l.call(history.Call{Kind: history.Acquire, Name: l.lock, Hold: l.hold()}, func(call *history.Call) {
+		l.granted(call, then)
+	})
+}
+
+func (l *locker) renew(then func()) {
+	l.call(history.Call{Kind: history.Renew, Name: l.lock, Fence: l.fence, Hold: l.hold()}, func(call *history.Call) {
+		l.granted(call, then)
+	})
+}
+
+// granted goes on if the caller holds the lock, and gives it up otherwise.
+func (l *locker) granted(call *history.Call, then func()) {
+	isHolder := call.Outcome == history.OK && call.Answered < call.Sent+call.Hold
+	if call.Kind == history.Renew {
+		isHolder = isHolder && call.Answered < l.until
+	}
+	switch {
+	case isHolder:
+		l.fence = call.Fence
+		l.until = call.Sent + call.Hold
+		then()
+	case isOpen(call) && call.Kind == history.Renew && call.Answered < l.until:
+		l.renew(then)
+	default:
+		l.rest()
+	}
+}
+
+// usePlan draws what the holder does.
+func (l *locker) usePlan() {
+	switch l.all.random.IntN(6) {
+	case 0, 1:
+		l.pause(l.left(), l.release)
+	case 2, 3:
+		l.keep(l.all.world.Now() + l.all.between(500*time.Millisecond, 5000*time.Millisecond))
+	case 4: // it dies, and starts again
+		l.all.world.After(l.all.between(50*time.Millisecond, 4000*time.Millisecond), l.rest)
+	case 5:
+		l.all.world.After(l.left()+l.all.between(0, 1500*time.Millisecond), l.wakeLate)
+	}
+}
+
+// left is how much longer the caller holds the lock.
+func (l *locker) left() time.Duration { return max(l.until-l.all.world.Now(), 0) }
+
+// keep holds the lock for long.
+func (l *locker) keep(end time.Duration) {
+	if l.all.world.Now() >= end {
+		l.release()
+		return
+	}
+	l.pause(l.left()*2/3, func() {
+		again := func() { l.keep(end) }
+		if l.all.chance(0.2) {
+			l.acquire(again)
+		} else {
+			l.renew(again)
+		}
+	})
+}
+
+// wakeLate uses a fence after its time.
+func (l *locker) wakeLate() {
+	if l.all.chance(0.5) {
+		l.release()
+		return
+	}
+	l.renew(l.usePlan)
+}
+
+func (l *locker) release() {
+	l.call(history.Call{Kind: history.Release, Name: l.lock, Fence: l.fence}, func(call *history.Call) {
+		if call.Outcome != history.OK && l.all.chance(0.5) {
+			l.pause(l.pace, l.release)
+			return
+		}
+		l.rest()
+	})
+}
