Let applications call the machines in the simulation of whole machines

Cause: the service's calls were simulated with engines alone, so that views, disks, replaced and leaving machines of the control machine itself were never judged by the history of calls.

--- a/internal/region/controlsim/adversary_test.go
+++ b/internal/region/controlsim/adversary_test.go
@@ -238,19 +238,28 @@
 	a.next()
 }
 
-// attack plays a run of a deployment.
-func attack(deployment deployment, seed uint64, planted mutation) (*world, *lossMeasurements) {
-	plan := plan{
-		seed: seed, machines: deployment.machines, zones: deployment.zones, regions: deployment.regions,
-		requirement: deployment.requirement, mutation: planted, calm: true,
+// plan has no faults but those that the adversary brings about.
+func (d deployment) plan(seed uint64, planted mutation) plan {
+	return plan{
+		seed: seed, machines: d.machines, zones: d.zones, regions: d.regions,
+		requirement: d.requirement, mutation: planted, calm: true,
 		processor: float64(envInt("CONTROLSIM_PROCESSOR_PERCENT", 0)) / 100,
 	}
+}
+
+// attack plays a run of a deployment.
+func attack(deployment deployment, seed uint64, planted mutation) (*world, *lossMeasurements) {
+	return attackWorld(deployment, deployment.plan(seed, planted), adversaryDuration)
+}
+
+// attackWorld plays a run of a plan for a deployment.
+func attackWorld(deployment deployment, plan plan, lasts time.Duration) (*world, *lossMeasurements) {
 	w := newWorld(plan)
 	operators := []*operator{w.addOperator(1), w.addOperator(2)}
 	measurements := &lossMeasurements{}
 	adversary := &adversary{world: w, deployment: deployment, measurements: measurements, budgetFreeAt: 2 * deployment.lostPeriod}
 	w.after(0, adversary.next)
-	w.run(adversaryDuration)
+	w.run(lasts)
 	adversary.ended = true
 	w.run(2 * deployment.lostPeriod)
 	for _, operator := range operators {
--- a/internal/region/controlsim/host_test.go
+++ b/internal/region/controlsim/host_test.go
@@ -117,6 +117,7 @@
 		Random:            rand.New(rand.NewPCG(h.world.random.Uint64(), h.world.random.Uint64())),
 		SnapshotRecords:   cmp.Or(h.world.plan.snapshotRecords, defaultSnapshotRecords),
 		SpuriousProposals: h.world.spuriousProposals(),
+		WatchRetention:    callRetention,
 	}
 }
 
@@ -183,6 +184,8 @@
 		case control.Reply:
 			h.pendingOrders--
 			h.world.answer(action)
+		case control.CallReply:
+			h.world.callers.reply(action)
 		case control.Left:
 			h.exitAfterAnswers(action)
 		}
--- a/internal/region/controlsim/leaving_test.go
+++ b/internal/region/controlsim/leaving_test.go
@@ -215,6 +215,19 @@
 	})
 }
 
+// rollWithOrders rolls all machines while operators send orders, and completes the checker's findings.
+func (w *world) rollWithOrders(pause time.Duration, measurements *rollMeasurements) *world {
+	operators := []*operator{w.addOperator(1), w.addOperator(2)}
+	w.roll(pause, measurements)
+	w.run(pause*time.Duration(len(w.hosts)) + 4*time.Second)
+	for _, operator := range operators {
+		operator.stopped = true
+	}
+	w.checkLiveness()
+	w.checker.finish()
+	return w
+}
+
 // rollAll shuts the machines of many systems down gracefully in turn, while operators send orders.
 func rollAll(t *testing.T, pause time.Duration, planted mutation) rollMeasurements {
 	t.Helper()
@@ -223,14 +236,7 @@
 		plan := calmPlan(seed)
 		plan.mutation = planted
 		w := newCalmWorld(t, plan)
-		operators := []*operator{w.addOperator(1), w.addOperator(2)}
-		w.roll(pause, &measurements)
-		w.run(pause*time.Duration(len(w.hosts)) + 4*time.Second)
-		for _, operator := range operators {
-			operator.stopped = true
-		}
-		w.checkLiveness()
-		w.checker.finish()
+		w.rollWithOrders(pause, &measurements)
 		require.Empty(t, w.checker.failures, "pause %v seed %d", pause, seed)
 	}
 	t.Logf("pause %v: from the signal to the end: %v", pause, measurements.stays)
--- a/internal/region/controlsim/partition_run_test.go
+++ b/internal/region/controlsim/partition_run_test.go
@@ -1,6 +1,7 @@
 package controlsim
 
 import (
+	"cmp"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 	plan
 	passes       func(*pb.Message) bool // messages that no partition stops; nil: none
 	trustsCopies bool                   // evacuations are handed over at any age
+	lasts        time.Duration          // 0: partitionStormDuration
 }
 
 // partitionRun is a world after a partition storm.
@@ -60,7 +62,7 @@
 	for _, operator := range operators[1:] {
 		storm.aim(operator)
 	}
-	w.run(partitionStormDuration)
+	w.run(cmp.Or(plan.lasts, partitionStormDuration))
 	storm.heal()
 	w.plan.spuriousProposals = 0
 	for _, operator := range operators {
--- a/internal/region/controlsim/storm_test.go
+++ b/internal/region/controlsim/storm_test.go
@@ -90,6 +90,7 @@
 
 // checkLiveness: orders are acknowledged again, and all machines get the newest state.
 func (w *world) checkLiveness() {
+	w.probeCalls()
 	last := &operator{world: w, name: 3, stopped: true}
 	began := w.now
 	last.submitUntilAcknowledged()
@@ -99,6 +100,7 @@
 	}
 	w.tracef("acknowledged %v after the last trouble", w.now-began)
 	w.runUntil(convergenceLimit, w.converged)
+	w.checkCalls()
 }
 
 // converged reports whether all machines hold the newest state.
--- a/internal/region/controlsim/world_test.go
+++ b/internal/region/controlsim/world_test.go
@@ -52,6 +52,7 @@
 	overlappingLosses bool
 	// snapshotRecords is the number of records after which a ring gets a snapshot; 0: defaultSnapshotRecords
 	snapshotRecords int
+	callers         bool // applications call the machines
 }
 
 // world is a set of machines with everything around them.
@@ -75,6 +76,7 @@
 
 	stateBytes int // size of the configuration, for the cost of checking an amendment
 	hooks      hooks
+	callers    *callerWorld // nil: no applications call
 }
 
 // hooks let a test act at a certain step of a run; those that are nil do nothing.
@@ -104,6 +106,9 @@
 		host.seeds = w.seeds
 		w.after(w.durationUpTo(300*time.Millisecond), host.start)
 	}
+	if plan.callers {
+		w.addCallers()
+	}
 	return w
 }
 
--- a/internal/testkit/callers/final.go
+++ b/internal/testkit/callers/final.go
@@ -27,16 +27,18 @@
 	}
 }
 
-// StartProbes calls each service until it is answered, and then calls served.
-func (c *Callers) StartProbes(served func(history.Kind)) {
-	for _, wanted := range []history.Call{
+// StartProbes makes calls of some kinds, each until it is answered and then reported; it returns how many kinds there are.
+func (c *Callers) StartProbes(served func(history.Kind)) int {
+	probes := []history.Call{
 		{Kind: history.Acquire, Name: lockNames[0], Hold: time.Second},
 		{Kind: history.Number, Name: counterNames[0]},
 		{Kind: history.Put, Name: keyNames[0], Value: fmt.Sprintf("probe-%d", c.world.Now())},
 		{Kind: history.Read, Name: keyNames[1]},
-	} {
+	}
+	for _, wanted := range probes {
 		c.newCaller("probe "+string(wanted.Kind)).probe(wanted, served)
 	}
+	return len(probes)
 }
 
 // probe makes a call again and again until a machine answers it, if only that another caller holds the lock.
