--- a/internal/region/controlsim/plantedfaults_test.go
+++ b/internal/region/controlsim/plantedfaults_test.go
@@ -127,8 +127,9 @@
 
 // Kinds of records, as package control writes them.
 const (
-	promiseKind = 2
-	changeKind  = 4
+	promiseKind  = 2
+	changeKind   = 4
+	registerKind = 7
 )
 
 func withoutPromises(records []ring.Record) []ring.Record { return without(records, promiseKind) }
