--- a/internal/region/controlsim/callerstorms_test.go
+++ b/internal/region/controlsim/callerstorms_test.go
@@ -99,3 +99,9 @@
 		return w.rollWithOrders(pauses[plan.seed%uint64(len(pauses))], &rollMeasurements{})
 	})
 }
+
+func TestRunsWithCallersRepeatBySeed(t *testing.T) {
+	plan := randomPlan(2)
+	plan.callers = true
+	require.Equal(t, playStorm(plan).callers.applications.History(), playStorm(plan).callers.applications.History())
+}
--- a/internal/region/controlsim/doc.go
+++ b/internal/region/controlsim/doc.go
@@ -33,6 +33,7 @@
 //	stalereplica_test.go                a replaced head or tail answers nothing (quorum checks)
 //	lateevacuation_test.go              a late copy of an evacuation undoes nothing (confirmation tokens)
 //	calmauthority_test.go               no loss of authority without faults
+//	callerstorms_test.go                calls of applications (callers_test.go) under most of these faults, judged by their history
 //	largeorders_test.go, largereads_test.go, lostchange_test.go   large configurations on slow machines and links
 //
 // # Replaying a seed
@@ -45,6 +46,7 @@
 //	CONTROLSIM_FIRST               first seed, of all tests that name no other variable
 //	CONTROLSIM_SEEDS               number of storms; in proportion, runs of the adversary and of graceful shutdowns
 //	CONTROLSIM_BUSY                number of storms over hundreds of changes
+//	CONTROLSIM_CALLS               number of runs with callers under each kind of faults
 //	CONTROLSIM_OVERLAP             number of storms with overlapping faults
 //	CONTROLSIM_FOUNDING            number of foundings
 //	CONTROLSIM_CALM_SEEDS          number of calm runs
