Show that a voter without its disk may stay among five voters while callers call

Result: not redundant 4 s after the last machine was back; no acknowledgement within 10 s after a zone is lost.

--- a/internal/region/controlsim/callerstorms_test.go
+++ b/internal/region/controlsim/callerstorms_test.go
@@ -105,3 +105,11 @@
 	plan.callers = true
 	require.Equal(t, playStorm(plan).callers.applications.History(), playStorm(plan).callers.applications.History())
 }
+
+// Seed 3024: a voter that lost its disk stays among five, so that the loss of a zone takes the majority.
+func TestVoterWithoutItsDiskIsRemovedWhileCallersCall(t *testing.T) {
+	plan := deployments[0].plan(3024, mutation{})
+	plan.callers = true
+	w, _ := attackWorld(deployments[0], plan, callAdversaryDuration)
+	require.Empty(t, w.checker.failures)
+}
