Keep a lost machine's earlier identity from a vote; join writes in simulation

Callers got no answer for good after two losses: a machine that came back without its disk at once voted under both of its identities. Cause: the earlier identity, still counted as live, was no longer put in place of the new one, but admitted beside it; from an odd number no single silent voter is removed. Change: an identity whose host has a voter that was heard from later is no joiner, and a silent voter whose host has a live one is removed. A result that names no state of an order is dropped.

--- a/internal/region/control/originorders.go
+++ b/internal/region/control/originorders.go
@@ -174,6 +174,8 @@
 	case pending == nil || !pending.isTarget(from):
 	case result.GetStatus() == statusConfirm:
 		o.confirm(pending, result.GetBody())
+	case result.GetHeldIsNewest() && pending.heldState == nil:
+		// it answers another order: this one named no state
 	case result.GetHeldIsNewest():
 		o.answer(pending, readResult(result.GetId(), pending.heldState))
 	case isUnansweredRead(pending, result) && pending.target != from.GetIdentity():
--- a/internal/region/control/viewplan.go
+++ b/internal/region/control/viewplan.go
@@ -169,6 +169,9 @@
 
 // enterView records which voters a view has brought.
 func (p *viewPlanner) enterView(before, view *pb.View) {
+	if before == nil {
+		return // the first view that this machine learns of brought none of its voters
+	}
 	votingSince := make(map[string]time.Duration, len(view.GetVoters()))
 	for _, voter := range view.GetVoters() {
 		identity := voter.GetIdentity()
--- a/internal/region/controlsim/disk_test.go
+++ b/internal/region/controlsim/disk_test.go
@@ -36,8 +36,29 @@
 	})
 }
 
+// longWriteQueue is the number of waiting writes from which they are joined, as package control joins all that wait. Shorter
+// queues are written one by one, so that power is lost between any two writes.
+const longWriteQueue = 16
+
+// joinLongQueue joins the writes that wait, up to the first snapshot, if there are many.
+func (h *host) joinLongQueue() {
+	if len(h.writes) < longWriteQueue || h.writes[0].Snapshot != nil {
+		return
+	}
+	joined := h.writes[0]
+	joined.Records = slices.Clone(joined.Records)
+	rest := h.writes[1:]
+	for len(rest) > 0 && rest[0].Snapshot == nil {
+		joined.Records = append(joined.Records, rest[0].Records...)
+		joined.Token = rest[0].Token
+		rest = rest[1:]
+	}
+	h.writes = append([]control.Persist{joined}, rest...)
+}
+
 func (h *host) finishWrite() {
 	incarnation := h.incarnation
+	h.joinLongQueue()
 	if err := h.writeRing(h.writes[0]); err != nil {
 		h.writing = true
 		h.world.after(200*time.Millisecond, func() {
--- a/internal/region/quorum/admission.go
+++ b/internal/region/quorum/admission.go
@@ -12,7 +12,8 @@
 func eligibleJoiners(voters []*pb.Replica, peers map[string]Peer) []*pb.Replica {
 	var joiners []*pb.Replica
 	for identity, peer := range peers {
-		if peer.Live && peer.KnowsView && !peer.Leaving && IndexOf(voters, identity) == NotFound {
+		isPresent := peer.Live && peer.KnowsView && !peer.Leaving
+		if isPresent && IndexOf(voters, identity) == NotFound && !hasLaterIdentity(peer, voters, peers) {
 			joiners = append(joiners, peer.Replica)
 		}
 	}
@@ -22,6 +23,14 @@
 	return joiners
 }
 
+// hasLaterIdentity reports whether a voter on the host of a peer was received from after it: the peer is what that machine
+// was before it lost its disk.
+func hasLaterIdentity(peer Peer, voters []*pb.Replica, peers map[string]Peer) bool {
+	return slices.ContainsFunc(voters, func(voter *pb.Replica) bool {
+		return voter.GetHost() == peer.Replica.GetHost() && peers[voter.GetIdentity()].SinceContact <= peer.SinceContact
+	})
+}
+
 // admitJoiner gives one of the joiners a vote: that of an earlier identity of its host; that of a voter that has left
 // or is suspected; a vote of its own, if that is of use; or that of a voter whose zone has too many.
 func admitJoiner(view *pb.View, peers map[string]Peer, joiners []*pb.Replica) ([]*pb.Replica, bool) {
--- a/internal/region/quorum/membership_test.go
+++ b/internal/region/quorum/membership_test.go
@@ -49,6 +49,12 @@
 	return Peer{Replica: replica(name), Live: true, KnowsView: true, SinceContact: sinceContact}
 }
 
+// established is a peer that has been in contact for long.
+func established(peer Peer) Peer {
+	peer.ContactDuration = time.Minute
+	return peer
+}
+
 func inZone(peer Peer, zone string) Peer {
 	peer.Replica.Zone = zone
 	return peer
@@ -126,6 +132,17 @@
 			voters: "a b c",
 			peers:  []Peer{live("a"), live("b"), live("c"), onHost(contactedBefore("d", time.Second), "host-b")},
 		},
+		{
+			name:   "nor does it get a vote of its own",
+			voters: "a b c d",
+			peers:  []Peer{live("a"), live("b"), live("c"), live("d"), onHost(established(contactedBefore("e", time.Second)), "host-b")},
+		},
+		{
+			name:   "a silent voter goes whose machine votes by a later identity",
+			voters: "a b c d e",
+			peers:  []Peer{live("a"), suspected("b", 2*time.Second), live("c"), onHost(live("d"), "host-b"), live("e")},
+			want:   "a c d e",
+		},
 		{
 			name:   "a joiner takes the place of the longest silent voter",
 			voters: "a b c d e",
--- a/internal/region/quorum/removal.go
+++ b/internal/region/quorum/removal.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"slices"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
@@ -9,6 +11,9 @@
 	if index := firstLeftVoter(voters, peers); index != NotFound && mayRemoveLeft(voters, peers) {
 		return index
 	}
+	if index := earlierIdentity(voters, peers); index != NotFound {
+		return index
+	}
 	live := 0
 	pastOddTimeout := 0
 	for _, voter := range voters {
@@ -33,6 +38,16 @@
 	return NotFound
 }
 
+// earlierIdentity returns the index of a silent voter on whose host another voter is live, or NotFound: the machine has lost
+// its disk, and the silent voter will not come back.
+func earlierIdentity(voters []*pb.Replica, peers map[string]Peer) int {
+	return slices.IndexFunc(voters, func(silent *pb.Replica) bool {
+		return !peers[silent.GetIdentity()].Live && slices.ContainsFunc(voters, func(voter *pb.Replica) bool {
+			return voter.GetHost() == silent.GetHost() && peers[voter.GetIdentity()].Live
+		})
+	})
+}
+
 // mayRemoveLeft reports whether a voter that has left is removed. From an even number it is, if a majority of the
 // others stays: they then need one vote less. From an odd number nothing is gained, and it may come back.
 func mayRemoveLeft(voters []*pb.Replica, peers map[string]Peer) bool {
