--- a/internal/region/quorum/membership_test.go
+++ b/internal/region/quorum/membership_test.go
@@ -135,7 +135,7 @@
 		{
 			name:   "nor does it get a vote of its own",
 			voters: "a b c d",
-			peers:  []Peer{live("a"), live("b"), live("c"), live("d"), onHost(established(contactedBefore("e", time.Second)), "host-b")},
+			peers:  []Peer{live("a"), live("b"), live("c"), live("d"), onHost(established(contactedBefore("e", time.Second)), "host-c")},
 		},
 		{
 			name:   "a silent voter goes whose machine votes by a later identity",
