Review: requests on kept connections are denied by the header limit of an older version

Cause: a connection keeps the http.Server and so the header limit under which it was accepted; wider limits reach it only after its next response. Nothing of the product is changed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 go build -buildvcs=false -o target/review-weights ./review/testdata/weights
+go build -buildvcs=false -o target/review-limits ./review/testdata/limits
