--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the change of the
+# configuration.
+set -uo pipefail
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/fieldrelay-region ] && [ -x target/review-limits ] || { echo "build first: deploy/system.toml, review/build.sh" >&2; exit 2; }
+timeout --signal=TERM 100 target/review-limits review/3/record.txt
+code=$?
+case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,3 +6,4 @@
 mkdir -p target
 go build -buildvcs=false -o target/review-weights ./review/testdata/weights
 go build -buildvcs=false -o target/review-limits ./review/testdata/limits
+go build -buildvcs=false -o target/review-cold ./review/testdata/cold
--- a/review/testdata/limits/case_test.go
+++ b/review/testdata/limits/case_test.go
@@ -5,10 +5,10 @@
 	"testing"
 )
 
-// TestRequestsOnKeptConnectionsAreJudgedByTheNewLimit runs case 2. It is run by its name only; the builds that the case needs have to be done before.
+// TestRequestsOnKeptConnectionsAreJudgedByTheNewLimit runs case 3. It is run by its name only; the builds that the case needs have to be done before.
 func TestRequestsOnKeptConnectionsAreJudgedByTheNewLimit(t *testing.T) {
 	command := exec.CommandContext(t.Context(), "bash", "run.sh")
-	command.Dir = "../../2"
+	command.Dir = "../../3"
 	if output, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, output)
 	}
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -102,6 +102,7 @@
 		own.Bounds.ContactMS, own.Bounds.AckByMS, own.Bounds.SyncS = 4000, 5000, 4
 		own.Bounds.DrainMS, own.Bounds.ApplyMS, own.Bounds.EvacuateMS = 4000, 2500, 5000
 		own.Bounds.RetryRatio, own.Bounds.RetryExtra, own.Bounds.RetryWindowS = 0.2, 54, 10
+		own.Bounds.WarmExcess, own.Bounds.WarmExtra = 1.5, 5
 		own.CloudAPI.Rate, own.CloudAPI.MaxLagMS = 42, 800
 	}
 	for _, own := range layout.Controls {
@@ -267,6 +268,7 @@
 	server  *http.Server
 	mu      sync.Mutex
 	entries []Entry
+	polled  time.Time
 }
 
 func startPlatform() (*Platform, error) {
@@ -279,6 +281,7 @@
 	mux.HandleFunc("GET /servers", func(w http.ResponseWriter, _ *http.Request) {
 		platform.mu.Lock()
 		defer platform.mu.Unlock()
+		platform.polled = time.Now()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"servers": platform.entries, "next-token": nil})
 	})
@@ -368,3 +371,10 @@
 	defer p.mu.Unlock()
 	return append([]Entry(nil), p.entries...)
 }
+
+// LastCall returns the time of the last call for the list.
+func (p *Platform) LastCall() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.polled
+}
--- a/review/testdata/weights/case_test.go
+++ b/review/testdata/weights/case_test.go
@@ -5,10 +5,10 @@
 	"testing"
 )
 
-// TestAServerGetsRequestsAgainAfterItAnswered421 runs case 1. It is run by its name only; the builds that the case needs have to be done before.
+// TestAServerGetsRequestsAgainAfterItAnswered421 runs case 2. It is run by its name only; the builds that the case needs have to be done before.
 func TestAServerGetsRequestsAgainAfterItAnswered421(t *testing.T) {
 	command := exec.CommandContext(t.Context(), "bash", "run.sh")
-	command.Dir = "../../1"
+	command.Dir = "../../2"
 	if output, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, output)
 	}
