--- a/review/testdata/second/latin1/main.go
+++ b/review/testdata/second/latin1/main.go
@@ -1,4 +1,4 @@
-// Command latin1 is case 7 of the second review: an operator's tool sends one configuration whose text is ISO 8859-1
+// Command latin1 is case 6 of the second review: an operator's tool sends one configuration whose text is ISO 8859-1
 // instead of UTF-8, amid sound changes.
 package main
 
