--- a/review/testdata/second/allkilled/main.go
+++ b/review/testdata/second/allkilled/main.go
@@ -14,11 +14,11 @@
 
 func main() {
 	os.Exit(cells.Case{
-		ValueBytes: 8 << 10, // an eighth of the documented limit
+		ValueBytes: 10 << 10,
 		Keys:       40,
 		Groups:     8,
 		Text:       "v",
-		PerSecond:  60,
+		PerSecond:  56,
 		WriteFor:   84 * time.Second,
 		Trouble:    killAll,
 	}.Run(os.Args[1]))
