--- a/internal/region/control/peersender.go
+++ b/internal/region/control/peersender.go
@@ -206,11 +206,11 @@
 	ctx, cancel := context.WithTimeout(s.owner.ctx, deliverTimeout+transferTime(size))
 	defer cancel()
 	if err := s.deliverRequest(ctx, request, size); err != nil {
-		s.owner.counters.failedCalls.Add(1)
+		s.owner.counters.countFailedDelivery(err)
 		s.reportUndelivered(messages)
 		return
 	}
-	s.owner.counters.sent.Add(uint64(len(messages)))
+	s.owner.counters.countDelivery(messages, size)
 }
 
 // deliverRequest delivers a request. A call of an application is delivered at most once, since a duplicate must not
--- a/internal/region/control/ringwriter.go
+++ b/internal/region/control/ringwriter.go
@@ -78,6 +78,8 @@
 		if err := w.ring.Snapshot(batch.Snapshot); err != nil {
 			return err
 		}
+		w.counters.snapshots.Add(1)
+		w.counters.snapshotBytes.Add(uint64(len(batch.Snapshot)))
 		batch.Snapshot = nil
 	}
 	return w.ring.Append(batch.Records...)
