Bound a delivery between control machines by its size

One part of it: all messages that waited for a machine went into one delivery, and the receiver refuses one over 32 MiB; two answers with 20 MB of registers each were enough for none to arrive, again and again. A delivery takes messages up to 4 MiB now and leaves the others in the queue.

--- a/internal/region/control/peersender.go
+++ b/internal/region/control/peersender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,9 @@
 	maxQueuedMessages = 128
 	// senderIdleTimeout is how long the goroutine of a sender without messages is kept.
 	senderIdleTimeout = 30 * time.Second
+	// maxDeliveryBytes is the size of the messages from which on no further one is added to a delivery. The receiver
+	// refuses deliveries that are much larger.
+	maxDeliveryBytes = 4 << 20
 	// maxQueueDelay is how long a message may wait in the queue before it is dropped.
 	maxQueueDelay = time.Second
 	dialTimeout   = 700 * time.Millisecond
@@ -115,10 +119,7 @@
 		sender = s.open(key)
 	}
 	sender.push(queuedMessage{message: message, at: time.Now()})
-	select {
-	case sender.ready <- struct{}{}:
-	default:
-	}
+	notify(sender.ready)
 }
 
 func (s *peerSenders) open(key senderKey) *peerSender {
@@ -174,22 +175,31 @@
 	return true
 }
 
-// takeQueued empties the queue and returns the messages that have waited for no longer than maxQueueDelay. The other
-// messages are reported as undelivered.
+// takeQueued removes messages from the queue, up to maxDeliveryBytes, and returns those that have waited for no longer
+// than maxQueueDelay. The other messages are reported as undelivered.
 func (s *peerSender) takeQueued() []*pb.Message {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
 	oldest := time.Now().Add(-maxQueueDelay)
 	messages := make([]*pb.Message, 0, len(s.queue))
 	var expired []*pb.Message
+	size, taken := 0, 0
 	for _, queued := range s.queue {
+		if size >= maxDeliveryBytes {
+			break
+		}
+		taken++
 		if queued.at.Before(oldest) {
 			expired = append(expired, queued.message)
 			continue
 		}
 		messages = append(messages, queued.message)
+		size += proto.Size(queued.message)
+	}
+	s.queue = slices.Clone(s.queue[taken:])
+	if len(s.queue) > 0 {
+		notify(s.ready)
 	}
-	s.queue = nil
 	s.owner.counters.dropped.Add(uint64(len(expired)))
 	s.reportUndelivered(expired)
 	return messages
