--- a/internal/region/control/assemble.go
+++ b/internal/region/control/assemble.go
@@ -30,7 +30,9 @@
 		// a snapshot at the start replaces all records of an earlier version of this program
 		due:        isNew || state.migrated,
 		maxRecords: cmp.Or(config.SnapshotRecords, snapshotRecords),
+		lastBytes:  len(recovered.Snapshot),
 	}
+	machine.disk.schedule.add(recovered.Records)
 	machine.coordination.restore(state.registers)
 	machine.origin.lastID = config.Random.Uint64()
 	machine.ids.last = config.Random.Uint64() >> 1 // halved so that it cannot overflow
--- a/internal/region/control/diskqueue.go
+++ b/internal/region/control/diskqueue.go
@@ -17,10 +17,14 @@
 	maxUnpersistedWrites = 16
 	// maxUnpersistedRegisterWrites is the maximum number of pending writes of registers.
 	maxUnpersistedRegisterWrites = 256
-	// snapshotBytes and snapshotRecords bound the records that are written after a snapshot before the next snapshot is
-	// due.
+	// snapshotBytes and snapshotRecords bound the records that are written after a small snapshot before the next
+	// snapshot is due.
 	snapshotBytes   = 256 << 10
 	snapshotRecords = 4096
+	// After a large snapshot, the records may take half of its size, and one record for each bytesPerSnapshotRecord of
+	// it. The size of all snapshots is thus in proportion to that of the records, however large the state is.
+	snapshotShare          = 2
+	bytesPerSnapshotRecord = 512
 )
 
 // diskQueue holds the writes that are not on disk yet, oldest first. It enforces write-ahead logging: the answer of an
@@ -64,7 +68,7 @@
 	d.schedule.add(records)
 	if d.schedule.due {
 		action.Snapshot = d.snapshot()
-		d.schedule.restart()
+		d.schedule.restart(len(action.Snapshot))
 	}
 	d.output.add(action)
 }
@@ -126,12 +130,13 @@
 	d.enqueue(nil, write)
 }
 
-// snapshotSchedule decides when a snapshot is due, by the amount written since the last one.
+// snapshotSchedule decides when a snapshot is due, by the amount written since the last one and its size.
 type snapshotSchedule struct {
 	due        bool
 	records    int
 	bytes      int
-	maxRecords int
+	maxRecords int // after a small snapshot
+	lastBytes  int // size of the last snapshot
 }
 
 func (s *snapshotSchedule) add(records []ring.Record) {
@@ -139,9 +144,13 @@
 		s.records++
 		s.bytes += len(record.Payload)
 	}
-	if s.records >= s.maxRecords || s.bytes >= snapshotBytes {
+	if s.records >= max(s.maxRecords, s.lastBytes/bytesPerSnapshotRecord) ||
+		s.bytes >= max(snapshotBytes, s.lastBytes/snapshotShare) {
 		s.due = true
 	}
 }
 
-func (s *snapshotSchedule) restart() { *s = snapshotSchedule{maxRecords: s.maxRecords} }
+// restart starts over after a snapshot of the given size.
+func (s *snapshotSchedule) restart(size int) {
+	*s = snapshotSchedule{maxRecords: s.maxRecords, lastBytes: size}
+}
--- a/internal/region/control/golden_test.go
+++ b/internal/region/control/golden_test.go
@@ -68,7 +68,7 @@
 		writeRecord(chain.Write{SynchronizedView: 2, Repair: state.ReplicaRepairFor(nil)}),
 		writeRecord(chain.Write{SynchronizedView: 2, View: goldenView(3, 1, 2)}),
 		promiseRecord(acceptor),
-	})
+	}, nil)
 	write := func(write chain.Write) { records = append(records, writeRecord(write)) }
 	change := func(change *pb.Change, err error) { write(chain.Write{SynchronizedView: 3, Change: take(change, err)}) }
 	write(chain.Write{SynchronizedView: 3})
--- a/internal/region/control/inspect_test.go
+++ b/internal/region/control/inspect_test.go
@@ -48,7 +48,7 @@
 	folder := t.TempDir()
 	opened, _, err := ring.Open(filepath.Join(folder, ringFolder), ring.Options{})
 	require.NoError(t, err)
-	require.NoError(t, opened.Snapshot(joinSnapshot([]ring.Record{identityRecord("own", true)})))
+	require.NoError(t, opened.Snapshot(joinSnapshot([]ring.Record{identityRecord("own", true)}, nil)))
 	require.NoError(t, opened.Append(ring.Record{Kind: recordView, Payload: []byte{0, 0xff}}))
 	require.NoError(t, opened.Close())
 	inspection, err := Inspect(folder)
--- a/internal/region/control/machine_test.go
+++ b/internal/region/control/machine_test.go
@@ -28,17 +28,25 @@
 	committedChanges []*pb.Change // changes in the Committed actions
 	left             []Left
 	lastRequest      uint64
+	configure        func(*Config) // changes the configuration; nil: nothing is changed
+	recordBytes      int           // size of all records that were to be written
+	snapshotBytes    int           // size of all snapshots that were written
 }
 
 func newSingleMachine(t *testing.T) *singleMachine {
 	t.Helper()
-	l := &singleMachine{t: t}
+	return newConfiguredMachine(t, nil)
+}
+
+func newConfiguredMachine(t *testing.T, configure func(*Config)) *singleMachine {
+	t.Helper()
+	l := &singleMachine{t: t, configure: configure}
 	l.restart()
 	return l
 }
 
 func (l *singleMachine) restart() {
-	machine, err := NewMachine(Config{
+	config := Config{
 		Self:            &pb.Replica{Host: "core", Address: "10.0.0.1:7660", ControlAddress: "10.0.0.1:8146", Zone: "z"},
 		Seeds:           []string{"10.0.0.1:8146"},
 		Bootstrap:       true,
@@ -46,7 +54,11 @@
 		PeerAddress:     func(string) string { return "10.0.0.1:7660" },
 		Random:          rand.New(rand.NewPCG(1, uint64(l.now))),
 		SnapshotRecords: 5,
-	}, l.recovered())
+	}
+	if l.configure != nil {
+		l.configure(&config)
+	}
+	machine, err := NewMachine(config, l.recovered())
 	require.NoError(l.t, err)
 	l.machine = machine
 	l.step(Started{})
@@ -63,6 +75,10 @@
 		switch action := action.(type) {
 		case Persist:
 			l.heldWrites = append(l.heldWrites, action)
+			l.snapshotBytes += len(action.Snapshot)
+			for _, record := range action.Records {
+				l.recordBytes += len(record.Payload)
+			}
 		case Reply:
 			l.replies = append(l.replies, action.Result)
 		case CallReply:
--- a/internal/region/control/record.go
+++ b/internal/region/control/record.go
@@ -160,12 +160,17 @@
 	return write, proto.Unmarshal(record.Payload[size:], message)
 }
 
-// encode encodes a message as a record. It panics only if the message holds text that is not UTF-8; no message that was
-// received or parsed from JSON does.
+// encode encodes a message as a record after a prefix of its payload.
 func encode(kind uint8, prefix []byte, message proto.Message) ring.Record {
-	payload, err := proto.MarshalOptions{}.MarshalAppend(prefix, message)
+	return ring.Record{Kind: kind, Payload: appendMessage(prefix, kind, message)}
+}
+
+// appendMessage appends an encoded message to a payload. It panics only if the message holds text that is not UTF-8; no
+// message that was received or parsed from JSON does.
+func appendMessage(payload []byte, kind uint8, message proto.Message) []byte {
+	payload, err := proto.MarshalOptions{}.MarshalAppend(payload, message)
 	if err != nil {
 		panic(errors.Wrapf(err, "encode a record of kind %d", kind))
 	}
-	return ring.Record{Kind: kind, Payload: payload}
+	return payload
 }
--- a/internal/region/control/snapshot.go
+++ b/internal/region/control/snapshot.go
@@ -4,7 +4,9 @@
 	"encoding/binary"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
+	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/chain"
 	"fieldrelay/internal/region/ring"
 )
@@ -23,15 +25,21 @@
 	if !m.voter.acceptor.IsEmpty() {
 		records = append(records, promiseRecord(m.voter.acceptor))
 	}
-	records = append(records, registerRecords(m.coordination.engine.Records())...)
-	return joinSnapshot(records)
+	return joinSnapshot(records, m.coordination.engine.Records())
 }
 
-// joinSnapshot encodes records as one payload: for each record its kind, the length of its payload and the payload.
-func joinSnapshot(records []ring.Record) []byte {
+// recordPrefixBytes is the maximum size of a record in a snapshot without its payload.
+const recordPrefixBytes = 1 + binary.MaxVarintLen64
+
+// joinSnapshot encodes records, then registers, as one payload: for each its kind, the length of its payload and the
+// payload. Registers are encoded in place, because they may be large.
+func joinSnapshot(records []ring.Record, registers []*pb.RegisterRecord) []byte {
 	size := 0
 	for _, record := range records {
-		size += len(record.Payload) + binary.MaxVarintLen64 + 1
+		size += recordPrefixBytes + len(record.Payload)
+	}
+	for _, register := range registers {
+		size += recordPrefixBytes + proto.Size(register)
 	}
 	payload := make([]byte, 0, size)
 	for _, record := range records {
@@ -39,6 +47,11 @@
 		payload = binary.AppendUvarint(payload, uint64(len(record.Payload)))
 		payload = append(payload, record.Payload...)
 	}
+	for _, register := range registers {
+		payload = append(payload, recordRegister)
+		payload = binary.AppendUvarint(payload, uint64(proto.Size(register)))
+		payload = appendMessage(payload, recordRegister, register)
+	}
 	return payload
 }
 
--- a/internal/region/control/writequeue.go
+++ b/internal/region/control/writequeue.go
@@ -7,8 +7,8 @@
 //
 // The size of the queue is bounded by the Machine, not by a fixed length: a replica accepts no append and a head
 // proposes no change while an earlier one is not on disk, an acceptor grants nothing beyond maxUnpersistedWrites, and
-// each snapshot, which is due at the latest after snapshotRecords records or snapshotBytes, replaces all queued writes
-// before it.
+// each snapshot, which is due at the latest after records of half the size of the snapshot before (see
+// snapshotSchedule), replaces all queued writes before it.
 //
 // It is safe for concurrent use.
 type writeQueue struct {
