Do not send voters the group that they hold after a change of the proposer

Cause: under a new proposal number a proposer sent the whole group to every voter, and again to each after 250 ms without a majority, although the voters held the group at a known position. It sends the change from that position now; a voter that lacks it says so, as before, and gets the group once, a large one at most once a second. Prepares, whose answers may carry a group, are sent again after 250, 500 and 1,000 ms instead of every 250.

--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -22,6 +22,10 @@
 	phaseTimeout = 1500 * time.Millisecond
 	// retryInterval is the minimum time between two prepares that follow a rejection by a higher proposal number.
 	retryInterval = 100 * time.Millisecond
+	// minPacedBytes is the size from which on a whole value is sent to a voter at most once in pacedInterval: sending it
+	// again while it may still be on its way would delay it further.
+	minPacedBytes = 64 << 10
+	pacedInterval = time.Second
 	// clockDriftMargin is added to the duration of a lease, to allow for clocks that run at slightly different rates.
 	clockDriftMargin = 20 * time.Millisecond
 )
@@ -45,16 +49,24 @@
 	phase        phase
 	startedAt    time.Duration        // start of the phase, or of the batch in flight
 	sentAt       time.Duration        // time of the last request to the voters
+	resends      int                  // number of times that the prepare in progress was sent again
 	lastCallAt   time.Duration        // arrival of the last call
 	lastRetry    time.Duration        // time of the last prepare that followed a rejection by a higher proposal number
 	highestRound uint64               // round in the highest known proposal number
 	position     *pb.RegisterPosition // proposal number, and sequence of the last value accepted under it
-	value        *pb.RegisterValue    // value at position; nil if the register was never written
+	// adopted is the position of the value that was adopted at the start of phaseLeading; nil if the register was never
+	// written. It is the position of value until a value is accepted under the own proposal number.
+	adopted *pb.RegisterPosition
+	value   *pb.RegisterValue // value at adopted or position; nil if the register was never written
 	// leaseExpiresAt is the time by which the holder of a lock no longer considers itself the holder.
 	leaseExpiresAt time.Duration
-	promises       *promises         // answers to the prepare in progress; nil in other phases
-	batch          *batch            // batch in flight; nil if there is none
-	lastSent       map[string]uint64 // sequence of the value last sent to each voter, by identity
+	promises       *promises // answers to the prepare in progress; nil in other phases
+	batch          *batch    // batch in flight; nil if there is none
+	// held holds, by identity, the positions that voters are believed to have accepted. A voter without an entry is
+	// believed to hold the base of the batch.
+	held map[string]*pb.RegisterPosition
+	// wholeSentAt holds, by identity, when a whole value of at least minPacedBytes was last sent to a voter.
+	wholeSentAt map[string]time.Duration
 
 	queue    []*operation
 	watchers []*operation
@@ -62,10 +74,11 @@
 
 // promises collects the answers to a prepare.
 type promises struct {
-	granted   map[string]bool      // voters that have promised, by identity
-	accepted  *pb.RegisterPosition // newest known position of an accepted value
-	value     *pb.RegisterValue    // value at accepted
-	grantedAt time.Duration        // upper bound on the time at which the newest grant of a lock was requested
+	granted   map[string]bool                 // voters that have promised, by identity
+	held      map[string]*pb.RegisterPosition // positions accepted by the voters in granted
+	accepted  *pb.RegisterPosition            // newest known position of an accepted value
+	value     *pb.RegisterValue               // value at accepted
+	grantedAt time.Duration                   // upper bound on the time at which the newest grant of a lock was requested
 }
 
 // batch is a set of calls that are executed together. A majority is asked to accept the resulting value or, if the
@@ -135,6 +148,7 @@
 	p.highestRound = p.proposers.nextRound(max(p.highestRound, local.promised.GetRound()))
 	p.phase = phasePreparing
 	p.startedAt = now
+	p.resends = 0
 	p.position = &pb.RegisterPosition{
 		Epoch:    p.proposers.replica.activeEpoch,
 		Round:    p.highestRound,
@@ -142,6 +156,7 @@
 	}
 	p.promises = &promises{
 		granted:   make(map[string]bool),
+		held:      make(map[string]*pb.RegisterPosition),
 		accepted:  local.accepted,
 		value:     local.value,
 		grantedAt: local.grantedAt,
@@ -175,6 +190,7 @@
 	}
 	p.promises.merge(now, promise)
 	p.promises.granted[from.GetIdentity()] = true
+	p.promises.held[from.GetIdentity()] = promise.GetAccepted()
 	if len(p.promises.granted) < p.majority() {
 		return
 	}
@@ -206,11 +222,21 @@
 	p.value = p.promises.value
 	hold := time.Duration(p.value.GetLock().GetHoldMs()) * time.Millisecond
 	p.leaseExpiresAt = p.promises.grantedAt + hold + clockDriftMargin
+	p.adopted = p.promises.accepted
+	p.held = p.promises.held
+	p.wholeSentAt = make(map[string]time.Duration)
 	p.promises = nil
-	p.lastSent = make(map[string]uint64)
 	p.advance(now)
 }
 
+// base returns the position of the value on which the next batch is executed.
+func (p *proposer) base() *pb.RegisterPosition {
+	if p.position.GetSequence() == 0 {
+		return p.adopted
+	}
+	return p.position
+}
+
 // propose executes the queued calls and asks the voters to accept the outcome.
 func (p *proposer) propose(now time.Duration) {
 	p.dropExpired(now)
@@ -220,7 +246,7 @@
 	p.proposers.lastPoll++
 	next := &batch{
 		poll:     p.proposers.lastPoll,
-		base:     p.position,
+		base:     p.base(),
 		position: p.position,
 		value:    p.currentValue(),
 		accepted: make(map[string]bool),
@@ -237,7 +263,7 @@
 		// The first batch under a new number always proposes a value. If an earlier proposer may have had a value
 		// accepted, a majority must hold that value before a result depends on it. If no value can have been accepted
 		// by a majority, the value of an earlier proposer must not be adopted later.
-		next.change = wholeChange(next.value)
+		next.change = sameValue(next.value)
 	}
 	if next.change != nil {
 		next.position = successor(p.position)
@@ -247,6 +273,7 @@
 	}
 	p.batch = next
 	p.startedAt = now
+	p.resends = 0
 	p.sendAccept(now)
 }
 
@@ -271,7 +298,7 @@
 // replica has already compacted.
 func (p *proposer) currentValue() *pb.RegisterValue {
 	local := p.proposers.replica.localState(p.name)
-	if p.value != nil && ComparePositions(local.accepted, p.position) == 0 {
+	if p.value != nil && ComparePositions(local.accepted, p.base()) == 0 {
 		return local.value
 	}
 	return p.value
@@ -297,8 +324,8 @@
 	p.leaseExpiresAt = now + outcome.LeaseDuration + clockDriftMargin
 }
 
-// sendAccept sends the batch in flight to the voters that have not accepted it. A voter that was sent the base value
-// gets only the change; any other voter gets the whole value.
+// sendAccept sends the batch in flight to the voters that have not accepted it. A voter that is believed to hold the
+// base value gets only the change; any other voter gets the whole value.
 func (p *proposer) sendAccept(now time.Duration) {
 	p.sentAt = now
 	current := p.batch
@@ -307,17 +334,36 @@
 			return // this machine's own acceptance has completed a majority, so that the batch has ended
 		}
 		identity := voter.GetIdentity()
-		if current.accepted[identity] {
-			continue
+		switch {
+		case current.accepted[identity]:
+		case current.change == nil || p.holdsBase(identity):
+			p.sendChange(voter, current.change)
+		default:
+			p.sendWhole(now, voter)
 		}
-		change := current.change
-		sequence, wasSent := p.lastSent[identity]
-		if change != nil && (!wasSent || sequence != current.base.GetSequence()) {
-			change = wholeChange(current.value)
+	}
+}
+
+// holdsBase reports whether a voter is believed to hold the base of the batch in flight.
+func (p *proposer) holdsBase(identity string) bool {
+	if p.batch.repaired[identity] {
+		return false
+	}
+	known, isKnown := p.held[identity]
+	return !isKnown || ComparePositions(known, p.batch.base) == 0
+}
+
+// sendWhole sends the whole value of the batch in flight to a voter, unless a large one was sent to it just before.
+func (p *proposer) sendWhole(now time.Duration, voter *pb.Replica) {
+	identity := voter.GetIdentity()
+	if valueBytes(p.batch.value) >= minPacedBytes {
+		sentAt, wasSent := p.wholeSentAt[identity]
+		if wasSent && now-sentAt < pacedInterval {
+			return
 		}
-		p.lastSent[identity] = current.position.GetSequence()
-		p.sendChange(voter, change)
+		p.wholeSentAt[identity] = now
 	}
+	p.sendChange(voter, wholeChange(p.batch.value))
 }
 
 func (p *proposer) sendChange(voter *pb.Replica, change *pb.RegisterChange) {
@@ -340,7 +386,7 @@
 		}
 	case pb.RegisterAccepted_OUTCOME_BASE_MISSING:
 		if isOwn {
-			p.repair(from, answer)
+			p.repair(now, from, answer)
 		}
 	case pb.RegisterAccepted_OUTCOME_ACCEPTED:
 		if !isOwn || p.batch == nil || answer.GetPoll() != p.batch.poll {
@@ -355,15 +401,14 @@
 
 // repair sends the whole value to a voter that lacks the base of a change. If the batch has ended, the voter gets the
 // whole value with the next batch instead.
-func (p *proposer) repair(voter *pb.Replica, answer *pb.RegisterAccepted) {
+func (p *proposer) repair(now time.Duration, voter *pb.Replica, answer *pb.RegisterAccepted) {
 	identity := voter.GetIdentity()
 	if p.batch == nil || answer.GetPoll() != p.batch.poll || p.batch.repaired[identity] {
-		delete(p.lastSent, identity)
+		p.held[identity] = nil
 		return
 	}
 	p.batch.repaired[identity] = true
-	p.lastSent[identity] = p.batch.position.GetSequence()
-	p.sendChange(voter, wholeChange(p.batch.value))
+	p.sendWhole(now, voter)
 }
 
 // commit answers the calls of a batch that a majority has accepted, and starts the next batch.
@@ -372,6 +417,9 @@
 	p.batch = nil
 	p.position = done.position
 	p.value = done.value
+	for _, voter := range p.voters() {
+		p.held[voter.GetIdentity()] = done.position
+	}
 	for index, contained := range done.operations {
 		if result := done.results[index]; result != nil {
 			p.reply(contained, result)
@@ -465,11 +513,11 @@
 		p.advance(now)
 	case now-p.startedAt >= phaseTimeout:
 		p.stop()
-	case now-p.sentAt < resendInterval:
+	case now-p.sentAt < resendInterval<<p.resends:
 	case p.phase == phasePreparing:
+		p.resends++ // answers may carry whole values and take long
 		p.sendPrepare(now)
 	default:
-		p.lastSent = make(map[string]uint64)
 		p.sendAccept(now)
 	}
 }
--- a/internal/region/register/value.go
+++ b/internal/region/register/value.go
@@ -49,6 +49,33 @@
 	}
 }
 
+// eventOverhead is the approximate encoded size of a KeyEvent besides its name and its value, in bytes.
+const eventOverhead = 16
+
+// otherValueBytes is the approximate encoded size of a value that is not a group, in bytes, without the holder of a
+// lock.
+const otherValueBytes = 64
+
+// valueBytes returns the approximate encoded size of a value, in bytes.
+func valueBytes(value *pb.RegisterValue) int {
+	group := value.GetGroup()
+	if group == nil {
+		return otherValueBytes + len(value.GetLock().GetHolder())
+	}
+	total := 0
+	for _, events := range [][]*pb.KeyEvent{group.GetKeys(), group.GetEvents()} {
+		for _, event := range events {
+			total += EventBytes(event)
+		}
+	}
+	return total
+}
+
+// EventBytes returns the approximate encoded size of an event, in bytes.
+func EventBytes(event *pb.KeyEvent) int {
+	return eventOverhead + len(event.GetName()) + len(event.GetValue())
+}
+
 func compareRevisions(a, b uint64) int {
 	switch {
 	case a < b:
@@ -73,6 +100,14 @@
 	return &pb.RegisterChange{Kind: &pb.RegisterChange_Whole{Whole: value}}
 }
 
+// sameValue returns a change that leaves a value as it is. For a group, it does not contain the value.
+func sameValue(value *pb.RegisterValue) *pb.RegisterChange {
+	if value.GetGroup() != nil {
+		return EventsChange()
+	}
+	return wholeChange(value)
+}
+
 // mergeChanges combines two consecutive changes into one; value is the value after both changes.
 func mergeChanges(earlier, change *pb.RegisterChange, value *pb.RegisterValue) *pb.RegisterChange {
 	if earlier == nil {
