Send registers to a voter in bounded answers, each of them once

Cause: a voter that lacked the registers of its epoch asked all voters for all of them each 150 ms, and each of them sent all of them each time. The time that it took grew with the number of voters, the size of the registers and the load, and nothing bounded it.

Change: registers are asked for in the order of their names, in answers of bounded size (64 KiB at first, from all voters at once, so that a small state takes one round trip as before; then 1 MiB from one voter at a time), with the positions of what has been received from others, so that each value is sent about once. Continued requests carry a token of the sender's run, since a restart loses what was received. Earlier versions ignore the new fields, and answer with everything, which counts as complete; their requests have no limit, and get everything. Events of groups that nobody writes any more expire, too. The log has a line `registers collected` with epoch, number, bytes and duration, and counter register_bytes.

--- a/internal/region/control/status.go
+++ b/internal/region/control/status.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/catalog"
 	"fieldrelay/internal/region/coordination"
@@ -47,6 +49,13 @@
 // publishCoordination replaces the CoordinationStatus. It is called by the loop.
 func (n *Node) publishCoordination() {
 	status := n.machine.CoordinationStatus()
+	if transfer := status.LastTransfer; transfer != n.CoordinationStatus().LastTransfer {
+		n.logger.Info("registers collected",
+			zap.Uint64("epoch", transfer.Epoch),
+			zap.Int("registers", transfer.Registers),
+			zap.Int("bytes", transfer.Bytes),
+			zap.Duration("duration", transfer.Duration))
+	}
 	n.coordination.Store(&status)
 }
 
--- a/internal/region/controlserver/logging.go
+++ b/internal/region/controlserver/logging.go
@@ -83,6 +83,7 @@
 		zap.Int("calls_pending", status.Pending),
 		zap.Int("watches_waiting", status.Watches),
 		zap.Int("registers", status.Registers),
+		zap.Int("register_bytes", status.Bytes),
 		zap.Int("registers_proposing", status.Proposing),
 		zap.Uint64("register_epoch", status.Epoch),
 	}
--- a/internal/region/coordination/engine.go
+++ b/internal/region/coordination/engine.go
@@ -63,7 +63,11 @@
 		routing: newRouting(host),
 	}
 	output := engineOutput{engine: engine, Host: host}
-	engine.replica = register.NewReplica(config.Self.GetIdentity(), retentionFactor*config.Retention, output)
+	engine.replica = register.NewReplica(register.Config{
+		Identity:  config.Self.GetIdentity(),
+		RunToken:  config.FirstID | 1, // not 0
+		Retention: retentionFactor * config.Retention,
+	}, output)
 	engine.proposers = register.NewProposers(engine.replica, engine.name, Execute, output)
 	engine.origin = &origin{engine: engine, lastID: config.FirstID}
 	return engine
--- a/internal/region/register/cluster_test.go
+++ b/internal/region/register/cluster_test.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,14 @@
 
 const testRetention = 10 * time.Second
 
+// lastRunToken is the token of the last replica.
+var lastRunToken atomic.Uint64
+
+// testConfig returns the configuration of a run of a machine.
+func testConfig(identity string) Config {
+	return Config{Identity: identity, RunToken: lastRunToken.Add(1), Retention: testRetention}
+}
+
 // cluster is a set of machines whose messages are delivered by the test.
 type cluster struct {
 	now     time.Duration
@@ -41,7 +50,7 @@
 	c := &cluster{now: time.Minute, members: make(map[string]*member)}
 	for _, identity := range identities {
 		m := &member{cluster: c, self: &pb.Replica{Identity: identity}}
-		m.replica = NewReplica(identity, testRetention, m)
+		m.replica = NewReplica(testConfig(identity), m)
 		m.proposers = NewProposers(m.replica, identity+"/1", executeCounter, m)
 		c.members[identity] = m
 	}
@@ -172,7 +181,7 @@
 // restart replaces this machine by one that has restored the durable records of its disk.
 func (m *member) restart(membership Membership) *member {
 	next := &member{cluster: m.cluster, self: m.self, records: m.records, slowDisk: m.slowDisk}
-	next.replica = NewReplica(m.self.GetIdentity(), testRetention, next)
+	next.replica = NewReplica(testConfig(m.self.GetIdentity()), next)
 	next.proposers = NewProposers(next.replica, m.self.GetIdentity()+"/2", executeCounter, next)
 	for _, record := range m.records {
 		next.replica.Restore(record)
--- a/internal/region/register/register_test.go
+++ b/internal/region/register/register_test.go
@@ -131,7 +131,7 @@
 	}
 	before := c.members["b"].replica
 	for name, records := range map[string][]*pb.RegisterRecord{"log": c.members["b"].records, "snapshot": before.Records()} {
-		restored := NewReplica("b", testRetention, c.members["b"])
+		restored := NewReplica(testConfig("b"), c.members["b"])
 		for _, record := range records {
 			restored.Restore(record)
 		}
--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -12,17 +12,29 @@
 // written.
 const MaxRegisters = 65536
 
+// Config is the configuration of a Replica.
+type Config struct {
+	Identity string // identity of the machine
+	// RunToken identifies the run of the process. It differs between starts and is not 0.
+	RunToken uint64
+	// Retention is how long the events of a group are kept after this machine has accepted them.
+	Retention time.Duration
+}
+
 // Replica stores what one machine has promised and accepted for each register.
 type Replica struct {
-	identity string
-	output   Output
-	// retention is how long the events of a group are kept after this machine has accepted them.
+	identity  string
+	output    Output
+	runToken  uint64
 	retention time.Duration
 
-	membership  Membership
-	activeEpoch uint64               // newest epoch whose registers this machine holds; 0: none
-	registers   map[string]*acceptor // registers by name
-	transfer    transfer
+	membership   Membership
+	activeEpoch  uint64               // newest epoch whose registers this machine holds; 0: none
+	registers    map[string]*acceptor // registers by name
+	bytes        int                  // approximate encoded size of all registers
+	sorted       []string             // names in ascending order, as of the last call of names
+	transfer     transfer
+	lastTransfer TransferSummary
 	// earlyRequests are requests for epochs that this machine has not learnt of yet.
 	earlyRequests []earlyRequest
 }
@@ -37,11 +49,18 @@
 	grantedAt time.Duration
 	// eventTimes holds, for each event of a group, the time at which it was accepted here.
 	eventTimes []time.Duration
+	bytes      int // approximate encoded size of the value
 }
 
-// NewReplica returns an empty replica for the machine with the given identity.
-func NewReplica(identity string, retention time.Duration, output Output) *Replica {
-	return &Replica{identity: identity, output: output, retention: retention, registers: make(map[string]*acceptor)}
+// NewReplica returns an empty replica.
+func NewReplica(config Config, output Output) *Replica {
+	return &Replica{
+		identity:  config.Identity,
+		output:    output,
+		runToken:  config.RunToken,
+		retention: config.Retention,
+		registers: make(map[string]*acceptor),
+	}
 }
 
 // Restore applies a record that was read from disk. Records must be restored in the order in which they were written,
@@ -51,7 +70,7 @@
 		r.activeEpoch = record.GetActiveEpoch()
 		return
 	}
-	r.register(record.GetName()).apply(0, record)
+	r.apply(0, r.register(record.GetName()), record)
 }
 
 // FinishRestore ends the restore. All grants and events that were read from disk count as accepted now, which is later
@@ -76,12 +95,30 @@
 
 func (r *Replica) registerRecords() []*pb.RegisterRecord {
 	records := make([]*pb.RegisterRecord, 0, len(r.registers)+1)
-	for _, name := range slices.Sorted(maps.Keys(r.registers)) {
+	for _, name := range r.names() {
 		records = append(records, r.registers[name].record(name))
 	}
 	return records
 }
 
+// names returns the names of all registers in ascending order.
+func (r *Replica) names() []string {
+	if len(r.sorted) != len(r.registers) {
+		r.sorted = slices.Sorted(maps.Keys(r.registers))
+	}
+	return r.sorted
+}
+
+// namesAfter returns the names above the given one in ascending order.
+func (r *Replica) namesAfter(name string) []string {
+	names := r.names()
+	index, isFound := slices.BinarySearch(names, name)
+	if isFound {
+		index++
+	}
+	return names[index:]
+}
+
 // ActiveEpoch returns the newest epoch whose registers this machine holds; 0 if there is none.
 func (r *Replica) ActiveEpoch() uint64 { return r.activeEpoch }
 
@@ -96,15 +133,42 @@
 // Len returns the number of registers.
 func (r *Replica) Len() int { return len(r.registers) }
 
+// Bytes returns the approximate encoded size of all registers.
+func (r *Replica) Bytes() int { return r.bytes }
+
 func (r *Replica) register(name string) *acceptor {
 	found := r.registers[name]
 	if found == nil {
 		found = &acceptor{}
 		r.registers[name] = found
+		r.bytes += len(name)
 	}
 	return found
 }
 
+// discardAll discards the state of all registers.
+func (r *Replica) discardAll() {
+	r.registers = make(map[string]*acceptor)
+	r.sorted = nil
+	r.bytes = 0
+}
+
+// replace replaces the whole state of a register by a received record.
+func (r *Replica) replace(now time.Duration, name string, record *pb.RegisterRecord) {
+	if found := r.registers[name]; found != nil {
+		r.bytes -= len(name) + found.bytes
+		delete(r.registers, name)
+	}
+	r.apply(now, r.register(name), record)
+}
+
+// apply updates a register from a record.
+func (r *Replica) apply(now time.Duration, found *acceptor, record *pb.RegisterRecord) {
+	before := found.bytes
+	found.apply(now, record)
+	r.bytes += found.bytes - before
+}
+
 // shouldAnswer reports whether this machine answers a proposer's request at the given position.
 func (r *Replica) shouldAnswer(position *pb.RegisterPosition) bool {
 	return r.IsActive() && position.GetEpoch() == r.activeEpoch
@@ -150,7 +214,9 @@
 		return
 	}
 	found := r.register(accept.GetName())
+	before := found.bytes
 	outcome, record := found.accept(now, accept)
+	r.bytes += found.bytes - before
 	if outcome == pb.RegisterAccepted_OUTCOME_ACCEPTED {
 		r.compact(now, found)
 	}
@@ -211,6 +277,7 @@
 	before := a.value
 	a.accepted = record.GetAccepted()
 	a.value = ApplyChange(before, record.GetChange())
+	a.bytes = valueBytes(a.value)
 	if a.value.GetLock().GetGrantedBy() != before.GetLock().GetGrantedBy() {
 		a.grantedAt = now
 	}
@@ -245,6 +312,16 @@
 	return a.GetName() == b.GetName() && a.GetValue() == b.GetValue()
 }
 
+// compactAll drops the events of all groups that are older than the retention time. Without it, a group that is not
+// written any more would keep its events.
+func (r *Replica) compactAll(now time.Duration) {
+	for _, found := range r.registers {
+		if len(found.eventTimes) > 0 && now-found.eventTimes[0] > r.retention {
+			r.compact(now, found)
+		}
+	}
+}
+
 // compact drops the events that are older than the retention time.
 func (r *Replica) compact(now time.Duration, found *acceptor) {
 	old := 0
@@ -257,6 +334,9 @@
 	group := found.value.GetGroup()
 	found.value = groupValue(withoutEventsThrough(group, group.GetEvents()[old-1].GetRevision()))
 	found.eventTimes = slices.Clone(found.eventTimes[old:])
+	before := found.bytes
+	found.bytes = valueBytes(found.value)
+	r.bytes += found.bytes - before
 }
 
 // record returns a record of the complete persistent state of a register.
--- a/internal/region/register/slowlink_test.go
+++ b/internal/region/register/slowlink_test.go
@@ -8,15 +8,18 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
-// The smallest link of a control machine in the site files.
+// The smallest link of a control machine in the site files, and the time within which a machine that lost its disk must
+// be back.
 const (
 	slowLinkBytesPerSecond = 30_000_000 / 8
 	slowLinkDelay          = 12 * time.Millisecond
+	syncTime               = 6 * time.Second
 	testTick               = 150 * time.Millisecond
 )
 
@@ -101,6 +104,43 @@
 	return groupValue(group)
 }
 
+// fill restores groups of the given total size at each of the machines, as registers of an epoch.
+func (c *cluster) fill(epoch uint64, groups, bytes int, identities ...string) {
+	for _, identity := range identities {
+		replica := c.members[identity].replica
+		for index := range groups {
+			name := fmt.Sprintf("g%02d", index)
+			replica.Restore(&pb.RegisterRecord{
+				Name:     name,
+				Accepted: &pb.RegisterPosition{Epoch: epoch, Round: 1, Proposer: "a/1", Sequence: uint64(index + 1)},
+				Change:   wholeChange(groupOf(name, bytes/groups)),
+			})
+		}
+		replica.Restore(&pb.RegisterRecord{ActiveEpoch: epoch})
+		replica.FinishRestore(c.now)
+	}
+}
+
+// Guards against a voter whose disk was lost not being back within sync-s: all voters sent all of their registers to it
+// again and again, so that its link carried nothing else.
+func TestVoterThatLostItsDiskHoldsTheRegistersWithinTheSyncTime(t *testing.T) {
+	const stateBytes = slowLinkBytesPerSecond * int(syncTime/time.Second) / 3
+	for _, groups := range []int{4, 40} {
+		t.Run(fmt.Sprint(groups), func(t *testing.T) {
+			links := newSlowLinks(newCluster("b", "c", "d", "e", "f"))
+			links.fill(1, groups, stateBytes, "b", "c", "d", "e")
+			links.enter(firstEpoch("a", "b", "c", "d", "e"), "b", "c", "d", "e")
+			links.enter(secondEpoch([]string{"a", "b", "c", "d", "e"}, "b", "c", "d", "e", "f"), "b", "c", "d", "e", "f")
+			links.run(syncTime)
+			for _, identity := range []string{"b", "c", "d", "e", "f"} {
+				require.True(t, links.members[identity].replica.IsActive(), identity)
+			}
+			assert.Equal(t, groups, links.members["f"].replica.Len())
+			assert.Less(t, links.received["f"], 2*stateBytes)
+		})
+	}
+}
+
 // Guards against calls that are not executed after a change of the proposer: it sent each group whole to every voter,
 // and again at each timeout, although the voters held it.
 func TestNewProposerDoesNotSendTheGroupAgain(t *testing.T) {
--- a/internal/region/register/transfer.go
+++ b/internal/region/register/transfer.go
@@ -8,18 +8,83 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
-// maxEarlyRequests is the maximum number of stored requests for epochs that this machine has not learnt of yet.
-const maxEarlyRequests = 16
-
-// transferInterval is how long a voter waits before it requests the registers of the current epoch again.
-const transferInterval = 150 * time.Millisecond
+// Sizes of the requests for registers and of their answers. An answer is small enough that other messages on the same
+// connection are not delayed for long, and that a lost one costs little.
+const (
+	// firstTransferBytes is the limit on the registers in the first answer of each voter. All voters are asked for it at
+	// once, so that a small state needs one round trip.
+	firstTransferBytes = 64 << 10
+	// transferBytes is the limit on the registers in each later answer. Only one voter at a time is asked for more.
+	transferBytes = 1 << 20
+	// maxHeldPositions is the maximum number of positions that a request lists.
+	maxHeldPositions = 4096
+)
 
 // transfer is the state of collecting the registers of the current epoch, which this machine does not hold yet.
+//
+// Each voter is read in the order of the names, in answers of bounded size. The first answer is requested from all
+// voters at once. Of the voters that have more, one is read at a time, and each request lists what the others have sent,
+// so that each value is sent about once.
 type transfer struct {
-	requestedAt time.Duration // time of the last request
-	requested   bool          // the registers have been requested at least once
-	// received holds the answers of the previous epoch's voters, by identity.
-	received map[string]*pb.RegisterTransfer
+	sources []*transferSource
+	// collected holds the newest received record of each register, by name.
+	collected map[string]*pb.RegisterRecord
+	// collectedBytes is the size of all received records.
+	collectedBytes int
+	startedAt      time.Duration
+}
+
+// newTransfer returns a transfer from the voters of an epoch and of the epoch before, except for the machine itself.
+func newTransfer(now time.Duration, identity string, membership Membership) transfer {
+	next := transfer{startedAt: now, collected: make(map[string]*pb.RegisterRecord)}
+	for _, voters := range [][]*pb.Replica{membership.Voters, membership.PreviousVoters} {
+		for _, voter := range voters {
+			if voter.GetIdentity() != identity && next.source(voter.GetIdentity()) == nil {
+				next.sources = append(next.sources, &transferSource{voter: voter})
+			}
+		}
+	}
+	return next
+}
+
+// source returns the source with the given identity; nil if there is none.
+func (t *transfer) source(identity string) *transferSource {
+	index := slices.IndexFunc(t.sources, func(source *transferSource) bool {
+		return source.voter.GetIdentity() == identity
+	})
+	if index < 0 {
+		return nil
+	}
+	return t.sources[index]
+}
+
+// reader returns the source that may be asked for more than its first answer: one that answers in time, if possible one
+// that holds the registers of the epoch already, since no other is needed then. It returns nil if there is none.
+func (t *transfer) reader(epoch uint64) *transferSource {
+	var best *transferSource
+	for _, source := range t.sources {
+		if source.complete || !source.hasAnswered {
+			continue
+		}
+		if best == nil || source.isBetterThan(best, epoch) {
+			best = source
+		}
+	}
+	return best
+}
+
+// add stores received records that are newer than those stored before.
+func (t *transfer) add(records []*pb.RegisterRecord) {
+	for _, record := range records {
+		name := record.GetName()
+		if name == "" || record.GetAccepted() == nil {
+			continue
+		}
+		known := t.collected[name]
+		if known == nil || ComparePositions(record.GetAccepted(), known.GetAccepted()) > 0 {
+			t.collected[name] = record
+		}
+	}
 }
 
 // Enter moves to a later epoch. From then on, this machine accepts nothing in earlier epochs. The caller must have
@@ -30,53 +95,28 @@
 		return
 	}
 	r.membership = membership
-	r.transfer = transfer{}
+	r.transfer = newTransfer(now, r.identity, membership)
 	r.Tick(now)
 	r.answerEarlyRequests()
 }
 
-// earlyRequest is a request for the registers of an epoch that this machine has not learnt of yet.
-type earlyRequest struct {
-	from    *pb.Replica
-	request *pb.RegisterTransferRequest
-}
-
-// keepEarlyRequest stores a request until this machine learns of its epoch. Only the newest request of each sender is
-// kept.
-func (r *Replica) keepEarlyRequest(from *pb.Replica, request *pb.RegisterTransferRequest) {
-	r.earlyRequests = slices.DeleteFunc(r.earlyRequests, func(earlier earlyRequest) bool {
-		return earlier.from.GetIdentity() == from.GetIdentity()
-	})
-	if len(r.earlyRequests) < maxEarlyRequests {
-		r.earlyRequests = append(r.earlyRequests, earlyRequest{from: from, request: request})
-	}
-}
-
-// answerEarlyRequests answers the stored requests for the current epoch and drops those for earlier epochs.
-func (r *Replica) answerEarlyRequests() {
-	waiting := r.earlyRequests
-	r.earlyRequests = nil
-	for _, early := range waiting {
-		r.TransferRequested(early.from, early.request)
-	}
-}
-
-// Tick requests the registers of the current epoch if this machine is a voter that does not hold the registers yet.
+// Tick drops the events that have expired, and requests the registers of the current epoch if this machine is a voter
+// that does not hold them yet.
 func (r *Replica) Tick(now time.Duration) {
-	if r.membership.Epoch == 0 || r.IsActive() || !r.membership.includes(r.identity) {
+	r.compactAll(now)
+	if !r.isCollecting() {
 		return
 	}
 	if len(r.membership.PreviousVoters) == 0 {
 		r.activateEmpty()
 		return
 	}
-	isTooEarly := r.transfer.requested && now-r.transfer.requestedAt < transferInterval
-	if isTooEarly || !r.output.CanPersist() {
-		return
-	}
-	r.transfer.requested = true
-	r.transfer.requestedAt = now
-	r.requestTransfer()
+	r.requestTransfers(now)
+}
+
+// isCollecting reports whether this machine is a voter that does not hold the registers of its epoch.
+func (r *Replica) isCollecting() bool {
+	return r.membership.Epoch > 0 && !r.IsActive() && r.membership.includes(r.identity)
 }
 
 // activateEmpty activates the first epoch, before which no register was written. A machine that holds registers of
@@ -87,145 +127,155 @@
 	}
 }
 
-// requestTransfer requests the registers from all current and previous voters. The request is sent only once the
-// positions that it lists as held are durable, because the answers omit those registers.
-func (r *Replica) requestTransfer() {
-	request := &pb.Message{Body: &pb.Message_RegisterTransferRequest{
-		RegisterTransferRequest: &pb.RegisterTransferRequest{Epoch: r.membership.Epoch, Held: r.localPositions()},
-	}}
-	asked := make(map[string]bool)
-	for _, voters := range [][]*pb.Replica{r.membership.Voters, r.membership.PreviousVoters} {
-		for _, voter := range voters {
-			if identity := voter.GetIdentity(); !asked[identity] {
-				asked[identity] = true
-				r.output.Persist(nil, voter, request)
-			}
+// requestTransfers sends the requests that are due, unless all registers have been collected.
+func (r *Replica) requestTransfers(now time.Duration) {
+	if r.hasCollectedAll() {
+		r.install(now)
+		return
+	}
+	reader := r.transfer.reader(r.membership.Epoch)
+	for _, source := range r.transfer.sources {
+		mayAsk := !source.complete && (!source.hasAnswered || source == reader)
+		if mayAsk && source.isDue(now) && r.output.CanPersist() {
+			r.requestTransfer(now, source)
 		}
 	}
 }
 
-// votedInPreviousEpoch reports whether this machine voted in the previous epoch and held its registers. Only then are
-// its own registers valid for the current epoch.
-func (r *Replica) votedInPreviousEpoch() bool {
-	return r.activeEpoch == r.membership.PreviousEpoch && r.membership.votedBefore(r.identity)
-}
-
-// localPositions returns the positions of this machine's registers, or nil if they are not valid for the current epoch.
-func (r *Replica) localPositions() []*pb.RegisterRecord {
-	if !r.votedInPreviousEpoch() {
-		return nil
-	}
-	records := make([]*pb.RegisterRecord, 0, len(r.registers))
-	for _, name := range slices.Sorted(maps.Keys(r.registers)) {
-		records = append(records, &pb.RegisterRecord{Name: name, Accepted: r.registers[name].accepted})
+// requestTransfer requests the next registers of a voter. The request is sent only once the positions of this machine's
+// own registers that it lists as held are durable, because the answer omits those registers. Collected registers are
+// listed only together with the token of this run of the process, since a restart loses them.
+func (r *Replica) requestTransfer(now time.Duration, source *transferSource) {
+	request := &pb.RegisterTransferRequest{
+		Epoch:    r.membership.Epoch,
+		After:    source.after,
+		MaxBytes: transferBytes,
+		Token:    r.runToken,
 	}
-	return records
-}
-
-// recordsNewerThan returns the registers whose position on this machine is above that in a list of positions.
-func (r *Replica) recordsNewerThan(positions []*pb.RegisterRecord) []*pb.RegisterRecord {
-	known := make(map[string]*pb.RegisterPosition, len(positions))
-	for _, record := range positions {
-		known[record.GetName()] = record.GetAccepted()
+	if !source.hasAnswered {
+		request.MaxBytes = firstTransferBytes
+		request.Token = 0
 	}
-	return slices.DeleteFunc(r.registerRecords(), func(record *pb.RegisterRecord) bool {
-		return ComparePositions(record.GetAccepted(), known[record.GetName()]) <= 0
-	})
+	request.Held, request.Through = r.heldPositions(source)
+	source.requested(now)
+	r.output.Persist(nil, source.voter, &pb.Message{Body: &pb.Message_RegisterTransferRequest{RegisterTransferRequest: request}})
 }
 
-// TransferRequested answers a voter that collects the registers of an epoch. It answers only if this machine has learnt
-// of that epoch and therefore accepts nothing in earlier epochs. A previous voter that never participated sends an
-// empty answer, since it has accepted nothing.
-func (r *Replica) TransferRequested(from *pb.Replica, request *pb.RegisterTransferRequest) {
-	epoch := request.GetEpoch()
-	if epoch > r.membership.Epoch {
-		r.keepEarlyRequest(from, request)
-		return
+// heldPositions returns, in the order of their names, the positions of the registers that a request to a voter lists as
+// held, and the name up to which the list is complete; an empty name means up to the last.
+func (r *Replica) heldPositions(source *transferSource) (held []*pb.RegisterRecord, through string) {
+	positions := make(map[string]*pb.RegisterPosition)
+	if r.votedInPreviousEpoch() {
+		for name, found := range r.registers {
+			positions[name] = found.accepted
+		}
 	}
-	if epoch < r.membership.Epoch || !r.output.CanPersist() {
-		return
+	if source.hasAnswered {
+		for name, record := range r.transfer.collected {
+			if ComparePositions(record.GetAccepted(), positions[name]) > 0 {
+				positions[name] = record.GetAccepted()
+			}
+		}
 	}
-	answer := &pb.RegisterTransfer{Epoch: epoch}
-	switch r.activeEpoch {
-	case epoch, r.membership.PreviousEpoch:
-		answer.ActiveEpoch = r.activeEpoch
-		answer.Registers = r.recordsNewerThan(request.GetHeld())
-	default:
-		if !r.membership.votedBefore(r.identity) {
-			return
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(positions)) {
+		if name > source.after {
+			names = append(names, name)
 		}
 	}
-	message := &pb.Message{Body: &pb.Message_RegisterTransfer{RegisterTransfer: answer}}
-	// Both the registers in the message and the view must be durable before the message is sent.
-	r.output.Persist(nil, from, message)
+	if len(names) > maxHeldPositions {
+		names = names[:maxHeldPositions]
+		through = names[maxHeldPositions-1]
+	}
+	for _, name := range names {
+		held = append(held, &pb.RegisterRecord{Name: name, Accepted: positions[name]})
+	}
+	return held, through
+}
+
+// votedInPreviousEpoch reports whether this machine voted in the previous epoch and held its registers. Only then are
+// its own registers valid for the current epoch.
+func (r *Replica) votedInPreviousEpoch() bool {
+	return r.activeEpoch == r.membership.PreviousEpoch && r.membership.votedBefore(r.identity)
 }
 
-// TransferReceived handles the registers sent by another machine.
+// TransferReceived handles registers sent by another machine, and activates the epoch once the registers of enough
+// voters are complete.
 func (r *Replica) TransferReceived(now time.Duration, from *pb.Replica, received *pb.RegisterTransfer) {
-	if received.GetEpoch() != r.membership.Epoch || r.IsActive() || !r.membership.includes(r.identity) {
+	if received.GetEpoch() != r.membership.Epoch || !r.isCollecting() {
 		return
 	}
-	if received.GetActiveEpoch() == r.membership.Epoch {
-		r.install(now, []*pb.RegisterTransfer{received})
+	source := r.transfer.source(from.GetIdentity())
+	isActive := received.GetActiveEpoch() == r.membership.Epoch
+	if source == nil || !isActive && !r.membership.votedBefore(from.GetIdentity()) {
 		return
 	}
-	if !r.membership.votedBefore(from.GetIdentity()) {
+	if !r.isExpected(source, received) {
 		return
 	}
-	if r.transfer.received == nil {
-		r.transfer.received = make(map[string]*pb.RegisterTransfer)
-	}
-	r.transfer.received[from.GetIdentity()] = received
-	if len(r.transfer.received) >= r.membership.previousMajority() && r.hasPreviousRegisters() {
-		r.install(now, r.sortedTransfers())
-	}
+	r.transfer.add(received.GetRegisters())
+	r.transfer.collectedBytes += recordBytes(received.GetRegisters())
+	source.received(received, r.membership.Epoch)
+	r.requestTransfers(now)
 }
 
-// sortedTransfers returns the answers of the previous voters in a deterministic order.
-func (r *Replica) sortedTransfers() []*pb.RegisterTransfer {
-	collected := make([]*pb.RegisterTransfer, 0, len(r.transfer.received))
-	for _, identity := range slices.Sorted(maps.Keys(r.transfer.received)) {
-		collected = append(collected, r.transfer.received[identity])
+// isExpected reports whether an answer is to the current request to a voter, or to an earlier one for the same
+// registers. The first request has no token, because an earlier version of this program does not return it. Such a
+// version answers with all registers.
+func (r *Replica) isExpected(source *transferSource, received *pb.RegisterTransfer) bool {
+	if source.complete || received.GetAfter() != source.after {
+		return false
+	}
+	if source.hasAnswered {
+		return received.GetToken() == r.runToken
 	}
-	return collected
+	return received.GetToken() == 0
 }
 
-// hasPreviousRegisters reports whether at least one answer is from a machine that participated in the previous epoch
-// and therefore holds what was chosen before that epoch.
-func (r *Replica) hasPreviousRegisters() bool {
-	for _, received := range r.transfer.received {
-		if received.GetActiveEpoch() == r.membership.PreviousEpoch {
+// hasCollectedAll reports whether the collected registers contain all that was chosen before this epoch: those of one
+// voter that holds the registers of this epoch, or those of a majority of the previous voters, at least one of which
+// participated in the previous epoch. This machine is one of them if it was a previous voter: it accepts nothing in
+// earlier epochs, and if it did not participate it has accepted nothing.
+func (r *Replica) hasCollectedAll() bool {
+	complete := 0
+	participated := r.votedInPreviousEpoch()
+	if r.membership.votedBefore(r.identity) {
+		complete++
+	}
+	for _, source := range r.transfer.sources {
+		if !source.complete {
+			continue
+		}
+		if source.activeEpoch == r.membership.Epoch {
 			return true
 		}
+		complete++
+		participated = participated || source.activeEpoch == r.membership.PreviousEpoch
 	}
-	return false
+	return participated && complete >= r.membership.previousMajority()
 }
 
 // install adopts the newest value of each register among the collected registers and, if they are valid, this machine's
 // own registers, and activates the epoch.
-func (r *Replica) install(now time.Duration, collected []*pb.RegisterTransfer) {
+func (r *Replica) install(now time.Duration) {
 	if !r.output.CanPersist() {
 		return
 	}
-	registers := make(map[string]*acceptor)
-	if r.votedInPreviousEpoch() {
-		registers = r.registers
+	if !r.votedInPreviousEpoch() {
+		r.discardAll()
 	}
-	for _, transfer := range collected {
-		for _, record := range transfer.GetRegisters() {
-			name := record.GetName()
-			if name == "" || record.GetAccepted() == nil {
-				continue
-			}
-			found := registers[name]
-			if found == nil || ComparePositions(record.GetAccepted(), found.accepted) > 0 {
-				found = &acceptor{}
-				found.apply(now, record)
-				registers[name] = found
-			}
+	for name, record := range r.transfer.collected {
+		found := r.registers[name]
+		if found == nil || ComparePositions(record.GetAccepted(), found.accepted) > 0 {
+			r.replace(now, name, record)
 		}
 	}
-	r.registers = registers
+	r.lastTransfer = TransferSummary{
+		Epoch:     r.membership.Epoch,
+		Registers: len(r.transfer.collected),
+		Bytes:     r.transfer.collectedBytes,
+		Duration:  now - r.transfer.startedAt,
+	}
 	r.activate()
 }
 
@@ -236,3 +286,14 @@
 	r.transfer = transfer{}
 	r.output.PersistAll()
 }
+
+// TransferSummary describes how this machine collected the registers of an epoch.
+type TransferSummary struct {
+	Epoch     uint64        // 0: no registers have been collected in this run of the process
+	Registers int           // registers received that this machine did not hold
+	Bytes     int           // size of all registers received
+	Duration  time.Duration // time from the entry into the epoch
+}
+
+// LastTransfer describes the newest completed transfer of registers to this machine.
+func (r *Replica) LastTransfer() TransferSummary { return r.lastTransfer }
--- a/internal/region/register/transfer_test.go
+++ b/internal/region/register/transfer_test.go
@@ -35,7 +35,7 @@
 	c.deliver("c", "d")
 	assert.False(t, c.members["d"].replica.IsActive())
 	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b")
-	c.advanceClock(transferInterval)
+	c.advanceClock(maxTransferInterval)
 	c.tick("d")
 	c.deliver("b", "c", "d")
 	assert.True(t, c.members["d"].replica.IsActive())
