Bound the registers by what a machine can carry and transfer in time

Change: the registers of a machine may take a tenth of ram-mb, 0.19 of disk-mb and what its link carries in a third of sync-s, whichever is least: 24.3 MB on the machines with 280 MB, 128 MB of disk and 700 or 1,000 Mbit/s, 7.5 MB on those with 30 Mbit/s; a group may take a quarter of it. A put beyond is answered 429, as for a group that is full. New names may take an eighth more, so that puts of some do not keep others from new locks and numbers. The files of the ring may take seven eighths of disk-mb instead of 64 MiB.

--- a/internal/region/control/config.go
+++ b/internal/region/control/config.go
@@ -6,6 +6,7 @@
 
 	pb "fieldrelay/api/fieldrelay/v1"
 	"fieldrelay/internal/region/chain"
+	"fieldrelay/internal/region/register"
 )
 
 // Config holds the parameters of a Machine.
@@ -18,6 +19,8 @@
 	PeerAddress func(controlAddress string) string
 	// WatchRetention is how long watches of keys may resume from a revision.
 	WatchRetention time.Duration
+	// RegisterLimits bound the registers of this machine.
+	RegisterLimits register.Limits
 	// Random must be seeded differently at each start.
 	Random *rand.Rand
 	// SnapshotRecords is the number of records after which a new snapshot is written to the ring; 0: snapshotRecords.
--- a/internal/region/control/coordination.go
+++ b/internal/region/control/coordination.go
@@ -30,6 +30,7 @@
 		Incarnation: strconv.FormatUint(local.incarnation, 36),
 		Retention:   config.WatchRetention,
 		FirstID:     local.incarnation >> 1, // halved so that it cannot overflow
+		Limits:      config.RegisterLimits,
 	}
 }
 
--- a/internal/region/control/nodeoptions.go
+++ b/internal/region/control/nodeoptions.go
@@ -65,6 +65,7 @@
 		},
 		PeerAddress:    peerAddress,
 		WatchRetention: own.Bounds.Retain(),
+		RegisterLimits: registerLimits(own),
 		Random:         newRandom(),
 	}
 }
--- a/internal/region/control/openring.go
+++ b/internal/region/control/openring.go
@@ -80,7 +80,12 @@
 // openWithRetry opens a ring, retrying while the disk fails. The error is a *ring.CorruptError, or the error of the
 // last attempt before ctx ended.
 func openWithRetry(ctx context.Context, folder string, options Options) (*ring.Ring, *ring.Recovered, error) {
-	ringOptions := ring.Options{Files: ringFiles, FileBytes: ringBytes, Storage: options.Storage}
+	ringOptions := ring.Options{
+		Files:     ringFiles,
+		FileBytes: ringBytes,
+		MaxBytes:  maxRingBytes(options.Settings),
+		Storage:   options.Storage,
+	}
 	for {
 		opened, recovered, err := ring.Open(folder, ringOptions)
 		var corrupt *ring.CorruptError
--- a/internal/region/coordination/conditions_test.go
+++ b/internal/region/coordination/conditions_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -8,5 +9,5 @@
 )
 
 func (o *testRegister) conditions(left time.Duration) register.Conditions {
-	return register.Conditions{LeaseRemaining: left, BatchID: strconv.Itoa(o.executions)}
+	return register.Conditions{LeaseRemaining: left, FreeBytes: math.MaxInt, BatchID: strconv.Itoa(o.executions)}
 }
--- a/internal/region/coordination/engine.go
+++ b/internal/region/coordination/engine.go
@@ -38,6 +38,8 @@
 	Retention time.Duration
 	// FirstID is one less than the id of the first call. It is a random number.
 	FirstID uint64
+	// Limits bound the registers of this machine.
+	Limits register.Limits
 }
 
 // Engine is one control machine's part of the coordination service.
@@ -67,6 +69,7 @@
 		Identity:  config.Self.GetIdentity(),
 		RunToken:  config.FirstID | 1, // not 0
 		Retention: retentionFactor * config.Retention,
+		Limits:    config.Limits,
 	}, output)
 	engine.proposers = register.NewProposers(engine.replica, engine.name, Execute, output)
 	engine.origin = &origin{engine: engine, lastID: config.FirstID}
--- a/internal/region/coordination/execute.go
+++ b/internal/region/coordination/execute.go
@@ -17,7 +17,7 @@
 	case *pb.CoordinationCall_NextNumber:
 		return nextNumber(value.GetCounter())
 	case *pb.CoordinationCall_Put:
-		return put(value.GetGroup(), operation.Put)
+		return put(value.GetGroup(), operation.Put, conditions)
 	case *pb.CoordinationCall_Read:
 		return read(value.GetGroup(), operation.Read)
 	case *pb.CoordinationCall_Watch:
--- a/internal/region/coordination/group.go
+++ b/internal/region/coordination/group.go
@@ -14,11 +14,14 @@
 	// maxEvents is the maximum number of puts that are retained for watches. At the limit, new puts are refused until
 	// older puts have expired.
 	maxEvents = 16384
+	// storedCopies is the number of times that a put is stored: as the newest put to its key, and as an event for
+	// watches.
+	storedCopies = 2
 )
 
 // put writes a key. If the key was given the same value before, put returns the revision of that earlier put: values
 // are unique, so the caller received no answer and sent the put again.
-func put(group *pb.KeyGroupState, wanted *pb.PutKey) register.Outcome {
+func put(group *pb.KeyGroupState, wanted *pb.PutKey, conditions register.Conditions) register.Outcome {
 	if earlier := findPut(group, wanted); earlier != nil {
 		return okWithRevision(earlier.GetRevision())
 	}
@@ -29,11 +32,11 @@
 			Revision: present.GetRevision(),
 		})
 	}
+	event := &pb.KeyEvent{Name: wanted.GetName(), Value: wanted.GetValue(), Revision: group.GetRevision() + 1}
 	isFull := len(group.GetEvents()) >= maxEvents || present == nil && len(group.GetKeys()) >= maxKeys
-	if isFull {
+	if isFull || storedCopies*register.EventBytes(event) > conditions.FreeBytes {
 		return outcomeOnly(pb.CoordinationResult_OUTCOME_BUSY)
 	}
-	event := &pb.KeyEvent{Name: wanted.GetName(), Value: wanted.GetValue(), Revision: group.GetRevision() + 1}
 	outcome := okWithRevision(event.GetRevision())
 	outcome.Change = register.EventsChange(event)
 	return outcome
--- a/internal/region/register/call.go
+++ b/internal/region/register/call.go
@@ -11,6 +11,8 @@
 	// LeaseRemaining is an upper bound on the remaining time for which the holder of a lock may consider itself the
 	// holder; it is negative after the lease has expired.
 	LeaseRemaining time.Duration
+	// FreeBytes is the number of bytes by which a put may increase the value.
+	FreeBytes int
 	// BatchID identifies the batch uniquely among the batches of all proposers. A call that is executed again is
 	// executed in a different batch.
 	BatchID string
--- a/internal/region/register/proposer.go
+++ b/internal/region/register/proposer.go
@@ -305,10 +305,14 @@
 }
 
 func (p *proposer) execute(now time.Duration, next *batch, waiting *operation) {
-	outcome := p.proposers.execute(next.value, waiting.call, Conditions{
+	conditions := Conditions{
 		LeaseRemaining: p.leaseExpiresAt - now,
 		BatchID:        p.proposers.name + "/" + strconv.FormatUint(next.poll, 36),
-	})
+	}
+	if waiting.call.GetPut() != nil {
+		conditions.FreeBytes = p.proposers.replica.freeBytes(next.value)
+	}
+	outcome := p.proposers.execute(next.value, waiting.call, conditions)
 	next.operations = append(next.operations, waiting)
 	if outcome.Wait {
 		next.results = append(next.results, nil)
--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,23 @@
 	RunToken uint64
 	// Retention is how long the events of a group are kept after this machine has accepted them.
 	Retention time.Duration
+	Limits    Limits
+}
+
+// Limits bound the registers that one machine stores, in bytes of their approximate encoded size; 0 means no limit.
+// They keep a machine that lost its disk able to collect all registers in time. The values that other machines propose
+// are accepted regardless of the limits.
+type Limits struct {
+	Bytes      int // all registers together, from which on puts are refused
+	ValueBytes int // one register
+}
+
+// reservedForNames is the part of Limits.Bytes that registers with new names may take in addition: the puts of some
+// applications must not keep others from new locks and counters, which are small.
+const reservedForNames = 1.0 / 8
+
+func (l Limits) acceptsNewNames(bytes int) bool {
+	return l.Bytes == 0 || bytes < l.Bytes+int(float64(l.Bytes)*reservedForNames)
 }
 
 // Replica stores what one machine has promised and accepted for each register.
@@ -27,6 +45,7 @@
 	output    Output
 	runToken  uint64
 	retention time.Duration
+	limits    Limits
 
 	membership   Membership
 	activeEpoch  uint64               // newest epoch whose registers this machine holds; 0: none
@@ -59,6 +78,7 @@
 		output:    output,
 		runToken:  config.RunToken,
 		retention: config.Retention,
+		limits:    config.Limits,
 		registers: make(map[string]*acceptor),
 	}
 }
@@ -176,7 +196,22 @@
 
 // hasCapacity reports whether the named register exists or may be added.
 func (r *Replica) hasCapacity(name string) bool {
-	return r.registers[name] != nil || len(r.registers) < MaxRegisters
+	if r.registers[name] != nil {
+		return true
+	}
+	return len(r.registers) < MaxRegisters && r.limits.acceptsNewNames(r.bytes)
+}
+
+// freeBytes returns the number of bytes by which a value may still grow; it may be negative.
+func (r *Replica) freeBytes(value *pb.RegisterValue) int {
+	free := math.MaxInt
+	if r.limits.Bytes > 0 {
+		free = r.limits.Bytes - r.bytes
+	}
+	if r.limits.ValueBytes > 0 {
+		free = min(free, r.limits.ValueBytes-valueBytes(value))
+	}
+	return free
 }
 
 // Prepare handles the first phase of a proposal: it answers with a promise, or with the higher promise that prevents
