Apply new request limits to the connections of clients that are open

Cause: net/http reads its limits from the http.Server, which cannot change while it runs. Each version of the limits got a server of its own, and a connection stayed with the one that had accepted it; it was closed only after its next response, for which the older limit still held.

Evidence: three places could answer 431: the handler (it does not), a server with the older limit, and one that counts more than the head. On the old code a new connection beside the kept one gets 200 for the same head, and the kept one gets 431 as soon as only its server's limit differs (TestKeptAndNewConnectionsAreJudgedAlike, limit 82,611, head 81,145).

Change: one http.Server without limits, and clientConn, which knows whether a head is being received, a request is in progress or the client rests, and applies the limits in force: to the size of a head, to its time and to the rest. The limits of a head or a rest under way only become wider, so that a client that keeps to one version is not cut off by another. connQueue and limitedHandler are gone.

Tests: TestKeptConnectionsFollowTheLimitOnHeads and TestKeptAndNewConnectionsAreJudgedAlike fail before and pass now. TestIdleConnectionsAreKept checks the deadline itself instead of the server's setting.

--- a/internal/region/proxy/connlimits.go
+++ b/internal/region/proxy/connlimits.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"net/http"
-	"sync/atomic"
 	"time"
 
 	"fieldrelay/internal/region/route"
@@ -10,8 +8,7 @@
 
 const (
 	// defaultMaxHeader is the limit on the head of a request, in bytes, if the configuration has none. The three
-	// defaults are generous, since connections accepted before the first configuration keep the defaults, and the
-	// configuration may have wide limits.
+	// defaults are generous, since they apply before the first configuration arrives, which may have wide limits.
 	defaultMaxHeader = 64 << 10
 	// defaultHeaderRead is the time limit for receiving the head of a request if the configuration has none.
 	defaultHeaderRead = 10 * time.Second
@@ -48,23 +45,11 @@
 	return limits
 }
 
-// narrowerThan reports whether at least one limit is lower than in the other limits.
-func (l connLimits) narrowerThan(other connLimits) bool {
-	return l.maxHeader < other.maxHeader || l.headerRead < other.headerRead || l.keepAlive < other.keepAlive
-}
-
-// limitedHandler serves the connections that were accepted under the same limits.
-type limitedHandler struct {
-	http.Handler
-	limits     connLimits
-	superseded atomic.Bool // wider limits are in force
-}
-
-// ServeHTTP serves a request. A connection whose limits are narrower than the limits in force is closed after the
-// response, so that the client connects again and gets the new limits.
-func (h *limitedHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if h.superseded.Load() {
-		setConnectionClose(writer.Header())
+// widest returns the wider of each of the limits and the other limits.
+func (l connLimits) widest(other connLimits) connLimits {
+	return connLimits{
+		maxHeader:  max(l.maxHeader, other.maxHeader),
+		headerRead: max(l.headerRead, other.headerRead),
+		keepAlive:  max(l.keepAlive, other.keepAlive),
 	}
-	h.Handler.ServeHTTP(writer, request)
 }
--- a/internal/region/proxy/process.go
+++ b/internal/region/proxy/process.go
@@ -43,8 +43,8 @@
 //
 // start starts the accept loop for clients, the send and receive loops of the announcer, and one goroutine for each
 // internal server. These goroutines end after stop has closed their listener or socket; stop doesn't wait for them,
-// since the process exits afterwards. clientListener also runs one http.Server for each set of limits, see setLimits,
-// and net/http runs a goroutine for each connection. drain waits for the connections of clients.
+// since the process exits afterwards. net/http runs a goroutine for each connection. drain waits for the connections of
+// clients.
 type process struct {
 	options          Options
 	disabled         policy.Switches
--- a/internal/region/proxy/rejection.go
+++ b/internal/region/proxy/rejection.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -23,7 +22,7 @@
 	if !request.ProtoAtLeast(1, 1) {
 		conn, _, err := http.NewResponseController(writer).Hijack()
 		if err == nil {
-			if socket, ok := conn.(*net.TCPConn); ok {
+			if socket, ok := conn.(*clientConn); ok {
 				_ = socket.SetLinger(0)
 			}
 			_ = conn.Close()
