Soak: disks lost in turn, large values, and limits on heads that change

The judge counts a 431 that no limit in force asks for as DENIED, and a head that none allows as LIMIT.

Planted faults of each kind are found.

--- a/internal/testkit/soak/callers_test.go
+++ b/internal/testkit/soak/callers_test.go
@@ -36,16 +36,19 @@
 
 // applications call the control machines for locks, numbers, keys and watches.
 type applications struct {
-	world    *world
-	seed     uint64
-	started  int // callers
-	watchers []*watcher
+	world       *world
+	seed        uint64
+	largeValues bool
+	started     int // callers
+	watchers    []*watcher
 
 	mutex   sync.Mutex
 	waiting []chan struct{} // closed by the next acknowledgement
 }
 
-func newApplications(w *world, seed uint64) *applications { return &applications{world: w, seed: seed} }
+func newApplications(w *world, asked runPlan) *applications {
+	return &applications{world: w, seed: asked.seed, largeValues: asked.largeValues}
+}
 
 // work has all callers call until ctx ends.
 func (a *applications) work(ctx context.Context) {
--- a/internal/testkit/soak/draw_test.go
+++ b/internal/testkit/soak/draw_test.go
@@ -62,7 +62,7 @@
 	default:
 		d.addTo(routes, manyRoutes)
 	}
-	return d.order(base.generation, base.routes, routes, d.random.IntN(4) > 0)
+	return d.order(base, routes, d.random.IntN(4) > 0)
 }
 
 func (d *drafter) move(routes routeSet, names []string, count int) {
@@ -92,7 +92,7 @@
 	routes := maps.Clone(base.routes)
 	d.move(routes, slices.Sorted(maps.Keys(routes)), 2)
 	d.addTo(routes, 1)
-	return d.order(base.generation, base.routes, routes, d.random.IntN(2) > 0)
+	return d.order(base, routes, d.random.IntN(2) > 0)
 }
 
 // grown is a valid change that adds many routes; on nothing, it is the first configuration.
@@ -100,7 +100,7 @@
 	routes := make(routeSet)
 	maps.Copy(routes, base.routes)
 	d.addTo(routes, count)
-	return d.order(base.generation, base.routes, routes, true)
+	return d.order(base, routes, true)
 }
 
 // invalid draws a change that has to be refused.
@@ -137,16 +137,22 @@
 	return slices.Sorted(slices.Values(touched))
 }
 
-// order forms an order whose routes follow those of its base.
-func (d *drafter) order(base int64, before, after routeSet, amends bool) *order {
-	own := &order{base: base, routes: after, amends: amends && base > 0, answeredAt: forever, table: after.table()}
+// order forms an order whose routes follow those of its base. Only a whole configuration has limits of its own.
+func (d *drafter) order(base *order, after routeSet, amends bool) *order {
+	own := &order{base: base.generation, routes: after, answeredAt: forever, table: after.table(), maxHeader: base.maxHeader}
+	own.amends = amends && own.base > 0
 	d.generation += 1 + d.random.Int64N(3)
 	own.generation = d.generation
 	own.sum = own.table.sum()
-	own.touched = touchedBy(before, after)
-	own.body = wholeBody(own.generation, after)
+	own.touched = touchedBy(base.routes, after)
 	if own.amends {
-		own.body = amendBody(own.generation, before, after)
+		own.body = amendBody(own.generation, base.routes, after)
+		return own
 	}
+	own.maxHeader = headLimits[d.random.IntN(len(headLimits))]
+	own.body = wholeBody(own.generation, after, own.maxHeader)
 	return own
 }
+
+// headLimits are the limits on heads that configurations have, in bytes.
+var headLimits = []int64{16 << 10, 32 << 10, 64 << 10}
--- a/internal/testkit/soak/history_test.go
+++ b/internal/testkit/soak/history_test.go
@@ -34,6 +34,7 @@
 	table            table    // the same as clients see it
 	sum              uint64   // of the table
 	touched          []string // prefixes of the routes that it changes
+	maxHeader        int64    // limit on the heads of requests, in bytes
 	sentAt           moment   // first
 	result           outcome
 	status           int
@@ -47,6 +48,7 @@
 	arrivedAt          moment // at the server; 0: it reached none
 	status             int    // 0: no answer
 	service            int    // that ran it
+	head               int64  // size of its head, in bytes, if that is large
 	zone               string // of the server
 	last               bool   // sent after everything was in force again
 }
--- a/internal/testkit/soak/judge_test.go
+++ b/internal/testkit/soak/judge_test.go
@@ -169,7 +169,8 @@
 	newest := j.floor(forever)
 	for index := range j.history.probes {
 		own := &j.history.probes[index]
-		if own.status >= 400 && own.status < 500 && own.arrivedAt == 0 && !slices.Contains(proper, own.status) {
+		j.head(own)
+		if j.isDenied(own) {
 			j.broken("DENIED", "%s at %s: %s answered %d to a proper request", own.prefix, own.sentAt, own.edge, own.status)
 		}
 		if own.last && newest != nil && newest.table[own.prefix] != 0 && own.arrivedAt == 0 {
@@ -186,6 +187,43 @@
 	}
 }
 
+// isDenied tells whether a probe got an answer of the proxy's own that no configuration asks for.
+func (j *judge) isDenied(own *probe) bool {
+	if own.status < 400 || own.status >= 500 || own.arrivedAt > 0 || slices.Contains(proper, own.status) {
+		return false
+	}
+	isTooLarge := func(candidate *order) bool { return own.head > candidate.maxHeader }
+	return own.status != http.StatusRequestHeaderFieldsTooLarge || !slices.ContainsFunc(j.mayRule(own), isTooLarge)
+}
+
+// head: a head that no configuration which may be in force allows is refused.
+func (j *judge) head(own *probe) {
+	if own.head == 0 || !own.definite() {
+		return
+	}
+	allows := func(candidate *order) bool { return own.head <= candidate.maxHeader }
+	if ruling := j.mayRule(own); len(ruling) > 0 && !slices.ContainsFunc(ruling, allows) {
+		j.broken("LIMIT", "%s sent at %s: %s took a head of %d bytes", own.prefix, own.sentAt, own.edge, own.head)
+	}
+}
+
+// mayRule are the orders by which a probe may be handled: those that may be in force and are not older than what had to
+// be in force at its machine when it was sent.
+func (j *judge) mayRule(own *probe) []*order {
+	least := int64(0)
+	bound, asked := j.touch.bound(own.edge, own.sentAt, j.touch.bounds.ApplyWithin())
+	if floor := j.floor(own.sentAt - bound); asked && floor != nil {
+		least = floor.generation
+	}
+	var ruling []*order
+	for _, candidate := range j.orders {
+		if candidate.generation >= least && candidate.sentAt <= own.answeredAt && !j.dead(candidate) {
+			ruling = append(ruling, candidate)
+		}
+	}
+	return ruling
+}
+
 func (j *judge) inForce(own *probe) {
 	apply := j.touch.bounds.ApplyWithin()
 	bound, asked := j.touch.bound(own.edge, own.sentAt, apply)
--- a/internal/testkit/soak/planted_test.go
+++ b/internal/testkit/soak/planted_test.go
@@ -36,6 +36,18 @@
 	return probe{edge: "edge-1", prefix: prefix, sentAt: at, answeredAt: at + 2*time.Millisecond, status: http.StatusNotFound, service: -1}
 }
 
+// withHead is a probe with a large head; tooLarge is one that the proxy refused for it.
+func withHead(own probe, head int64) probe {
+	own.head = head
+	return own
+}
+
+func tooLarge(prefix string, at moment, head int64) probe {
+	own := unknown(prefix, at)
+	own.status, own.head = http.StatusRequestHeaderFieldsTooLarge, head
+	return own
+}
+
 func readOf(own *order, at moment) read {
 	return read{machine: "core-1", sentAt: at, status: http.StatusOK, generation: own.generation, sum: own.sum}
 }
@@ -45,6 +57,7 @@
 	h := newHistory()
 	older := configured(1, 0, time.Second, table{"/a/": 1, "/c/": 1})
 	newer := configured(3, 1, 10*time.Second, table{"/a/": 2, "/b/": 4})
+	older.maxHeader, newer.maxHeader = headLimits[0], headLimits[2]
 	h.orders = []*order{older, newer}
 	h.lives = []*life{{machine: "edge-1", role: roleProxy, until: forever}}
 	h.probes = []probe{
@@ -116,6 +129,16 @@
 		"a proper request denied": {"DENIED", func(h *history) {
 			h.probes = append(h.probes, probe{edge: "edge-1", prefix: "/a/", sentAt: late, status: http.StatusBadRequest, service: -1})
 		}},
+		"a head denied that the limit in force allows": {"DENIED", func(h *history) {
+			h.probes = append(h.probes, tooLarge("/a/", late, headSizes[2]))
+		}},
+		"a head denied that all limits allow": {"DENIED", func(h *history) {
+			h.probes = append(h.probes, tooLarge("/a/", 11*time.Second, headSizes[0]))
+		}},
+		"a head taken that the limit in force forbids": {"LIMIT", func(h *history) {
+			h.orders[1].maxHeader = headLimits[0]
+			h.probes = append(h.probes, withHead(ran("/a/", 1, late), headSizes[2]))
+		}},
 		"an arrival in an evacuated zone": {"EVAC", func(h *history) {
 			h.evacuations = append(h.evacuations, &evacuation{zone: "hall-a", begins: true, answeredAt: 14 * time.Second})
 		}},
@@ -134,6 +157,13 @@
 	}
 }
 
+// Until a change of the limits has to be in force, a head may be handled by either.
+func TestHeadsMayBeHandledByEitherLimitDuringAChange(t *testing.T) {
+	h := soundHistory()
+	h.probes = append(h.probes, tooLarge("/a/", 11*time.Second, headSizes[2]), withHead(ran("/a/", 1, 11600*time.Millisecond), headSizes[2]))
+	require.Empty(t, judged(h))
+}
+
 // What is old is excused where a machine is out of touch, and nowhere else.
 func TestTroublesExcuseTheirMachines(t *testing.T) {
 	old := ran("/a/", 0, 14*time.Second)
--- a/internal/testkit/soak/prober_test.go
+++ b/internal/testkit/soak/prober_test.go
@@ -20,6 +20,8 @@
 	// freshOrders is the number of newest orders whose routes are probed most.
 	freshOrders = 5
 	freshPart   = 70 // percent of probes
+	// largeHeads are percent of probes with a head that only some of headLimits allow.
+	largeHeads = 20
 )
 
 // prober sends requests to one proxy.
@@ -66,6 +68,9 @@
 	return prefix
 }
 
+// headSizes are the sizes of large heads: well below a limit, or above it by more than proxies tolerate.
+var headSizes = []int64{12 << 10, 28 << 10, 60 << 10}
+
 // probe sends one request and notes what came of it.
 func (p *prober) probe(ctx context.Context, prefix string, last bool) probe {
 	own := probe{edge: p.edge.Hostname, prefix: prefix, sentAt: p.world.history.now(), service: -1, last: last}
@@ -76,6 +81,10 @@
 		return own
 	}
 	request.Host = virtualHost
+	if !last && p.random.IntN(100) < largeHeads {
+		own.head = headSizes[p.random.IntN(len(headSizes))]
+		request.Header.Set("X-Note", strings.Repeat("n", int(own.head)))
+	}
 	request.Header.Set("X-Fieldrelay-Attempt-Id", fmt.Sprintf("%016x", p.random.Uint64()))
 	request.Header.Set("X-Fieldrelay-Deadline-Ms", strconv.FormatInt(probeLimit.Milliseconds()-100, 10))
 	if response, err := p.client.Do(request); err == nil {
--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -25,7 +25,11 @@
 	largeRoutes   = 1200
 	// applicationSeed is the seed of the short form whose run has applications.
 	applicationSeed = 1
-	mostTold        = 20 // broken rules of a run that the test prints; the report has all
+	// Every largestOf-th seed of the long form has the most machines.
+	largestOf           = 10
+	mostControlMachines = 7
+	mostEdgeMachines    = 20
+	mostTold            = 20 // broken rules of a run that the test prints; the report has all
 )
 
 func numberOf(t *testing.T, variable string, otherwise int) int {
@@ -38,15 +42,21 @@
 	return number
 }
 
-// Seeds differ in size in the long form: 3 to 5 control machines, 4 to 8 edge machines, few routes or many.
+// Seeds differ in size in the long form: 3 to 5 control machines, 4 to 8 edge machines, few routes or many; every
+// largestOf-th has as many processes as the machine bears. The values of every other one are large.
 func planOf(seed uint64, seconds int) runPlan {
 	plan := runPlan{seed: seed, controls: 3, edges: 3, routes: fewRoutes, troubled: shortTroubled, calm: calmEnd}
 	plan.applications = seconds > 0 || seed == applicationSeed
+	plan.largeValues = seed == applicationSeed
 	if seconds > 0 {
 		plan.troubled = time.Duration(seconds) * time.Second
 		plan.controls = 3 + int(seed%3)
 		plan.edges = 4 + int(seed%5)
 		plan.routes = fewRoutes + largeRoutes*int(seed/3%2)
+		plan.largeValues = seed%2 == 1
+		if seed%largestOf == 0 {
+			plan.controls, plan.edges = mostControlMachines, mostEdgeMachines
+		}
 	}
 	return plan
 }
--- a/internal/testkit/soak/table_test.go
+++ b/internal/testkit/soak/table_test.go
@@ -85,12 +85,13 @@
 }
 
 // wholeBody is a configuration that replaces all before it.
-func wholeBody(generation int64, routes routeSet) []byte {
+func wholeBody(generation int64, routes routeSet, maxHeader int64) []byte {
 	all := make([]operator.Route, 0, len(routes))
 	for _, name := range slices.Sorted(maps.Keys(routes)) {
 		all = append(all, routes[name].wire())
 	}
-	return marshal(operator.Configuration{Gen: generation, Backends: backends(), Routes: &all})
+	limits := operator.RequestLimits{MaxHeaderBytes: &maxHeader}
+	return marshal(operator.Configuration{Gen: generation, Backends: backends(), Routes: &all, ReqLimits: &limits})
 }
 
 // amendBody turns one set of routes into another.
--- a/internal/testkit/soak/trouble_test.go
+++ b/internal/testkit/soak/trouble_test.go
@@ -18,12 +18,13 @@
 const (
 	kills deed = iota
 	terminates
-	stops  // and lets go on
-	wipes  // kills and empties the disk
-	series // stops and lets go on several times, machine after machine, and kills in the end
-	cuts   // links
-	slows  // links
-	delays // links
+	stops       // and lets go on
+	wipes       // kills and empties the disk
+	wipesInTurn // kills and empties the disk, machine after machine, each once the one before counts as back
+	series      // stops and lets go on several times, machine after machine, and kills in the end
+	cuts        // links
+	slows       // links
+	delays      // links
 )
 
 // extent is how much of the core a trouble strikes.
@@ -78,6 +79,7 @@
 	{name: "kill most controls after an answer", core: mostControls, does: kills, afterAnswer: true},
 	{name: "kill control after an answer", core: oneControl, does: kills, afterAnswer: true},
 	{name: "wipe control after an answer", core: oneControl, does: wipes, afterAnswer: true},
+	{name: "lose all disks in turn", core: allControls, does: wipesInTurn},
 	{name: "series of signals to controls", core: allControls, does: series},
 	{name: "series of signals to most controls", core: mostControls, does: series},
 }
@@ -148,12 +150,18 @@
 		end, wiped := at, false
 		for range 2 + random.IntN(2) {
 			next := drawTrouble(random, from, controls, edges)
-			if next.kind.does == wipes && wiped {
+			if next.kind.does.losesDisks() && wiped {
 				continue
 			}
-			wiped = wiped || next.kind.does == wipes
+			wiped = wiped || next.kind.does.losesDisks()
 			next.at = at + time.Duration(random.Int64N(int64(overlapSpan)))
-			end = max(end, next.at+next.lasts)
+			end = max(end, next.at+next.span(controls))
+			if next.kind.does == wipesInTurn {
+				// Nothing else strikes meanwhile: each machine counts as lost until it has had sync-s.
+				inGroup := func(one planned) bool { return one.at >= at }
+				schedule = append(slices.DeleteFunc(schedule, inGroup), next)
+				break
+			}
 			schedule = append(schedule, next)
 		}
 		calm := shortCalm
@@ -169,6 +177,20 @@
 	return schedule
 }
 
+// losesDisks tells whether a trouble empties disks.
+func (d deed) losesDisks() bool { return d == wipes || d == wipesInTurn }
+
+// backAfter is the time from the start of a machine that lost its disk until it counts as back, and somewhat more.
+const backAfter = 4500 * time.Millisecond
+
+// span is how long a trouble lasts for all its machines.
+func (p planned) span(controls int) time.Duration {
+	if p.kind.does == wipesInTurn {
+		return time.Duration(controls) * (p.lasts + backAfter)
+	}
+	return p.lasts
+}
+
 func drawTrouble(random *rand.Rand, from []*kind, controls, edges int) planned {
 	lasts := shortestDown + time.Duration(random.Int64N(int64(longestTrouble-shortestDown)))
 	next := planned{kind: from[random.IntN(len(from))], lasts: lasts, control: random.IntN(controls), edge: random.IntN(edges)}
--- a/internal/testkit/soak/villain_test.go
+++ b/internal/testkit/soak/villain_test.go
@@ -91,6 +91,9 @@
 		v.awaitAnswer(ctx)
 	}
 	switch next.kind.does {
+	case wipesInTurn:
+		v.wipeInTurn(ctx, next.lasts, processes)
+		return
 	case series:
 		v.signalSeries(ctx, next.lasts, processes)
 	case stops:
@@ -126,6 +129,19 @@
 	}
 }
 
+// wipeInTurn has machines lose their disks one after another. Each has sync-s to come back before the next one goes.
+func (v *villain) wipeInTurn(ctx context.Context, lasts time.Duration, processes []*process) {
+	for _, one := range processes {
+		one.kill()
+		v.wipe(one)
+		v.world.wait(ctx, lasts)
+		if err := one.start(); err != nil {
+			v.world.history.fail("%v", err)
+		}
+		v.world.wait(ctx, max(backAfter, one.machine.Bounds.SyncFor()))
+	}
+}
+
 // signalSeries stops processes and lets them go on, in spans that overlap from one to the next, and kills them while they
 // are stopped for the last time.
 func (v *villain) signalSeries(ctx context.Context, lasts time.Duration, processes []*process) {
--- a/internal/testkit/soak/world_test.go
+++ b/internal/testkit/soak/world_test.go
@@ -25,6 +25,7 @@
 	routes          int           // of the first configuration
 	troubled        time.Duration // how long troubles begin
 	applications    bool          // they call for locks, numbers, keys and watches
+	largeValues     bool          // some of the values of keys are large
 	calm            time.Duration // after everything is in force again, under further changes
 }
 
@@ -84,7 +85,7 @@
 	}
 	w.chief = newChief(w, asked.seed)
 	if asked.applications {
-		w.applications = newApplications(w, asked.seed)
+		w.applications = newApplications(w, asked)
 	}
 	return w, nil
 }
--- a/internal/testkit/soak/writers_test.go
+++ b/internal/testkit/soak/writers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	callhistory "fieldrelay/internal/testkit/history"
@@ -12,6 +13,9 @@
 	putAgainFor   = 3 * time.Second // a put without a clear answer is sent again
 	putAgainPause = 50 * time.Millisecond
 	repeatedPuts  = 10 // percent of the acknowledged ones, sent once more
+	// largeValues are percent of the values in runs with large ones, and largestValue is their greatest size in bytes.
+	largeValues  = 50
+	largestValue = 32 << 10
 	// resumable is the age up to which watches resume from a saved revision, below the retention of revisions.
 	resumable    = 15 * time.Second
 	longestBreak = 6 * time.Second // of a watcher
@@ -34,6 +38,9 @@
 func (p *putter) draw() callhistory.Call {
 	p.values++
 	put := callhistory.Call{Kind: callhistory.Put, Name: p.someKey(), Value: fmt.Sprintf("%s-%d", p.name, p.values)}
+	if p.applications.largeValues && p.chance(largeValues) {
+		put.Value += strings.Repeat(".", p.random.IntN(largestValue))
+	}
 	if p.chance(60) {
 		expected := p.known[put.Name]
 		if p.chance(5) {
