--- a/internal/region/settings/bounds.go
+++ b/internal/region/settings/bounds.go
@@ -24,7 +24,8 @@
 	// AckByMS is the time in milliseconds within which an order must be acknowledged. Default: 5000.
 	AckByMS float64 `toml:"ack-by-ms"`
 
-	// SyncS is the time in seconds for which a machine still counts as lost after its return. Default: 4.
+	// SyncS is the time in seconds for which a machine still counts as lost after its return. Control machines bound
+	// their registers by what their link carries in a third of it. Default: 4.
 	SyncS float64 `toml:"sync-s"`
 
 	// DrainMS is the time in milliseconds after which a draining server must not receive requests. Default: 4000.
--- a/internal/region/settings/sections.go
+++ b/internal/region/settings/sections.go
@@ -40,10 +40,12 @@
 	// Default: 1024.
 	Descriptors int `toml:"max-fds"`
 
-	// LinkMbps is the bandwidth of the machine's network link in Mbit/s. The setting is not used. Default: 100.
+	// LinkMbps is the bandwidth of the machine's network link in Mbit/s. It bounds the registers of a control machine,
+	// which must be transferred within SyncS. Default: 100.
 	LinkMbps float64 `toml:"nic-mbps"`
 
-	// DiskMB is the size of the disk in MB, 0 on a machine without a disk. The setting is not used. Default: 0.
+	// DiskMB is the size of the disk in MB, 0 on a machine without a disk. It bounds the state and the registers of a
+	// control machine. Default: 0.
 	DiskMB float64 `toml:"disk-mb"`
 }
 
