--- a/internal/region/proxy/clientconn.go
+++ b/internal/region/proxy/clientconn.go
@@ -101,7 +101,7 @@
 // rejectHead sends the response to a head that is too large, and discards the rest of the request.
 func (c *clientConn) rejectHead() {
 	deadline := time.Now().Add(rejectTimeout)
-	_ = c.Conn.SetDeadline(deadline)
+	_ = c.SetDeadline(deadline)
 	if _, err := io.WriteString(c.Conn, headTooLarge); err != nil {
 		return
 	}
