Tests of transfers with an earlier version, after a restart and of a voter that activates

An earlier version's request has no limit and its answer none of the new fields; an answer to a request of the run before a restart must not count, since it leaves out what that run had collected (the test fails without the token); a voter that activates the epoch by the middle is read again.

--- a/internal/region/register/transfer_test.go
+++ b/internal/region/register/transfer_test.go
@@ -136,3 +136,77 @@
 	c.deliver("b", "c", "d")
 	assert.Empty(t, c.members["b"].unsent)
 }
+
+// An earlier version requests without a limit, and answers with all registers and without the new fields.
+func TestTransfersWithAnEarlierVersion(t *testing.T) {
+	const groups, stateBytes = 8, 1 << 20
+	c := newCluster("b", "c", "d")
+	c.fill(1, groups, stateBytes, "b", "c")
+	c.enter(firstEpoch("a", "b", "c"), "b", "c")
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "b", "c")
+	c.wire = nil
+	request := &pb.RegisterTransferRequest{Epoch: 2}
+	c.members["b"].replica.TransferRequested(replicasOf("d")[0], request)
+	answer := c.wire[len(c.wire)-1].message.GetRegisterTransfer()
+	require.Len(t, answer.GetRegisters(), groups)
+	require.False(t, answer.GetPartial())
+
+	c.enter(secondEpoch([]string{"a", "b", "c"}, "b", "c", "d"), "d")
+	for _, identity := range []string{"b", "c"} {
+		earlier := &pb.RegisterTransfer{Epoch: 2, ActiveEpoch: 1, Registers: answer.GetRegisters()}
+		require.False(t, c.members["d"].replica.IsActive())
+		c.members["d"].replica.TransferReceived(c.now, replicasOf(identity)[0], earlier)
+	}
+	require.True(t, c.members["d"].replica.IsActive())
+	require.Equal(t, groups, c.members["d"].replica.Len())
+}
+
+// A restart loses what was collected. An answer to a request that the earlier run sent must not count then: it omits
+// the registers that the earlier run had collected.
+func TestAnswerToAnEarlierRunDoesNotCount(t *testing.T) {
+	const groups, stateBytes = 8, 1 << 20
+	second := secondEpoch([]string{"a", "b", "c"}, "b", "c", "d")
+	c := newCluster("b", "c", "d")
+	c.fill(1, groups, stateBytes, "b", "c")
+	c.enter(firstEpoch("a", "b", "c"), "b", "c")
+	c.enter(second, "b", "c", "d")
+	var late []sentMessage // later answers to the first run, without the registers that it had by then
+	for len(c.wire) > 0 {
+		next := c.wire[0]
+		c.wire = c.wire[1:]
+		answer := next.message.GetRegisterTransfer()
+		if next.to == "d" && answer.GetToken() != 0 && len(answer.GetRegisters()) == 0 {
+			late = append(late, next)
+		}
+		isOfD := next.to == "d" || next.from == "d" // the others do not activate the epoch
+		if to := c.members[next.to]; to != nil && isOfD {
+			to.receive(&pb.Replica{Identity: next.from}, next.message)
+		}
+	}
+	require.True(t, c.members["d"].replica.IsActive())
+	require.NotEmpty(t, late)
+	c.members["d"].records = nil // the write of the registers was lost, too
+	restarted := c.members["d"].restart(second)
+	for _, answer := range late {
+		restarted.receive(&pb.Replica{Identity: answer.from}, answer.message)
+	}
+	// The third previous voter never took part, so that it would complete a majority.
+	restarted.replica.TransferReceived(c.now, replicasOf("a")[0], &pb.RegisterTransfer{Epoch: 2})
+	require.False(t, restarted.replica.IsActive())
+	c.deliver("b", "c", "d")
+	require.True(t, restarted.replica.IsActive())
+	require.Equal(t, groups, restarted.replica.Len())
+}
+
+// A voter that activates the epoch while it is read is read once more, since its registers are complete by themselves
+// only from then on.
+func TestVoterThatActivatesWhileItIsReadIsReadAgain(t *testing.T) {
+	source := &transferSource{voter: replicasOf("b")[0]}
+	source.received(&pb.RegisterTransfer{ActiveEpoch: 1, Partial: true, Through: "g3"}, 2)
+	require.Equal(t, "g3", source.after)
+	source.received(&pb.RegisterTransfer{ActiveEpoch: 2, After: "g3"}, 2)
+	require.Empty(t, source.after)
+	require.False(t, source.complete)
+	source.received(&pb.RegisterTransfer{ActiveEpoch: 2}, 2)
+	require.True(t, source.complete)
+}
