Append the puts of a group to it all at once when a machine starts

At run time, too, each put that a voter accepted indexed all puts of its group.

Change: Restore collects the puts of a group and FinishRestore appends them at once; the times of puts are appended with them, or merged by their revisions with those of a whole group, without an index; the keys are replaced in one pass.

--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -48,6 +48,8 @@
 	// eventTimes holds, for each event of a group, the time at which it was accepted here.
 	eventTimes []time.Duration
 	bytes      int // approximate encoded size of the value
+	// restored holds events that were read from disk and are not part of value yet.
+	restored []*pb.KeyEvent
 }
 
 // NewReplica returns an empty replica.
@@ -63,19 +65,31 @@
 }
 
 // Restore applies a record that was read from disk. Records must be restored in the order in which they were written,
-// before any other method is called.
+// before any other method is called. FinishRestore appends the events of a group to it all at once: each time that a
+// group changes, it is copied.
 func (r *Replica) Restore(record *pb.RegisterRecord) {
 	if record.GetName() == "" {
 		r.activeEpoch = record.GetActiveEpoch()
 		return
 	}
-	r.apply(0, r.register(record.GetName()), record)
+	found := r.register(record.GetName())
+	switch change := record.GetChange().GetKind().(type) {
+	case *pb.RegisterChange_Events:
+		found.adoptPosition(record)
+		found.restored = append(found.restored, change.Events.GetEvents()...)
+	case *pb.RegisterChange_Whole:
+		found.restored = nil
+		r.apply(0, found, record)
+	default:
+		found.adoptPosition(record)
+	}
 }
 
 // FinishRestore ends the restore. All grants and events that were read from disk count as accepted now, which is later
 // than their actual acceptance.
 func (r *Replica) FinishRestore(now time.Duration) {
 	for _, found := range r.registers {
+		r.finishRestore(found)
 		found.grantedAt = now
 		for index := range found.eventTimes {
 			found.eventTimes[index] = now
@@ -83,6 +97,15 @@
 	}
 }
 
+// finishRestore appends the restored events to a group.
+func (r *Replica) finishRestore(found *acceptor) {
+	if len(found.restored) == 0 {
+		return
+	}
+	r.apply(0, found, &pb.RegisterRecord{Accepted: found.accepted, Change: EventsChange(found.restored...)})
+	found.restored = nil
+}
+
 // Records returns the records from which Restore builds an equal replica.
 func (r *Replica) Records() []*pb.RegisterRecord {
 	records := r.registerRecords()
@@ -262,39 +285,46 @@
 
 // apply updates the acceptor from a record.
 func (a *acceptor) apply(now time.Duration, record *pb.RegisterRecord) {
-	if compareNumbers(record.GetPromised(), a.promised) > 0 {
-		a.promised = record.GetPromised()
-	}
+	a.adoptPosition(record)
 	if record.GetAccepted() == nil {
 		return
 	}
 	before := a.value
-	a.accepted = record.GetAccepted()
 	a.value = ApplyChange(before, record.GetChange())
 	a.bytes = valueBytes(a.value)
 	if a.value.GetLock().GetGrantedBy() != before.GetLock().GetGrantedBy() {
 		a.grantedAt = now
 	}
-	a.recordEventTimes(now, before.GetGroup())
+	if appended := record.GetChange().GetEvents(); appended != nil {
+		a.eventTimes = append(a.eventTimes, slices.Repeat([]time.Duration{now}, len(appended.GetEvents()))...)
+		return
+	}
+	a.recordEventTimes(now, before.GetGroup().GetEvents())
 }
 
-// recordEventTimes sets the acceptance time of the events that the group did not contain before.
-func (a *acceptor) recordEventTimes(now time.Duration, before *pb.KeyGroupState) {
-	events := a.value.GetGroup().GetEvents()
-	known := make(map[uint64]int, len(before.GetEvents()))
-	if len(events) == 0 {
-		a.eventTimes = nil
-		return
+// adoptPosition adopts the promise of a record, if it is higher, and the position of its value, if it has one.
+func (a *acceptor) adoptPosition(record *pb.RegisterRecord) {
+	if compareNumbers(record.GetPromised(), a.promised) > 0 {
+		a.promised = record.GetPromised()
 	}
-	for index, event := range before.GetEvents() {
-		known[event.GetRevision()] = index
+	if record.GetAccepted() != nil {
+		a.accepted = record.GetAccepted()
 	}
+}
+
+// recordEventTimes sets the acceptance time of the events of a whole group that the group before did not contain. The
+// revisions of the events rise.
+func (a *acceptor) recordEventTimes(now time.Duration, before []*pb.KeyEvent) {
+	events := a.value.GetGroup().GetEvents()
 	times := make([]time.Duration, len(events))
+	known := 0
 	for index, event := range events {
-		if earlier, found := known[event.GetRevision()]; found && isSameEvent(event, before.GetEvents()[earlier]) {
-			times[index] = a.eventTimes[earlier]
-		} else {
-			times[index] = now
+		for known < len(before) && before[known].GetRevision() < event.GetRevision() {
+			known++
+		}
+		times[index] = now
+		if known < len(before) && isSameEvent(event, before[known]) {
+			times[index] = a.eventTimes[known]
 		}
 	}
 	a.eventTimes = times
@@ -303,7 +333,7 @@
 // isSameEvent reports whether two events of one revision are the same put. They differ if a proposal that was not
 // chosen assigned the revision to another put.
 func isSameEvent(a, b *pb.KeyEvent) bool {
-	return a.GetName() == b.GetName() && a.GetValue() == b.GetValue()
+	return a == b || a.GetRevision() == b.GetRevision() && a.GetName() == b.GetName() && a.GetValue() == b.GetValue()
 }
 
 // compactAll drops the events of all groups that are older than the retention time. Without it, a group that is not
--- a/internal/region/register/value.go
+++ b/internal/region/register/value.go
@@ -25,18 +25,33 @@
 	if len(events) == 0 {
 		return group
 	}
-	keys := slices.Clone(group.GetKeys())
-	for _, event := range events {
-		keys = slices.DeleteFunc(keys, func(key *pb.KeyEvent) bool { return key.GetName() == event.GetName() })
-		keys = append(keys, event)
-	}
 	return &pb.KeyGroupState{
 		Revision: events[len(events)-1].GetRevision(),
-		Keys:     keys,
+		Keys:     replaceKeys(group.GetKeys(), events),
 		Events:   append(slices.Clip(group.GetEvents()), events...),
 	}
 }
 
+// replaceKeys returns the newest event of each key, in the order of their revisions, after further events.
+func replaceKeys(keys, events []*pb.KeyEvent) []*pb.KeyEvent {
+	newest := make(map[string]*pb.KeyEvent, len(events))
+	for _, event := range events {
+		newest[event.GetName()] = event
+	}
+	replaced := make([]*pb.KeyEvent, 0, len(keys)+len(newest))
+	for _, key := range keys {
+		if newest[key.GetName()] == nil {
+			replaced = append(replaced, key)
+		}
+	}
+	for _, event := range events {
+		if newest[event.GetName()] == event {
+			replaced = append(replaced, event)
+		}
+	}
+	return replaced
+}
+
 // withoutEventsThrough returns the group without its events up to and including a revision.
 func withoutEventsThrough(group *pb.KeyGroupState, revision uint64) *pb.KeyGroupState {
 	first, _ := slices.BinarySearchFunc(group.GetEvents(), revision+1, func(event *pb.KeyEvent, wanted uint64) int {
