Examine a bounded number of groups for expired puts at each tick

Change: the replica lists the registers that hold groups, and examines up to 1,024 of them at a tick, the others at the next ticks.

--- a/internal/region/register/replica.go
+++ b/internal/region/register/replica.go
@@ -8,6 +8,9 @@
 	pb "fieldrelay/api/fieldrelay/v1"
 )
 
+// maxCompactedGroups is the maximum number of groups whose events are examined at one tick.
+const maxCompactedGroups = 1024
+
 // Config is the configuration of a Replica.
 type Config struct {
 	Identity string // identity of the machine
@@ -31,6 +34,8 @@
 	registers    map[string]*acceptor // registers by name
 	bytes        int                  // approximate encoded size of all registers
 	sorted       []string             // names in ascending order, as of the last call of names
+	groups       []*acceptor          // registers that hold a group, in the order in which they first did
+	nextGroup    int                  // index in groups at which the next tick begins
 	transfer     transfer
 	lastTransfer TransferSummary
 	// earlyRequests are requests for epochs that this machine has not learnt of yet.
@@ -47,7 +52,8 @@
 	grantedAt time.Duration
 	// eventTimes holds, for each event of a group, the time at which it was accepted here.
 	eventTimes []time.Duration
-	bytes      int // approximate encoded size of the value
+	bytes      int  // approximate encoded size of the value
+	isListed   bool // in Replica.groups
 	// restored holds events that were read from disk and are not part of value yet.
 	restored []*pb.KeyEvent
 }
@@ -172,23 +178,33 @@
 func (r *Replica) discardAll() {
 	r.registers = make(map[string]*acceptor)
 	r.sorted = nil
+	r.groups = nil
+	r.nextGroup = 0
 	r.bytes = 0
 }
 
 // replace replaces the whole state of a register by a received record.
 func (r *Replica) replace(now time.Duration, name string, record *pb.RegisterRecord) {
-	if found := r.registers[name]; found != nil {
-		r.bytes -= len(name) + found.bytes
-		delete(r.registers, name)
-	}
-	r.apply(now, r.register(name), record)
+	found := r.register(name)
+	r.bytes -= found.bytes
+	*found = acceptor{isListed: found.isListed}
+	r.apply(now, found, record)
 }
 
 // apply updates a register from a record.
 func (r *Replica) apply(now time.Duration, found *acceptor, record *pb.RegisterRecord) {
 	before := found.bytes
 	found.apply(now, record)
+	r.changed(found, before)
+}
+
+// changed records that the value of a register may have changed; before is the size of its earlier value.
+func (r *Replica) changed(found *acceptor, before int) {
 	r.bytes += found.bytes - before
+	if found.value.GetGroup() != nil && !found.isListed {
+		found.isListed = true
+		r.groups = append(r.groups, found)
+	}
 }
 
 // shouldAnswer reports whether this machine answers a proposer's request at the given position.
@@ -233,7 +249,7 @@
 	found := r.register(accept.GetName())
 	before := found.bytes
 	outcome, record := found.accept(now, accept)
-	r.bytes += found.bytes - before
+	r.changed(found, before)
 	if outcome == pb.RegisterAccepted_OUTCOME_ACCEPTED {
 		r.compact(now, found)
 	}
@@ -336,13 +352,13 @@
 	return a == b || a.GetRevision() == b.GetRevision() && a.GetName() == b.GetName() && a.GetValue() == b.GetValue()
 }
 
-// compactAll drops the events of all groups that are older than the retention time. Without it, a group that is not
-// written any more would keep its events.
-func (r *Replica) compactAll(now time.Duration) {
-	for _, found := range r.registers {
-		if len(found.eventTimes) > 0 && now-found.eventTimes[0] > r.retention {
-			r.compact(now, found)
-		}
+// compactSome drops the events that are older than the retention time from up to maxCompactedGroups groups, and
+// continues with the others at the next call. Without it, a group that is not written any more would keep its events.
+func (r *Replica) compactSome(now time.Duration) {
+	for range min(len(r.groups), maxCompactedGroups) {
+		r.nextGroup %= len(r.groups)
+		r.compact(now, r.groups[r.nextGroup])
+		r.nextGroup++
 	}
 }
 
--- a/internal/region/register/transfer.go
+++ b/internal/region/register/transfer.go
@@ -103,7 +103,7 @@
 // Tick drops the events that have expired, and requests the registers of the current epoch if this machine is a voter
 // that does not hold them yet.
 func (r *Replica) Tick(now time.Duration) {
-	r.compactAll(now)
+	r.compactSome(now)
 	if !r.isCollecting() {
 		return
 	}
