Bound the configuration as a whole, not only each order

What callers would see: an order takes up to 16 MiB, but amendments added up without a bound. Past 16 MiB no agent that starts takes the configuration in a message, past 32 MiB no control machine does, so that a change is acknowledged and a machine that was away never gets it (CONFIG).

Change: an order that makes the items of the configuration take over 8 MiB in a message is refused with 413 and a *TooLargeError that names both sizes; half of what an agent takes. A larger configuration of an earlier version may still become smaller.

--- a/internal/region/catalog/change_writer.go
+++ b/internal/region/catalog/change_writer.go
@@ -32,6 +32,9 @@
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
+	if err := checkSize(w.snapshot, next); err != nil {
+		return nil, err
+	}
 	w.change.OrderDigest = digest[:]
 	return w.change, nil
 }
--- a/internal/region/catalog/errors.go
+++ b/internal/region/catalog/errors.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// OrderError is the response to an operator's order that makes no change. Only *InvalidError, *ConflictError,
-// *AlreadyExecutedError and *ExecutionUnknownError implement it.
+// OrderError is the response to an operator's order that makes no change. Only *InvalidError, *TooLargeError,
+// *ConflictError, *AlreadyExecutedError and *ExecutionUnknownError implement it.
 type OrderError interface {
 	error
 	// Status returns the HTTP status of the response.
@@ -78,6 +78,21 @@
 	return result
 }
 
+// TooLargeError rejects an order that would make the configuration too large. Unlike the bound on the body of one order,
+// it also bounds what many amendments add up to.
+type TooLargeError struct {
+	Bytes int // encoded size that the configuration would have
+	Limit int // maximum encoded size
+}
+
+// Error names both sizes.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the configuration would take %d bytes, the limit is %d", e.Bytes, e.Limit)
+}
+
+// Status returns 413.
+func (e *TooLargeError) Status() int { return http.StatusRequestEntityTooLarge }
+
 // ConflictError rejects an order that builds on a generation other than the current one and is not a retry of the order
 // that was executed on that generation.
 type ConflictError struct {
--- a/internal/region/catalog/order.go
+++ b/internal/region/catalog/order.go
@@ -10,8 +10,8 @@
 
 // PrepareReplace validates an order that puts a whole configuration in force and returns the change that the order
 // makes to the snapshot. base is the generation that the order builds on, 0 for the first order. The change lists only
-// the items that differ. The error is an OrderError: *AlreadyExecutedError, *ExecutionUnknownError, *ConflictError or
-// *InvalidError.
+// the items that differ. The error is an OrderError: *AlreadyExecutedError, *ExecutionUnknownError, *ConflictError,
+// *InvalidError or *TooLargeError.
 func PrepareReplace(snapshot *Snapshot, base uint64, body []byte) (*pb.Change, error) {
 	return prepare(snapshot, orderReplace, base, body)
 }
--- a/internal/region/control/statelimits_test.go
+++ b/internal/region/control/statelimits_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	pb "fieldrelay/api/fieldrelay/v1"
+	"fieldrelay/internal/region/catalog"
 	"fieldrelay/internal/region/register"
 	"fieldrelay/internal/region/settings"
 )
@@ -69,7 +70,6 @@
 // The machines of the site files, and one whose settings say nothing: the registers can be transferred within sync-s, and
 // two snapshots with the records after them fit on the disk beside a configuration.
 func TestRegisterLimitsFitTheMachine(t *testing.T) {
-	const configurationBytes = 8 << 20
 	for name, own := range map[string]*settings.Settings{
 		"1,000 Mbit/s": {Limits: settings.Limits{MemoryMB: 280, LinkMbps: 1000, DiskMB: 128}, Bounds: settings.Bounds{SyncS: 6}},
 		"700 Mbit/s":   {Limits: settings.Limits{MemoryMB: 280, LinkMbps: 700, DiskMB: 128}, Bounds: settings.Bounds{SyncS: 4}},
@@ -81,7 +81,7 @@
 			transfer := float64(limits.Bytes) / (own.Limits.LinkMbps * 1_000_000 / 8)
 			assert.LessOrEqual(t, transfer, own.Bounds.SyncS/2)
 			most := limits.Bytes + limits.Bytes/8 // with the names that are accepted beyond the limit
-			file := most + most/snapshotShare + configurationBytes
+			file := most + most/snapshotShare + catalog.MaxConfigurationBytes
 			assert.LessOrEqual(t, int64(file), maxRingBytes(own)/ringFiles)
 			assert.Less(t, limits.ValueBytes, limits.Bytes)
 		})
