--- a/internal/region/control/ringwriter.go
+++ b/internal/region/control/ringwriter.go
@@ -39,10 +39,11 @@
 		if !waiting {
 			continue
 		}
-		if !w.write(ctx, batch) {
+		token, ok := w.write(ctx, batch)
+		if !ok {
 			return
 		}
-		w.results.persisted(batch.Token)
+		w.results.persisted(token)
 	}
 }
 
@@ -53,21 +54,25 @@
 	}
 }
 
-// write retries until the batch is on disk; it returns false if ctx ends earlier.
-func (w *ringWriter) write(ctx context.Context, batch Persist) bool {
+// write retries until the batch is on disk, and returns its token; false if ctx ends earlier. Each retry takes up the
+// writes that were queued since: a snapshot among them replaces records for which the file has no room.
+func (w *ringWriter) write(ctx context.Context, batch Persist) (token uint64, ok bool) {
 	for {
 		err := w.writeOnce(&batch)
 		if err == nil {
 			w.counters.writes.Add(1)
-			return true
+			return batch.Token, true
 		}
 		w.counters.failedWrites.Add(1)
 		w.results.failed()
 		select {
 		case <-ctx.Done():
-			return false
+			return 0, false
 		case <-time.After(writeBackoff):
 		}
+		if queued, waiting := w.queue.take(); waiting {
+			batch = mergeWrites(batch, queued)
+		}
 	}
 }
 
--- a/internal/region/control/writequeue.go
+++ b/internal/region/control/writequeue.go
@@ -23,11 +23,12 @@
 
 // put adds a write after the queued writes.
 func (q *writeQueue) put(write Persist) {
+	write = dropCoveredRecords(write)
 	q.mu.Lock()
 	if q.waiting {
 		q.batch = mergeWrites(q.batch, write)
 	} else {
-		q.batch = dropCoveredRecords(write)
+		q.batch = write
 	}
 	q.waiting = true
 	q.mu.Unlock()
@@ -51,10 +52,11 @@
 	return write
 }
 
-// mergeWrites appends a write to a batch; a snapshot replaces all writes before it.
+// mergeWrites appends a later batch to a batch. The records of a batch follow its snapshot, which replaces all writes
+// before it.
 func mergeWrites(batch, next Persist) Persist {
 	if next.Snapshot != nil {
-		return dropCoveredRecords(next)
+		return next
 	}
 	batch.Token = next.Token
 	batch.Records = append(batch.Records, next.Records...)
