--- a/internal/testkit/soak/trouble_test.go
+++ b/internal/testkit/soak/trouble_test.go
@@ -22,6 +22,7 @@
 	wipes       // kills and empties the disk
 	wipesInTurn // kills and empties the disk, machine after machine, each once the one before counts as back
 	series      // stops and lets go on several times, machine after machine, and kills in the end
+	restarts    // ends and starts several times
 	cuts        // links
 	slows       // links
 	delays      // links
@@ -52,6 +53,7 @@
 var kinds = []*kind{
 	{name: "kill control", core: oneControl, does: kills},
 	{name: "restart control", core: oneControl, does: terminates},
+	{name: "series of restarts of control", core: oneControl, does: restarts},
 	{name: "pause control", core: oneControl, does: stops},
 	{name: "wipe control", core: oneControl, does: wipes},
 	{name: "kill all controls", core: allControls, does: kills},
@@ -61,6 +63,7 @@
 	{name: "slow control", core: oneControl, does: slows, covers: ofControl},
 	{name: "kill edge", does: kills},
 	{name: "restart edge", does: terminates},
+	{name: "series of restarts of edge", does: restarts},
 	{name: "pause edge", does: stops},
 	{name: "kill agent", does: kills, spares: roleProxy},
 	{name: "pause agent", does: stops, spares: roleProxy},
--- a/internal/testkit/soak/villain_test.go
+++ b/internal/testkit/soak/villain_test.go
@@ -96,6 +96,9 @@
 		return
 	case series:
 		v.signalSeries(ctx, next.lasts, processes)
+	case restarts:
+		v.restartSeries(ctx, next.lasts, processes)
+		return
 	case stops:
 		each(processes, func(p *process) { p.signal(syscall.SIGSTOP) })
 		v.world.wait(ctx, next.lasts)
@@ -110,11 +113,13 @@
 		each(processes, v.wipe)
 	}
 	v.world.wait(ctx, next.lasts)
-	each(processes, func(p *process) {
-		if err := p.start(); err != nil {
-			v.world.history.fail("%v", err)
-		}
-	})
+	each(processes, v.start)
+}
+
+func (v *villain) start(one *process) {
+	if err := one.start(); err != nil {
+		v.world.history.fail("%v", err)
+	}
 }
 
 // awaitAnswer waits for the next acknowledgement of a call, for some time.
@@ -135,13 +140,23 @@
 		one.kill()
 		v.wipe(one)
 		v.world.wait(ctx, lasts)
-		if err := one.start(); err != nil {
-			v.world.history.fail("%v", err)
-		}
+		v.start(one)
 		v.world.wait(ctx, max(backAfter, one.machine.Bounds.SyncFor()))
 	}
 }
 
+// restartSeries ends processes with SIGTERM and starts them again, several times. A start may be ended before the process
+// is ready.
+func (v *villain) restartSeries(ctx context.Context, lasts time.Duration, processes []*process) {
+	span := lasts / (2 * seriesRounds)
+	for range seriesRounds {
+		each(processes, (*process).terminate)
+		v.world.wait(ctx, span)
+		each(processes, v.start)
+		v.world.wait(ctx, span)
+	}
+}
+
 // signalSeries stops processes and lets them go on, in spans that overlap from one to the next, and kills them while they
 // are stopped for the last time.
 func (v *villain) signalSeries(ctx context.Context, lasts time.Duration, processes []*process) {
