--- a/internal/region/control/trafficclass_test.go
+++ b/internal/region/control/trafficclass_test.go
@@ -30,16 +30,21 @@
 func newDeliveryReceiver(t *testing.T, options ...connect.HandlerOption) *deliveryReceiver {
 	t.Helper()
 	r := &deliveryReceiver{received: make(chan *pb.Message, 16), release: make(chan struct{})}
+	server := httptest.NewServer(r.handler(options...))
+	t.Cleanup(server.Close)
+	r.address = strings.TrimPrefix(server.URL, "http://")
+	return r
+}
+
+// handler returns the handler of a server that passes deliveries to the receiver.
+func (r *deliveryReceiver) handler(options ...connect.HandlerOption) http.Handler {
 	path, handler := fieldrelayv1connect.NewControlPeerHandler(r, options...)
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, func(w http.ResponseWriter, request *http.Request) {
 		request.Body = &countedBody{ReadCloser: request.Body, bytes: &r.bytes}
 		handler.ServeHTTP(w, request)
 	})
-	server := httptest.NewServer(mux)
-	t.Cleanup(server.Close)
-	r.address = strings.TrimPrefix(server.URL, "http://")
-	return r
+	return mux
 }
 
 type countedBody struct {
