Let requests wait for a server as long as their clients do, by rank and slack

What callers saw: while no server had room, a request was refused after a fifth of its route's latency target (100 ms without one), a repeat after half of its time (2.5 s at most), a broken-off stream after a second. Who got a place that came free was left to chance, as each request polled by itself.

Cause: pickServer took its waits from the target and from whether the request seemed to be a repeat; nothing of that is the caller's time.

Change: placement.Place answers with a server, a place in a queue, or a refusal at once. A place that comes free goes by rank, then by least slack; a client that leaves is out of the queue at once. The queue is bounded; when it is full the lowest rank gives way.

--- a/internal/region/placement/admission.go
+++ b/internal/region/placement/admission.go
@@ -67,8 +67,8 @@
 	expected := minExpectedLatency(p.buffers.candidates)
 	wait := expected - idleLatency(owner, &p.buffers.prompt)
 	excess := wait - maxExpectedWait(request.Route.Priority, request.Route.Target)
-	if request.Remaining > 0 {
-		excess = max(excess, expected-request.Remaining)
+	if request.Deadline > 0 {
+		excess = max(excess, now+expected-request.Deadline)
 	}
 	if excess <= 0 || (!p.off(policy.Trickle) && owner.admitTrickle(now, request.Route.Name)) {
 		return nil
--- a/internal/region/placement/candidates.go
+++ b/internal/region/placement/candidates.go
@@ -45,6 +45,7 @@
 	candidates  []candidate
 	walkServers []*server
 	speeds      []float64
+	blocked     []*lane // lanes whose first request found no server
 }
 
 // findCandidates fills the buffers with the candidates for a request and the predictions for them. It returns the best
--- a/internal/region/placement/ejection.go
+++ b/internal/region/placement/ejection.go
@@ -72,8 +72,7 @@
 	if now < s.ejectedUntil || s.trialInFlight {
 		return true
 	}
-	lastAttempt := request.Route != nil && len(request.Excluded)+1 >= request.Route.MaxAttempts
-	return lastAttempt && now < s.ejectedUntil+cautiousTrialPeriod
+	return request.isLastAttempt() && now < s.ejectedUntil+cautiousTrialPeriod
 }
 
 // trialDue reports whether an ejection is over and its only trial request may be sent.
--- a/internal/region/placement/outcome.go
+++ b/internal/region/placement/outcome.go
@@ -129,6 +129,8 @@
 		s.estimate.Observe(now, a.speedSample(now-a.sentAt))
 	}
 	latency := a.startedAt - a.sentAt
+	owner.leastLatency.observe(latency)
+	owner.observeTail(&a.request, now-a.startedAt)
 	owner.typicalOf(s.region == p.region).Observe(now, a.speedSample(latency))
 	if s.region == p.region {
 		owner.observeLatency(latency)
--- a/internal/region/placement/placer.go
+++ b/internal/region/placement/placer.go
@@ -65,6 +65,7 @@
 	pickNumber        uint64          // identifies the pick to which a server's matched prefix belongs
 	listNumber        uint64          // number of the newest server list
 	buffers           pickBuffers
+	waiting           waitQueue
 	stats             Stats
 }
 
@@ -84,6 +85,7 @@
 		attempts:  map[AttemptID]*attempt{},
 		slack:     selection.NewSlack(bands),
 
+		waiting:           newWaitQueue(),
 		prefixCache:       newPrefixCacheIndex(),
 		announcedPrefixes: map[uint32]announcedPrefix{},
 		announcements:     newAnnouncementLimiter(),
--- a/internal/region/placement/request.go
+++ b/internal/region/placement/request.go
@@ -15,7 +15,23 @@
 	PromptTokens    int           // tokens of the whole prompt (X-Fieldrelay-Token-Count, first number); 0: unknown
 	MaxOutputTokens int           // maximum number of tokens to generate (X-Fieldrelay-Token-Count, second number); 0: unknown
 	Arrived         time.Duration // when the client's request was read
-	Remaining       time.Duration // time to the deadline of the client or the route; ignored if not positive
+	Deadline        time.Duration // when the client or the route stops waiting for the answer's end; 0: never
 	IsRetry         bool          // the request appears to be a client's retry of one that was rejected or failed
-	Excluded        []string      // ids of servers to which the request was already sent and must not be sent again
+	// FirstEventDeadline is when the client of a stream gives up if it has received no event until then; 0: never.
+	FirstEventDeadline time.Duration
+	Excluded           []string // ids of servers to which the request was already sent and must not be sent again
+}
+
+// rank returns the rank that the operator gives the request's route. 0 is the highest, and that of a request without a
+// route.
+func (r *Request) rank() int {
+	if r.Route == nil {
+		return 0
+	}
+	return r.Route.Priority
+}
+
+// isLastAttempt reports whether the route allows no further attempt after the next one.
+func (r *Request) isLastAttempt() bool {
+	return r.Route != nil && len(r.Excluded)+1 >= r.Route.MaxAttempts
 }
--- a/internal/region/placement/stats.go
+++ b/internal/region/placement/stats.go
@@ -12,6 +12,8 @@
 	AnnouncementsReceived uint64                 // announcements received from other proxies
 	FailureReports        uint64                 // failure reports received from other proxies
 	Overloaded            uint64                 // requests that Admit rejected
+	TooLate               uint64                 // requests that could not be answered in the time of their client
+	Waited                uint64                 // requests that waited for a server
 	InTime                uint64                 // requests answered in time
 	Late                  uint64                 // requests answered late or not at all
 	NoServer              [ReasonFull + 1]uint64 // picks without a server, by reason
--- a/internal/region/proxy/dispatcher.go
+++ b/internal/region/proxy/dispatcher.go
@@ -22,7 +22,10 @@
 	AnnouncementReceived(now time.Duration, announcement placement.Announcement)
 	FailureReported(now time.Duration, serverID, zone string)
 	Admit(now time.Duration, request *placement.Request) error
-	Pick(now time.Duration, request *placement.Request) (placement.Decision, error)
+	Place(now time.Duration, request *placement.Request) (placement.Placement, *placement.Assignment, error)
+	Advance(now time.Duration) []placement.Assignment
+	Withdraw(now time.Duration, id placement.WaitID) (withdrawn bool, reason error)
+	NextCheck() (at time.Duration, ok bool)
 	StillAllowed(now time.Duration, attempt placement.AttemptID) bool
 	Started(now time.Duration, attempt placement.AttemptID)
 	Finished(now time.Duration, attempt placement.AttemptID, outcome placement.Outcome)
@@ -35,10 +38,11 @@
 // runs under the same lock and reads the clock within it, so that the times passed to the placer and the budget never
 // decrease. A dispatcher is safe for concurrent use.
 type dispatcher struct {
-	mu     sync.Mutex
-	start  time.Time
-	placer placer
-	budget *limits.RetryBudget
+	mu      sync.Mutex
+	start   time.Time
+	placer  placer
+	budget  *limits.RetryBudget
+	waiting waitingRequests
 	// consecutiveCloses is the number of consecutive responses with Connection: close, by server id.
 	consecutiveCloses map[string]int
 	// lastReport is the time of the last failure report about a server, by server id.
@@ -53,7 +57,7 @@
 const drainingCloses = 2
 
 func newDispatcher(placer placer, budget *limits.RetryBudget) *dispatcher {
-	return &dispatcher{start: time.Now(), placer: placer, budget: budget, consecutiveCloses: make(map[string]int), lastReport: make(map[string]time.Duration)}
+	return &dispatcher{start: time.Now(), placer: placer, budget: budget, waiting: newWaitingRequests(), consecutiveCloses: make(map[string]int), lastReport: make(map[string]time.Duration)}
 }
 
 // now returns the time since start, which the placer and the budget use as their clock. The caller holds the lock, so
@@ -72,14 +76,6 @@
 	return d.placer.Admit(now, request)
 }
 
-func (d *dispatcher) pick(request *placement.Request, deadline time.Time) (placement.Decision, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.now()
-	request.Remaining = d.at(deadline) - now
-	return d.placer.Pick(now, request)
-}
-
 func (d *dispatcher) stillAllowed(attempt placement.AttemptID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,6 +92,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.placer.Finished(d.now(), attempt, outcome)
+	d.advance()
 }
 
 func (d *dispatcher) requestDone(request *placement.Request, answered bool, latency time.Duration) {
@@ -152,6 +149,7 @@
 	now := d.now()
 	d.placer.SetTable(now, table)
 	d.placer.SetEvacuated(now, table.Evacuated())
+	d.advance()
 }
 
 func (d *dispatcher) setServers(list *pb.ServerList) {
@@ -161,6 +159,7 @@
 	d.expireReports()
 	age := time.Duration(list.GetAgeMs()) * time.Millisecond
 	d.placer.SetServers(d.now(), list.GetServers(), age)
+	d.advance()
 }
 
 // announcementReceived implements announcementHandler.
@@ -175,6 +174,7 @@
 	defer d.mu.Unlock()
 	d.placer.SetQuotaMembers(d.now(), members)
 	d.budget.SetQuotaMembers(members)
+	d.advance()
 }
 
 // failureReported implements announcementHandler.
--- a/internal/region/proxy/exchange.go
+++ b/internal/region/proxy/exchange.go
@@ -23,6 +23,7 @@
 	route     *route.Route
 	placement placement.Request
 	body      *chargedBuffer // nil if the request has no body
+	arrivedAt time.Time      // arrival of the request
 	readyAt   time.Time      // arrival of the request, or the end of its startup wait
 	deadline  time.Time
 
--- a/internal/region/proxy/handler.go
+++ b/internal/region/proxy/handler.go
@@ -75,6 +75,7 @@
 		route:     matched,
 		placement: placementRequest(request.Header, matched, h.random(), h.dispatcher.at(received.readyAt)),
 		body:      received.body,
+		arrivedAt: arrived,
 		readyAt:   received.readyAt,
 		deadline:  received.deadline,
 		attempts:  attemptLog{idempotent: matched.IsIdempotent(), maxAttempts: max(matched.MaxAttempts, 1)},
--- a/internal/region/proxy/stream.go
+++ b/internal/region/proxy/stream.go
@@ -21,12 +21,13 @@
 // clientStream is a client's response that consists of server-sent events. They come from one server or, if the route
 // permits resuming the stream, from several servers in turn.
 type clientStream struct {
-	writer    http.ResponseWriter
-	flusher   http.Flusher
-	scanner   *eventScanner
-	resumable bool // the route permits resuming the stream
-	eventSent bool // an event was sent to the client
-	resuming  bool // the next event must have a later id than the last event sent
+	writer      http.ResponseWriter
+	flusher     http.Flusher
+	scanner     *eventScanner
+	resumable   bool      // the route permits resuming the stream
+	eventSent   bool      // an event was sent to the client
+	lastEventAt time.Time // when the last event was sent to the client
+	resuming    bool      // the next event must have a later id than the last event sent
 }
 
 // canResume reports whether another server can continue the stream after the last event sent. If that event had no id,
@@ -160,7 +161,7 @@
 		a.handler.dispatcher.started(a.decision.Attempt)
 	}
 	a.eventForwarded = true
-	stream.eventSent = true
+	stream.eventSent, stream.lastEventAt = true, time.Now()
 	return nil
 }
 
--- a/internal/region/route/route.go
+++ b/internal/region/route/route.go
@@ -49,6 +49,23 @@
 	return r.Kind == KindIdempotent || (r.Kind == KindStreaming && r.Resumable)
 }
 
+// Clients give up a stream after a silence of the longest of minSilenceLimit, silencePerTarget times the latency target
+// and silencePerGap times the event gap target (the operators' page PROTOCOL, Requests).
+const (
+	minSilenceLimit  = 2 * time.Second
+	silencePerTarget = 4
+	silencePerGap    = 8
+)
+
+// SilenceLimit returns the silence after which a client gives up a stream, also before the first event. limited is
+// false if the route's answers are no streams.
+func (r *Route) SilenceLimit() (limit time.Duration, limited bool) {
+	if r.Kind != KindStreaming {
+		return 0, false
+	}
+	return max(minSilenceLimit, silencePerTarget*r.Target, silencePerGap*r.EventGapTarget), true
+}
+
 // AllowsRegion reports whether the route's requests may be served in a region.
 func (r *Route) AllowsRegion(region string) bool {
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
