Age averages by math.Expm1, which gives the same bits on x86-64 and on arm64

Change: -math.Expm1(-x), the same value, more exact for small x, and plain Go on both.

Measured: on this arm64 machine go test of selection, logic, placement, emulate passes. Not run on x86-64.

--- a/internal/common/selection/estimate.go
+++ b/internal/common/selection/estimate.go
@@ -23,7 +23,7 @@
 const maxAlphaDown = 0.5
 
 // Alpha is the weight, from 0 to 1, of a sample that comes gap after the last one: 1 - exp(-gap/δ).
-func Alpha(gap time.Duration) float64 { return 1 - math.Exp(-float64(gap)/float64(TimeConstant)) }
+func Alpha(gap time.Duration) float64 { return -math.Expm1(-float64(gap) / float64(TimeConstant)) }
 
 // Estimate is the aged EWMA of one server's speed. Its zero value is not seeded. A sample is the work of a
 // request (its cost hint in seconds, or 1) divided by the seconds to its answer, or 0 for a failure.
