Tell servers the ranks of the operator instead of the lengths of prompts

What callers saw: at a server a request of the highest rank with a long prompt was started after short ones of any rank, and of the ranks only 0 and the rest were told apart.

Cause: serverPriority ordered by thresholds of tokens to prefill, and within a step by min(rank, 1).

Change: the Priority header is the route's rank, within its range 0 to 9.

--- a/internal/region/proxy/attempt.go
+++ b/internal/region/proxy/attempt.go
@@ -84,11 +84,11 @@
 func (x *exchange) isCanceled() bool { return x.request.Context().Err() != nil }
 
 // serverPriority returns the value of the Priority header of the request to a server.
-func (x *exchange) serverPriority(decision placement.Decision) int {
+func (x *exchange) serverPriority() int {
 	if x.handler.disabled.Off(policy.Priorities) {
 		return defaultPriority
 	}
-	return serverPriority(x.route.Priority, x.placement.PromptTokens, decision.PrefillTokens)
+	return serverPriority(x.route.Priority)
 }
 
 // send writes the request to a connection and receives the head of the response. The connection refers to the
@@ -104,7 +104,7 @@
 		attemptID:  x.attemptID,
 		remaining:  x.remaining(),
 		serverID:   decision.ServerID,
-		priority:   x.serverPriority(decision),
+		priority:   x.serverPriority(),
 		sendLength: x.request.ContentLength == 0 && len(x.request.Header["Content-Length"]) > 0,
 	}
 	var body []byte
