Take the time-outs of connections from the way to the server and the client's time

What callers saw: a connection to a server had a quarter of the route's latency target to come up, sent data half of it to be acknowledged, so the same dead machine held a request longer the longer its target was; a request that runs once was ended after 2 s without an acknowledgement, though it can be sent nowhere else and its client waits on.

Cause: connectTimeouts took shares of the target, within bounds.

Change: the time until a connection comes up is measured for each region as TCP does it (RFC 6298: mean and four mean deviations), between Linux's least retransmission time-out (200 ms) and the RFC's initial one (1 s). Data of a request that may be sent twice has three of them, which covers one lost packet; data of one that runs once has as long as the client waits (for a stream the silence that the client bears).

--- a/internal/region/proxy/attempt.go
+++ b/internal/region/proxy/attempt.go
@@ -22,8 +22,7 @@
 	if err != nil {
 		return x.noServer(err)
 	}
-	server := upstream.Server{ID: decision.ServerID, Address: decision.Address}
-	conn, err := x.handler.pool.Connect(x.request.Context(), server, x.connectTimeouts(), x.deadline)
+	conn, err := x.connect(decision)
 	if err != nil {
 		return x.recordFailure(decision, err, true)
 	}
@@ -44,40 +43,46 @@
 	return open.receive()
 }
 
-const (
-	// A dial may take 1/dialFraction of the route's latency target, clamped to minDialTimeout and maxDialTimeout.
-	// Nothing has been sent by then, so another server can be tried without the risk of a second execution.
-	dialFraction   = 4
-	minDialTimeout = 150 * time.Millisecond
-	maxDialTimeout = 300 * time.Millisecond
-	// Sent data may stay unacknowledged by the server's machine for 1/unacknowledgedFraction of the latency target,
-	// clamped to minUnacknowledged and maxUnacknowledged, before an idempotent request is sent to another server.
-	unacknowledgedFraction = 2
-	minUnacknowledged      = 300 * time.Millisecond
-	maxUnacknowledged      = time.Second
-	// unacknowledgedNonIdempotent is the corresponding time-out for a request that may run only once. The response to
-	// such a request may still arrive, but clients don't wait longer than this without receiving a byte.
-	unacknowledgedNonIdempotent = 2 * time.Second
-)
-
-// connectTimeouts returns the TCP time-outs after which the server's machine counts as unreachable. With the
-// reachability watch disabled, only the request's deadline applies.
-func (x *exchange) connectTimeouts() upstream.DialTimeouts {
+// connectTimeouts returns the TCP time-outs after which a server's machine counts as unreachable. They follow from the
+// way to the region: while nothing has been sent, and also if the request may be sent twice, another server is tried once
+// an acknowledgement is overdue. A request that may run only once can't be sent anywhere else, so its server has the time
+// that the client has. With the reachability watch disabled, only the request's deadline applies.
+func (x *exchange) connectTimeouts(region string) upstream.DialTimeouts {
 	if x.handler.disabled.Off(policy.ReachabilityWatch) {
 		return upstream.DialTimeouts{Dial: x.remaining(), Unacknowledged: x.remaining()}
 	}
-	target := x.route.Target
-	if target <= 0 {
-		target = maxUnacknowledged
+	timeout := x.handler.roundTrips.retransmitTimeout(region)
+	timeouts := upstream.DialTimeouts{Dial: timeout, Unacknowledged: lossTimeouts * timeout}
+	if !x.attempts.idempotent {
+		timeouts.Unacknowledged = x.clientWaits()
 	}
-	timeouts := upstream.DialTimeouts{
-		Dial:           min(max(target/dialFraction, minDialTimeout), maxDialTimeout),
-		Unacknowledged: unacknowledgedNonIdempotent,
+	return timeouts
+}
+
+// clientWaits returns how much longer the client waits if it receives nothing.
+func (x *exchange) clientWaits() time.Duration {
+	if end, limited := x.silenceEnd(); limited {
+		return time.Until(earlier(end, x.deadline))
 	}
-	if x.attempts.idempotent {
-		timeouts.Unacknowledged = min(max(target/unacknowledgedFraction, minUnacknowledged), maxUnacknowledged)
+	return x.remaining()
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return timeouts
+	return b
+}
+
+// connect returns a connection to the server of a decision.
+func (x *exchange) connect(decision placement.Decision) (*upstream.Conn, error) {
+	server := upstream.Server{ID: decision.ServerID, Address: decision.Address}
+	began := time.Now()
+	conn, err := x.handler.pool.Connect(x.request.Context(), server, x.connectTimeouts(decision.Region), x.deadline)
+	if err == nil && !conn.Reused() {
+		x.handler.roundTrips.observe(decision.Region, time.Since(began))
+	}
+	return conn, err
 }
 
 // isCanceled reports whether the client has closed its connection or the process is aborting its requests.
--- a/internal/region/proxy/handler.go
+++ b/internal/region/proxy/handler.go
@@ -21,6 +21,7 @@
 	dispatcher *dispatcher
 	announcer  *announcer // nil if announcements are disabled
 	pool       *upstream.Pool
+	roundTrips *roundTrips
 	memory     *memoryLimit
 	counters   *counters
 	random     func() float64 // uniform in [0, 1)
--- a/internal/region/proxy/process.go
+++ b/internal/region/proxy/process.go
@@ -160,6 +160,7 @@
 		dispatcher: p.dispatcher,
 		announcer:  p.announcer,
 		pool:       p.pool,
+		roundTrips: newRoundTrips(),
 		memory:     p.memory,
 		counters:   p.counters,
 		random:     rand.Float64,
--- a/internal/region/proxy/testproxy_test.go
+++ b/internal/region/proxy/testproxy_test.go
@@ -289,6 +289,7 @@
 		snapshots:  newSnapshotStore(),
 		dispatcher: dispatcher,
 		pool:       upstream.NewPool(upstream.Config{}),
+		roundTrips: newRoundTrips(),
 		memory:     newMemoryLimit(16 << 20),
 		counters:   &counters{},
 		random:     func() float64 { return 0.5 },
