--- a/internal/region/proxy/snapshot.go
+++ b/internal/region/proxy/snapshot.go
@@ -170,6 +170,24 @@
 	return arrived.Add(clientTimeout(request.Header))
 }
 
+// giveUpTime returns when the client of a request gives up if it receives nothing: at its deadline, or if the route is known
+// to answer by a stream, after the silence that it bears. A client that tells no deadline, and whose route is not known
+// yet, may bear no longer silence than the shortest one.
+func (s *snapshot) giveUpTime(request *http.Request, target string, arrived time.Time) time.Time {
+	deadline := s.deadlineOf(request, target, arrived)
+	matched, ok := s.table.Lookup(request.Host, pathOf(target))
+	if !ok {
+		if len(request.Header[headerDeadline]) == 0 {
+			return arrived.Add(route.MinSilenceLimit)
+		}
+		return deadline
+	}
+	if limit, limited := matched.SilenceLimit(); limited {
+		return earlier(arrived.Add(limit), deadline)
+	}
+	return deadline
+}
+
 // waitFor returns the snapshot in force as soon as it meets a condition. It returns the snapshot in any case when the
 // given end is reached or the context is done.
 func (s *snapshotStore) waitFor(ctx context.Context, end time.Time, condition func(*snapshot) bool) *snapshot {
--- a/internal/region/route/route.go
+++ b/internal/region/route/route.go
@@ -49,10 +49,12 @@
 	return r.Kind == KindIdempotent || (r.Kind == KindStreaming && r.Resumable)
 }
 
-// Clients give up a stream after a silence of the longest of minSilenceLimit, silencePerTarget times the latency target
+// MinSilenceLimit is the shortest silence after which a client gives up a stream.
+const MinSilenceLimit = 2 * time.Second
+
+// Clients give up a stream after a silence of the longest of MinSilenceLimit, silencePerTarget times the latency target
 // and silencePerGap times the event gap target (the operators' page PROTOCOL, Requests).
 const (
-	minSilenceLimit  = 2 * time.Second
 	silencePerTarget = 4
 	silencePerGap    = 8
 )
@@ -63,7 +65,7 @@
 	if r.Kind != KindStreaming {
 		return 0, false
 	}
-	return max(minSilenceLimit, silencePerTarget*r.Target, silencePerGap*r.EventGapTarget), true
+	return max(MinSilenceLimit, silencePerTarget*r.Target, silencePerGap*r.EventGapTarget), true
 }
 
 // AllowsRegion reports whether the route's requests may be served in a region.
