Accept requests during a shutdown as long as they can be finished

Cause: maxUncheckedAccept follows from what the rule forgives, not from whether the request can be finished.

Change: a request is accepted if its deadline comes before requests are canceled. As long as clients can't know of the shutdown (the directory's answer holds for a second, and it names the proxy for half a second more), it is enough that the longest of the route's recent requests would end in time, as measured. Others are refused at once, which promises that they did not run, with time left for another proxy. The constant 3.5 s is written as what it is: three times the directory's ttl-s, which some clients keep an address, and that half second.

It takes the place of TestLateRequestOfADrainIsAcceptedOnlyIfItEndsInTime and has its cases. TestRequestsThatMayBeAbortedAreSentEarly keeps the rule's bound of 3 s for any grace period.

--- a/internal/region/proxy/admission_test.go
+++ b/internal/region/proxy/admission_test.go
@@ -48,26 +48,36 @@
 	}
 }
 
-// A request that was sent more than 3 s after SIGTERM and is aborted at the end of the shutdown counts as lost. Late
-// requests are therefore accepted only if their deadline is before the abort.
-func TestLateRequestOfADrainIsAcceptedOnlyIfItEndsInTime(t *testing.T) {
+// During a shutdown a request is accepted only if it can be finished before requests are canceled. The others are refused at
+// once, with time left for another proxy.
+func TestRequestOfADrainIsAcceptedOnlyIfItCanBeFinished(t *testing.T) {
 	const route = 4 * time.Second // the deadline of /m/
 	now := time.Now()
+	unaware, aware := now.Add(time.Hour), now
 	cases := map[string]struct {
 		times    drainTimes
+		measured time.Duration // of the route; 0: not measured
 		headers  string
 		accepted bool
 	}{
-		"early":                        {drainTimes{now.Add(time.Hour), now}, "", true},
-		"late":                         {drainTimes{now, now.Add(route / 2)}, "", false},
-		"late, with a short deadline":  {drainTimes{now, now.Add(route / 2)}, headerDeadline + ": 1000\r\n", true},
-		"late, with a longer deadline": {drainTimes{now, now.Add(route / 2)}, headerDeadline + ": 9000\r\n", false},
-		"late, long before the abort":  {drainTimes{now, now.Add(time.Hour)}, "", true},
+		"measured, ends before the abort":            {drainTimes{unaware, now.Add(route / 2)}, time.Second, "", true},
+		"measured, ends after the abort":             {drainTimes{unaware, now.Add(route / 2)}, 3 * time.Second, "", false},
+		"not measured, deadline after the abort":     {drainTimes{unaware, now.Add(route / 2)}, 0, "", false},
+		"early, deadline before the abort":           {drainTimes{unaware, now.Add(time.Hour)}, 0, "", true},
+		"late, though it is expected to end in time": {drainTimes{aware, now.Add(route / 2)}, time.Second, "", false},
+		"late, with a short deadline":                {drainTimes{aware, now.Add(route / 2)}, 0, headerDeadline + ": 1000\r\n", true},
+		"late, with a longer deadline":               {drainTimes{aware, now.Add(route / 2)}, 0, headerDeadline + ": 9000\r\n", false},
+		"late, deadline long before the abort":       {drainTimes{aware, now.Add(time.Hour)}, 0, "", true},
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
 			server := newFakeServer(t, "i-1", ok("ok"))
 			r := newTestProxy(t, server)
+			if one.measured > 0 {
+				found, known := r.handler.snapshots.load().table.Lookup("h.example", "/m/x")
+				require.True(t, known)
+				r.handler.durations.observe(found.Name, one.measured)
+			}
 			r.handler.lifecycle.drain(one.times)
 			c := r.dial()
 			c.send("POST", "/m/x", one.headers, "body")
@@ -86,17 +96,39 @@
 	}
 }
 
-// Requests that are accepted regardless of their deadline must have been sent within the first 3 s of the shutdown, since
-// docs/region/rules.md permits aborting only these. This must hold for any grace period.
+// Requests that are accepted although their deadline comes after the abort must have been sent within the first 3 s of the
+// shutdown, since docs/region/rules.md permits aborting only these. This must hold for any grace period.
 func TestRequestsThatMayBeAbortedAreSentEarly(t *testing.T) {
 	const forgiven = 3 * time.Second
 	for grace := 100 * time.Millisecond; grace < 2*time.Minute; grace += 100 * time.Millisecond {
 		plan := planDrain(grace)
-		require.Less(t, plan.deadlineCheck, forgiven)
-		require.LessOrEqual(t, plan.deadlineCheck, plan.reject)
+		require.Less(t, plan.unaware, forgiven)
+		require.LessOrEqual(t, plan.unaware, plan.reject)
 		require.LessOrEqual(t, plan.reject, plan.abort)
 		require.Less(t, plan.abort, grace)
+		times := plan.start(time.Time{})
+		abort, never := time.Time{}.Add(plan.abort), time.Time{}.Add(time.Hour)
+		require.False(t, times.accepts(time.Time{}, abort, never), "a request that is not expected to end before the abort")
+	}
+}
+
+// A route's duration is that of the longest recent requests, and falls slowly when they have become shorter.
+func TestRouteDurations(t *testing.T) {
+	durations := newRouteDurations()
+	now := time.Now()
+	deadline := now.Add(10 * time.Second)
+	require.Equal(t, deadline, durations.expectedEnd("r", now, deadline), "nothing is known")
+	durations.observe("r", 6*time.Second)
+	for range 100 {
+		durations.observe("r", time.Second)
+	}
+	require.Greater(t, durations.expectedEnd("r", now, deadline).Sub(now), 4*time.Second)
+	for range 2000 {
+		durations.observe("r", time.Second)
 	}
+	require.Less(t, durations.expectedEnd("r", now, deadline).Sub(now), 1100*time.Millisecond)
+	durations.observe("r", time.Minute)
+	require.Equal(t, deadline, durations.expectedEnd("r", now, deadline))
 }
 
 // The protocol's own headers are forwarded even if a Connection header names them.
--- a/internal/region/proxy/drain.go
+++ b/internal/region/proxy/drain.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// maxDrainAccept is how long requests are accepted during a shutdown. Clients may keep the proxy's address for up
-	// to three times the directory's time to live.
-	maxDrainAccept = 3500 * time.Millisecond
-	// maxUncheckedAccept is how long requests are accepted regardless of their deadline. docs/region/rules.md permits
-	// aborting requests that were sent up to 3 s after SIGTERM; the other 200 ms cover the delivery of the signal.
-	maxUncheckedAccept = 2800 * time.Millisecond
+	// directoryTTL is the time for which the directory tells clients to keep a proxy's address, and directoryTTLFactor the
+	// multiple of it for which some clients do (the operators' page PROTOCOL, Ingress).
+	directoryTTL       = time.Second
+	directoryTTLFactor = 3
+	// shutdownNotice is the time until the directory stops naming a proxy that shuts down.
+	shutdownNotice = 500 * time.Millisecond
+	// maxDrainAccept is how long clients may still have the address of a proxy that shuts down.
+	maxDrainAccept = directoryTTLFactor*directoryTTL + shutdownNotice
 	// inFlightReserve is the part of the grace period that is reserved for finishing accepted requests.
 	inFlightReserve = 2500 * time.Millisecond
 	// exitReserve is the part of the grace period that is reserved for the exit of the process.
@@ -22,29 +24,37 @@
 // drainPollInterval is the interval of the checks for open connections during a shutdown.
 const drainPollInterval = 10 * time.Millisecond
 
-// drainPlan is the schedule of a graceful shutdown, as times since its start.
+// drainPlan is the schedule of a graceful shutdown, as times since its start. It says which requests can be finished; see
+// drainTimes.accepts.
 type drainPlan struct {
-	deadlineCheck time.Duration // after this time, a request is accepted only if its deadline is before abort
-	reject        time.Duration // after this time, new requests are rejected
-	abort         time.Duration // at this time, requests in flight are canceled
-}
-
-// start returns the times for a shutdown that begins at the given time.
-func (p drainPlan) start(start time.Time) drainTimes {
-	return drainTimes{deadlineCheck: start.Add(p.deadlineCheck), abort: start.Add(p.abort)}
+	unaware time.Duration // until this time, clients are told the address that have not tried another proxy
+	reject  time.Duration // after this time, new requests are rejected
+	abort   time.Duration // at this time, requests in flight are canceled
 }
 
 // planDrain divides a grace period into the phases of a shutdown.
 func planDrain(grace time.Duration) drainPlan {
 	abort := max(grace-exitReserve, grace/2)
 	reject := min(maxDrainAccept, max(grace-inFlightReserve, grace/3))
-	return drainPlan{deadlineCheck: min(maxUncheckedAccept, reject), reject: reject, abort: abort}
+	return drainPlan{unaware: min(directoryTTL+shutdownNotice, reject), reject: reject, abort: abort}
+}
+
+// start returns the times for a shutdown that begins at the given time.
+func (p drainPlan) start(start time.Time) drainTimes {
+	return drainTimes{unaware: start.Add(p.unaware), abort: start.Add(p.abort)}
 }
 
 // drainTimes are the points in time of a shutdown that has begun; see drainPlan.
-type drainTimes struct {
-	deadlineCheck time.Time // after this time, a request is accepted only if its deadline is before abort
-	abort         time.Time // at this time, requests in flight are canceled
+type drainTimes struct{ unaware, abort time.Time }
+
+// accepts reports whether a request that arrives at a time during the shutdown is accepted, given when it is expected to
+// end and when it ends at the latest. A request is accepted if it certainly ends before requests are canceled. The others
+// can still be served by another proxy. Only as long as clients can't know of the shutdown, the expectation is enough.
+func (t *drainTimes) accepts(now, expectedEnd, deadline time.Time) bool {
+	if deadline.Before(t.abort) {
+		return true
+	}
+	return now.Before(t.unaware) && expectedEnd.Before(t.abort)
 }
 
 // drain shuts the process down gracefully. It accepts requests for as long as clients may still have its address, then
--- a/internal/region/proxy/exchange.go
+++ b/internal/region/proxy/exchange.go
@@ -83,6 +83,7 @@
 	if x.tooLate {
 		return
 	}
+	x.handler.durations.observe(x.route.Name, time.Since(x.arrivedAt))
 	latency := time.Since(x.readyAt)
 	if !x.firstByte.IsZero() {
 		latency = x.firstByte.Sub(x.readyAt)
--- a/internal/region/proxy/handler.go
+++ b/internal/region/proxy/handler.go
@@ -22,6 +22,7 @@
 	announcer  *announcer // nil if announcements are disabled
 	pool       *upstream.Pool
 	roundTrips *roundTrips
+	durations  *routeDurations
 	memory     *memoryLimit
 	counters   *counters
 	random     func() float64 // uniform in [0, 1)
@@ -62,7 +63,8 @@
 	if err != nil {
 		return nil, rejectionOf(err)
 	}
-	if !h.lifecycle.accepts(time.Now(), received.deadline) {
+	now := time.Now()
+	if !h.lifecycle.accepts(now, h.durations.expectedEnd(received.route.Name, now, received.deadline), received.deadline) {
 		received.body.free()
 		return nil, drainRejection
 	}
--- a/internal/region/proxy/lifecycle.go
+++ b/internal/region/proxy/lifecycle.go
@@ -34,12 +34,11 @@
 	l.enter(phaseDraining)
 }
 
-// accepts reports whether a request with the given deadline is accepted. Just after the start of the shutdown all
-// requests are, because clients can't know of the shutdown yet. Later requests must not be aborted, and so their
-// deadline has to be before the time when requests in flight are canceled.
-func (l *lifecycle) accepts(now, deadline time.Time) bool {
+// accepts reports whether a request that arrives now is accepted, given when it is expected to end and when it ends at the
+// latest; see drainTimes.accepts.
+func (l *lifecycle) accepts(now, expectedEnd, deadline time.Time) bool {
 	times := l.drainTimes.Load()
-	return times == nil || now.Before(times.deadlineCheck) || deadline.Before(times.abort)
+	return times == nil || times.accepts(now, expectedEnd, deadline)
 }
 
 // draining reports whether the shutdown has begun.
--- a/internal/region/proxy/process.go
+++ b/internal/region/proxy/process.go
@@ -161,6 +161,7 @@
 		announcer:  p.announcer,
 		pool:       p.pool,
 		roundTrips: newRoundTrips(),
+		durations:  newRouteDurations(),
 		memory:     p.memory,
 		counters:   p.counters,
 		random:     rand.Float64,
--- a/internal/region/proxy/pure_test.go
+++ b/internal/region/proxy/pure_test.go
@@ -174,9 +174,9 @@
 }
 
 func TestPlanDrain(t *testing.T) {
-	require.Equal(t, drainPlan{deadlineCheck: 2800 * time.Millisecond, reject: 3500 * time.Millisecond, abort: 7500 * time.Millisecond}, planDrain(8*time.Second))
-	require.Equal(t, drainPlan{deadlineCheck: 1500 * time.Millisecond, reject: 1500 * time.Millisecond, abort: 3500 * time.Millisecond}, planDrain(4*time.Second))
-	require.Equal(t, drainPlan{deadlineCheck: 300 * time.Millisecond, reject: 300 * time.Millisecond, abort: 450 * time.Millisecond}, planDrain(900*time.Millisecond))
+	require.Equal(t, drainPlan{unaware: 1500 * time.Millisecond, reject: 3500 * time.Millisecond, abort: 7500 * time.Millisecond}, planDrain(8*time.Second))
+	require.Equal(t, drainPlan{unaware: 1500 * time.Millisecond, reject: 1500 * time.Millisecond, abort: 3500 * time.Millisecond}, planDrain(4*time.Second))
+	require.Equal(t, drainPlan{unaware: 300 * time.Millisecond, reject: 300 * time.Millisecond, abort: 450 * time.Millisecond}, planDrain(900*time.Millisecond))
 }
 
 // splitEvents scans data in pieces of the given sizes and returns the complete events.
--- a/internal/region/proxy/testproxy_test.go
+++ b/internal/region/proxy/testproxy_test.go
@@ -290,6 +290,7 @@
 		dispatcher: dispatcher,
 		pool:       upstream.NewPool(upstream.Config{}),
 		roundTrips: newRoundTrips(),
+		durations:  newRouteDurations(),
 		memory:     newMemoryLimit(16 << 20),
 		counters:   &counters{},
 		random:     func() float64 { return 0.5 },
