Let a higher rank try the servers while lower ranks wait; count other proxies too

What callers saw: a request of the highest rank joined the queue behind the first request of its lane without a look at the servers, though it would wait behind fewer requests there. In a long overload all proxies sent at once when a measured queue had drained.

Cause: Place assumed that no server can take a request if none could take the first one that waits; since queues are measured by rank, that holds only for a request that is served after it. queueDelay knew the prompts of this proxy alone.

Change: a request that is served before the first one of its lane is tried at once. The prompts that are being sent count times the number of proxies of the region.

Evidence: TestQueuesOfLowerRanksHoldNobodyUp with greeting before help fails before (help waits).

--- a/internal/region/placement/queuedelay.go
+++ b/internal/region/placement/queuedelay.go
@@ -108,7 +108,7 @@
 	latest := p.latestStart(request)
 	for i := range p.buffers.candidates {
 		s := p.buffers.candidates[i].server
-		delay := s.queueDelay(now, request)
+		delay := p.queueDelay(now, s, request)
 		if delay <= p.ownLatency(s, &p.buffers.prompt) && now+delay <= latest {
 			return false
 		}
@@ -116,12 +116,14 @@
 	return true
 }
 
-// queueDelay returns how long a request sent to the server now is expected to wait in addition to its own work: for the
-// queue that the last answers showed, and at least for the prompts that this proxy has sent.
-func (s *server) queueDelay(now time.Duration, request *Request) time.Duration {
+// queueDelay returns how long a request sent to a server now is expected to wait in addition to its own work: for the
+// queue that the last answers showed, and at least for the prompts that are being sent. Of these a proxy knows its own;
+// the other proxies of the region are assumed to send as many.
+func (p *Placer) queueDelay(now time.Duration, s *server, request *Request) time.Duration {
 	delay := s.queues.delay(now, request)
 	if s.service.servesModel() {
-		delay = max(delay, s.service.prefill.duration(s.queuedPrefillTokens))
+		tokens := s.queuedPrefillTokens * max(p.regionProxies, 1)
+		delay = max(delay, s.service.prefill.duration(tokens))
 	}
 	return delay
 }
--- a/internal/region/placement/queuedelay_test.go
+++ b/internal/region/placement/queuedelay_test.go
@@ -48,10 +48,13 @@
 func TestQueuesOfLowerRanksHoldNobodyUp(t *testing.T) {
 	f := newFixture(t, 0, westAndEast())
 	f.answerAfter(time.Second, routeGreeting)
-	for name, waits := range map[string]bool{routeHelp: false, routeGreeting: true} {
-		placed, _, err := f.p.Place(f.now, f.request(name, PromptChunk{2, 172}, PromptChunk{9, 543}))
+	for _, one := range []struct {
+		route string
+		waits bool
+	}{{routeGreeting, true}, {routeHelp, false}, {routeGreeting, true}, {routeSummary, false}} {
+		placed, _, err := f.p.Place(f.now, f.request(one.route, PromptChunk{2, 172}, PromptChunk{9, 543}))
 		require.NoError(t, err)
-		require.Equal(t, waits, placed.Wait != 0, name)
+		require.Equal(t, one.waits, placed.Wait != 0, one.route)
 	}
 }
 
--- a/internal/region/placement/waiting.go
+++ b/internal/region/placement/waiting.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return Placement{}, nil, err
 	}
-	if joined := p.waiting.laneOf(request); joined != nil {
+	if joined := p.waiting.laneOf(request); joined != nil && joined.isServedBefore(request, latest) {
 		// The first request of the lane found no server when Advance was last called.
 		return p.wait(now, request, latest, joined.reason)
 	}
--- a/internal/region/placement/waitqueue.go
+++ b/internal/region/placement/waitqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -10,9 +11,12 @@
 // maxWaiting bounds the requests that wait for a server.
 const maxWaiting = 1 << 14
 
-// WaitID identifies a waiting request; 0 is none.
+// WaitID identifies a waiting request; 0 is none. Later requests have higher ids.
 type WaitID uint64
 
+// newest is later than each id of a waiting request.
+const newest = WaitID(math.MaxUint64)
+
 // waiter is a request that waits for a server.
 type waiter struct {
 	id          WaitID
@@ -48,6 +52,11 @@
 	checkAt time.Duration // when a server may be able to take a request although nothing was reported to the Placer
 }
 
+// isServedBefore reports whether the first request of the lane is served before a request that does not wait yet.
+func (l *lane) isServedBefore(request *Request, latestStart time.Duration) bool {
+	return l.waiters[0].before(&waiter{id: newest, request: request, latestStart: latestStart})
+}
+
 // Len implements heap.Interface.
 func (l *lane) Len() int { return len(l.waiters) }
 
