Send Retry-After only to clients that have the time to come back, with when there is room

What callers saw: a refusal told 250 ms, 500 ms or a second whatever was known of the servers, also to a client with less time left than that; one before the configuration told 200 ms, one that may succeed at once elsewhere 50 ms.

Cause: the values were constants, and no code compared them with the client's time.

Change: without a place, when the first open attempt is likely to end or the shortest measured queue has drained; where every server failed the request, when the first of their cooldowns ends; where the list must change, the interval at which it is read (1 s); what may succeed at once elsewhere says 1 ms, the shortest value. A client that can't be served any more when it comes back gets no Retry-After.

Evidence: TestRetryAfterLeavesTheTimeToBeServed and TestRetryAfterAllServersFailedIsTheEndOfTheFirstCooldown (on Retry-After is 1 s with 1 ms left, and 500 ms where the cooldown ends after 200). TestBeforeTheFirstConfiguration asked for 0.200; another proxy may serve the request at once.

--- a/internal/region/placement/noserver.go
+++ b/internal/region/placement/noserver.go
@@ -25,9 +25,10 @@
 
 // NoServerError reports that a request currently cannot be sent to any server.
 type NoServerError struct {
-	Service    string
-	Reason     Reason
-	RetryAfter time.Duration // time after which a retry may succeed
+	Service string
+	Reason  Reason
+	// RetryAfter is the time after which a retry may succeed. It is 0 if the client has no time left to come back then.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -47,41 +48,78 @@
 	eligible:               ReasonNoServer,
 }
 
-// Times after which a client should retry a request that no server can take.
 const (
-	minSlowStartRetry = 100 * time.Millisecond
-	retryFull         = 250 * time.Millisecond
-	retryExcluded     = 500 * time.Millisecond
-	retryNoServer     = time.Second
+	// minRetryAfter is the shortest time after which a client is asked to come back.
+	minRetryAfter = time.Millisecond
+	// listInterval is the interval at which the server list is read, and so the time after which a change of the servers
+	// may show.
+	listInterval = time.Second
 )
 
 // noServer counts a pick that found no server, and returns its error.
 func (p *Placer) noServer(now time.Duration, request *Request, reason Reason) error {
 	p.stats.NoServer[reason]++
-	return &NoServerError{Service: request.Service, Reason: reason, RetryAfter: p.retryAfter(now, reason)}
+	retryAfter := p.retryAfter(now, request, reason)
+	if now+retryAfter > p.latestStart(request) {
+		retryAfter = 0
+	}
+	return &NoServerError{Service: request.Service, Reason: reason, RetryAfter: retryAfter}
 }
 
 // retryAfter returns the time after which a retry may succeed.
-func (p *Placer) retryAfter(now time.Duration, reason Reason) time.Duration {
+func (p *Placer) retryAfter(now time.Duration, request *Request, reason Reason) time.Duration {
 	switch reason {
 	case ReasonWarmingUp:
 		return p.slowStartWait(now)
 	case ReasonFull:
-		return retryFull
+		return p.placeWait(now, request)
 	case ReasonExcluded:
-		return retryExcluded
+		return p.excludedWait(now, request)
 	}
-	return retryNoServer
+	return listInterval
 }
 
 // slowStartWait returns the time until the slow start limiter allows a request to one of the servers that are warming
-// up, between minSlowStartRetry and retryNoServer.
+// up, at most listInterval.
 func (p *Placer) slowStartWait(now time.Duration) time.Duration {
-	least := retryNoServer
+	least := listInterval
 	for _, s := range p.buffers.warmingUp {
 		if wait, ok := p.slowStart.Wait(now, s.warmingServer()); ok {
-			least = min(least, max(wait, minSlowStartRetry))
+			least = min(least, max(wait, minRetryAfter))
+		}
+	}
+	return least
+}
+
+// placeWait returns the time until a place for a request is likely to come free at one of the service's servers: when the
+// first of the open attempts ends or the shortest queue has drained, whichever is later, at most listInterval.
+func (p *Placer) placeWait(now time.Duration, request *Request) time.Duration {
+	owner := p.services[request.Service]
+	if owner == nil {
+		return listInterval
+	}
+	shortest, open := listInterval, 0
+	for _, s := range owner.servers {
+		if p.mandatoryEligibility(now, s, request) != eligible {
+			continue
+		}
+		open += s.openAttempts
+		shortest = min(shortest, p.queueDelay(now, s, request))
+	}
+	firstEnd := owner.leastLatency.estimate / time.Duration(max(open, 1))
+	return min(max(shortest, firstEnd, minRetryAfter), listInterval)
+}
+
+// excludedWait returns the time until one of the servers that have failed a request takes requests again. A client that
+// comes back is a new request, which may go to each of them.
+func (p *Placer) excludedWait(now time.Duration, request *Request) time.Duration {
+	least := listInterval
+	for _, id := range request.Excluded {
+		s := p.servers[id]
+		if s == nil || p.mandatoryEligibility(now, s, request) != eligible {
+			continue
 		}
+		least = min(least, max(s.cooldownUntil-now, s.ejectedUntil-now, minRetryAfter))
 	}
 	return least
 }
--- a/internal/region/placement/waiting.go
+++ b/internal/region/placement/waiting.go
@@ -77,7 +77,7 @@
 		return Placement{}, nil, p.noServer(now, request, reason)
 	}
 	if added.lane.checkAt == 0 {
-		added.lane.reason, added.lane.checkAt = reason, now+p.checkInterval(now, reason)
+		added.lane.reason, added.lane.checkAt = reason, now+p.checkInterval(now, request, reason)
 	}
 	p.stats.Waited++
 	placed := Placement{Wait: added.id, LatestStart: latest}
@@ -108,7 +108,7 @@
 		var none *NoServerError
 		if errors.As(err, &none) && none.mayComeFree() {
 			next.reason = none.Reason
-			next.checkAt = now + p.checkInterval(now, none.Reason)
+			next.checkAt = now + p.checkInterval(now, first.request, none.Reason)
 			blocked = append(blocked, next)
 			continue
 		}
@@ -146,8 +146,8 @@
 }
 
 // checkInterval returns the time after which a server may be able to take a request that found none for a reason.
-func (p *Placer) checkInterval(now time.Duration, reason Reason) time.Duration {
-	return min(max(p.retryAfter(now, reason), minCheckInterval), maxCheckInterval)
+func (p *Placer) checkInterval(now time.Duration, request *Request, reason Reason) time.Duration {
+	return min(max(p.retryAfter(now, request, reason), minCheckInterval), maxCheckInterval)
 }
 
 // mayComeFree reports whether a server may be able to take the request later.
--- a/internal/region/proxy/exchange.go
+++ b/internal/region/proxy/exchange.go
@@ -29,6 +29,7 @@
 	retryReserved bool          // a retry is reserved in the retry budget and not sent yet
 	retryAfter    time.Duration // last Retry-After of a server or of placement; 0 if there was none
 	tooLate       bool          // no server can answer the request in the time that the client has left
+	noReturn      bool          // the client has no time left to come back
 	stream        *clientStream // nil until the headers of a stream are sent to the client
 	headersSent   bool          // the headers of a server's response were sent to the client
 	success       bool          // a 2xx response was sent completely
@@ -134,15 +135,24 @@
 		x.handler.counters.brokenResponses.Add(1)
 		return false
 	}
-	status := x.attempts.finalStatus(x.remaining())
-	response := &rejection{status: status}
-	if status == http.StatusServiceUnavailable && !x.tooLate {
-		response.retryAfter = max(x.retryAfter, retryAfterShort)
+	response := &rejection{status: x.attempts.finalStatus(x.remaining())}
+	if response.status == http.StatusServiceUnavailable {
+		response.retryAfter = x.returnTime()
 	}
 	x.handler.reject(x.client, response)
 	return true
 }
 
+// returnTime returns the Retry-After of a request that was certainly not run, or 0 if the client has no time left to come
+// back then.
+func (x *exchange) returnTime() time.Duration {
+	wait := max(x.retryAfter, retryAtOnce)
+	if x.noReturn || wait >= x.remaining() {
+		return 0
+	}
+	return wait
+}
+
 // record adds an attempt's execution state to the attempt log and the counters. A reserved retry is used up if
 // anything was sent.
 func (x *exchange) record(state executionState) {
--- a/internal/region/proxy/pickserver.go
+++ b/internal/region/proxy/pickserver.go
@@ -44,9 +44,9 @@
 	switch {
 	case errors.As(err, &noServer):
 		x.retryAfter = noServer.RetryAfter
+		x.noReturn = noServer.RetryAfter == 0
 	case errors.As(err, &tooLate):
-		// The client would have still less time when it came back, so the response has no Retry-After.
-		x.tooLate = true
+		x.tooLate, x.noReturn = true, true
 		x.handler.counters.notAdmitted.Add(1)
 	}
 	return outcomeNoServer
--- a/internal/region/proxy/rejection.go
+++ b/internal/region/proxy/rejection.go
@@ -7,12 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-const (
-	// retryAfterNoConfiguration is the Retry-After value before the first configuration.
-	retryAfterNoConfiguration = 200 * time.Millisecond
-	// retryAfterShort is the Retry-After value if a retry may succeed at once, at this proxy or another one.
-	retryAfterShort = 50 * time.Millisecond
-)
+// retryAtOnce is the Retry-After value if a retry may succeed at once, at this proxy or another one: the shortest one.
+const retryAtOnce = time.Millisecond
 
 // abortConnection closes a client's connection in the middle of a response. If the response has a length or is chunked,
 // the client detects that it is incomplete. A response to an HTTP/1.0 client may be close-delimited, so the connection of
@@ -39,7 +35,7 @@
 }
 
 // drainRejection is the response to a request that arrives too late during a shutdown.
-var drainRejection = &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, closeConnection: true}
+var drainRejection = &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAtOnce, closeConnection: true}
 
 // reject sends a response of the proxy itself. It extends the write deadline, so that the response is sent even after
 // the request's deadline.
@@ -73,13 +69,13 @@
 	case errors.Is(err, errNoRoute):
 		return &rejection{status: http.StatusNotFound}
 	case errors.Is(err, errNoConfiguration):
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoConfiguration}
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAtOnce}
 	case errors.Is(err, errLimitsUnknown):
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoConfiguration, closeConnection: true}
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAtOnce, closeConnection: true}
 	case errors.Is(err, errBodyTooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, closeConnection: true}
 	case errors.Is(err, errNoMemory):
-		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAfterShort, closeConnection: true}
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: retryAtOnce, closeConnection: true}
 	default:
 		return &rejection{status: http.StatusRequestTimeout, closeConnection: true}
 	}
