Count the way to a server as it was measured, without prices for zones and regions

What callers saw: a server of another zone was taken for 8 % slower than it was, one of another region for 110 ms slower than its way, since traffic between them is "charged for" and "expensive"; the way itself was 40 ms whatever it was.

Cause: otherZoneFactor, otherRegionPenalty and regionRoundTrip were constants. No setting and no caller tells a price.

Change: the time until a connection comes up is measured for each zone; the way counts by how much longer it is than that within the proxy's own zone. 40 ms to another region are assumed until a measurement. The least announced prefill is the time that a first event takes without one (30 ms), not a figure beside "every latency target"; writeSlack names its rule.

Evidence: TestWaysAreMeasured, TestNearerServersArePreferredByTheWay (on the zone's server costs 8 % more at a way of 0, and a region's 150 ms more at one of 90 ms).

--- a/internal/region/placement/announcement.go
+++ b/internal/region/placement/announcement.go
@@ -9,9 +9,9 @@
 
 // Constants of the announcements between the proxies of a region.
 const (
-	// minAnnouncedPrefill is the shortest prefill time for which a prompt is announced. It is far below every latency
-	// target (500 ms or more), and long enough to justify a datagram to each proxy of the region.
-	minAnnouncedPrefill = 35 * time.Millisecond
+	// minAnnouncedPrefill is the shortest prefill time for which a prompt is announced: one that delays requests behind it by
+	// more than the time that their first events take without any prefill.
+	minAnnouncedPrefill = baseLatency
 	// maxAnnounceThreshold is the upper bound of the announcement threshold, which starts at minAnnouncedPrefill.
 	maxAnnounceThreshold = time.Second
 	// regionAnnouncementRate is the approximate number of announcements that a proxy should receive per second: 160 of
--- a/internal/region/placement/ejection.go
+++ b/internal/region/placement/ejection.go
@@ -29,7 +29,7 @@
 	restartSuspectedAfter = 2 * time.Second
 	// rejectionCooldown is how long a server that rejected a request is avoided while other servers are eligible.
 	rejectionCooldown = 250 * time.Millisecond
-	// cautiousTrialPeriod is how long after an ejection only a request that has attempts left may serve as the trial: a
+	// cautiousTrialPeriod is how long after an ejection only a request that may still be sent elsewhere is the trial: a
 	// new server may have taken over the address and reject all requests for the old one, which the server list shows
 	// only some seconds later.
 	cautiousTrialPeriod = 10 * time.Second
--- a/internal/region/placement/prediction.go
+++ b/internal/region/placement/prediction.go
@@ -6,20 +6,9 @@
 	"fieldrelay/internal/region/policy"
 )
 
-// Constants of the predictions, and of the costs of a choice in addition to its latency.
-const (
-	// regionRoundTrip is the assumed round-trip time to another region. It is a constant, since the speed estimates of
-	// the other region's servers absorb the difference, and a measured round-trip time does not improve the result.
-	regionRoundTrip = 40 * time.Millisecond
-	// prefillTokenPrice is the price of prefilling a shared token again, expressed as time, in addition to the prefill
-	// itself, which is part of the predicted latency. No process knows the actual prices, so the value is fixed at three
-	// times initialPerToken.
-	prefillTokenPrice = 78 * time.Microsecond
-	// otherZoneFactor scales the cost of a server in another zone, since traffic between zones is charged for.
-	otherZoneFactor = 1.08
-	// otherRegionPenalty is added to the cost of a server in another region, since traffic between regions is expensive.
-	otherRegionPenalty = 110 * time.Millisecond
-)
+// prefillTokenPrice is the price of prefilling a shared token again, expressed as time, in addition to the prefill itself,
+// which is part of the predicted latency: three times initialPerToken.
+const prefillTokenPrice = 78 * time.Microsecond
 
 // predict returns a candidate with the predicted latency and cost of a prompt at a server that has a number of the
 // prompt's tokens cached.
@@ -27,19 +16,13 @@
 	prefillTokens := max(q.totalTokens-cached, 0)
 	nominal := p.nominalLatency(s, prefillTokens, q.memoryTokens)
 	speed := p.speedAt(now, s)
-	cost := float64(nominal+p.prefillPrice(s, q, cached)) / speed
-	if s.zone != p.config.Zone && !p.off(policy.ZonePreference) {
-		cost *= otherZoneFactor
-	}
-	if s.region != p.region {
-		cost += float64(otherRegionPenalty)
-	}
+	expected := time.Duration(float64(nominal)/speed) + s.busy(now)
 	return candidate{
 		server:          s,
 		prefillTokens:   prefillTokens,
 		nominalLatency:  nominal,
-		expectedLatency: time.Duration(float64(nominal)/speed) + s.busy(now),
-		cost:            time.Duration(cost) + s.busy(now),
+		expectedLatency: expected,
+		cost:            expected + time.Duration(float64(p.prefillPrice(s, q, cached))/speed),
 	}
 }
 
@@ -69,10 +52,7 @@
 		}
 		latency = s.service.median + s.service.median*time.Duration(s.openAttempts)/time.Duration(capacity)
 	}
-	if s.region != p.region {
-		latency += regionRoundTrip
-	}
-	return latency
+	return latency + p.wayTo(s)
 }
 
 // idleLatency returns the time to the first event of a prompt at an idle server that has its shared chunks cached.
--- a/internal/region/policy/policy.go
+++ b/internal/region/policy/policy.go
@@ -23,7 +23,7 @@
 	SortedWalk                         // servers are taken from a sorted list while many answers are late
 	Subset                             // a proxy distributes its requests over a subset of a region's servers
 	Spill                              // requests are sent to other regions while the servers there are expected to answer sooner
-	ZonePreference                     // servers of other zones have a cost in addition to their latency
+	ZonePreference                     // the way to servers of other zones counts
 	PrefillRate                        // the prefill time of a token is estimated from answers
 	Announcements                      // prompts with a long prefill are announced to the other proxies of the region
 	FailureReports                     // servers whose new connections fail are reported to the other proxies of the region
--- a/internal/region/proxy/attempt.go
+++ b/internal/region/proxy/attempt.go
@@ -80,7 +80,9 @@
 	began := time.Now()
 	conn, err := x.handler.pool.Connect(x.request.Context(), server, x.connectTimeouts(decision.Region), x.deadline)
 	if err == nil && !conn.Reused() {
-		x.handler.roundTrips.observe(decision.Region, time.Since(began))
+		roundTrip := time.Since(began)
+		x.handler.roundTrips.observe(decision.Region, roundTrip)
+		x.handler.dispatcher.wayMeasured(decision.ServerID, roundTrip)
 	}
 	return conn, err
 }
--- a/internal/region/proxy/handler.go
+++ b/internal/region/proxy/handler.go
@@ -9,9 +9,8 @@
 	"fieldrelay/internal/region/route"
 )
 
-// writeSlack is how long after the deadline a response may still be written to a client that reads slowly. According to
-// docs/region/rules.md, a request that ends 250 ms after its route's deadline has a cost, and one that ends 500 ms after
-// it is a violation.
+// writeSlack is how long after the deadline a response may still be written to a client that reads slowly. A request that
+// has no final answer 500 ms after its route's deadline breaks a rule (CONFIG in docs/region/rules.md).
 const writeSlack = 200 * time.Millisecond
 
 // handler serves the requests of clients. It is safe for concurrent use.
