Compute no Retry-After for waits whose service may be gone

What callers saw: nothing yet; found by reading. A client that left while its request waited for a server that was warming up ended the proxy, if the configuration had removed the service meanwhile.

Cause: Withdraw and Advance ended waits by noServer, which reads the slow start of servers that an earlier pick left in the buffers; a removed service has no warm rate.

Change: a wait that ends at its latest start, or with its client, tells no Retry-After; one that gave way in a full queue tells when a place is likely to come free.

Evidence: TestWaitsEndAfterTheirServiceIsRemoved panics with the two calls put back (nil pointer dereference).

--- a/internal/region/placement/noserver.go
+++ b/internal/region/placement/noserver.go
@@ -56,7 +56,7 @@
 	listInterval = time.Second
 )
 
-// noServer counts a pick that found no server, and returns its error.
+// noServer counts a pick that found no server, and returns its error. The servers in the buffers must be those of the pick.
 func (p *Placer) noServer(now time.Duration, request *Request, reason Reason) error {
 	p.stats.NoServer[reason]++
 	retryAfter := p.retryAfter(now, request, reason)
--- a/internal/region/placement/service.go
+++ b/internal/region/placement/service.go
@@ -26,8 +26,8 @@
 	defaultCapacity = 8
 )
 
-// bands are the bands of the slack. They have the thresholds of selection.PaperBands and lower temperatures, so
-// that requests stay at servers with a cached prefix. Temperatures of half or a quarter of these values gain nothing.
+// bands are the bands of the slack. They have the thresholds of selection.DefaultBands and lower temperatures, so that
+// requests stay at servers with a cached prefix.
 var bands = selection.Bands{
 	Low:       selection.DefaultBands.Low,
 	High:      selection.DefaultBands.High,
--- a/internal/region/placement/waiting.go
+++ b/internal/region/placement/waiting.go
@@ -74,7 +74,7 @@
 func (p *Placer) wait(now time.Duration, request *Request, latest time.Duration, reason Reason) (Placement, *Assignment, error) {
 	added, gaveWay := p.waiting.add(request, latest)
 	if gaveWay == added {
-		return Placement{}, nil, p.noServer(now, request, reason)
+		return Placement{}, nil, p.waitEnded(request, reason, p.placeWait(now, request))
 	}
 	if added.lane.checkAt == 0 {
 		added.lane.reason, added.lane.checkAt = reason, now+p.checkInterval(now, request, reason)
@@ -84,7 +84,7 @@
 	if gaveWay == nil {
 		return placed, nil, nil
 	}
-	return placed, &Assignment{Wait: gaveWay.id, Err: p.noServer(now, gaveWay.request, gaveWay.lane.reason)}, nil
+	return placed, &Assignment{Wait: gaveWay.id, Err: p.waitEnded(gaveWay.request, gaveWay.lane.reason, p.placeWait(now, gaveWay.request))}, nil
 }
 
 // Advance assigns servers to waiting requests, in their order: by rank, then by least slack. It returns the requests
@@ -101,7 +101,7 @@
 		first := next.waiters[0]
 		if now > first.latestStart {
 			p.waiting.remove(first)
-			assigned = append(assigned, Assignment{Wait: first.id, Err: p.noServer(now, first.request, next.reason)})
+			assigned = append(assigned, Assignment{Wait: first.id, Err: p.waitEnded(first.request, next.reason, 0)})
 			continue
 		}
 		decision, err := p.pick(now, first.request, true)
@@ -122,13 +122,19 @@
 
 // Withdraw ends the wait of a request whose client left or whose latest start has come. reason says why the request got
 // no server. withdrawn is false if the wait had ended before: then Advance or Place has returned its Assignment.
-func (p *Placer) Withdraw(now time.Duration, id WaitID) (withdrawn bool, reason error) {
+func (p *Placer) Withdraw(id WaitID) (withdrawn bool, reason error) {
 	w := p.waiting.byID[id]
 	if w == nil {
 		return false, nil
 	}
 	p.waiting.remove(w)
-	return true, p.noServer(now, w.request, w.lane.reason)
+	return true, p.waitEnded(w.request, w.lane.reason, 0)
+}
+
+// waitEnded counts a wait that ended without a server, and returns its error.
+func (p *Placer) waitEnded(request *Request, reason Reason, retryAfter time.Duration) error {
+	p.stats.NoServer[reason]++
+	return &NoServerError{Service: request.Service, Reason: reason, RetryAfter: retryAfter}
 }
 
 // Waiting returns the number of requests that wait for a server.
--- a/internal/region/placement/waiting_test.go
+++ b/internal/region/placement/waiting_test.go
@@ -198,15 +198,45 @@
 func TestWithdrawnRequestsGetNoPlace(t *testing.T) {
 	f := newWaitFixture(t)
 	left, stays := f.enqueue(t, f.plain(0, time.Second)), f.enqueue(t, f.plain(1, time.Second))
-	withdrawn, reason := f.p.Withdraw(f.now, left.Wait)
+	withdrawn, reason := f.p.Withdraw(left.Wait)
 	require.True(t, withdrawn)
 	require.Error(t, reason)
 	f.free()
 	require.Equal(t, []WaitID{stays.Wait}, f.assigned(t))
-	withdrawn, _ = f.p.Withdraw(f.now, stays.Wait)
+	withdrawn, _ = f.p.Withdraw(stays.Wait)
 	require.False(t, withdrawn, "its wait has ended")
 }
 
+// The configuration may remove a service while requests wait for its servers that are warming up.
+func TestWaitsEndAfterTheirServiceIsRemoved(t *testing.T) {
+	for name, end := range map[string]func(f *fixture, id WaitID) error{
+		"the client leaves": func(f *fixture, id WaitID) error {
+			_, reason := f.p.Withdraw(id)
+			return reason
+		},
+		"the latest start passes": func(f *fixture, _ WaitID) error {
+			f.now += time.Hour
+			return f.p.Advance(f.now)[0].Err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0, warmingUpServers(3, time.Minute))
+			var placed Placement
+			for i := 0; placed.Wait == 0; i++ {
+				var err error
+				placed, _, err = f.p.Place(f.now, f.greeting(i))
+				require.NoError(t, err)
+			}
+			f.p.SetTable(f.now, route.Empty())
+			var none *NoServerError
+			require.ErrorAs(t, end(f, placed.Wait), &none)
+			require.Equal(t, ReasonWarmingUp, none.Reason)
+			require.Zero(t, none.RetryAfter)
+			require.Zero(t, f.p.Waiting())
+		})
+	}
+}
+
 // Requests that other servers can take are not held up by one that waits for the server that it has not tried yet.
 func TestARequestThatTriedAServerDoesNotBlockOthers(t *testing.T) {
 	f := newFixture(t, 0, []*pb.Server{listed(plainService, 1, zoneA), listed(plainService, 2, zoneA)})
--- a/internal/region/proxy/deadline_test.go
+++ b/internal/region/proxy/deadline_test.go
@@ -75,7 +75,7 @@
 	return f.checkedAt + pollInterval, f.waiting != nil
 }
 
-func (f *saturatedPlacer) Withdraw(time.Duration, placement.WaitID) (bool, error) {
+func (f *saturatedPlacer) Withdraw(placement.WaitID) (bool, error) {
 	withdrawn := f.waiting != nil
 	f.waiting = nil
 	return withdrawn, &placement.NoServerError{Reason: placement.ReasonFull, RetryAfter: pollInterval}
--- a/internal/region/proxy/dispatcher.go
+++ b/internal/region/proxy/dispatcher.go
@@ -24,7 +24,7 @@
 	FailureReported(now time.Duration, serverID, zone string)
 	Place(now time.Duration, request *placement.Request) (placement.Placement, *placement.Assignment, error)
 	Advance(now time.Duration) []placement.Assignment
-	Withdraw(now time.Duration, id placement.WaitID) (withdrawn bool, reason error)
+	Withdraw(id placement.WaitID) (withdrawn bool, reason error)
 	NextCheck() (at time.Duration, ok bool)
 	StillAllowed(now time.Duration, attempt placement.AttemptID) bool
 	Started(now time.Duration, attempt placement.AttemptID)
--- a/internal/region/proxy/testproxy_test.go
+++ b/internal/region/proxy/testproxy_test.go
@@ -60,9 +60,9 @@
 	f.draining = append(f.draining, id)
 }
 
-func (f *fakePlacer) Advance(time.Duration) []placement.Assignment           { return nil }
-func (f *fakePlacer) NextCheck() (time.Duration, bool)                       { return 0, false }
-func (f *fakePlacer) Withdraw(time.Duration, placement.WaitID) (bool, error) { return false, nil }
+func (f *fakePlacer) Advance(time.Duration) []placement.Assignment { return nil }
+func (f *fakePlacer) NextCheck() (time.Duration, bool)             { return 0, false }
+func (f *fakePlacer) Withdraw(placement.WaitID) (bool, error)      { return false, nil }
 
 func (f *fakePlacer) Place(_ time.Duration, request *placement.Request) (placement.Placement, *placement.Assignment, error) {
 	f.mu.Lock()
--- a/internal/region/proxy/waitingrequests.go
+++ b/internal/region/proxy/waitingrequests.go
@@ -68,7 +68,7 @@
 func (d *dispatcher) endWait(id placement.WaitID, assigned <-chan placement.Assignment) (placement.Decision, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if withdrawn, reason := d.placer.Withdraw(d.now(), id); withdrawn {
+	if withdrawn, reason := d.placer.Withdraw(id); withdrawn {
 		delete(d.waiting.assigned, id)
 		return placement.Decision{}, reason
 	}
