Name round trips by the term of the field

Pure renames in placement and proxy (way to round trip; returnTime, noReturn), and the lines of a comment.

--- a/internal/region/placement/placer.go
+++ b/internal/region/placement/placer.go
@@ -66,7 +66,7 @@
 	listNumber        uint64          // number of the newest server list
 	buffers           pickBuffers
 	waiting           waitQueue
-	ways              map[string]time.Duration // mean round-trip times by zone, as measured
+	roundTrips        map[string]time.Duration // mean round-trip times by zone, as measured
 	stats             Stats
 }
 
@@ -87,7 +87,7 @@
 		slack:     selection.NewSlack(bands),
 
 		waiting:           newWaitQueue(),
-		ways:              map[string]time.Duration{},
+		roundTrips:        map[string]time.Duration{},
 		prefixCache:       newPrefixCacheIndex(),
 		announcedPrefixes: map[uint32]announcedPrefix{},
 		announcements:     newAnnouncementLimiter(),
--- a/internal/region/placement/prediction.go
+++ b/internal/region/placement/prediction.go
@@ -52,7 +52,7 @@
 		}
 		latency = s.service.median + s.service.median*time.Duration(s.openAttempts)/time.Duration(capacity)
 	}
-	return latency + p.wayTo(s)
+	return latency + p.extraRoundTrip(s)
 }
 
 // idleLatency returns the time to the first event of a prompt at an idle server that has its shared chunks cached.
--- a/internal/region/placement/queuedelay.go
+++ b/internal/region/placement/queuedelay.go
@@ -92,7 +92,7 @@
 	if s.service.servesModel() {
 		own = baseLatency + s.service.prefill.duration(q.totalTokens)
 	}
-	return own + p.wayTo(s)
+	return own + p.extraRoundTrip(s)
 }
 
 // queuesEverywhere reports whether a request would wait at each of the candidates for longer than its own work takes. It
--- a/internal/region/placement/sim_test.go
+++ b/internal/region/placement/sim_test.go
@@ -340,7 +340,7 @@
 		})
 		return
 	}
-	p.WayMeasured(to.ServerID, roundTrip)
+	p.RoundTripMeasured(to.ServerID, roundTrip)
 	first := engine.serve(now, roundTrip, chunks)
 	if first+kind.streaming <= request.Deadline {
 		result.answered++
--- a/internal/region/proxy/attempt.go
+++ b/internal/region/proxy/attempt.go
@@ -44,9 +44,9 @@
 }
 
 // connectTimeouts returns the TCP time-outs after which a server's machine counts as unreachable. They follow from the
-// way to the region: while nothing has been sent, and also if the request may be sent twice, another server is tried once
-// an acknowledgement is overdue. A request that may run only once can't be sent anywhere else, so its server has the time
-// that the client has. With the reachability watch disabled, only the request's deadline applies.
+// round trips to the region: while nothing has been sent, and also if the request may be sent twice, another server is
+// tried once an acknowledgement is overdue. A request that may run only once can't be sent anywhere else, so its server has
+// the time that the client has. With the reachability watch disabled, only the request's deadline applies.
 func (x *exchange) connectTimeouts(region string) upstream.DialTimeouts {
 	if x.handler.disabled.Off(policy.ReachabilityWatch) {
 		return upstream.DialTimeouts{Dial: x.remaining(), Unacknowledged: x.remaining()}
@@ -82,7 +82,7 @@
 	if err == nil && !conn.Reused() {
 		roundTrip := time.Since(began)
 		x.handler.roundTrips.observe(decision.Region, roundTrip)
-		x.handler.dispatcher.wayMeasured(decision.ServerID, roundTrip)
+		x.handler.dispatcher.roundTripMeasured(decision.ServerID, roundTrip)
 	}
 	return conn, err
 }
--- a/internal/region/proxy/dispatcher.go
+++ b/internal/region/proxy/dispatcher.go
@@ -19,7 +19,7 @@
 	ServerWarmingUp(now time.Duration, serverID string, remaining time.Duration)
 	ServerDraining(now time.Duration, serverID string)
 	ServerUnreachable(now time.Duration, serverID string)
-	WayMeasured(serverID string, roundTrip time.Duration)
+	RoundTripMeasured(serverID string, roundTrip time.Duration)
 	AnnouncementReceived(now time.Duration, announcement placement.Announcement)
 	FailureReported(now time.Duration, serverID, zone string)
 	Place(now time.Duration, request *placement.Request) (placement.Placement, *placement.Assignment, error)
@@ -105,11 +105,11 @@
 	d.placer.ServerWarmingUp(d.now(), server, remaining)
 }
 
-// wayMeasured tells the placer how long a connection to a server took to be established.
-func (d *dispatcher) wayMeasured(server string, roundTrip time.Duration) {
+// roundTripMeasured tells the placer how long a connection to a server took to be established.
+func (d *dispatcher) roundTripMeasured(server string, roundTrip time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.WayMeasured(server, roundTrip)
+	d.placer.RoundTripMeasured(server, roundTrip)
 }
 
 // serverUnreachable tells the placer that a server's machine doesn't respond.
--- a/internal/region/proxy/exchange.go
+++ b/internal/region/proxy/exchange.go
@@ -29,7 +29,7 @@
 	retryReserved bool          // a retry is reserved in the retry budget and not sent yet
 	retryAfter    time.Duration // last Retry-After of a server or of placement; 0 if there was none
 	tooLate       bool          // no server can answer the request in the time that the client has left
-	noReturn      bool          // the client has no time left to come back
+	cannotReturn  bool          // the client has no time left to come back
 	stream        *clientStream // nil until the headers of a stream are sent to the client
 	headersSent   bool          // the headers of a server's response were sent to the client
 	success       bool          // a 2xx response was sent completely
@@ -137,17 +137,17 @@
 	}
 	response := &rejection{status: x.attempts.finalStatus(x.remaining())}
 	if response.status == http.StatusServiceUnavailable {
-		response.retryAfter = x.returnTime()
+		response.retryAfter = x.returnDelay()
 	}
 	x.handler.reject(x.client, response)
 	return true
 }
 
-// returnTime returns the Retry-After of a request that was certainly not run, or 0 if the client has no time left to come
+// returnDelay returns the Retry-After of a request that was certainly not run, or 0 if the client has no time left to come
 // back then.
-func (x *exchange) returnTime() time.Duration {
+func (x *exchange) returnDelay() time.Duration {
 	wait := max(x.retryAfter, retryAtOnce)
-	if x.noReturn || wait >= x.remaining() {
+	if x.cannotReturn || wait >= x.remaining() {
 		return 0
 	}
 	return wait
--- a/internal/region/proxy/pickserver.go
+++ b/internal/region/proxy/pickserver.go
@@ -44,9 +44,9 @@
 	switch {
 	case errors.As(err, &noServer):
 		x.retryAfter = noServer.RetryAfter
-		x.noReturn = noServer.RetryAfter == 0
+		x.cannotReturn = noServer.RetryAfter == 0
 	case errors.As(err, &tooLate):
-		x.tooLate, x.noReturn = true, true
+		x.tooLate, x.cannotReturn = true, true
 		x.handler.counters.notAdmitted.Add(1)
 	}
 	return outcomeNoServer
--- a/internal/region/proxy/roundtrip_test.go
+++ b/internal/region/proxy/roundtrip_test.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// When a server counts as unreachable follows from the way to it and from the client's time, not from the target.
-func TestTimeoutsOfConnectionsFollowTheWayAndNotTheTarget(t *testing.T) {
+// When a server counts as unreachable follows from the round trips to its region and from the client's time, not from the target.
+func TestTimeoutsOfConnectionsFollowTheRoundTripAndNotTheTarget(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		target := time.Duration(rapid.IntRange(10, 4000).Draw(rt, "target")) * time.Millisecond
 		way := time.Duration(rapid.IntRange(1, 300).Draw(rt, "way")) * time.Millisecond
@@ -56,19 +56,19 @@
 	}
 }
 
-// A way whose times vary gets a longer time-out, within the bounds.
-func TestTimeoutsCoverTheVariationOfTheWay(t *testing.T) {
-	ways := newRoundTrips()
+// A region whose round trips vary gets a longer time-out, within the bounds.
+func TestTimeoutsCoverTheVariationOfRoundTrips(t *testing.T) {
+	trips := newRoundTrips()
 	for i := range 200 {
-		ways.observe("r", time.Duration(100+100*(i%2))*time.Millisecond)
+		trips.observe("r", time.Duration(100+100*(i%2))*time.Millisecond)
 	}
-	require.Greater(t, ways.retransmitTimeout("r"), 300*time.Millisecond)
+	require.Greater(t, trips.retransmitTimeout("r"), 300*time.Millisecond)
 	for range 200 {
-		ways.observe("r", 10*time.Second)
+		trips.observe("r", 10*time.Second)
 	}
-	require.Equal(t, initialRetransmitTimeout, ways.retransmitTimeout("r"))
+	require.Equal(t, initialRetransmitTimeout, trips.retransmitTimeout("r"))
 	for range 500 {
-		ways.observe("r", time.Millisecond)
+		trips.observe("r", time.Millisecond)
 	}
-	require.Equal(t, minRetransmitTimeout, ways.retransmitTimeout("r"))
+	require.Equal(t, minRetransmitTimeout, trips.retransmitTimeout("r"))
 }
--- a/internal/region/proxy/testproxy_test.go
+++ b/internal/region/proxy/testproxy_test.go
@@ -48,7 +48,7 @@
 func (f *fakePlacer) SetQuotaMembers(time.Duration, *pb.QuotaMembers)            {}
 func (f *fakePlacer) ServerWarmingUp(time.Duration, string, time.Duration)       {}
 func (f *fakePlacer) ServerUnreachable(time.Duration, string)                    {}
-func (f *fakePlacer) WayMeasured(string, time.Duration)                          {}
+func (f *fakePlacer) RoundTripMeasured(string, time.Duration)                    {}
 func (f *fakePlacer) Slack() float64                                             { return 1 }
 func (f *fakePlacer) Stats() placement.Stats                                     { return placement.Stats{} }
 func (f *fakePlacer) FailureReported(time.Duration, string, string)              {}
