--- a/internal/region/placement/waiting.go
+++ b/internal/region/placement/waiting.go
@@ -32,10 +32,10 @@
 }
 
 // Place picks a server for a request, as Pick does. If no server can take the request now, or it would queue at each of
-// them for longer than its own work takes, but one may come free while a start is still in time, the request waits: it gets a ticket, and a later call of Advance assigns a server. A
-// request that can't be answered in the time that its client has left gets a *TooLateError, and one that waiting can't
-// help a *NoServerError. The request must stay unchanged while it waits. displaced ends the wait of another request
-// that gave way.
+// them for longer than its own work takes, but one may come free while a start is still in time, the request waits: it gets
+// a ticket, and a later call of Advance assigns a server. A request that can't be answered in the time that its client has
+// left gets a *TooLateError, and one that waiting can't help a *NoServerError. The request must stay unchanged while it
+// waits. displaced ends the wait of another request that gave way.
 //
 // First attempts, clients' retries and further attempts of one request are treated alike. A caller that reports every
 // change and calls Advance before Place never lets a request overtake one that waits.
