--- a/internal/sidecar/logic/tuning.go
+++ b/internal/sidecar/logic/tuning.go
@@ -13,8 +13,8 @@
 const (
 	freshSamples  = 4.0 // samples of a server within agingTime that keep its estimate current
 	minSubsetSize = 2   // one server may fail while the other is being probed
-	// boundMinBalancers is the number of sidecars from which maxInFlight applies. Smaller fleets have per-server
-	// limits alone.
+	// boundMinBalancers is the number of sidecars from which maxInFlight applies. Smaller fleets have
+	// per-server limits alone.
 	boundMinBalancers  = 16
 	inFlightFactor     = 1.8 // attempts in flight per occupied server: a standard core is faster than most
 	inFlightRootFactor = 2.5 // attempts in flight per square root of occupied servers: random variation
